Add the request decisions of entry and agent

Cause: the daemons need the interfaces of stream check, operation table, retry, admission, drain, entry directory and the state machine of one request before they can be written.

Change: adds these headers with a first working version of each decision, and a token bucket and a text hash that they share.

Ruled out: holding pieces that arrive out of order. Pieces travel over one connection in order, so nothing would fill a gap later.

--- /dev/null
+++ b/include/marigoldyard/coordination/admission.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "marigoldyard/coordination/token_bucket.hpp"
+#include "marigoldyard/state/error.hpp"
+#include "marigoldyard/state/manifest.hpp"
+#include "marigoldyard/state/types.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace marigoldyard {
+
+/// @brief Whether a use that was refused moves its record to the young end of a
+/// bounded table.
+enum class RefreshRule : std::uint8_t {
+  OnAnyUse,      ///< admitted and refused uses
+  OnAdmittedUse, ///< admitted uses only
+  Never,         ///< eviction by age of insertion
+};
+
+/// @brief Token buckets by name in a table of bounded size. The record that was
+/// not refreshed for the longest time is evicted first.
+struct BucketTable {
+  struct Entry {
+    std::string Name;
+    TokenBucket Bucket;
+  };
+  std::size_t Capacity = 0;
+  RefreshRule Rule = RefreshRule::OnAnyUse;
+  std::list<Entry> Order; ///< oldest first
+  std::unordered_map<std::string, std::list<Entry>::iterator> Index;
+  std::uint64_t Evicted = 0;
+};
+
+/// @brief Starts an empty table.
+/// @param Capacity records held at most; not 0
+/// @param Rule which uses refresh a record
+/// @return the table
+/// @complexity constant
+BucketTable beginBucketTable(std::size_t Capacity,
+                             RefreshRule Rule = RefreshRule::OnAnyUse);
+
+/// @brief Decision about one request.
+struct AdmissionDecision {
+  bool Admitted = true;
+  ErrorCode Reason = ErrorCode::RateLimited; ///< valid when not admitted
+  Duration RetryAfter{};                     ///< valid when not admitted
+};
+
+/// @brief Takes one token from a name's bucket. A name without a record starts
+/// with a full bucket.
+/// @param Table the table
+/// @param Name the name
+/// @param Limit rate and depth
+/// @param Now the current time
+/// @return admitted, or refused with the time until the next token
+/// @complexity constant on average
+AdmissionDecision takeFrom(BucketTable &Table, const std::string &Name,
+                           const TokenBucketLimit &Limit, TimePoint Now);
+
+/// @brief Callers that the admission table of an entry holds at most.
+inline constexpr std::size_t MaxAdmissionRecords = 4096;
+
+/// @brief Admits a request under its caller's limit from the manifest.
+/// @param Table the table of the entry
+/// @param ProductName product of the request
+/// @param Customer the caller; a rate of 0 means no limit
+/// @param Now the current time
+/// @return admitted, or RateLimited with the time until the next token
+/// @complexity constant on average
+AdmissionDecision admitCaller(BucketTable &Table, std::string_view ProductName,
+                              const Caller &Customer, TimePoint Now);
+
+/// @brief Addresses whose failed authentications an entry remembers at most.
+inline constexpr std::size_t MaxFailedAuthenticationRecords = 4096;
+
+/// @brief Failed authentications allowed to one address: 10 at once, then one
+/// each 2 s. A person who mistypes a key stays below it.
+inline constexpr TokenBucketLimit FailedAuthenticationLimit{0.5, 10.0};
+
+/// @brief Failed authentications by address.
+struct FailedAuthentications {
+  BucketTable Table = beginBucketTable(MaxFailedAuthenticationRecords);
+};
+
+/// @brief Whether an address may try to authenticate.
+/// @param Failures the table
+/// @param Address the remote address without port
+/// @param Now the current time
+/// @return admitted, or RateLimited with the time until the next try
+/// @complexity constant on average
+AdmissionDecision mayAuthenticate(FailedAuthentications &Failures,
+                                  const std::string &Address, TimePoint Now);
+
+/// @brief Counts a failed authentication of an address.
+/// @param Failures the table
+/// @param Address the remote address without port
+/// @param Now the current time
+/// @complexity constant on average
+void noteFailedAuthentication(FailedAuthentications &Failures,
+                              const std::string &Address, TimePoint Now);
+
+/// @brief Estimate of the queue in front of a request.
+struct QueueEstimate {
+  std::uint64_t TokensAhead = 0; ///< of the same or a more urgent rank
+  double TokensPerSecond = 0.0;  ///< rate of the endpoint; 0 means not known
+  std::uint64_t OwnTokens = 0;   ///< estimated cost of the request
+};
+
+/// @brief Decides early whether a request can meet its deadline.
+/// @param Estimate queue in front of the best endpoint
+/// @param TimeLeft until the deadline
+/// @return admitted, or DeadlineExceeded with the time until the queue is short
+/// enough; an unknown rate admits while time is left
+/// @complexity constant
+AdmissionDecision admitByDeadline(const QueueEstimate &Estimate,
+                                  Duration TimeLeft);
+
+} // namespace marigoldyard
--- /dev/null
+++ b/include/marigoldyard/coordination/detail/text_hash.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+struct XXH3_state_s;
+
+namespace marigoldyard::detail {
+
+/// @brief Running XXH3-64 of a text that arrives in parts.
+class TextHash {
+public:
+  TextHash();
+  TextHash(const TextHash &Other);
+  TextHash &operator=(const TextHash &Other);
+  TextHash(TextHash &&) noexcept = default;
+  TextHash &operator=(TextHash &&) noexcept = default;
+  ~TextHash() = default;
+
+  /// @brief Appends a part of the text.
+  /// @complexity linear in the length of the part
+  void add(std::string_view Part);
+
+  /// @return the hash of all parts so far
+  /// @complexity constant
+  std::uint64_t value() const;
+
+private:
+  struct Release {
+    void operator()(XXH3_state_s *State) const;
+  };
+  std::unique_ptr<XXH3_state_s, Release> State;
+};
+
+} // namespace marigoldyard::detail
--- /dev/null
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "marigoldyard/coordination/token_bucket.hpp"
+#include "marigoldyard/state/error.hpp"
+#include "marigoldyard/state/types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace marigoldyard {
+
+/// @brief What is known about a try.
+enum class TryFate : std::uint8_t {
+  NeverSent, ///< no byte left the process
+  Withdrawn, ///< taken back from the outbox before sending
+  Refused,   ///< the agent proved that it was not run
+  Running,   ///< sent; not settled yet
+  Failed,    ///< known to have started and to have ended without an answer
+  Lost,      ///< may have been sent; what became of it is not known
+  Completed, ///< gave the whole answer
+};
+
+/// @brief All fates, for generated tests.
+inline constexpr TryFate AllTryFates[] = {
+    TryFate::NeverSent, TryFate::Withdrawn, TryFate::Refused,
+    TryFate::Running,   TryFate::Failed,    TryFate::Lost,
+    TryFate::Completed,
+};
+
+/// @brief Name of a fate for logs and tests.
+/// @param Fate the fate
+/// @return a lower-case name with underscores
+std::string_view tryFateName(TryFate Fate);
+
+/// @brief Whether a fate proves that the try was not run.
+/// @param Fate the fate
+/// @return true for NeverSent, Withdrawn and Refused
+constexpr bool provesNotRun(TryFate Fate) {
+  return Fate == TryFate::NeverSent || Fate == TryFate::Withdrawn ||
+         Fate == TryFate::Refused;
+}
+
+/// @brief Outcome that may be told to the caller after these tries.
+/// @param Fates fate of each try of the request; none means that nothing was
+/// sent
+/// @return Complete if a try completed; Unknown if a try is lost or still runs;
+/// Failed if a try failed; NotRun only if each try is proved not run
+/// @complexity linear in the number of tries
+Outcome claimOutcome(std::span<const TryFate> Fates);
+
+/// @brief Tries of one request at most, the first one included.
+inline constexpr std::uint32_t MaxTries = 4;
+
+/// @brief Retries a product may make before first tries have earned any. Lets a
+/// product with little traffic repeat a request.
+inline constexpr double RetryReserve = 3.0;
+
+/// @brief Retry allowance per product: each first try earns a share of a retry.
+struct RetryBudget {
+  double Share = 0.1; ///< retries as a share of first tries
+  double Tokens = RetryReserve;
+  double Depth = 0.0; ///< tokens held at most; 0 until first used
+  std::uint64_t FirstTries = 0;
+  std::uint64_t Retries = 0;
+  std::uint64_t Denied = 0;
+};
+
+/// @brief Starts the budget of a product.
+/// @param Share retries as a share of first tries, from the manifest
+/// @return a budget that holds the reserve
+/// @complexity constant
+RetryBudget beginRetryBudget(double Share);
+
+/// @brief Adopts a new share from the manifest; earned tokens stay.
+/// @param Budget the budget
+/// @param Share retries as a share of first tries
+/// @complexity constant
+void updateRetryShare(RetryBudget &Budget, double Share);
+
+/// @brief Counts a first try and earns its share of a retry.
+/// @param Budget the budget
+/// @complexity constant
+void noteFirstTry(RetryBudget &Budget);
+
+/// @brief What decides about another try.
+struct RetryQuestion {
+  TryFate LastTry = TryFate::NeverSent;
+  ErrorCode Reason = ErrorCode::PeerUnreachable; ///< why the last try ended
+  bool Idempotent = false;
+  bool Delivered = false;  ///< a piece of the answer reached the caller
+  bool MaybeSent = false;  ///< some try so far is not proved not run
+  std::uint32_t Tries = 0; ///< tries made so far
+  Duration TimeLeft{};     ///< until the deadline
+};
+
+/// @brief Why there is no further try.
+enum class RetryVerdict : std::uint8_t {
+  Retry,
+  NoTimeLeft,
+  TooManyTries,
+  AlreadyDelivered,
+  NotIdempotent,
+  NotRetryable, ///< another endpoint would answer the same
+  NoBudget,
+};
+
+/// @brief All verdicts, for generated tests.
+inline constexpr RetryVerdict AllRetryVerdicts[] = {
+    RetryVerdict::Retry,         RetryVerdict::NoTimeLeft,
+    RetryVerdict::TooManyTries,  RetryVerdict::AlreadyDelivered,
+    RetryVerdict::NotIdempotent, RetryVerdict::NotRetryable,
+    RetryVerdict::NoBudget,
+};
+
+/// @brief Decides whether another try may be made and takes it from the budget.
+/// @param Budget the product's budget
+/// @param Question state of the request
+/// @return Retry, or the first reason against it
+/// @complexity constant
+RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question);
+
+} // namespace marigoldyard
--- /dev/null
+++ b/src/coordination/stream.cpp
@@ -0,0 +1,152 @@
+#include "marigoldyard/coordination/stream.hpp"
+
+#include "marigoldyard/state/fault_switch.hpp"
+#include "marigoldyard/state/invariant.hpp"
+
+#include <utility>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Checks which stream a piece or end belongs to.
+StreamFault classifyOwner(const StreamState &State, std::string_view Request,
+                          std::uint32_t Attempt, std::string_view Weights) {
+  if (!faultEnabled(Invariant::WholeAnswer)) {
+    if (Request != State.Request)
+      return StreamFault::OtherRequest;
+    if (Attempt < State.Attempt)
+      return StreamFault::OlderAttempt;
+    if (Attempt > State.Attempt)
+      return StreamFault::OtherAttempt;
+  }
+  if (Weights != State.Weights && !faultEnabled(Invariant::UnmixedWeights))
+    return StreamFault::OtherWeights;
+  if (State.Failed)
+    return StreamFault::AfterFault;
+  if (State.Ended)
+    return StreamFault::AfterEnd;
+  return StreamFault::None;
+}
+
+StreamFault classifyPiece(const StreamState &State, const PieceView &Piece) {
+  StreamFault Fault =
+      classifyOwner(State, Piece.Request, Piece.Attempt, Piece.Weights);
+  if (Fault != StreamFault::None)
+    return Fault;
+  if (Piece.Text.size() > MaxAnswerBytes - State.Bytes)
+    return StreamFault::TooLong;
+  if (faultEnabled(Invariant::WholeAnswer))
+    return StreamFault::None;
+  if (Piece.Sequence < State.Next)
+    return StreamFault::Duplicate;
+  if (Piece.Sequence > State.Next)
+    return StreamFault::Gap;
+  return StreamFault::None;
+}
+
+StreamFault classifyEnd(const StreamState &State, const StreamEndView &End) {
+  StreamFault Fault =
+      classifyOwner(State, End.Request, End.Attempt, End.Weights);
+  if (Fault != StreamFault::None || faultEnabled(Invariant::WholeAnswer))
+    return Fault;
+  if (End.Count != State.Next)
+    return StreamFault::WrongCount;
+  if (End.Checksum && *End.Checksum != State.Hash.value())
+    return StreamFault::WrongChecksum;
+  return StreamFault::None;
+}
+
+StreamStep conclude(StreamState &State, StreamFault Fault) {
+  if (Fault == StreamFault::None)
+    return {StreamVerdict::Accept, Fault};
+  if (Fault == StreamFault::OlderAttempt)
+    return {StreamVerdict::Ignore, Fault};
+  State.Failed = true;
+  return {StreamVerdict::Fail, Fault};
+}
+
+} // namespace
+
+std::string_view streamFaultName(StreamFault Fault) {
+  switch (Fault) {
+  case StreamFault::None:
+    return "none";
+  case StreamFault::OlderAttempt:
+    return "older_attempt";
+  case StreamFault::OtherRequest:
+    return "other_request";
+  case StreamFault::OtherAttempt:
+    return "other_attempt";
+  case StreamFault::OtherWeights:
+    return "other_weights";
+  case StreamFault::Duplicate:
+    return "duplicate";
+  case StreamFault::Gap:
+    return "gap";
+  case StreamFault::WrongCount:
+    return "wrong_count";
+  case StreamFault::WrongChecksum:
+    return "wrong_checksum";
+  case StreamFault::AfterEnd:
+    return "after_end";
+  case StreamFault::AfterFault:
+    return "after_fault";
+  case StreamFault::TooLong:
+    return "too_long";
+  }
+  return "";
+}
+
+StreamState beginStream(std::string Request, std::uint32_t Attempt,
+                        Digest Weights, std::string Peer) {
+  StreamState State;
+  State.Request = std::move(Request);
+  State.Attempt = Attempt;
+  State.Weights = std::move(Weights);
+  State.Peer = std::move(Peer);
+  return State;
+}
+
+StreamStep checkPiece(StreamState &State, const PieceView &Piece) {
+  StreamStep Result = conclude(State, classifyPiece(State, Piece));
+  if (Result.Verdict != StreamVerdict::Accept)
+    return Result;
+  checkInvariant(Piece.Weights == State.Weights, Invariant::UnmixedWeights,
+                 Step::Stream, State.Peer);
+  if (Piece.Request != State.Request || Piece.Attempt != State.Attempt)
+    ++State.Foreign;
+  if (Piece.Sequence != State.Next)
+    ++State.OutOfPlace;
+  ++State.Next;
+  State.Bytes += Piece.Text.size();
+  State.Hash.add(Piece.Text);
+  return Result;
+}
+
+StreamStep checkEnd(StreamState &State, const StreamEndView &End) {
+  StreamStep Result = conclude(State, classifyEnd(State, End));
+  if (Result.Verdict != StreamVerdict::Accept)
+    return Result;
+  State.Ended = true;
+  checkInvariant(End.Weights == State.Weights, Invariant::UnmixedWeights,
+                 Step::Stream, State.Peer);
+  bool Whole = State.Foreign == 0 && State.OutOfPlace == 0 &&
+               End.Request == State.Request && End.Attempt == State.Attempt &&
+               End.Count == State.Next &&
+               End.Checksum.value_or(State.Hash.value()) == State.Hash.value();
+  checkInvariant(Whole, Invariant::WholeAnswer, Step::Stream, State.Peer);
+  return Result;
+}
+
+std::uint64_t streamChecksum(const StreamState &State) {
+  return State.Hash.value();
+}
+
+Error streamError(const StreamState &State, StreamFault Fault) {
+  return {ErrorCode::StreamCorrupt, Step::Stream, State.Peer,
+          "stream fault " + std::string(streamFaultName(Fault)) + " at piece " +
+              std::to_string(State.Next)};
+}
+
+} // namespace marigoldyard
