Evict by share of records and of bytes, and by recovery of a limit

Cause: one order of callers by number of records lets a caller with large results push out the records of others, and eviction by age forgets limits that are still in use.

Change: the operation table keeps callers ordered by records and by bytes; each bound evicts from the caller that is largest in that measure. A request sets its proofs only from messages of the outbox or of the agent, so that the check of not_run claims is independent of the claim.

Ruled out: one measure that adds bytes and records. Many small records of one caller would then push out a few large results of another.

--- a/include/marigoldyard/coordination/admission.hpp
+++ b/include/marigoldyard/coordination/admission.hpp
@@ -7,42 +7,50 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <list>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace marigoldyard {
 
-/// @brief Whether a use that was refused moves its record to the young end of a
-/// bounded table.
-enum class RefreshRule : std::uint8_t {
-  OnAnyUse,      ///< admitted and refused uses
-  OnAdmittedUse, ///< admitted uses only
-  Never,         ///< eviction by age of insertion
+/// @brief Which record a full table of buckets evicts.
+enum class EvictionRule : std::uint8_t {
+  OldestInsertion,   ///< the first one inserted
+  OldestAdmittedUse, ///< the one not admitted for the longest time
+  OldestUse,         ///< the one neither admitted nor refused for the longest
+  EarliestRecovery,  ///< the one whose bucket is full again first
 };
 
-/// @brief Token buckets by name in a table of bounded size. The record that was
-/// not refreshed for the longest time is evicted first.
+/// @brief All rules, for measurements.
+inline constexpr EvictionRule AllEvictionRules[] = {
+    EvictionRule::OldestInsertion, EvictionRule::OldestAdmittedUse,
+    EvictionRule::OldestUse, EvictionRule::EarliestRecovery};
+
+/// @brief Token buckets by name in a table of bounded size.
 struct BucketTable {
   struct Entry {
-    std::string Name;
     TokenBucket Bucket;
+    std::int64_t Place = 0; ///< key in Order
   };
-  std::size_t Capacity = 0;
-  RefreshRule Rule = RefreshRule::OnAnyUse;
-  std::list<Entry> Order; ///< oldest first
-  std::unordered_map<std::string, std::list<Entry>::iterator> Index;
+  std::size_t Capacity = 1;
+  EvictionRule Rule = EvictionRule::EarliestRecovery;
+  std::int64_t Uses = 0;
+  std::unordered_map<std::string, Entry> Entries;
+  std::set<std::pair<std::int64_t, std::string>>
+      Order; ///< names by place; the first is evicted first
   std::uint64_t Evicted = 0;
 };
 
 /// @brief Starts an empty table.
-/// @param Capacity records held at most; not 0
-/// @param Rule which uses refresh a record
+/// @param Capacity records held at most; 0 counts as 1
+/// @param Rule which record is evicted
 /// @return the table
 /// @complexity constant
-BucketTable beginBucketTable(std::size_t Capacity,
-                             RefreshRule Rule = RefreshRule::OnAnyUse);
+BucketTable
+beginBucketTable(std::size_t Capacity,
+                 EvictionRule Rule = EvictionRule::EarliestRecovery);
 
 /// @brief Decision about one request.
 struct AdmissionDecision {
@@ -58,7 +66,7 @@
 /// @param Limit rate and depth
 /// @param Now the current time
 /// @return admitted, or refused with the time until the next token
-/// @complexity constant on average
+/// @complexity logarithmic in the capacity
 AdmissionDecision takeFrom(BucketTable &Table, const std::string &Name,
                            const TokenBucketLimit &Limit, TimePoint Now);
 
@@ -71,7 +79,7 @@
 /// @param Customer the caller; a rate of 0 means no limit
 /// @param Now the current time
 /// @return admitted, or RateLimited with the time until the next token
-/// @complexity constant on average
+/// @complexity logarithmic in the capacity
 AdmissionDecision admitCaller(BucketTable &Table, std::string_view ProductName,
                               const Caller &Customer, TimePoint Now);
 
@@ -92,7 +100,7 @@
 /// @param Address the remote address without port
 /// @param Now the current time
 /// @return admitted, or RateLimited with the time until the next try
-/// @complexity constant on average
+/// @complexity logarithmic in the capacity
 AdmissionDecision mayAuthenticate(FailedAuthentications &Failures,
                                   const std::string &Address, TimePoint Now);
 
@@ -100,7 +108,7 @@
 /// @param Failures the table
 /// @param Address the remote address without port
 /// @param Now the current time
-/// @complexity constant on average
+/// @complexity logarithmic in the capacity
 void noteFailedAuthentication(FailedAuthentications &Failures,
                               const std::string &Address, TimePoint Now);
 
--- a/include/marigoldyard/coordination/entry_directory.hpp
+++ b/include/marigoldyard/coordination/entry_directory.hpp
@@ -38,6 +38,10 @@
 /// @brief Entries in one answer at most.
 inline constexpr std::size_t MaxListedEntries = 8;
 
+/// @brief Places that are kept for other regions when entries there are known,
+/// so that a caller outlives the loss of its region.
+inline constexpr std::size_t OtherRegionPlaces = 2;
+
 /// @brief How long callers may keep an answer. A leaving entry serves for this
 /// long after it left the list, so it also delays each departure.
 inline constexpr std::chrono::milliseconds DirectoryMaxAge{10'000};
--- a/include/marigoldyard/coordination/operation_table.hpp
+++ b/include/marigoldyard/coordination/operation_table.hpp
@@ -74,6 +74,8 @@
   std::size_t Records = 16384;
   std::size_t AnswerBytes = 32ULL * 1024 * 1024; ///< of all recorded bodies
   std::size_t Waiters = 16; ///< requests that wait for one operation
+  bool RefreshOnRepeat =
+      true; ///< a repeat makes the record its caller's youngest
 };
 
 /// @brief One operation.
@@ -87,10 +89,16 @@
   std::list<std::uint64_t>::iterator Place; ///< valid unless Running
 };
 
+/// @brief Records of one caller that can be evicted.
+struct OperationShare {
+  std::list<std::uint64_t> Order; ///< counters, oldest first
+  std::size_t AnswerBytes = 0;
+};
+
 /// @brief Operations that one incarnation of an agent opened.
 ///
-/// Records that can be evicted are in their caller's list, oldest first.
-/// Running records are in no list: evicting one would lose its result.
+/// Records that can be evicted are in their caller's share. Running records are
+/// in no share: evicting one would lose its result.
 struct OperationTable {
   std::string Agent;
   Incarnation Own = 0;
@@ -101,9 +109,11 @@
   std::size_t AnswerBytes = 0; ///< of all recorded bodies
   std::size_t Running = 0;
   std::unordered_map<std::uint64_t, OperationRecord> Records;
-  std::map<std::string, std::list<std::uint64_t>> Evictable; ///< by caller
+  std::map<std::string, OperationShare> Shares; ///< by caller
+  std::set<std::pair<std::size_t, std::string>>
+      ByRecords; ///< callers by number of evictable records
   std::set<std::pair<std::size_t, std::string>>
-      Shares; ///< callers by number of evictable records
+      ByBytes; ///< callers by bytes of recorded bodies
 };
 
 /// @brief Starts an empty table.
--- a/include/marigoldyard/coordination/request.hpp
+++ b/include/marigoldyard/coordination/request.hpp
@@ -54,9 +54,11 @@
 /// @brief One try of a request.
 struct TryRecord {
   std::string Peer;
-  TryFate Fate = TryFate::NeverSent;
+  TryFate Fate = TryFate::Running;
   bool MaySent = false; ///< the outbox handed it over, or the agent answered
-  bool Proof = false;   ///< the outbox or the agent proved that it did not run
+  bool Proved =
+      false; ///< the outbox or the agent proved that it did not run; set by
+             ///< their messages only, so that claims can be checked against it
 };
 
 /// @brief A request at its entry.
--- a/include/marigoldyard/coordination/retry.hpp
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -90,7 +90,7 @@
   ErrorCode Reason = ErrorCode::PeerUnreachable; ///< why the last try ended
   bool Idempotent = false;
   bool Delivered = false;  ///< a piece of the answer reached the caller
-  bool MaybeSent = false;  ///< some try so far is not proved not run
+  bool MaybeRun = false;   ///< some try so far is not proved not run
   std::uint32_t Tries = 0; ///< tries made so far
   Duration TimeLeft{};     ///< until the deadline
 };
@@ -114,6 +114,11 @@
     RetryVerdict::NoBudget,
 };
 
+/// @brief Name of a verdict for logs and error details.
+/// @param Verdict the verdict
+/// @return a lower-case name with underscores
+std::string_view retryVerdictName(RetryVerdict Verdict);
+
 /// @brief Decides whether another try may be made and takes it from the budget.
 /// @param Budget the product's budget
 /// @param Question state of the request
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -7,30 +7,52 @@
 
 namespace {
 
-BucketTable::Entry *find(BucketTable &Table, const std::string &Name) {
-  auto Found = Table.Index.find(Name);
-  return Found == Table.Index.end() ? nullptr : &*Found->second;
+/// When the bucket is full again, in microseconds of the boot-time clock. The
+/// later that is, the more of a name's limit is forgotten with its record.
+std::int64_t recovery(const TokenBucket &Bucket,
+                      const TokenBucketLimit &Limit) {
+  TimePoint Full = Bucket.UpdatedAt + timeUntil(Bucket, Limit, Limit.Burst);
+  return Full.time_since_epoch().count();
 }
 
-void refresh(BucketTable &Table, const std::string &Name) {
-  Table.Order.splice(Table.Order.end(), Table.Order, Table.Index.at(Name));
+/// Whether a use moves its record in the order of eviction.
+bool moves(EvictionRule Rule, bool Admitted) {
+  switch (Rule) {
+  case EvictionRule::OldestInsertion:
+    return false;
+  case EvictionRule::OldestAdmittedUse:
+    return Admitted;
+  default:
+    return true;
+  }
+}
+
+void place(BucketTable &Table, const std::string &Name,
+           BucketTable::Entry &Entry, const TokenBucketLimit &Limit) {
+  Table.Order.erase({Entry.Place, Name});
+  Entry.Place = Table.Rule == EvictionRule::EarliestRecovery
+                    ? recovery(Entry.Bucket, Limit)
+                    : ++Table.Uses;
+  Table.Order.emplace(Entry.Place, Name);
 }
 
 BucketTable::Entry &insert(BucketTable &Table, const std::string &Name,
                            const TokenBucketLimit &Limit, TimePoint Now) {
-  if (Table.Index.size() >= Table.Capacity && !Table.Order.empty()) {
-    Table.Index.erase(Table.Order.front().Name);
-    Table.Order.pop_front();
+  if (Table.Entries.size() >= Table.Capacity) {
+    auto First = Table.Order.begin();
+    Table.Entries.erase(First->second);
+    Table.Order.erase(First);
     ++Table.Evicted;
   }
-  Table.Order.push_back({Name, fullBucket(Limit, Now)});
-  Table.Index[Name] = std::prev(Table.Order.end());
-  return Table.Order.back();
+  BucketTable::Entry &Entry = Table.Entries[Name];
+  Entry.Bucket = fullBucket(Limit, Now);
+  place(Table, Name, Entry, Limit);
+  return Entry;
 }
 
 } // namespace
 
-BucketTable beginBucketTable(std::size_t Capacity, RefreshRule Rule) {
+BucketTable beginBucketTable(std::size_t Capacity, EvictionRule Rule) {
   BucketTable Table;
   Table.Capacity = std::max<std::size_t>(Capacity, 1);
   Table.Rule = Rule;
@@ -39,16 +61,16 @@
 
 AdmissionDecision takeFrom(BucketTable &Table, const std::string &Name,
                            const TokenBucketLimit &Limit, TimePoint Now) {
-  BucketTable::Entry *Entry = find(Table, Name);
-  if (!Entry)
-    Entry = &insert(Table, Name, Limit, Now);
+  auto Found = Table.Entries.find(Name);
+  BucketTable::Entry &Entry = Found == Table.Entries.end()
+                                  ? insert(Table, Name, Limit, Now)
+                                  : Found->second;
   AdmissionDecision Decision;
-  Decision.Admitted = take(Entry->Bucket, Limit, 1.0, Now);
+  Decision.Admitted = take(Entry.Bucket, Limit, 1.0, Now);
   if (!Decision.Admitted)
-    Decision.RetryAfter = timeUntil(Entry->Bucket, Limit, 1.0);
-  if (Table.Rule == RefreshRule::OnAnyUse ||
-      (Table.Rule == RefreshRule::OnAdmittedUse && Decision.Admitted))
-    refresh(Table, Name);
+    Decision.RetryAfter = timeUntil(Entry.Bucket, Limit, 1.0);
+  if (moves(Table.Rule, Decision.Admitted))
+    place(Table, Name, Entry, Limit);
   return Decision;
 }
 
@@ -66,17 +88,17 @@
 AdmissionDecision mayAuthenticate(FailedAuthentications &Failures,
                                   const std::string &Address, TimePoint Now) {
   AdmissionDecision Decision;
-  BucketTable::Entry *Entry = find(Failures.Table, Address);
-  if (!Entry)
+  auto Found = Failures.Table.Entries.find(Address);
+  if (Found == Failures.Table.Entries.end())
     return Decision;
-  refill(Entry->Bucket, FailedAuthenticationLimit, Now);
-  Decision.Admitted = Entry->Bucket.Tokens >= 1.0;
+  BucketTable::Entry &Entry = Found->second;
+  refill(Entry.Bucket, FailedAuthenticationLimit, Now);
+  Decision.Admitted = Entry.Bucket.Tokens >= 1.0;
   if (Decision.Admitted)
     return Decision;
-  Decision.RetryAfter =
-      timeUntil(Entry->Bucket, FailedAuthenticationLimit, 1.0);
-  if (Failures.Table.Rule == RefreshRule::OnAnyUse)
-    refresh(Failures.Table, Address);
+  Decision.RetryAfter = timeUntil(Entry.Bucket, FailedAuthenticationLimit, 1.0);
+  if (moves(Failures.Table.Rule, Decision.Admitted))
+    place(Failures.Table, Address, Entry, FailedAuthenticationLimit);
   return Decision;
 }
 
--- a/src/coordination/entry_directory.cpp
+++ b/src/coordination/entry_directory.cpp
@@ -14,9 +14,10 @@
   return Entry.Suspected ? 1 : 0;
 }
 
-/// Appends entries so that failure domains take turns.
+/// Appends entries up to a length of the list, so that failure domains take
+/// turns.
 void appendInTurn(std::vector<const EntryView *> Entries, Random &Source,
-                  std::vector<ListedEntry> &List) {
+                  std::size_t Limit, std::vector<ListedEntry> &List) {
   std::shuffle(Entries.begin(), Entries.end(), Source);
   std::map<std::string_view, std::size_t> Seen;
   std::vector<std::pair<std::size_t, const EntryView *>> Turns;
@@ -28,7 +29,7 @@
                      return Left.first < Right.first;
                    });
   for (const auto &[Turn, Entry] : Turns)
-    if (List.size() < MaxListedEntries)
+    if (List.size() < Limit)
       List.push_back({Entry->Address, Entry->FailureDomain});
 }
 
@@ -45,8 +46,10 @@
   for (const EntryView &Entry : Known)
     if (tier(Entry) == Best)
       (Entry.Region == OwnRegion ? Near : Far).push_back(&Entry);
-  appendInTurn(std::move(Near), Source, Directory.Entries);
-  appendInTurn(std::move(Far), Source, Directory.Entries);
+  std::size_t Kept = std::min(OtherRegionPlaces, Far.size());
+  appendInTurn(std::move(Near), Source, MaxListedEntries - Kept,
+               Directory.Entries);
+  appendInTurn(std::move(Far), Source, MaxListedEntries, Directory.Entries);
   Directory.MaxAge = Best == 0 ? DirectoryMaxAge : FallbackMaxAge;
   return Directory;
 }
--- a/src/coordination/operation_table.cpp
+++ b/src/coordination/operation_table.cpp
@@ -20,37 +20,49 @@
   return Value;
 }
 
-void setShare(OperationTable &Table, const std::string &Caller,
-              std::size_t Before, std::size_t After) {
-  Table.Shares.erase({Before, Caller});
-  if (After > 0)
-    Table.Shares.insert({After, Caller});
+/// Takes a caller out of the orders by size while its share changes.
+void unlist(OperationTable &Table, const std::string &Caller,
+            const OperationShare &Share) {
+  Table.ByRecords.erase({Share.Order.size(), Caller});
+  Table.ByBytes.erase({Share.AnswerBytes, Caller});
+}
+
+void list(OperationTable &Table, const std::string &Caller,
+          const OperationShare &Share) {
+  Table.ByRecords.emplace(Share.Order.size(), Caller);
+  Table.ByBytes.emplace(Share.AnswerBytes, Caller);
 }
 
 void addEvictable(OperationTable &Table, std::uint64_t Counter,
                   OperationRecord &Record) {
-  std::list<std::uint64_t> &List = Table.Evictable[Record.Caller];
-  List.push_back(Counter);
-  Record.Place = std::prev(List.end());
-  setShare(Table, Record.Caller, List.size() - 1, List.size());
+  OperationShare &Share = Table.Shares[Record.Caller];
+  unlist(Table, Record.Caller, Share);
+  Share.Order.push_back(Counter);
+  Share.AnswerBytes += Record.Answer.Body.size();
+  Record.Place = std::prev(Share.Order.end());
+  list(Table, Record.Caller, Share);
 }
 
-void removeEvictable(OperationTable &Table, OperationRecord &Record) {
-  auto Found = Table.Evictable.find(Record.Caller);
-  Found->second.erase(Record.Place);
-  std::size_t Left = Found->second.size();
-  setShare(Table, Record.Caller, Left + 1, Left);
-  if (Left == 0)
-    Table.Evictable.erase(Found);
+void removeEvictable(OperationTable &Table, const OperationRecord &Record) {
+  auto Found = Table.Shares.find(Record.Caller);
+  OperationShare &Share = Found->second;
+  unlist(Table, Record.Caller, Share);
+  Share.Order.erase(Record.Place);
+  Share.AnswerBytes -= Record.Answer.Body.size();
+  if (Share.Order.empty())
+    Table.Shares.erase(Found);
+  else
+    list(Table, Record.Caller, Share);
 }
 
-/// Evicts the oldest record of the caller with the most evictable records, so
-/// that a flood of one caller pushes out its own records.
-bool evictOne(OperationTable &Table) {
-  if (Table.Shares.empty())
+/// Evicts the oldest record of the caller that is largest in the given order,
+/// so that a flood of one caller pushes out its own records.
+bool evictOne(OperationTable &Table,
+              const std::set<std::pair<std::size_t, std::string>> &BySize) {
+  if (BySize.empty())
     return false;
-  std::string Largest = Table.Shares.rbegin()->second;
-  std::uint64_t Counter = Table.Evictable.at(Largest).front();
+  std::uint64_t Counter =
+      Table.Shares.at(BySize.rbegin()->second).Order.front();
   auto Found = Table.Records.find(Counter);
   Table.AnswerBytes -= Found->second.Answer.Body.size();
   removeEvictable(Table, Found->second);
@@ -144,7 +156,8 @@
 Expected<std::string> openOperation(OperationTable &Table,
                                     const std::string &Caller,
                                     const std::string &Service) {
-  if (Table.Records.size() >= Table.Limits.Records && !evictOne(Table))
+  if (Table.Records.size() >= Table.Limits.Records &&
+      !evictOne(Table, Table.ByRecords))
     return Error{ErrorCode::QueueFull, Step::OperationOpen, Table.Agent,
                  "every operation record is running"};
   std::uint64_t Counter = ++Table.LastCounter;
@@ -174,6 +187,10 @@
     return start(Table, Record, std::move(Waiter));
   if (Record.State == OperationState::Running)
     return wait(Table, Record, std::move(Waiter));
+  if (Table.Limits.RefreshOnRepeat) {
+    std::list<std::uint64_t> &Order = Table.Shares.at(Record.Caller).Order;
+    Order.splice(Order.end(), Order, Record.Place);
+  }
   RunDecision Decision;
   Decision.Answer = Record.Answer;
   return Decision;
@@ -202,7 +219,8 @@
   }
   --Table.Running;
   addEvictable(Table, Parsed->Counter, Record);
-  while (Table.AnswerBytes > Table.Limits.AnswerBytes && evictOne(Table)) {
+  while (Table.AnswerBytes > Table.Limits.AnswerBytes &&
+         evictOne(Table, Table.ByBytes)) {
   }
   return Waiters;
 }
--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -42,7 +42,17 @@
   return Result;
 }
 
-bool isUnproved(const TryRecord &Try) { return Try.MaySent && !Try.Proof; }
+bool mayHaveRun(const RequestState &State) {
+  return std::any_of(State.Tries.begin(), State.Tries.end(),
+                     [](const TryRecord &Try) { return !Try.Proved; });
+}
+
+/// Whether a second run does no harm. Opening an operation twice only leaves an
+/// unused id behind.
+bool mayRepeat(const RequestState &State) {
+  return State.Kind == RequestKind::OperationOpen ||
+         (State.Kind == RequestKind::Completion && State.Idempotent);
+}
 
 /// Answers with the outcome that the tries allow.
 void answer(StepContext &Context) {
@@ -52,10 +62,9 @@
     return;
   std::vector<TryFate> Fates = fates(State);
   Outcome Result = claimOutcome(Fates);
-  bool Unproved =
-      std::any_of(State.Tries.begin(), State.Tries.end(), isUnproved);
-  checkInvariant(Result != Outcome::NotRun || !Unproved, Invariant::NotRunProof,
-                 State.LastError.At, State.LastError.Peer);
+  checkInvariant(Result != Outcome::NotRun || !mayHaveRun(State),
+                 Invariant::NotRunProof, State.LastError.At,
+                 State.LastError.Peer);
   if (State.Streaming && State.DeliveredPieces > 0) {
     Context.Actions.emplace_back(action::AbortStream{Result, State.LastError});
     return;
@@ -79,11 +88,9 @@
   RetryQuestion Question;
   Question.LastTry = State.Tries.back().Fate;
   Question.Reason = static_cast<ErrorCode>(State.LastError.Code.value());
-  Question.Idempotent =
-      State.Idempotent && State.Kind != RequestKind::OperationRun;
+  Question.Idempotent = mayRepeat(State);
   Question.Delivered = State.Streaming && State.DeliveredPieces > 0;
-  Question.MaybeSent =
-      std::any_of(State.Tries.begin(), State.Tries.end(), isUnproved);
+  Question.MaybeRun = mayHaveRun(State);
   Question.Tries = currentAttempt(State);
   Question.TimeLeft = State.Deadline - Context.Now;
   return Question;
@@ -103,27 +110,51 @@
 /// its agent, so it is never sent elsewhere.
 void settle(StepContext &Context, TryFate Fate, Error Reason) {
   RequestState &State = Context.State;
-  TryRecord &Try = State.Tries.back();
-  Try.Fate = Fate;
-  Try.Proof = provesNotRun(Fate);
+  State.Tries.back().Fate = Fate;
   State.LastError = std::move(Reason);
   bool Final = State.Abandoned || State.Expired ||
                State.Kind == RequestKind::OperationRun;
-  if (Final ||
-      decideRetry(Context.Budget, question(Context)) != RetryVerdict::Retry) {
-    answer(Context);
-    return;
+  if (!Final) {
+    RetryVerdict Verdict = decideRetry(Context.Budget, question(Context));
+    if (Verdict == RetryVerdict::Retry) {
+      choose(Context);
+      return;
+    }
+    State.LastError.Detail += "; no retry: ";
+    State.LastError.Detail += retryVerdictName(Verdict);
   }
-  choose(Context);
+  answer(Context);
 }
 
-/// Fate of a try whose end was not observed.
+/// Notes a proof that a try was not run. It may arrive after the try was given
+/// up as lost.
+void noteProof(StepContext &Context, std::uint32_t Attempt, TryFate Fate,
+               Error Reason) {
+  RequestState &State = Context.State;
+  TryRecord &Try = State.Tries[Attempt - 1];
+  if (isCurrent(State, Try.Peer, Attempt)) {
+    Try.Proved = true;
+    settle(Context, Fate, std::move(Reason));
+  } else if (Try.Fate == TryFate::Lost) {
+    Try.Proved = true;
+    Try.Fate = Fate;
+  }
+}
+
+/// Fate of a try whose end was not observed. Pieces show that it ran.
 TryFate unobservedFate(const RequestState &State) {
-  if (!State.Tries.back().MaySent)
-    return TryFate::Lost;
   return State.Stream.Next > 0 ? TryFate::Failed : TryFate::Lost;
 }
 
+/// Asks the agent to stop a try. An operation runs on, so that its result is
+/// recorded.
+void cancel(StepContext &Context, std::uint32_t Attempt) {
+  const RequestState &State = Context.State;
+  if (State.Kind == RequestKind::Completion)
+    Context.Actions.emplace_back(
+        action::CancelTry{State.Tries[Attempt - 1].Peer, Attempt});
+}
+
 /// Waits for proof: the outbox may still withdraw the work, and the agent may
 /// report that it did not start.
 void close(StepContext &Context, Error Reason) {
@@ -135,8 +166,8 @@
   State.LastError = std::move(Reason);
   if (!Try.MaySent)
     Context.Actions.emplace_back(action::WithdrawWork{Try.Peer, Attempt});
-  else if (State.Kind == RequestKind::Completion)
-    Context.Actions.emplace_back(action::CancelTry{Try.Peer, Attempt});
+  else
+    cancel(Context, Attempt);
 }
 
 void handle(StepContext &Context, const event::Begun &) {
@@ -147,14 +178,34 @@
   choose(Context);
 }
 
+/// Ends a request whose deadline passed; a try in progress is closed first.
+void expire(StepContext &Context) {
+  RequestState &State = Context.State;
+  State.Expired = true;
+  std::string Peer = State.Tries.empty() ? "" : State.Tries.back().Peer;
+  Error Reason{ErrorCode::DeadlineExceeded, Step::Routing, Peer,
+               "the deadline passed"};
+  if (State.Phase == RequestPhase::Choosing) {
+    State.LastError = std::move(Reason);
+    answer(Context);
+    return;
+  }
+  Reason.At = State.Phase == RequestPhase::Queued ? Step::Send
+              : State.Stream.Next == 0            ? Step::Queue
+                                                  : Step::Generate;
+  close(Context, std::move(Reason));
+}
+
 void handle(StepContext &Context, const event::EndpointChosen &Chosen) {
   RequestState &State = Context.State;
   if (State.Phase != RequestPhase::Choosing)
     return;
-  checkInvariant(
-      State.Idempotent || State.Kind == RequestKind::OperationOpen ||
-          std::none_of(State.Tries.begin(), State.Tries.end(), isUnproved),
-      Invariant::AtMostOnce, Step::Send, Chosen.Peer);
+  if (Context.Now >= State.Deadline) {
+    expire(Context);
+    return;
+  }
+  checkInvariant(mayRepeat(State) || !mayHaveRun(State), Invariant::AtMostOnce,
+                 Step::Send, Chosen.Peer);
   State.Weights = Chosen.Weights;
   State.Tries.push_back({Chosen.Peer, TryFate::Running, false, false});
   State.Stream =
@@ -183,29 +234,25 @@
     return;
   TryRecord &Try = State.Tries[Left.Attempt - 1];
   Try.MaySent = true;
-  if (!isCurrent(State, Try.Peer, Left.Attempt))
+  // Work that left after it was given up is of no use to anyone.
+  if (!isCurrent(State, Try.Peer, Left.Attempt)) {
+    if (Try.Fate == TryFate::Lost)
+      cancel(Context, Left.Attempt);
     return;
-  if (State.Phase == RequestPhase::Queued) {
-    State.Phase = RequestPhase::Sent;
-  } else if (State.Phase == RequestPhase::Closing &&
-             State.Kind == RequestKind::Completion) {
-    Context.Actions.emplace_back(action::CancelTry{Try.Peer, Left.Attempt});
   }
+  if (State.Phase == RequestPhase::Queued)
+    State.Phase = RequestPhase::Sent;
+  else
+    cancel(Context, Left.Attempt);
 }
 
 void handle(StepContext &Context, const event::WorkWithdrawn &Withdrawn) {
   RequestState &State = Context.State;
   if (Withdrawn.Attempt == 0 || Withdrawn.Attempt > State.Tries.size())
     return;
-  TryRecord &Try = State.Tries[Withdrawn.Attempt - 1];
-  if (Try.MaySent)
+  if (State.Tries[Withdrawn.Attempt - 1].MaySent)
     return;
-  if (isCurrent(State, Try.Peer, Withdrawn.Attempt))
-    settle(Context, TryFate::Withdrawn, State.LastError);
-  else if (Try.Fate == TryFate::Lost) {
-    Try.Fate = TryFate::Withdrawn;
-    Try.Proof = true;
-  }
+  noteProof(Context, Withdrawn.Attempt, TryFate::Withdrawn, State.LastError);
 }
 
 /// Notes that the agent has the work, as a message from it shows.
@@ -224,23 +271,20 @@
   RequestState &State = Context.State;
   if (Refused.Attempt == 0 || Refused.Attempt > State.Tries.size())
     return;
-  TryRecord &Try = State.Tries[Refused.Attempt - 1];
-  if (Try.Peer != Refused.Peer)
-    return;
-  if (!isCurrent(State, Refused.Peer, Refused.Attempt)) {
-    if (Try.Fate == TryFate::Lost) {
-      Try.Fate = TryFate::Refused;
-      Try.Proof = true;
-    }
+  if (State.Tries[Refused.Attempt - 1].Peer != Refused.Peer)
     return;
-  }
-  noteArrived(State);
-  State.RetryAfter = Refused.RetryAfter;
   Error Reason{Refused.Reason, Step::Queue, Refused.Peer,
                "the agent refused the work"};
-  // A refusal after pieces contradicts them and proves nothing.
-  TryFate Fate = State.Stream.Next > 0 ? TryFate::Failed : TryFate::Refused;
-  settle(Context, Fate, std::move(Reason));
+  if (isCurrent(State, Refused.Peer, Refused.Attempt)) {
+    noteArrived(State);
+    State.RetryAfter = Refused.RetryAfter;
+    // A refusal after pieces contradicts them and proves nothing.
+    if (State.Stream.Next > 0) {
+      settle(Context, TryFate::Failed, std::move(Reason));
+      return;
+    }
+  }
+  noteProof(Context, Refused.Attempt, TryFate::Refused, std::move(Reason));
 }
 
 void handle(StepContext &Context, const event::Failed &Failed) {
@@ -254,8 +298,7 @@
 
 void failStream(StepContext &Context, StreamFault Fault) {
   RequestState &State = Context.State;
-  const std::string &Peer = State.Tries.back().Peer;
-  Context.Actions.emplace_back(action::CancelTry{Peer, currentAttempt(State)});
+  cancel(Context, currentAttempt(State));
   settle(Context, TryFate::Failed, streamError(State.Stream, Fault));
 }
 
@@ -321,9 +364,9 @@
     finish(Context, Opened.Operation, 0);
     return;
   }
-  settle(Context, TryFate::Refused,
-         {Opened.Reason, Step::OperationOpen, Opened.Peer,
-          "the agent opened no operation"});
+  noteProof(Context, currentAttempt(State), TryFate::Refused,
+            {Opened.Reason, Step::OperationOpen, Opened.Peer,
+             "the agent opened no operation"});
 }
 
 void handle(StepContext &Context, const event::OperationAnswered &Answered) {
@@ -338,12 +381,15 @@
     finish(Context, Answer.Body, Answer.Status);
     return;
   }
-  TryFate Fate = Answer.Result == Outcome::NotRun   ? TryFate::Refused
-                 : Answer.Result == Outcome::Failed ? TryFate::Failed
-                                                    : TryFate::Lost;
-  settle(Context, Fate,
-         {Answer.Reason, Step::OperationResult, Answered.Peer,
-          "the operation has no complete result"});
+  Error Reason{Answer.Reason, Step::OperationResult, Answered.Peer,
+               "the operation has no complete result"};
+  if (Answer.Result == Outcome::NotRun)
+    noteProof(Context, currentAttempt(State), TryFate::Refused,
+              std::move(Reason));
+  else
+    settle(Context,
+           Answer.Result == Outcome::Failed ? TryFate::Failed : TryFate::Lost,
+           std::move(Reason));
 }
 
 void handle(StepContext &Context, const event::PeerLost &Lost) {
@@ -357,6 +403,8 @@
       close(Context, std::move(Reason));
     return;
   }
+  // The peer may only be suspected; a cancel that reaches it saves its work.
+  cancel(Context, currentAttempt(State));
   settle(Context, unobservedFate(State), std::move(Reason));
 }
 
@@ -380,19 +428,7 @@
     settle(Context, unobservedFate(State), State.LastError);
     return;
   }
-  State.Expired = true;
-  std::string Peer = State.Tries.empty() ? "" : State.Tries.back().Peer;
-  Error Reason{ErrorCode::DeadlineExceeded, Step::Routing, Peer,
-               "the deadline passed"};
-  if (State.Phase == RequestPhase::Choosing) {
-    State.LastError = std::move(Reason);
-    answer(Context);
-    return;
-  }
-  Reason.At = State.Phase == RequestPhase::Queued ? Step::Send
-              : State.Stream.Next == 0            ? Step::Queue
-                                                  : Step::Generate;
-  close(Context, std::move(Reason));
+  expire(Context);
 }
 
 } // namespace
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -49,7 +49,7 @@
 RetryVerdict judge(const RetryQuestion &Question) {
   if (Question.Delivered)
     return RetryVerdict::AlreadyDelivered;
-  if (!Question.Idempotent && Question.MaybeSent &&
+  if (!Question.Idempotent && Question.MaybeRun &&
       !faultEnabled(Invariant::AtMostOnce))
     return RetryVerdict::NotIdempotent;
   if (!worthRetrying(Question.Reason))
@@ -115,6 +115,26 @@
   Budget.Tokens = std::min(Budget.Tokens + Budget.Share, Budget.Depth);
 }
 
+std::string_view retryVerdictName(RetryVerdict Verdict) {
+  switch (Verdict) {
+  case RetryVerdict::Retry:
+    return "retry";
+  case RetryVerdict::NoTimeLeft:
+    return "no_time_left";
+  case RetryVerdict::TooManyTries:
+    return "too_many_tries";
+  case RetryVerdict::AlreadyDelivered:
+    return "already_delivered";
+  case RetryVerdict::NotIdempotent:
+    return "not_idempotent";
+  case RetryVerdict::NotRetryable:
+    return "not_retryable";
+  case RetryVerdict::NoBudget:
+    return "no_budget";
+  }
+  return "";
+}
+
 RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question) {
   RetryVerdict Verdict = judge(Question);
   if (Verdict != RetryVerdict::Retry)
