Add scheduler, routing and subset decisions

Cause: the daemons need the interfaces of work order, endpoint choice and link choice.

Ruled out: TryId as the id of work, because coordination does not include protocol; the agent builds a unique string.

--- /dev/null
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "marigoldyard/state/error.hpp"
+#include "marigoldyard/state/types.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marigoldyard {
+
+/// @brief Limits and shares of one endpoint's scheduler.
+struct SchedulerSettings {
+  std::uint32_t Slots = 1;         ///< requests that the endpoint runs at once
+  std::uint32_t UrgentReserve = 0; ///< slots that only urgent work may take;
+                                   ///< below Slots. For engines that cannot
+                                   ///< resume a stream
+  bool CanPause = false;           ///< the engine resumes a paused stream
+  std::array<double, RankCount> Floors = {
+      0.0, 0.2, 0.05}; ///< guaranteed share of tokens by rank, 0 to 1; the sum
+                       ///< is at most 1; the floor of Urgent is ignored
+  std::uint32_t MaxQueuedPerRank = 512;   ///< waiting requests
+  std::uint32_t MaxQueuedPerCaller = 256; ///< waiting requests in one rank
+  std::uint32_t MaxCallers = 256;         ///< callers remembered in one rank
+  std::array<Duration, RankCount> MaxQueueTime = {
+      std::chrono::seconds(1), std::chrono::seconds(1),
+      std::chrono::seconds(1)}; ///< waiting tokens divided by the token rate of
+                                ///< the endpoint
+  double StreamTokensPerSecond = 0; ///< first estimate of the rate of one
+                                    ///< stream; 0 when unknown
+};
+
+/// @brief A request as the scheduler sees it.
+struct QueuedWork {
+  std::string Id;      ///< unique over all senders, tries and incarnations
+  std::string Caller;  ///< product and caller
+  double Weight = 1.0; ///< of the caller, above 0
+  Rank Priority = Rank::Batch;
+  std::uint64_t EstimatedTokens = 1; ///< prompt and answer, at least 1
+  TimePoint Deadline;                ///< by which the answer must be complete
+};
+
+/// @brief Work that was not and will not be run.
+struct Refusal {
+  std::string Id;
+  ErrorCode Reason = ErrorCode::QueueFull;
+  Duration RetryAfter{}; ///< zero when another try here does not help
+};
+
+/// @brief Answer to enqueue.
+struct EnqueueResult {
+  bool Accepted = false;  ///< the work waits
+  bool Duplicate = false; ///< the id waits or runs already; nothing changed and
+                          ///< no refusal may be sent
+  std::optional<Refusal> Refused; ///< set unless accepted or duplicate
+  std::vector<Refusal> Evicted;   ///< waiting work that made room
+};
+
+/// @brief An order to the endpoint.
+struct Start {
+  std::string Id;
+  Rank Priority = Rank::Batch;
+  bool Resume = false;                   ///< continue a paused stream
+  std::optional<std::string> PauseFirst; ///< running stream to pause before
+};
+
+/// @brief Answer to next.
+struct NextResult {
+  std::optional<Start> Begin;   ///< empty when nothing can start
+  std::vector<Refusal> Refused; ///< work whose deadline cannot be met
+};
+
+/// @brief Progress of a request at the scheduler.
+enum class WorkPhase : std::uint8_t { Waiting, Running, Paused };
+
+namespace detail {
+
+struct WorkRecord {
+  QueuedWork Work;
+  WorkPhase Phase = WorkPhase::Waiting;
+  std::uint64_t StartOrder = 0;
+  TimePoint StartedAt;
+  Duration RunTime{}; ///< of earlier periods, before pauses
+  std::uint64_t ChargedTokens = 0;
+  std::uint64_t ProducedTokens = 0;
+};
+
+struct CallerFlow {
+  std::deque<std::string> Waiting;
+  std::uint64_t WaitingTokens = 0;
+  std::uint32_t Active = 0; ///< running or paused requests
+  double Weight = 1.0;
+  double VirtualFinish = 0.0; ///< tokens per unit of weight
+};
+
+struct RankQueue {
+  std::map<std::string, CallerFlow, std::less<>> Flows;
+  double VirtualTime = 0.0;
+  double Credit = 0.0; ///< tokens owed to the floor; negative when ahead
+  std::uint64_t WaitingTokens = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Running = 0;
+  std::uint64_t RunningTokens = 0; ///< charged and not yet finished
+};
+
+} // namespace detail
+
+/// @brief State of the scheduler of one endpoint. Changed only by the functions
+/// below.
+struct SchedulerState {
+  SchedulerSettings Settings;
+  bool Leaving = false;
+  std::uint64_t Starts = 0;
+  double StreamRate = 0.0; ///< tokens per second of one stream, smoothed
+  std::unordered_map<std::string, detail::WorkRecord> Records;
+  std::array<detail::RankQueue, RankCount> Ranks;
+  std::deque<std::string> Paused; ///< oldest first
+};
+
+/// @brief A scheduler without work.
+/// @param Settings limits and shares
+/// @return the state
+/// @complexity constant
+SchedulerState makeScheduler(const SchedulerSettings &Settings);
+
+/// @brief Puts work into the queue of its rank and caller, or refuses it. When
+/// the rank is full, the caller with the longest queue for its weight loses its
+/// newest waiting work.
+/// @param State the scheduler
+/// @param Work the work
+/// @param Now the present time
+/// @return accepted, duplicate or refused with reason: EndpointLeaving,
+/// QueueFull or DeadlineExceeded; and work evicted in favour of this one
+/// @complexity linear in the remembered callers of the rank
+EnqueueResult enqueue(SchedulerState &State, QueuedWork Work, TimePoint Now);
+
+/// @brief Chooses the work that starts next and marks it running. To be called
+/// again until it returns nothing.
+///
+/// A rank below its floor goes first, then the most urgent rank. Within a rank
+/// the caller with the least service for its weight goes first.
+/// @param State the scheduler
+/// @param Now the present time
+/// @return the work to start, if a slot is free or can be freed, and waiting
+/// work that is dropped because its deadline cannot be met
+/// @complexity linear in the remembered callers and the running work
+NextResult next(SchedulerState &State, TimePoint Now);
+
+/// @brief Notes the tokens that running work used so far, so that work beyond
+/// its estimate is charged before it ends.
+/// @param State the scheduler
+/// @param Id the work; an unknown id is ignored
+/// @param ActualTokens prompt and answer so far
+/// @complexity constant on average, logarithmic in the callers of the rank
+void correct(SchedulerState &State, std::string_view Id,
+             std::uint64_t ActualTokens);
+
+/// @brief Ends work that ran and replaces its estimated by its actual cost.
+/// @param State the scheduler
+/// @param Id the work
+/// @param ActualTokens prompt and answer
+/// @param Now the present time
+/// @return whether the work was running or paused
+/// @complexity constant on average, logarithmic in the callers of the rank
+bool finish(SchedulerState &State, std::string_view Id,
+            std::uint64_t ActualTokens, TimePoint Now);
+
+/// @brief Removes work.
+/// @param State the scheduler
+/// @param Id the work
+/// @return the phase it was in (Running and Paused: the endpoint must be told),
+/// or nothing when the id is unknown
+/// @complexity linear in the waiting work of the caller
+std::optional<WorkPhase> cancel(SchedulerState &State, std::string_view Id);
+
+/// @brief Drops waiting work whose deadline cannot be met. Work that started is
+/// never dropped.
+/// @param State the scheduler
+/// @param Now the present time
+/// @return the dropped work
+/// @complexity linear in all work
+std::vector<Refusal> expire(SchedulerState &State, TimePoint Now);
+
+/// @brief Begins leaving: all waiting work is refused and no work is started
+/// from here on. Running work ends, and paused work is resumed.
+/// @param State the scheduler
+/// @return the refused work
+/// @complexity linear in all work
+std::vector<Refusal> leave(SchedulerState &State);
+
+/// @brief Replaces the settings; waiting work is kept.
+/// @param State the scheduler
+/// @param Settings the new settings
+/// @complexity constant
+void changeSettings(SchedulerState &State, const SchedulerSettings &Settings);
+
+/// @brief Time that new work of a caller would wait, from the work ahead of it.
+/// @param State the scheduler
+/// @param Work the work
+/// @return the estimate; zero while the rate of the endpoint is unknown
+/// @complexity linear in the remembered callers of the rank
+Duration estimatedWait(const SchedulerState &State, const QueuedWork &Work);
+
+/// @brief The scheduler's part of the load report: tokens by rank, running
+/// work, slots, rate and the leaving flag.
+/// @param State the scheduler
+/// @return the report; Ready is true unless leaving, ReadyWeights is empty
+/// @complexity constant
+LoadReport loadReport(const SchedulerState &State);
+
+/// @brief Whether nothing runs or is paused, so that the process may exit.
+/// @param State the scheduler
+/// @return true when no started work is left
+/// @complexity constant
+bool idle(const SchedulerState &State);
+
+} // namespace marigoldyard
--- /dev/null
+++ b/src/coordination/routing.cpp
@@ -0,0 +1,185 @@
+#include "marigoldyard/coordination/routing.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigoldyard {
+
+namespace {
+
+double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+/// Tokens of the cached prefix, discounted by age and by missed events.
+double cachedTokens(const std::string &Endpoint, const RoutingRequest &Request,
+                    const RoutingSettings &Settings, TimePoint Now) {
+  for (const CacheHint &Hint : Request.CacheHints) {
+    if (Hint.Endpoint != Endpoint)
+      continue;
+    const double HalfLives = std::max(0.0, toSeconds(Now - Hint.SeenAt)) /
+                             toSeconds(Settings.CacheHalfLife);
+    return static_cast<double>(std::min(Hint.Tokens, Request.EstimatedTokens)) *
+           std::exp2(-HalfLives) * std::pow(Settings.GapFactor, Hint.Gaps);
+  }
+  return 0;
+}
+
+/// Tokens served before new work of a rank, by a count per rank. Lower ranks
+/// are ahead only as far as they run already, which is in the slots.
+double tokensAhead(const std::uint64_t *Tokens, Rank Priority) {
+  double Sum = 0;
+  for (std::size_t I = 0; I <= rankIndex(Priority); ++I)
+    Sum += static_cast<double>(Tokens[I]);
+  return Sum;
+}
+
+std::string fixed3(double Value) {
+  std::string Text = std::to_string(Value);
+  return Text.substr(0, Text.size() - 3);
+}
+
+} // namespace
+
+std::string_view exclusionName(Exclusion Value) {
+  switch (Value) {
+  case Exclusion::None:
+    return "none";
+  case Exclusion::NotLive:
+    return "not_live";
+  case Exclusion::Suspected:
+    return "suspected";
+  case Exclusion::Leaving:
+    return "leaving";
+  case Exclusion::NotLinked:
+    return "not_linked";
+  case Exclusion::NotReady:
+    return "not_ready";
+  case Exclusion::OtherWeights:
+    return "other_weights";
+  case Exclusion::AlreadyTried:
+    return "already_tried";
+  }
+  return "none";
+}
+
+Exclusion exclusionOf(const EndpointView &View, const RoutingRequest &Request) {
+  if (!View.Live)
+    return Exclusion::NotLive;
+  if (View.Leaving || View.Load.Leaving)
+    return Exclusion::Leaving;
+  if (View.Suspected)
+    return Exclusion::Suspected;
+  if (!View.Linked)
+    return Exclusion::NotLinked;
+  if (!View.Load.Ready)
+    return Exclusion::NotReady;
+  if (!contains(View.Load.ReadyWeights, Request.Weights))
+    return Exclusion::OtherWeights;
+  if (contains(Request.Tried, View.Name))
+    return Exclusion::AlreadyTried;
+  return Exclusion::None;
+}
+
+CandidateScore scoreEndpoint(const EndpointView &View,
+                             const RoutingRequest &Request,
+                             const RoutingSettings &Settings, TimePoint Now) {
+  CandidateScore Result;
+  Result.Name = View.Name;
+  const double Rate = View.Load.TokensPerSecond > 0
+                          ? View.Load.TokensPerSecond
+                          : Settings.DefaultTokensPerSecond;
+  const double Reported = tokensAhead(View.Load.QueuedTokens, Request.Priority);
+  const double Sent =
+      tokensAhead(View.SentSinceReport.data(), Request.Priority);
+  const double Own = tokensAhead(View.Outstanding.data(), Request.Priority);
+  Result.QueueTime = Reported / Rate;
+  // A late report may lack work of this entry that is still outstanding.
+  Result.SentTime = std::max(Sent, Own - Reported) / Rate;
+  const Duration Age =
+      View.ReportedAt ? Now - *View.ReportedAt : 4 * Settings.ReportInterval;
+  Result.AgeTime = std::max(0.0, toSeconds(Age - Settings.ReportInterval));
+  Result.CacheTime = cachedTokens(View.Name, Request, Settings, Now) / Rate;
+  Result.Score =
+      Result.QueueTime + Result.SentTime + Result.AgeTime - Result.CacheTime;
+  return Result;
+}
+
+RoutingChoice route(const RoutingRequest &Request,
+                    const std::vector<EndpointView> &Views,
+                    const RoutingSettings &Settings, TimePoint Now,
+                    Random &Generator) {
+  RoutingChoice Result;
+  std::vector<const EndpointView *> Candidates;
+  for (const EndpointView &View : Views) {
+    const Exclusion Why = exclusionOf(View, Request);
+    ++Result.Excluded[static_cast<std::size_t>(Why)];
+    if (Why == Exclusion::None)
+      Candidates.push_back(&View);
+  }
+  Result.Excluded[static_cast<std::size_t>(Exclusion::None)] = 0;
+  Result.Candidates = static_cast<std::uint32_t>(Candidates.size());
+  if (Candidates.empty())
+    return Result;
+  std::vector<const EndpointView *> Compared;
+  std::sample(Candidates.begin(), Candidates.end(),
+              std::back_inserter(Compared), 2, Generator);
+  const EndpointView *Cached = nullptr;
+  double MostCached = 0;
+  for (const EndpointView *View : Candidates) {
+    const double Tokens = cachedTokens(View->Name, Request, Settings, Now);
+    if (Tokens > MostCached) {
+      MostCached = Tokens;
+      Cached = View;
+    }
+  }
+  if (Cached &&
+      std::find(Compared.begin(), Compared.end(), Cached) == Compared.end())
+    Compared.push_back(Cached);
+  std::shuffle(Compared.begin(), Compared.end(), Generator);
+  for (const EndpointView *View : Compared)
+    Result.Compared.push_back(scoreEndpoint(*View, Request, Settings, Now));
+  std::stable_sort(Result.Compared.begin(), Result.Compared.end(),
+                   [](const CandidateScore &A, const CandidateScore &B) {
+                     return A.Score < B.Score;
+                   });
+  Result.Chosen = Result.Compared.front().Name;
+  return Result;
+}
+
+std::string explainChoice(const RoutingChoice &Choice) {
+  std::string Text = Choice.Chosen ? "chose " + *Choice.Chosen : "no endpoint";
+  Text += " of " + std::to_string(Choice.Candidates) + " candidates";
+  for (const CandidateScore &Score : Choice.Compared)
+    Text += "; " + Score.Name + " score " + fixed3(Score.Score) + " s (queue " +
+            fixed3(Score.QueueTime) + ", sent " + fixed3(Score.SentTime) +
+            ", report age " + fixed3(Score.AgeTime) + ", cache -" +
+            fixed3(Score.CacheTime) + ")";
+  for (std::size_t I = 1; I < ExclusionCount; ++I)
+    if (Choice.Excluded[I] > 0)
+      Text += "; " + std::to_string(Choice.Excluded[I]) + " " +
+              std::string(exclusionName(static_cast<Exclusion>(I)));
+  return Text;
+}
+
+void recordSent(EndpointView &View, Rank Priority, std::uint64_t Tokens) {
+  View.SentSinceReport[rankIndex(Priority)] += Tokens;
+  View.Outstanding[rankIndex(Priority)] += Tokens;
+}
+
+void recordEnded(EndpointView &View, Rank Priority, std::uint64_t Tokens) {
+  std::uint64_t &Outstanding = View.Outstanding[rankIndex(Priority)];
+  Outstanding -= std::min(Outstanding, Tokens);
+}
+
+void recordReport(EndpointView &View, const LoadReport &Load, TimePoint Now) {
+  View.Load = Load;
+  View.ReportedAt = Now;
+  View.SentSinceReport = {};
+}
+
+} // namespace marigoldyard
