--- /dev/null
+++ b/include/marigoldyard/coordination/detail/rendezvous.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace marigoldyard::detail {
+
+/// @brief Stable 64-bit hash of a name; equal in every process of the fleet.
+/// @param Name the name
+/// @return XXH3-64 of the name
+/// @complexity linear in the length of the name
+std::uint64_t nameHash(std::string_view Name);
+
+/// @brief Score of a member for a key in rendezvous hashing; the member with
+/// the highest score is chosen.
+/// @param Key hash of the key
+/// @param Member hash of the member's name
+/// @return the score
+/// @complexity constant
+constexpr std::uint64_t rendezvousScore(std::uint64_t Key,
+                                        std::uint64_t Member) {
+  // Finalizer of splitmix64, which spreads every input bit over the output.
+  std::uint64_t Mixed = Key ^ (Member * 0x9e3779b97f4a7c15ULL);
+  Mixed = (Mixed ^ (Mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94d049bb133111ebULL;
+  return Mixed ^ (Mixed >> 31);
+}
+
+} // namespace marigoldyard::detail
