--- /dev/null
+++ b/src/coordination/configuration.cpp
@@ -0,0 +1,254 @@
+#include "marigoldyard/coordination/configuration.hpp"
+
+#include "marigoldyard/state/fault_switch.hpp"
+#include "marigoldyard/state/invariant.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+namespace {
+
+Error configurationError(ErrorCode Code, Step At, std::string_view Source,
+                         std::string Detail) {
+  return Error{make_error_code(Code), At, std::string(Source),
+               std::move(Detail)};
+}
+
+AcceptanceResult refused(Error Failure) {
+  return {AcceptanceAction::Refused, {}, std::move(Failure)};
+}
+
+void noteSource(ConfigurationState &State, std::string_view Source,
+                Revision Number) {
+  if (Source == ServiceSource)
+    State.ServiceHeard = true;
+  else
+    State.PeerHeard = true;
+  State.HighestHeard = std::max(State.HighestHeard, Number);
+}
+
+/// Moves values that are in force unchanged to the pending configuration.
+void reuseValuesInForce(const ConfigurationState &State,
+                        PendingConfiguration &Pending) {
+  if (!State.InForce)
+    return;
+  for (const Product &Known : State.InForce->Content.Products) {
+    const std::string Key = productKey(Known.Name);
+    const auto Wanted = Pending.Index.Values.find(Key);
+    const auto Have = State.InForce->Index.Values.find(Key);
+    if (Wanted == Pending.Index.Values.end() ||
+        Have == State.InForce->Index.Values.end() ||
+        Wanted->second != Have->second)
+      continue;
+    Pending.Values.insert_or_assign(
+        Key,
+        CheckedValue{Key, Have->second, State.InForce->Texts.at(Key), Known});
+  }
+}
+
+/// Keeps the values of an earlier pending index that the new one still names.
+void reuseValuesPending(PendingConfiguration &&Earlier,
+                        PendingConfiguration &Pending) {
+  for (auto &[Key, Value] : Earlier.Values) {
+    const auto Wanted = Pending.Index.Values.find(Key);
+    if (Wanted != Pending.Index.Values.end() && Wanted->second == Value.Id)
+      Pending.Values.insert_or_assign(Key, std::move(Value));
+  }
+}
+
+AcceptedConfiguration assemble(PendingConfiguration &&Pending) {
+  AcceptedConfiguration Result;
+  Result.Content.Number = Pending.Index.Number;
+  for (auto &[Key, Value] : Pending.Values) {
+    Result.Texts.emplace(Key, std::move(Value.Text));
+    Result.Content.Products.push_back(std::move(*Value.Content));
+  }
+  Result.Index = std::move(Pending.Index);
+  for (std::size_t P = 0; P < Result.Content.Products.size(); ++P) {
+    const Product &Owner = Result.Content.Products[P];
+    for (std::size_t C = 0; C < Owner.Callers.size(); ++C)
+      Result.CallersByKey.emplace(Owner.Name + "/" + Owner.Callers[C].KeySha256,
+                                  CallerMatch{P, C});
+  }
+  return Result;
+}
+
+AcceptanceResult refusePending(ConfigurationState &State, Error Failure) {
+  ++State.Counters.Invalid;
+  State.LastRefused = std::move(State.Pending->Index);
+  State.Pending.reset();
+  return refused(std::move(Failure));
+}
+
+/// Puts the pending configuration in force when it is complete and valid.
+AcceptanceResult completePending(ConfigurationState &State,
+                                 std::string_view Source) {
+  std::vector<std::string> Needed = neededKeys(State);
+  if (!Needed.empty())
+    return {AcceptanceAction::NeedValues, std::move(Needed), std::nullopt};
+  auto Next = std::make_shared<AcceptedConfiguration>(
+      assemble(PendingConfiguration(*State.Pending)));
+  const std::vector<ManifestConflict> Conflicts =
+      manifestConflicts(Next->Content);
+  if (!Conflicts.empty())
+    return refusePending(
+        State,
+        configurationError(
+            ErrorCode::InvalidManifest, Step::ConfigurationAccept, Source,
+            Next->Content.Products[Conflicts.front().ProductIndex].Name +
+                Conflicts.front().Path + ": " + Conflicts.front().Message));
+  checkInvariant(Next->Index.Number > revisionInForce(State),
+                 Invariant::RevisionNeverLower, Step::ConfigurationAccept,
+                 Source);
+  State.InForce = std::move(Next);
+  State.Pending.reset();
+  ++State.Counters.Accepted;
+  return {AcceptanceAction::Accepted, {}, std::nullopt};
+}
+
+AcceptanceResult conflict(ConfigurationState &State, Revision Number,
+                          std::string_view Source) {
+  ++State.Counters.Conflicts;
+  return refused(configurationError(
+      ErrorCode::ConflictingRevision, Step::ConfigurationAccept, Source,
+      "revision " + std::to_string(Number) +
+          " has other digests than the one in force"));
+}
+
+} // namespace
+
+std::string productKey(std::string_view ProductName) {
+  return std::string(ProductKeyPrefix) + std::string(ProductName);
+}
+
+ConfigurationState startConfiguration(TimePoint Now, StartTimeouts Timeouts) {
+  ConfigurationState State;
+  State.StartedAt = Now;
+  State.Timeouts = Timeouts;
+  return State;
+}
+
+Revision revisionInForce(const ConfigurationState &State) {
+  return State.InForce ? State.InForce->Index.Number : 0;
+}
+
+AcceptanceResult receiveIndex(ConfigurationState &State,
+                              const ConfigurationIndex &Index,
+                              std::string_view Source) {
+  if (Index.Number == 0 || Index.Values.size() > MaxProducts)
+    return receiveInvalidIndex(
+        State,
+        configurationError(ErrorCode::InvalidManifest, Step::ConfigurationRead,
+                           Source, "index has revision 0 or too many values"),
+        Source);
+  noteSource(State, Source, Index.Number);
+  if (Index.Values.empty()) // An announcement names the revision only.
+    return {};
+  const Revision Current = revisionInForce(State);
+  if (State.InForce && Index.Number == Current)
+    return Index == State.InForce->Index
+               ? AcceptanceResult{}
+               : conflict(State, Index.Number, Source);
+  if (Index.Number < Current && !faultEnabled(Invariant::RevisionNeverLower)) {
+    ++State.Counters.Older;
+    return {};
+  }
+  if (State.LastRefused && *State.LastRefused == Index)
+    return refused(configurationError(
+        ErrorCode::InvalidManifest, Step::ConfigurationAccept, Source,
+        "revision " + std::to_string(Index.Number) + " was refused before"));
+  PendingConfiguration Next{Index, {}};
+  reuseValuesInForce(State, Next);
+  if (State.Pending) {
+    if (State.Pending->Index.Number > Index.Number)
+      return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt};
+    // Nothing of this revision is in force here, so the latest index read is
+    // taken; the alarm tells the operator that the number was used twice.
+    if (State.Pending->Index.Number == Index.Number &&
+        State.Pending->Index != Index)
+      ++State.Counters.Conflicts;
+    reuseValuesPending(std::move(*State.Pending), Next);
+  }
+  State.Pending = std::move(Next);
+  return completePending(State, Source);
+}
+
+AcceptanceResult receiveValues(ConfigurationState &State,
+                               std::vector<CheckedValue> Values,
+                               std::string_view Source) {
+  noteSource(State, Source, 0);
+  if (!State.Pending)
+    return {};
+  for (CheckedValue &Value : Values) {
+    const auto Wanted = State.Pending->Index.Values.find(Value.Key);
+    if (Wanted == State.Pending->Index.Values.end() ||
+        Wanted->second != Value.Id) {
+      ++State.Counters.Mismatches;
+      continue;
+    }
+    if (!Value.Content)
+      return refusePending(State, Value.Content.error());
+    if (productKey(Value.Content->Name) != Value.Key)
+      return refusePending(State,
+                           configurationError(ErrorCode::InvalidManifest,
+                                              Step::ConfigurationAccept, Source,
+                                              Value.Key + " holds product " +
+                                                  Value.Content->Name));
+    std::string Key = Value.Key;
+    State.Pending->Values.insert_or_assign(std::move(Key), std::move(Value));
+  }
+  return completePending(State, Source);
+}
+
+AcceptanceResult receiveInvalidIndex(ConfigurationState &State, Error Failure,
+                                     std::string_view Source) {
+  noteSource(State, Source, 0);
+  ++State.Counters.Invalid;
+  return refused(std::move(Failure));
+}
+
+AcceptanceResult receiveReadFailure(const ConfigurationState &State) {
+  if (!State.Pending)
+    return {};
+  return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt};
+}
+
+void notePeerRevision(ConfigurationState &State, Revision Number) {
+  noteSource(State, "", Number);
+}
+
+std::vector<std::string> neededKeys(const ConfigurationState &State) {
+  std::vector<std::string> Keys;
+  if (!State.Pending)
+    return Keys;
+  for (const auto &[Key, Id] : State.Pending->Index.Values)
+    if (!State.Pending->Values.contains(Key))
+      Keys.push_back(Key);
+  return Keys;
+}
+
+bool configurationReady(const ConfigurationState &State, TimePoint Now) {
+  if (!State.InForce)
+    return false;
+  const Duration Waited = Now - State.StartedAt;
+  const bool Service = State.ServiceHeard || Waited >= State.Timeouts.Service;
+  const bool Peers = State.PeerHeard || Waited >= State.Timeouts.Peers;
+  const bool Current = revisionInForce(State) >= State.HighestHeard ||
+                       Waited >= State.Timeouts.CatchUp;
+  return Service && Peers && Current;
+}
+
+std::optional<std::map<std::string, std::string>>
+valuesForPeer(const ConfigurationState &State, Revision Number,
+              const std::vector<std::string> &Keys) {
+  if (!State.InForce || Number > revisionInForce(State))
+    return std::nullopt;
+  std::map<std::string, std::string> Result;
+  for (const std::string &Key : Keys)
+    if (const auto It = State.InForce->Texts.find(Key);
+        It != State.InForce->Texts.end())
+      Result.insert(*It);
+  return Result;
+}
+
+} // namespace marigoldyard
