--- /dev/null
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "marigoldyard/protocol/message.hpp"
+
+namespace marigoldyard::detail {
+
+/// @brief Marks a member that holds digests, which travel as 32 bytes.
+template <typename T> struct DigestField { T &Value; };
+template <typename T> DigestField<T> asDigest(T &Value) { return {Value}; }
+
+/// @brief Order of the fields of each type on the wire. The same list serves
+/// writing and reading: an archive gets references to all members.
+template <typename T> struct Fields;
+
+#define MARIGOLDYARD_FIELDS(Type, ...)                                         \
+  template <> struct Fields<Type> {                                            \
+    static void visit(auto &Archive, auto &M) { Archive.all(__VA_ARGS__); }    \
+  };
+
+MARIGOLDYARD_FIELDS(HybridTime, M.WallMicroseconds, M.Logical)
+MARIGOLDYARD_FIELDS(Header, M.Sender, M.SenderIncarnation, M.Receiver,
+                    M.Sequence, M.SenderRevision, M.SentAt)
+MARIGOLDYARD_FIELDS(TryId, M.Request, M.Attempt)
+MARIGOLDYARD_FIELDS(LoadReport, M.QueuedTokens[0], M.QueuedTokens[1],
+                    M.QueuedTokens[2], M.Running, M.Slots, M.TokensPerSecond,
+                    M.Ready, M.Leaving, asDigest(M.ReadyWeights))
+MARIGOLDYARD_FIELDS(ConfigurationIndex, M.Number, asDigest(M.Values))
+MARIGOLDYARD_FIELDS(Work, M.Id, M.Product, M.Caller, M.Priority,
+                    asDigest(M.Weights), M.Prompt, M.MaxTokens,
+                    M.EstimatedTokens, M.TimeLeft)
+MARIGOLDYARD_FIELDS(WorkAccepted, M.Id)
+MARIGOLDYARD_FIELDS(WorkRefused, M.Id, M.Reason, M.RetryAfter)
+MARIGOLDYARD_FIELDS(Piece, M.Id, asDigest(M.Weights), M.Sequence, M.Text)
+MARIGOLDYARD_FIELDS(StreamEnd, M.Id, asDigest(M.Weights), M.Count, M.Checksum)
+MARIGOLDYARD_FIELDS(WorkFailed, M.Id, M.Reason, M.At)
+MARIGOLDYARD_FIELDS(CancelWork, M.Id)
+MARIGOLDYARD_FIELDS(OperationOpen, M.Request, M.Service, M.Caller)
+MARIGOLDYARD_FIELDS(OperationOpened, M.Request, M.Operation, M.Reason)
+MARIGOLDYARD_FIELDS(OperationRun, M.Request, M.Operation, M.Caller, M.Body,
+                    M.TimeLeft)
+MARIGOLDYARD_FIELDS(OperationResult, M.Request, M.Operation, M.Result, M.Status,
+                    M.Body, M.Reason)
+MARIGOLDYARD_FIELDS(Report, M.Load)
+MARIGOLDYARD_FIELDS(ConfigurationOffer, M.Index)
+MARIGOLDYARD_FIELDS(ConfigurationRequest, M.Number, M.Keys)
+MARIGOLDYARD_FIELDS(ConfigurationValues, M.Index, M.Values)
+MARIGOLDYARD_FIELDS(ChunkMap, asDigest(M.Version), M.Held)
+MARIGOLDYARD_FIELDS(ChunkRequest, asDigest(M.Chunk))
+MARIGOLDYARD_FIELDS(ChunkData, asDigest(M.Chunk), M.Bytes)
+MARIGOLDYARD_FIELDS(ChunkRefused, asDigest(M.Chunk), M.RetryAfter)
+
+#undef MARIGOLDYARD_FIELDS
+
+} // namespace marigoldyard::detail
--- a/src/protocol/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace marigoldyard {} // namespace marigoldyard
--- /dev/null
+++ b/src/transport/mailbox.cpp
@@ -0,0 +1,248 @@
+#include "marigoldyard/transport/mailbox.hpp"
+
+#include "marigoldyard/protocol/replay_filter.hpp"
+#include "marigoldyard/transport/detail/callback_registry.hpp"
+#include "marigoldyard/transport/detail/mailbox_peer.hpp"
+
+#include <map>
+#include <nng/protocol/pipeline0/pull.h>
+#include <thread>
+
+namespace marigoldyard {
+
+namespace {
+
+bool usable(const KeyRing &Keys) {
+  return !Keys.Keys.empty() && Keys.Keys.front().Id.size() <= MaxKeyIdBytes;
+}
+
+/// Counts incoming connections and refuses those over the limit.
+struct ConnectionGate {
+  std::atomic<std::size_t> Open{0};
+  std::size_t Limit = 0;
+  std::shared_ptr<detail::MailboxShared> Shared;
+
+  static void changed(nng_pipe Pipe, nng_pipe_ev Event, void *Id) {
+    auto Self = detail::CallbackRegistry<ConnectionGate>::instance().find(Id);
+    if (!Self)
+      return;
+    if (Event == NNG_PIPE_EV_REM_POST) {
+      --Self->Open;
+      return;
+    }
+    if (++Self->Open <= Self->Limit)
+      return;
+    Self->Shared->count(&MailboxCounters::ConnectionsRefused);
+    nng_pipe_close(Pipe);
+  }
+};
+
+} // namespace
+
+struct Mailbox::Data {
+  using Peers = std::map<std::string, std::shared_ptr<detail::MailboxPeer>>;
+
+  std::shared_ptr<detail::MailboxShared> Shared;
+  std::shared_ptr<ConnectionGate> Gate;
+  void *GateId = nullptr;
+  ReplayFilter Replays;
+  nng_socket Pull = NNG_SOCKET_INITIALIZER;
+  std::uint16_t Port = 0;
+  std::thread Receiver;
+  mutable std::mutex Mutex;
+  Peers Known;
+
+  explicit Data(std::shared_ptr<detail::MailboxShared> Parts)
+      : Shared(std::move(Parts)), Gate(std::make_shared<ConnectionGate>()),
+        Replays(Shared->Options.MaxConnections) {
+    Gate->Limit = Shared->Options.MaxConnections;
+    Gate->Shared = Shared;
+    GateId = detail::CallbackRegistry<ConnectionGate>::instance().add(Gate);
+  }
+  ~Data() {
+    detail::CallbackRegistry<ConnectionGate>::instance().remove(GateId);
+  }
+
+  std::shared_ptr<detail::MailboxPeer> find(const std::string &Address) const {
+    std::lock_guard Lock(Mutex);
+    auto Found = Known.find(Address);
+    return Found == Known.end() ? nullptr : Found->second;
+  }
+
+  std::shared_ptr<detail::MailboxPeer> findOrAdd(const std::string &Address) {
+    std::lock_guard Lock(Mutex);
+    auto Found = Known.find(Address);
+    if (Found != Known.end())
+      return Found->second;
+    if (Known.size() >= Shared->Options.MaxPeers)
+      return nullptr;
+    auto Peer = std::make_shared<detail::MailboxPeer>(Shared, Address);
+    if (!Peer->start())
+      return nullptr;
+    return Known.emplace(Address, std::move(Peer)).first->second;
+  }
+
+  int listen();
+  void receive();
+  void accept(std::span<const std::uint8_t> Bytes);
+  void drop(std::uint64_t MailboxCounters::*Which, Error Cause);
+};
+
+int Mailbox::Data::listen() {
+  const MailboxOptions &Options = Shared->Options;
+  if (int Status = nng_pull0_open(&Pull); Status != 0)
+    return Status;
+  nng_socket_set_size(Pull, NNG_OPT_RECVMAXSZ, Options.MaxMessageBytes);
+  nng_pipe_notify(Pull, NNG_PIPE_EV_ADD_PRE, &ConnectionGate::changed, GateId);
+  nng_pipe_notify(Pull, NNG_PIPE_EV_REM_POST, &ConnectionGate::changed, GateId);
+  std::string Url =
+      "tcp://" + Options.Address + ":" + std::to_string(Options.Port);
+  nng_listener Listener;
+  if (int Status = nng_listen(Pull, Url.c_str(), &Listener, 0); Status != 0)
+    return Status;
+  int Bound = 0;
+  int Status = nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Bound);
+  Port = static_cast<std::uint16_t>(Bound);
+  return Status;
+}
+
+void Mailbox::Data::receive() {
+  for (;;) {
+    nng_msg *Wire = nullptr;
+    int Status = nng_recvmsg(Pull, &Wire, 0);
+    if (Status == NNG_ECLOSED)
+      return;
+    if (Status != 0)
+      continue;
+    accept({static_cast<const std::uint8_t *>(nng_msg_body(Wire)),
+            nng_msg_len(Wire)});
+    nng_msg_free(Wire);
+  }
+}
+
+void Mailbox::Data::drop(std::uint64_t MailboxCounters::*Which, Error Cause) {
+  Shared->count(Which);
+  if (Shared->Handlers.Dropped)
+    Shared->Handlers.Dropped(Cause);
+}
+
+void Mailbox::Data::accept(std::span<const std::uint8_t> Bytes) {
+  const MailboxOptions &Options = Shared->Options;
+  Shared->count(&MailboxCounters::ReceivedBytes, Bytes.size());
+  auto Decoded = decodeMessage(Bytes, *Shared->Keys.load());
+  if (!Decoded)
+    return drop(Decoded.error().Code == ErrorCode::Unauthenticated
+                    ? &MailboxCounters::Unauthenticated
+                    : &MailboxCounters::Malformed,
+                Decoded.error());
+  Header &Head = Decoded->Head;
+  if (Head.Receiver != Shared->wireName(Options.Name))
+    return drop(&MailboxCounters::WrongReceiver,
+                {ErrorCode::InvalidMessage, Step::Authenticate, Head.Sender,
+                 "message is for " + Head.Receiver});
+  Head.Receiver = Options.Name;
+  ReplayVerdict Verdict = Replays.check(Head);
+  if (Verdict != ReplayVerdict::Accepted)
+    return drop(&MailboxCounters::Replayed,
+                {ErrorCode::InvalidMessage, Step::Authenticate, Head.Sender,
+                 std::string(replayVerdictName(Verdict))});
+  Shared->count(&MailboxCounters::Received);
+  if (Shared->Handlers.Observe)
+    Shared->Handlers.Observe(Head.SentAt);
+  if (Shared->Handlers.Received)
+    Shared->Handlers.Received(std::move(*Decoded));
+}
+
+Expected<std::unique_ptr<Mailbox>>
+Mailbox::open(MailboxOptions Options, KeyRing Keys, MailboxHandlers Handlers) {
+  auto Failed = [&](std::string Detail) {
+    return Error{ErrorCode::InvalidSettings, Step::Settings,
+                 Options.Address + ":" + std::to_string(Options.Port),
+                 std::move(Detail)};
+  };
+  if (!usable(Keys))
+    return Failed("no usable key");
+  auto Shared = std::make_shared<detail::MailboxShared>();
+  Shared->Options = Options;
+  Shared->Handlers = std::move(Handlers);
+  Shared->Keys.store(std::make_shared<const KeyRing>(std::move(Keys)));
+  auto Content = std::make_unique<Data>(std::move(Shared));
+  if (int Status = Content->listen(); Status != 0) {
+    nng_close(Content->Pull);
+    return Failed(std::string("cannot listen: ") + nng_strerror(Status));
+  }
+  Content->Receiver =
+      std::thread([Parts = Content.get()] { Parts->receive(); });
+  return std::unique_ptr<Mailbox>(new Mailbox(std::move(Content)));
+}
+
+Mailbox::Mailbox(std::unique_ptr<Data> Parts) : Content(std::move(Parts)) {}
+
+Mailbox::~Mailbox() {
+  nng_close(Content->Pull);
+  Content->Receiver.join();
+  Data::Peers Closing;
+  {
+    std::lock_guard Lock(Content->Mutex);
+    Closing.swap(Content->Known);
+  }
+  for (auto &[Address, Peer] : Closing)
+    Peer->close();
+}
+
+bool Mailbox::addPeer(const std::string &PeerAddress) {
+  return Content->findOrAdd(PeerAddress) != nullptr;
+}
+
+void Mailbox::removePeer(const std::string &PeerAddress) {
+  std::shared_ptr<detail::MailboxPeer> Peer;
+  {
+    std::lock_guard Lock(Content->Mutex);
+    auto Found = Content->Known.find(PeerAddress);
+    if (Found == Content->Known.end())
+      return;
+    Peer = std::move(Found->second);
+    Content->Known.erase(Found);
+  }
+  Peer->close();
+}
+
+bool Mailbox::send(const std::string &PeerAddress, Message Message) {
+  auto Peer = Content->findOrAdd(PeerAddress);
+  if (Peer && Peer->send(std::move(Message)))
+    return true;
+  Content->Shared->count(&MailboxCounters::Refused);
+  return false;
+}
+
+std::size_t
+Mailbox::withdraw(const std::string &PeerAddress,
+                  const std::function<bool(const Message &)> &Matches) {
+  auto Peer = Content->find(PeerAddress);
+  return Peer ? Peer->withdraw(Matches) : 0;
+}
+
+bool Mailbox::connected(const std::string &PeerAddress) const {
+  auto Peer = Content->find(PeerAddress);
+  return Peer && Peer->connected();
+}
+
+std::size_t Mailbox::outboxSize(const std::string &PeerAddress) const {
+  auto Peer = Content->find(PeerAddress);
+  return Peer ? Peer->outboxSize() : 0;
+}
+
+void Mailbox::replaceKeys(KeyRing Keys) {
+  if (usable(Keys))
+    Content->Shared->Keys.store(
+        std::make_shared<const KeyRing>(std::move(Keys)));
+}
+
+std::uint16_t Mailbox::port() const { return Content->Port; }
+
+MailboxCounters Mailbox::counters() const {
+  std::lock_guard Lock(Content->Shared->CountersMutex);
+  return Content->Shared->Counters;
+}
+
+} // namespace marigoldyard
