--- a/src/protocol/manifest_json.cpp
+++ b/src/protocol/manifest_json.cpp
@@ -374,7 +374,7 @@
 CheckedValue checkValue(std::string Key, std::string Text,
                         std::string_view Source) {
   Checked<Product> Parsed = parseProduct(Text);
-  Digest Id = sha256(Text);
+  Digest Id = sha256Hex(Text);
   Expected<Product> Content =
       Parsed.Value ? Expected<Product>(std::move(*Parsed.Value))
                    : Expected<Product>(manifestError(
@@ -388,7 +388,7 @@
   json Digests = json::object();
   for (const Product &Each : Content.Products) {
     std::string Text = productText(Each);
-    Digests[productKey(Each.Name)] = sha256(Text);
+    Digests[productKey(Each.Name)] = sha256Hex(Text);
     Result.Values.emplace(productKey(Each.Name), std::move(Text));
   }
   Result.Index = json{{"revision", Content.Number}, {"values", Digests}}.dump();
