--- a/include/marigoldyard/coordination/membership.hpp
+++ b/include/marigoldyard/coordination/membership.hpp
@@ -112,6 +112,13 @@
 MessageEvidence reportReceived(MembershipState &State, std::string_view Name,
                                Incarnation Start, bool Leaving, TimePoint Now);
 
+/// @brief Records how a member describes itself. The VM list goes first; the
+/// description serves while the list does not name the member yet.
+/// @param State the members
+/// @param Description the member; ignored when it was never heard
+/// @complexity logarithmic in the number of members
+void describeMember(MembershipState &State, const Member &Description);
+
 /// @brief Records that a connection to a member closed or could not be opened.
 /// @param State the members
 /// @param Name the member
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -48,6 +48,9 @@
 MARIGOLDYARD_FIELDS(ChunkRequest, asDigest(M.Chunk))
 MARIGOLDYARD_FIELDS(ChunkData, asDigest(M.Chunk), M.Bytes)
 MARIGOLDYARD_FIELDS(ChunkRefused, asDigest(M.Chunk), M.RetryAfter)
+MARIGOLDYARD_FIELDS(Member, M.Name, M.Address, M.Kind, M.Region,
+                    M.FailureDomain, M.Pool, M.Leaving)
+MARIGOLDYARD_FIELDS(Hello, M.Sender)
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -176,6 +176,12 @@
   std::chrono::milliseconds RetryAfter{};
 };
 
+/// @brief First message on a connection: who the sender is. It lets a receiver
+/// answer a process that its own VM list does not name yet.
+struct Hello {
+  Member Sender;
+};
+
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
 using Body =
@@ -183,7 +189,7 @@
                  CancelWork, OperationOpen, OperationOpened, OperationRun,
                  OperationResult, Report, ConfigurationOffer,
                  ConfigurationRequest, ConfigurationValues, ChunkMap,
-                 ChunkRequest, ChunkData, ChunkRefused>;
+                 ChunkRequest, ChunkData, ChunkRefused, Hello>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- /dev/null
+++ b/programs/agent/agent.cpp
@@ -0,0 +1,333 @@
+#include "programs/agent/agent.hpp"
+
+#include "marigoldyard/coordination/subset.hpp"
+#include "marigoldyard/transport/clock.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+
+namespace {
+
+constexpr Duration EntryReportInterval = std::chrono::milliseconds(450);
+constexpr Duration PoolReportLowest = std::chrono::seconds(1);
+/// Reports to a pool of N take N x 120 B; the interval keeps them below half of
+/// the 3 KB/s that control may use.
+constexpr Duration PoolReportPerMember = std::chrono::milliseconds(80);
+constexpr Duration PlanInterval = std::chrono::milliseconds(10);
+constexpr Duration DrainCheckInterval = std::chrono::milliseconds(20);
+/// Time for the last messages to leave the sockets before the process exits.
+constexpr Duration FlushTime = std::chrono::milliseconds(100);
+
+Member selfOf(const AgentSettings &Settings) {
+  Member Self;
+  Self.Name = Settings.Process.Name;
+  Self.Address = Settings.Process.Address;
+  Self.Kind = MemberKind::Endpoint;
+  Self.Region = Settings.Process.Region;
+  Self.FailureDomain = Settings.Process.FailureDomain;
+  Self.Pool = Settings.Pool;
+  return Self;
+}
+
+SchedulerSettings schedulerSettings(const AgentSettings &Settings) {
+  SchedulerSettings Result;
+  Result.Slots = Settings.Slots;
+  return Result;
+}
+
+TransferSettings transferSettings(const AgentSettings &Settings) {
+  TransferSettings Result;
+  Result.Self = Settings.Process.Name;
+  Result.Region = Settings.Process.Region;
+  Result.StoreRegion =
+      Settings.StoreRegion.empty() ? Result.Region : Settings.StoreRegion;
+  Result.UploadBytesPerSecond = Settings.UploadBytesPerSecond;
+  Result.RegionLinkBytesPerSecond = Settings.RegionLinkBytesPerSecond;
+  Result.BufferBytes = Settings.WeightsBufferBytes;
+  return Result;
+}
+
+} // namespace
+
+Agent::Agent(AgentSettings Checked)
+    : Settings(std::move(Checked)), Base(Settings.Process, selfOf(Settings)),
+      Scheduler(makeScheduler(schedulerSettings(Settings))),
+      Operations(beginOperationTable(Settings.Process.Name, Base.Number)),
+      Transfer(makeTransfer(transferSettings(Settings))),
+      Loading(makeLoading(Settings.Process.Name, Base.Number)),
+      EndpointWork(boost::asio::make_work_guard(EndpointContext)),
+      Endpoint(EndpointContext),
+      StoreWork(boost::asio::make_work_guard(StoreContext)),
+      Store(StoreContext) {
+  Departure.Process = Settings.Process.Name;
+}
+
+Agent::~Agent() {
+  EndpointWork.reset();
+  StoreWork.reset();
+  EndpointContext.stop();
+  StoreContext.stop();
+  if (EndpointThread.joinable())
+    EndpointThread.join();
+  if (StoreThread.joinable())
+    StoreThread.join();
+}
+
+std::optional<Error> Agent::start() {
+  NodeHandlers Handlers;
+  Handlers.Received = [this](const Message &Incoming) { receive(Incoming); };
+  Handlers.ChunkArrived = [this](const std::string &Peer, ChunkData &&Chunk,
+                                 bool Verified) {
+    chunkArrived(Peer, std::move(Chunk), Verified);
+  };
+  Handlers.PeerLost = [this](const std::string &Peer) { peerLost(Peer); };
+  Handlers.ConfigurationChanged = [this] { configurationChanged(); };
+  Handlers.MembersChanged = [this] { membersChanged(); };
+  Handlers.Paused = [this](Duration) { pauseDetected(Loading); };
+  Handlers.DrainRequested = [this] { beginLeaving(true); };
+  Handlers.Status = [this](nlohmann::json &Page) { status(Page); };
+  Handlers.Ready = [this] { return currentReport().Ready; };
+  if (auto Failure = Base.start(std::move(Handlers)))
+    return Failure;
+  EndpointThread = std::thread([this] { EndpointContext.run(); });
+  StoreThread = std::thread([this] { StoreContext.run(); });
+  Base.Loop.every(EntryReportInterval, [this] { reportToEntries(); });
+  Base.Loop.every(PlanInterval, [this] {
+    refuseAll(expire(Scheduler, now()));
+    pump();
+    if (Settings.Kind == EndpointKind::Engine) {
+      planTransfers();
+      planOrders();
+      reportToPool();
+    }
+  });
+  return std::nullopt;
+}
+
+int Agent::run() {
+  Base.run();
+  return Departure.Cut == 0 ? 0 : 1;
+}
+
+void Agent::receive(const Message &Incoming) {
+  const std::string &Peer = Incoming.Head.Sender;
+  const Body &Content = Incoming.Content;
+  if (const auto *Task = std::get_if<Work>(&Content)) {
+    workArrived(Incoming, *Task);
+  } else if (const auto *Stop = std::get_if<CancelWork>(&Content)) {
+    cancelWork(Stop->Id.Request + "#" + std::to_string(Stop->Id.Attempt));
+  } else if (const auto *Opening = std::get_if<OperationOpen>(&Content)) {
+    operationOpen(Incoming, *Opening);
+  } else if (const auto *Running = std::get_if<OperationRun>(&Content)) {
+    operationRun(Incoming, *Running);
+  } else if (const auto *Load = std::get_if<Report>(&Content)) {
+    const auto Known = Base.Members.Records.find(Peer);
+    if (Known != Base.Members.Records.end() &&
+        Known->second.Listed.Pool == Settings.Pool)
+      PoolReports[Peer] = {Base.turn(), Load->Load.ReadyWeights};
+  } else if (const auto *Map = std::get_if<ChunkMap>(&Content)) {
+    if (auto Failure = chunkMapReceived(Transfer, Peer, Map->Version, Map->Held,
+                                        Base.turn()))
+      Base.Log.write("chunk_map_refused", *Failure);
+  } else if (const auto *Asked = std::get_if<ChunkRequest>(&Content)) {
+    uploadAsked(Transfer, Peer, Asked->Chunk, Base.turn());
+  } else if (const auto *Denied = std::get_if<ChunkRefused>(&Content)) {
+    chunkRefused(Transfer, Denied->Chunk, Peer, Denied->RetryAfter,
+                 Base.turn());
+  }
+}
+
+void Agent::peerLost(const std::string &Peer) {
+  transferPeerLost(Transfer, Peer, Base.turn());
+  std::vector<std::string> Affected;
+  for (const auto &[Key, Task] : Works)
+    if (Task.Entry == Peer)
+      Affected.push_back(Key);
+  for (const std::string &Key : Affected)
+    cancelWork(Key);
+}
+
+std::vector<std::string> Agent::linkedEntries() const {
+  std::vector<std::string> Entries;
+  std::vector<SubsetEndpoint> Endpoints;
+  for (const Member &Each : presentMembers(Base.Members, Base.turn())) {
+    if (Each.Kind == MemberKind::Entry)
+      Entries.push_back(Each.Name);
+    else if (Each.Pool == Settings.Pool)
+      Endpoints.push_back({Each.Name, Each.FailureDomain});
+  }
+  const bool Listed = std::any_of(
+      Endpoints.begin(), Endpoints.end(), [this](const SubsetEndpoint &Each) {
+        return Each.Name == Settings.Process.Name;
+      });
+  if (!Listed)
+    Endpoints.push_back(
+        {Settings.Process.Name, Settings.Process.FailureDomain});
+  return entriesOfEndpoint(Settings.Process.Name, Entries, Endpoints);
+}
+
+LoadReport Agent::currentReport() const {
+  LoadReport Result = loadReport(Scheduler);
+  Result.Leaving = Result.Leaving || leaving();
+  Result.ReadyWeights = ReadyWeights;
+  const bool HasWeights =
+      Settings.Kind == EndpointKind::Service || !ReadyWeights.empty();
+  Result.Ready = HasWeights && !Result.Leaving;
+  return Result;
+}
+
+void Agent::reportToEntries() {
+  const Report Content{currentReport()};
+  for (const std::string &Name : linkedEntries())
+    Base.send(Name, Content);
+}
+
+void Agent::reportToPool() {
+  std::vector<std::string> Peers;
+  for (const Member &Each : presentMembers(Base.Members, Base.turn()))
+    if (Each.Pool == Settings.Pool && Each.Kind == MemberKind::Endpoint &&
+        Each.Name != Settings.Process.Name)
+      Peers.push_back(Each.Name);
+  const Duration Interval =
+      std::max<Duration>(PoolReportLowest, PoolReportPerMember * Peers.size());
+  if (Base.turn() - PoolReportedAt < Interval)
+    return;
+  PoolReportedAt = Base.turn();
+  const Report Content{currentReport()};
+  for (const std::string &Name : Peers)
+    Base.send(Name, Content);
+}
+
+void Agent::membersChanged() {
+  std::vector<TransferPeer> Peers;
+  for (const auto &[Name, Record] : Base.Members.Records) {
+    if (Record.Listed.Pool != Settings.Pool || !Record.Described)
+      continue;
+    const MemberState Current = memberState(Base.Members, Record, Base.turn());
+    if (Current != MemberState::Dead)
+      Peers.push_back({Name, Record.Listed.Region,
+                       Current == MemberState::Leaving});
+  }
+  if (Settings.Kind == EndpointKind::Engine)
+    transferMembers(Transfer, Peers, Base.turn());
+  std::erase_if(PoolReports, [this](const auto &Each) {
+    return !Base.Members.Records.contains(Each.first);
+  });
+  const auto Own = Base.Members.Records.find(Settings.Process.Name);
+  if (Own != Base.Members.Records.end() && Own->second.Listed.Leaving)
+    beginLeaving(false);
+}
+
+void Agent::configurationChanged() {
+  const AcceptedConfiguration &InForce = *Base.configuration();
+  SchedulerSettings Fresh = Scheduler.Settings;
+  std::vector<WantedModel> Models;
+  std::vector<Digest> Versions;
+  for (const Product *Each : productsOfPool(InForce.Content, Settings.Pool)) {
+    Models.push_back(
+        {Each->Name, Each->Model, Each->Version, Each->Weights});
+    if (std::find(Versions.begin(), Versions.end(), Each->Weights) ==
+        Versions.end())
+      Versions.push_back(Each->Weights);
+    for (std::size_t I = 0; I < RankCount; ++I)
+      Fresh.Floors[I] = std::max(Fresh.Floors[I], Each->Floors[I]);
+    Digest &Current = CurrentWeights[Each->Name];
+    if (!Current.empty() && Current != Each->Weights)
+      PreviousWeights[Each->Name] = Current;
+    Current = Each->Weights;
+  }
+  changeSettings(Scheduler, Fresh);
+  if (Settings.Kind != EndpointKind::Engine)
+    return;
+  wantVersions(Transfer, Versions, Base.turn());
+  wantModels(Loading, InForce.Index.Number, std::move(Models));
+  checkComplete();
+}
+
+void Agent::beginLeaving(bool Exit) {
+  ExitWhenDrained = ExitWhenDrained || Exit;
+  if (leaving())
+    return;
+  beginDrain(Departure, Duration::zero(), Settings.Process.DrainDeadline,
+             now());
+  Base.record("leaving", {}, Settings.Process.Name);
+  refuseAll(leave(Scheduler));
+  reportToEntries();
+  Base.Loop.every(DrainCheckInterval, [this] { drainTurn(); });
+}
+
+void Agent::drainTurn() {
+  pump();
+  if (drainStep(Departure, now()) != DrainStage::Done || !ExitWhenDrained)
+    return;
+  if (Base.waitingMessages() > 0 && now() < Departure.Deadline)
+    return;
+  Base.record("left", {}, Settings.Process.Name, {},
+              {{"cut", std::to_string(Departure.Cut)}});
+  Base.Log.write({.Event = "left",
+                  .At = Step::Drain,
+                  .Fields = {{"cut", std::to_string(Departure.Cut)}}});
+  ExitWhenDrained = false;
+  Base.Loop.at(now() + FlushTime, [this] { Base.stop(); });
+}
+
+HttpCallRequest Agent::endpointRequest(std::string Method, std::string Target,
+                                       std::string Body, Step At) const {
+  HttpCallRequest Request;
+  Request.Address =
+      Settings.Endpoint.Host + ":" + std::to_string(Settings.Endpoint.Port);
+  Request.Method = std::move(Method);
+  Request.Target = std::move(Target);
+  Request.Body = std::move(Body);
+  Request.At = At;
+  Request.Peer = Settings.Process.Name + "-endpoint";
+  Request.ReuseConnection = false;
+  return Request;
+}
+
+void Agent::callEndpoint(HttpCallRequest Request,
+                         std::function<void(const HttpResult &)> Ended) {
+  Endpoint.call(std::move(Request),
+                [this, Ended = std::move(Ended)](HttpResult Result) {
+                  Base.Loop.post([Ended, Result = std::move(Result)] {
+                    Ended(Result);
+                  });
+                });
+}
+
+void Agent::status(nlohmann::json &Page) const {
+  Page["kind"] = "agent";
+  Page["pool"] = Settings.Pool;
+  Page["stage"] = static_cast<int>(Departure.Stage);
+  Page["cut"] = Departure.Cut;
+  const LoadReport Load = currentReport();
+  Page["running"] = Load.Running;
+  Page["slots"] = Load.Slots;
+  Page["tokens_per_second"] = Load.TokensPerSecond;
+  Page["queued_tokens"] = Load.QueuedTokens;
+  Page["ready_weights"] = ReadyWeights;
+  Page["operations"] = {{"records", Operations.Records.size()},
+                        {"running", Operations.Running},
+                        {"evicted", Operations.Evicted}};
+  Page["chunks"] = {{"held", Chunks.size()}, {"bytes", Transfer.HeldBytes}};
+  nlohmann::json Models = nlohmann::json::array();
+  for (const auto &Each : Loading.Models) {
+    const std::vector<Digest> Needed =
+        versionChunks(Transfer, Each.Wanted.Weights);
+    const auto Held =
+        std::count_if(Needed.begin(), Needed.end(),
+                      [this](const Digest &Id) { return Chunks.contains(Id); });
+    Models.push_back({{"product", Each.Wanted.Product},
+                      {"model", Each.Wanted.Model},
+                      {"version", Each.Wanted.Version},
+                      {"weights", Each.Wanted.Weights},
+                      {"phase", loadPhaseName(Each.Phase)},
+                      {"chunks", Needed.size()},
+                      {"held", Held},
+                      {"failures", Each.Failures}});
+  }
+  Page["models"] = std::move(Models);
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/programs/agent/agent_work.cpp
@@ -0,0 +1,254 @@
+// Completions: queue, engine streams and their checks.
+#include "programs/agent/agent.hpp"
+
+#include "marigoldyard/protocol/platform_api.hpp"
+#include "marigoldyard/transport/clock.hpp"
+
+namespace marigoldyard {
+
+namespace {
+
+constexpr std::size_t MaxLineBytes = 64UL << 10;
+constexpr std::chrono::milliseconds NotReadyRetryAfter{500};
+
+std::chrono::milliseconds milliseconds(Duration Value) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Value);
+}
+
+std::string keyOf(const TryId &Id) {
+  return Id.Request + "#" + std::to_string(Id.Attempt);
+}
+
+} // namespace
+
+double Agent::weightOf(const std::string &Product,
+                       const std::string &Caller) const {
+  const AcceptedConfiguration *InForce = Base.configuration();
+  const auto *Owner =
+      InForce != nullptr ? findProduct(InForce->Content, Product) : nullptr;
+  if (Owner != nullptr)
+    for (const auto &Each : Owner->Callers)
+      if (Each.Name == Caller)
+        return Each.Weight;
+  return 1.0;
+}
+
+std::optional<ErrorCode> Agent::objection(const Message &Incoming,
+                                          const Work &Content) const {
+  if (leaving())
+    return ErrorCode::EndpointLeaving;
+  const AcceptedConfiguration *InForce = Base.configuration();
+  if (InForce == nullptr || Settings.Kind != EndpointKind::Engine)
+    return ErrorCode::NotReady;
+  if (Incoming.Head.SenderRevision < InForce->Index.Number)
+    return ErrorCode::StaleRevision;
+  if (!acceptsWork(Loading, Content.Weights))
+    return ErrorCode::WrongWeights;
+  return std::nullopt;
+}
+
+void Agent::workArrived(const Message &Incoming, const Work &Content) {
+  const std::string Key = keyOf(Content.Id);
+  const std::string &Peer = Incoming.Head.Sender;
+  if (const auto Reason = objection(Incoming, Content)) {
+    Base.send(Peer, WorkRefused{Content.Id, *Reason, NotReadyRetryAfter});
+    return;
+  }
+  QueuedWork Item;
+  Item.Id = Key;
+  Item.Caller = Content.Product + "/" + Content.Caller;
+  Item.Weight = weightOf(Content.Product, Content.Caller);
+  Item.Priority = Content.Priority;
+  Item.EstimatedTokens = std::max<std::uint64_t>(1, Content.EstimatedTokens);
+  Item.Deadline = now() + Content.TimeLeft;
+  const EnqueueResult Result = enqueue(Scheduler, Item, now());
+  if (Result.Duplicate)
+    return;
+  if (!Result.Accepted) {
+    Base.send(Peer, WorkRefused{Content.Id, Result.Refused->Reason,
+                                milliseconds(Result.Refused->RetryAfter)});
+    return;
+  }
+  AgentWork Task;
+  Task.Entry = Peer;
+  Task.Content = Content;
+  Task.Stream =
+      beginStream(Content.Id.Request, Content.Id.Attempt, Content.Weights,
+                  Settings.Process.Name + "-endpoint");
+  Works.emplace(Key, std::move(Task));
+  Base.send(Peer, WorkAccepted{Content.Id});
+  refuseAll(Result.Evicted);
+  pump();
+}
+
+void Agent::refuseAll(const std::vector<Refusal> &Refused) {
+  for (const Refusal &Each : Refused)
+    refuse(Each.Id, Each.Reason, Each.RetryAfter);
+}
+
+void Agent::refuse(const std::string &Key, ErrorCode Reason,
+                   Duration RetryAfter) {
+  if (const auto Found = Works.find(Key); Found != Works.end()) {
+    checkInvariant(!Found->second.Running, Invariant::NotRunProof, Step::Queue,
+                   Found->second.Entry);
+    Base.send(
+        Found->second.Entry,
+        WorkRefused{Found->second.Content.Id, Reason, milliseconds(RetryAfter)});
+    Works.erase(Found);
+  } else if (const auto Run = Runs.find(Key); Run != Runs.end()) {
+    const std::string Operation = Run->second.Operation;
+    Runs.erase(Run);
+    finishRun(Operation, {Outcome::NotRun, 0, {}, Reason});
+  }
+}
+
+void Agent::pump() {
+  for (;;) {
+    NextResult Result = next(Scheduler, now());
+    refuseAll(Result.Refused);
+    if (!Result.Begin)
+      return;
+    if (Runs.contains(Result.Begin->Id))
+      startRun(Result.Begin->Id);
+    else
+      startWork(Result.Begin->Id);
+  }
+}
+
+void Agent::startWork(const std::string &Key) {
+  AgentWork &Task = Works.at(Key);
+  checkInvariant(!leaving(), Invariant::NoWorkWhileLeaving, Step::Generate,
+                 Task.Entry);
+  Task.Running = true;
+  admitWork(Departure, now());
+  GenerateRequest Request;
+  Request.Request = Key;
+  Request.Weights = Task.Content.Weights;
+  Request.Prompt = Task.Content.Prompt;
+  Request.MaxTokens = Task.Content.MaxTokens;
+  Request.Priority = Task.Content.Priority;
+  HttpCallRequest Call = endpointRequest(
+      "POST", "/generate", generateRequestJson(Request), Step::Generate);
+  Call.MaxBodyBytes = MaxLineBytes;
+  Call.Limit = std::max<Duration>(Task.Content.TimeLeft, Duration(1));
+  Base.record("work_started", Task.Content.Id.Request, Settings.Process.Name,
+              Task.Content.Weights);
+  Task.Call = Endpoint.stream(
+      std::move(Call),
+      [this, Key](std::string_view Line) {
+        return Base.Loop.post(
+            [this, Key, Line = std::string(Line)] { engineLine(Key, Line); });
+      },
+      [this, Key](HttpResult Result) {
+        Base.Loop.post([this, Key, Result = std::move(Result)] {
+          engineEnded(Key, Result);
+        });
+      });
+}
+
+void Agent::engineLine(const std::string &Key, const std::string &Line) {
+  const auto Found = Works.find(Key);
+  if (Found == Works.end())
+    return;
+  AgentWork &Task = Found->second;
+  const TryId &Id = Task.Content.Id;
+  const auto Parsed = parseGenerateLine(Line);
+  if (!Parsed) {
+    failWork(Key, ErrorCode::StreamCorrupt, Step::Stream);
+    return;
+  }
+  // The engine knows a try by its key; a line of another one is a crossed
+  // answer.
+  const std::string_view Request =
+      Parsed->Request == Key ? std::string_view(Id.Request) : Parsed->Request;
+  StreamStep Verdict;
+  if (Parsed->End)
+    Verdict = checkEnd(Task.Stream, {Request, Id.Attempt, Parsed->Weights,
+                                     Parsed->Count, std::nullopt});
+  else
+    Verdict = checkPiece(Task.Stream, {Request, Id.Attempt, Parsed->Weights,
+                                       Parsed->Sequence, Parsed->Text});
+  if (Verdict.Verdict == StreamVerdict::Fail) {
+    Base.Log.write("stream_corrupt", streamError(Task.Stream, Verdict.Fault),
+                   Id.Request);
+    failWork(Key, ErrorCode::StreamCorrupt, Step::Stream);
+  } else if (Verdict.Verdict == StreamVerdict::Accept && Parsed->End) {
+    Base.send(Task.Entry, StreamEnd{Id, Parsed->Weights, Parsed->Count,
+                                    streamChecksum(Task.Stream)});
+    Base.record("work_complete", Id.Request, Settings.Process.Name,
+                Parsed->Weights);
+    endWork(Key);
+  } else if (Verdict.Verdict == StreamVerdict::Accept) {
+    ++Task.Produced;
+    Base.send(Task.Entry,
+              Piece{Id, Parsed->Weights, Parsed->Sequence, Parsed->Text});
+  }
+}
+
+void Agent::engineEnded(const std::string &Key, const HttpResult &Result) {
+  const auto Found = Works.find(Key);
+  if (Found == Works.end())
+    return;
+  constexpr unsigned TooManyRequests = 429;
+  constexpr unsigned NotFound = 404;
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  const auto *Failure = std::get_if<HttpFailure>(&Result);
+  const bool Refused = Response != nullptr &&
+                       (Response->Status == TooManyRequests ||
+                        Response->Status == NotFound);
+  const bool NeverSent = Failure != nullptr && !Failure->RequestBytesSent;
+  if ((Refused || NeverSent) && Found->second.Produced == 0) {
+    Base.send(Found->second.Entry,
+              WorkRefused{Found->second.Content.Id,
+                          Refused && Response->Status == NotFound
+                              ? ErrorCode::WrongWeights
+                              : ErrorCode::NotReady,
+                          NotReadyRetryAfter});
+    endWork(Key);
+    if (NeverSent)
+      engineLost(Loading, now());
+    return;
+  }
+  failWork(Key, ErrorCode::EndpointFailed, Step::Generate);
+}
+
+void Agent::failWork(const std::string &Key, ErrorCode Reason, Step At) {
+  const auto Found = Works.find(Key);
+  if (Found == Works.end())
+    return;
+  const TryId &Id = Found->second.Content.Id;
+  Base.send(Found->second.Entry, WorkFailed{Id, Reason, At});
+  Base.record("work_failed", Id.Request, Settings.Process.Name, {},
+              {{"reason", make_error_code(Reason).message()}});
+  Found->second.Call.cancel();
+  endWork(Key);
+}
+
+void Agent::endWork(const std::string &Key) {
+  const auto Found = Works.find(Key);
+  constexpr std::size_t BytesPerToken = 4;
+  const std::uint64_t Used =
+      Found->second.Content.Prompt.size() / BytesPerToken +
+      Found->second.Produced + 1;
+  finish(Scheduler, Key, Used, now());
+  noteWorkFinished(Departure);
+  Works.erase(Found);
+  pump();
+}
+
+void Agent::cancelWork(const std::string &Key) {
+  const auto Found = Works.find(Key);
+  if (Found == Works.end())
+    return;
+  if (!Found->second.Running) {
+    cancel(Scheduler, Key);
+    refuse(Key, ErrorCode::Cancelled, Duration::zero());
+    return;
+  }
+  callEndpoint(
+      endpointRequest("POST", "/cancel", cancelJson(Key), Step::Generate),
+      [](const HttpResult &) {});
+  failWork(Key, ErrorCode::Cancelled, Step::Generate);
+}
+
+} // namespace marigoldyard
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -313,4 +313,12 @@
   return Next;
 }
 
+void describeMember(MembershipState &State, const Member &Description) {
+  const auto Found = State.Records.find(Description.Name);
+  if (Found == State.Records.end() || Found->second.InList)
+    return;
+  Found->second.Listed = Description;
+  Found->second.Described = true;
+}
+
 } // namespace marigoldyard
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -193,6 +193,7 @@
       V = std::chrono::milliseconds(Count);
   }
   void field(Rank &V) { enumeration(V, RankCount); }
+  void field(MemberKind &V) { enumeration(V, 2); }
   void field(Outcome &V) { enumeration(V, std::size(AllOutcomes)); }
   void field(Step &V) { enumeration(V, std::size(AllSteps)); }
   // A newer sender may use an id that this process does not know; it is only
