--- a/include/marigoldyard/transport/http_client.hpp
+++ b/include/marigoldyard/transport/http_client.hpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/state/time.hpp"
 #include "marigoldyard/transport/http_message.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
@@ -27,7 +28,8 @@
   std::string Body;
   Step At = Step::Send; ///< step named in errors
   std::string Peer;     ///< peer named in errors; Address if empty
-  Duration Limit = std::chrono::seconds(10); ///< for the whole call
+  Duration Limit = std::chrono::seconds(10); ///< for the whole call; the
+                                             ///< highest value means none
   Duration SilenceLimit = Duration::max();   ///< longest time without a byte
   std::size_t MaxBodyBytes = 1UL << 20; ///< of a whole response, or of one line
   bool ReuseConnection = true; ///< false opens a connection, so that a request
@@ -47,14 +49,17 @@
 class HttpCallHandle {
 public:
   HttpCallHandle() = default;
-  explicit HttpCallHandle(std::weak_ptr<detail::HttpCall> Call);
+  HttpCallHandle(std::weak_ptr<detail::HttpCall> Call,
+                 boost::asio::any_io_executor Executor);
 
   /// @brief Closes the connection of the call. Its end callback gets
-  /// ErrorCode::Cancelled unless it already ran. Thread-safe.
+  /// ErrorCode::Cancelled unless it already ran. Thread-safe while the
+  /// io_context exists.
   void cancel() const;
 
 private:
   std::weak_ptr<detail::HttpCall> Call;
+  boost::asio::any_io_executor Executor;
 };
 
 /// @brief Limits of an HttpClient.
