Bound the load of retries on a fleet that fails in part

Cause: a budget that saves up earned retries spends them at once when endpoints fail.

Change: earned retries above a reserve of 2 expire with a time constant of 2 s.

Ruled out: free retries of refusals of endpoints that are not ready.

--- a/include/marigoldyard/coordination/retry.hpp
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "marigoldyard/coordination/token_bucket.hpp"
 #include "marigoldyard/state/error.hpp"
 #include "marigoldyard/state/types.hpp"
 
+#include <chrono>
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string_view>
 
@@ -54,35 +53,30 @@
 inline constexpr std::uint32_t MaxTries = 4;
 
 /// @brief Retries a product may make before first tries have earned any. Lets a
-/// product with little traffic repeat a request.
-inline constexpr double RetryReserve = 3.0;
+/// product with little traffic repeat a request. Each entry holds its own
+/// reserve, so it is small beside the tries of a few seconds.
+inline constexpr double RetryReserve = 2.0;
+
+/// @brief Time constant with which unused earned retries expire. Covers the
+/// requests that an endpoint had in progress when it died, and keeps a quiet
+/// time from saving up a burst of retries.
+inline constexpr Duration RetryEarningTime = std::chrono::seconds(2);
 
 /// @brief Retry allowance per product: each first try earns a share of a retry.
 struct RetryBudget {
   double Share = 0.1; ///< retries as a share of first tries
   double Tokens = RetryReserve;
-  double Depth = 0.0; ///< tokens held at most; 0 until first used
+  TimePoint UpdatedAt{};
   std::uint64_t FirstTries = 0;
   std::uint64_t Retries = 0;
   std::uint64_t Denied = 0;
 };
 
-/// @brief Starts the budget of a product.
-/// @param Share retries as a share of first tries, from the manifest
-/// @return a budget that holds the reserve
-/// @complexity constant
-RetryBudget beginRetryBudget(double Share);
-
-/// @brief Adopts a new share from the manifest; earned tokens stay.
-/// @param Budget the budget
-/// @param Share retries as a share of first tries
-/// @complexity constant
-void updateRetryShare(RetryBudget &Budget, double Share);
-
 /// @brief Counts a first try and earns its share of a retry.
 /// @param Budget the budget
+/// @param Now the current time
 /// @complexity constant
-void noteFirstTry(RetryBudget &Budget);
+void noteFirstTry(RetryBudget &Budget, TimePoint Now);
 
 /// @brief What decides about another try.
 struct RetryQuestion {
@@ -122,8 +116,10 @@
 /// @brief Decides whether another try may be made and takes it from the budget.
 /// @param Budget the product's budget
 /// @param Question state of the request
+/// @param Now the current time
 /// @return Retry, or the first reason against it
 /// @complexity constant
-RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question);
+RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question,
+                         TimePoint Now);
 
 } // namespace marigoldyard
--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -115,7 +115,8 @@
   bool Final = State.Abandoned || State.Expired ||
                State.Kind == RequestKind::OperationRun;
   if (!Final) {
-    RetryVerdict Verdict = decideRetry(Context.Budget, question(Context));
+    RetryVerdict Verdict =
+        decideRetry(Context.Budget, question(Context), Context.Now);
     if (Verdict == RetryVerdict::Retry) {
       choose(Context);
       return;
@@ -174,7 +175,7 @@
   if (Context.State.Phase != RequestPhase::Choosing ||
       !Context.State.Tries.empty())
     return;
-  noteFirstTry(Context.Budget);
+  noteFirstTry(Context.Budget, Context.Now);
   choose(Context);
 }
 
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -3,17 +3,23 @@
 #include "marigoldyard/state/fault_switch.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marigoldyard {
 
 namespace {
 
-/// First tries whose earned retries are kept. Bounds the burst of retries after
-/// a quiet time: 1,000 first tries are about a tenth of a second at the target
-/// load of the fleet.
-constexpr double EarningWindow = 1000.0;
-
-double depth(double Share) { return RetryReserve + Share * EarningWindow; }
+/// Lets earned retries above the reserve expire.
+void expireEarned(RetryBudget &Budget, TimePoint Now) {
+  if (Now <= Budget.UpdatedAt)
+    return;
+  double Earned = std::max(Budget.Tokens - RetryReserve, 0.0);
+  std::chrono::duration<double> Passed = Now - Budget.UpdatedAt;
+  double Left =
+      std::exp(-Passed / std::chrono::duration<double>(RetryEarningTime));
+  Budget.Tokens -= Earned * (1.0 - Left);
+  Budget.UpdatedAt = Now;
+}
 
 /// Whether another endpoint may answer otherwise.
 bool worthRetrying(ErrorCode Reason) {
@@ -35,15 +41,22 @@
   }
 }
 
-/// Whether a try adds no load that grows with overload, so that its repetition
-/// is not taken from the budget. A change of configuration or a departure
-/// refuses many requests at once, and each of them soon finds its place.
+/// Whether the repetition of a try is not taken from the budget: the try
+/// reached no endpoint, or a change of configuration or a departure refused it.
+/// Such a change refuses many requests at once and each soon finds its place.
+/// Refusals of full or failed endpoints are charged, since they last.
 bool isFree(const RetryQuestion &Question) {
-  if (Question.LastTry == TryFate::NeverSent ||
-      Question.LastTry == TryFate::Withdrawn)
+  switch (Question.LastTry) {
+  case TryFate::NeverSent:
+  case TryFate::Withdrawn:
     return true;
-  return Question.LastTry == TryFate::Refused &&
-         Question.Reason != ErrorCode::QueueFull;
+  case TryFate::Refused:
+    return Question.Reason == ErrorCode::StaleRevision ||
+           Question.Reason == ErrorCode::EndpointLeaving ||
+           Question.Reason == ErrorCode::WrongWeights;
+  default:
+    return false;
+  }
 }
 
 RetryVerdict judge(const RetryQuestion &Question) {
@@ -98,21 +111,10 @@
   return Outcome::NotRun;
 }
 
-RetryBudget beginRetryBudget(double Share) {
-  RetryBudget Budget;
-  updateRetryShare(Budget, Share);
-  return Budget;
-}
-
-void updateRetryShare(RetryBudget &Budget, double Share) {
-  Budget.Share = std::max(Share, 0.0);
-  Budget.Depth = depth(Budget.Share);
-  Budget.Tokens = std::min(Budget.Tokens, Budget.Depth);
-}
-
-void noteFirstTry(RetryBudget &Budget) {
+void noteFirstTry(RetryBudget &Budget, TimePoint Now) {
+  expireEarned(Budget, Now);
   ++Budget.FirstTries;
-  Budget.Tokens = std::min(Budget.Tokens + Budget.Share, Budget.Depth);
+  Budget.Tokens += Budget.Share;
 }
 
 std::string_view retryVerdictName(RetryVerdict Verdict) {
@@ -135,10 +137,12 @@
   return "";
 }
 
-RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question) {
+RetryVerdict decideRetry(RetryBudget &Budget, const RetryQuestion &Question,
+                         TimePoint Now) {
   RetryVerdict Verdict = judge(Question);
   if (Verdict != RetryVerdict::Retry)
     return Verdict;
+  expireEarned(Budget, Now);
   if (!isFree(Question)) {
     if (Budget.Tokens < 1.0) {
       ++Budget.Denied;
