Add a benchmark of scheduling policies in virtual time

Cause: the order of work is to be chosen by measured figures.

Costs count 8 prompt tokens as one answer token, which is the ratio of their engine times in the model.

Ruled out: separate code for the simpler policies; they are the scheduler with one rank or one caller.

--- /dev/null
+++ b/bench/bench_policy.cpp
@@ -0,0 +1,84 @@
+// Compares scheduling policies on the traces of the design page in virtual
+// time and prints a table of measures against bounds.
+
+#include "bench/policy_run_common.hpp"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+using namespace marigoldyard;
+using namespace marigoldyard::bench;
+
+namespace {
+
+struct Variant {
+  std::string Name;
+  RunOptions Options;
+};
+
+std::vector<Variant> variants() {
+  std::vector<Variant> Result;
+  for (Binding Bind : {Binding::Push, Binding::Late}) {
+    const std::string Suffix = Bind == Binding::Push ? "push" : "late";
+    RunOptions Options;
+    Options.Bind = Bind;
+    Options.Order = Policy::Fifo;
+    Result.push_back({"fifo/" + Suffix, Options});
+    Options.Order = Policy::StrictPriority;
+    Result.push_back({"strict/" + Suffix, Options});
+    Options.Order = Policy::RankedFair;
+    Result.push_back({"ranked/" + Suffix, Options});
+    Options.CanPause = false;
+    Result.push_back({"ranked-nopause/" + Suffix, Options});
+    Options.UrgentReserve = 2;
+    Result.push_back({"ranked-reserve/" + Suffix, Options});
+  }
+  return Result;
+}
+
+void printRow(const std::string &Name, const Trace &Source,
+              const Measures &Of) {
+  fmt::print("{:<24} {:<20} {:6.3f} {:6.3f} {:6.3f} | {:5.3f} {:5.3f} {:5.3f} "
+             "| {:5.3f} {:5.3f} {:5.3f} | {:6.4f} {:6} | {:5.3f} | {:6.3f} "
+             "{:6.3f} {:6.3f} {:5.3f} | {:6}\n",
+             Source.Name, Name, Of.FirstTokenP95[0], Of.FirstTokenP95[1],
+             Of.FirstTokenP95[2], Of.InDeadline[0], Of.InDeadline[1],
+             Of.InDeadline[2], Of.TokenShare[0], Of.TokenShare[1],
+             Of.TokenShare[2], Of.SmallInDeadline, Of.SmallRequests, Of.Goodput,
+             Of.RecoveredP95[0], Of.RecoveredP95[1], Of.RecoveredP95[2],
+             Of.RecoveredServed, Of.Pauses);
+}
+
+double fairnessError(const RunOptions &Options, const TraceTimes &Times) {
+  const Trace Source = spreadTrace(Times);
+  const RunResult Result = runTrace(Source, Options);
+  return servedCost(Source, Result, 0) / servedCost(Source, Result, 1) - 1;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  const std::string Only = Argc > 1 ? Argv[1] : "";
+  const TraceTimes Times;
+  std::vector<Trace> Traces = pageTraces(Times);
+  Traces.insert(Traces.begin(), unloadedTrace(Times));
+  fmt::print("{:<24} {:<20} {:^20} | {:^17} | {:^17} | {:^13} | {:^5} | "
+             "{:^26} | pauses\n",
+             "trace", "policy", "first token p95 s", "in deadline",
+             "share of tokens", "small in time", "good",
+             "10 s after: p95 s, served");
+  for (const Variant &Each : variants()) {
+    if (Each.Name.find(Only) == std::string::npos)
+      continue;
+    for (const Trace &Source : Traces)
+      printRow(
+          Each.Name, Source,
+          measure(Source, runTrace(Source, Each.Options), Each.Options.Floors));
+    fmt::print("fairness error of a caller on four entries against one on one "
+               "entry, {}: {:+.3f}\n",
+               Each.Name, fairnessError(Each.Options, Times));
+  }
+  return 0;
+}
--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -43,7 +43,7 @@
   std::string Caller;  ///< product and caller
   double Weight = 1.0; ///< of the caller, above 0
   Rank Priority = Rank::Batch;
-  std::uint64_t EstimatedTokens = 1; ///< prompt and answer, at least 1
+  std::uint64_t EstimatedTokens = 1; ///< tokenCost of the estimate, at least 1
   TimePoint Deadline;                ///< by which the answer must be complete
 };
 
@@ -124,6 +124,23 @@
   std::deque<std::string> Paused; ///< oldest first
 };
 
+/// @brief Prompt tokens that cost as much as one answer token. A prompt is
+/// processed in large parallel steps, an answer one step a token.
+inline constexpr std::uint64_t PromptTokensPerAnswerToken = 8;
+
+/// @brief Cost of a request in answer tokens, the unit of all token counts of
+/// the scheduler.
+/// @param PromptTokens of the request, without those found in the prefix cache
+/// @param AnswerTokens estimated or produced
+/// @return the cost, at least 1
+/// @complexity constant
+constexpr std::uint64_t tokenCost(std::uint64_t PromptTokens,
+                                  std::uint64_t AnswerTokens) {
+  const std::uint64_t Cost =
+      PromptTokens / PromptTokensPerAnswerToken + AnswerTokens;
+  return Cost == 0 ? 1 : Cost;
+}
+
 /// @brief A scheduler without work.
 /// @param Settings limits and shares
 /// @return the state
@@ -157,7 +174,7 @@
 /// its estimate is charged before it ends.
 /// @param State the scheduler
 /// @param Id the work; an unknown id is ignored
-/// @param ActualTokens prompt and answer so far
+/// @param ActualTokens tokenCost of prompt and answer so far
 /// @complexity constant on average, logarithmic in the callers of the rank
 void correct(SchedulerState &State, std::string_view Id,
              std::uint64_t ActualTokens);
@@ -165,7 +182,7 @@
 /// @brief Ends work that ran and replaces its estimated by its actual cost.
 /// @param State the scheduler
 /// @param Id the work
-/// @param ActualTokens prompt and answer
+/// @param ActualTokens tokenCost of prompt and answer
 /// @param Now the present time
 /// @return whether the work was running or paused
 /// @complexity constant on average, logarithmic in the callers of the rank
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -340,7 +340,7 @@
 
 EnqueueResult enqueue(SchedulerState &State, QueuedWork Work, TimePoint Now) {
   EnqueueResult Result;
-  auto refuse = [&](ErrorCode Reason, Duration RetryAfter) {
+  auto Refuse = [&](ErrorCode Reason, Duration RetryAfter) {
     Result.Refused = Refusal{Work.Id, Reason, RetryAfter};
     return Result;
   };
@@ -349,17 +349,17 @@
     return Result;
   }
   if (State.Leaving && !faultEnabled(Invariant::NoWorkWhileLeaving))
-    return refuse(ErrorCode::EndpointLeaving, Duration::zero());
+    return Refuse(ErrorCode::EndpointLeaving, Duration::zero());
   Work.EstimatedTokens = std::max<std::uint64_t>(Work.EstimatedTokens, 1);
   const Duration Wait = estimatedWait(State, Work);
   if (!canMeetDeadline(State, Work, Now, Wait))
-    return refuse(ErrorCode::DeadlineExceeded, clampRetry(Wait));
+    return Refuse(ErrorCode::DeadlineExceeded, clampRetry(Wait));
   CallerFlow *Flow = flowFor(State, Work);
   if (!Flow || Flow->Waiting.size() >= State.Settings.MaxQueuedPerCaller)
-    return refuse(ErrorCode::QueueFull, clampRetry(Wait));
+    return Refuse(ErrorCode::QueueFull, clampRetry(Wait));
   Flow->Weight = Work.Weight;
   if (!makeRoom(State, Work, Result.Evicted))
-    return refuse(ErrorCode::QueueFull, clampRetry(Wait));
+    return Refuse(ErrorCode::QueueFull, clampRetry(Wait));
   RankQueue &Queue = queueOf(State, Work.Priority);
   Flow->Waiting.push_back(Work.Id);
   Flow->WaitingTokens += Work.EstimatedTokens;
@@ -460,6 +460,7 @@
         !canMeetDeadline(State, Record.Work, Now, Duration::zero()))
       Late.push_back(Id);
   std::vector<Refusal> Refused;
+  Refused.reserve(Late.size());
   for (const std::string &Id : Late)
     Refused.push_back(refuseWaiting(State, Id, ErrorCode::DeadlineExceeded,
                                     Duration::zero()));
@@ -473,6 +474,7 @@
     if (Record.Phase == WorkPhase::Waiting)
       Waiting.push_back(Id);
   std::vector<Refusal> Refused;
+  Refused.reserve(Waiting.size());
   if (faultEnabled(Invariant::NoWorkWhileLeaving))
     return Refused;
   for (const std::string &Id : Waiting)
