Hold floors by a decayed share of service

Change: a rank is below its floor by its share of the service of the last seconds, not by a clamped credit. Urgent work may use the slot of a paused stream while another rank is owed the next slot, and a pause must leave batch its floor. A full queue drops the work that would be served last, and a caller with nothing waiting gets a place. Work names prompt and answer tokens, since prompts cost engine time but little stream time. The capacity that goodput is compared with is that of an always full engine for the same mix of ranks.

Ruled out: credits with limits; their clamping lost debts on pauses and gave batch service beyond its floor.

--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -40,15 +40,18 @@
 
 void printRow(const std::string &Name, const Trace &Source,
               const Measures &Of) {
-  fmt::print("{:<24} {:<20} {:6.3f} {:6.3f} {:6.3f} | {:5.3f} {:5.3f} {:5.3f} "
-             "| {:5.3f} {:5.3f} {:5.3f} | {:6.4f} {:6} | {:5.3f} | {:6.3f} "
-             "{:6.3f} {:6.3f} {:5.3f} | {:6}\n",
-             Source.Name, Name, Of.FirstTokenP95[0], Of.FirstTokenP95[1],
-             Of.FirstTokenP95[2], Of.InDeadline[0], Of.InDeadline[1],
-             Of.InDeadline[2], Of.TokenShare[0], Of.TokenShare[1],
-             Of.TokenShare[2], Of.SmallInDeadline, Of.SmallRequests, Of.Goodput,
-             Of.RecoveredP95[0], Of.RecoveredP95[1], Of.RecoveredP95[2],
-             Of.RecoveredServed, Of.Pauses);
+  fmt::print(
+      "{:<24} {:<20} {:6.3f} {:6.3f} {:6.3f} | {:6.3f} {:6.3f} {:6.3f} "
+      "| {:5.3f} {:5.3f} {:5.3f} "
+      "| {:5.3f} {:5.3f} {:5.3f} | {:6.4f} {:6.4f} {:6.4f} | {:5.3f} | {:6.3f} "
+      "{:6.3f} {:6.3f} {:5.3f} | {:6}\n",
+      Source.Name, Name, Of.FirstTokenP95[0], Of.FirstTokenP95[1],
+      Of.FirstTokenP95[2], Of.StartP95[0], Of.StartP95[1], Of.StartP95[2],
+      Of.InDeadline[0], Of.InDeadline[1], Of.InDeadline[2], Of.TokenShare[0],
+      Of.TokenShare[1], Of.TokenShare[2], Of.SmallInDeadline[0],
+      Of.SmallInDeadline[1], Of.SmallInDeadline[2], Of.Goodput,
+      Of.RecoveredP95[0], Of.RecoveredP95[1], Of.RecoveredP95[2],
+      Of.RecoveredServed, Of.Pauses);
 }
 
 double fairnessError(const RunOptions &Options, const TraceTimes &Times) {
@@ -64,11 +67,11 @@
   const TraceTimes Times;
   std::vector<Trace> Traces = pageTraces(Times);
   Traces.insert(Traces.begin(), unloadedTrace(Times));
-  fmt::print("{:<24} {:<20} {:^20} | {:^17} | {:^17} | {:^13} | {:^5} | "
-             "{:^26} | pauses\n",
-             "trace", "policy", "first token p95 s", "in deadline",
-             "share of tokens", "small in time", "good",
-             "10 s after: p95 s, served");
+  fmt::print(
+      "{:<24} {:<20} {:^20} | {:^20} | {:^17} | {:^17} | {:^20} | {:^5} | "
+      "{:^26} | pauses\n",
+      "trace", "policy", "first token p95 s", "start p95 s", "in deadline",
+      "share of tokens", "small in time", "good", "10 s after: p95 s, served");
   for (const Variant &Each : variants()) {
     if (Each.Name.find(Only) == std::string::npos)
       continue;
--- a/bench/policy_measure_common.cpp
+++ b/bench/policy_measure_common.cpp
@@ -1,3 +1,4 @@
+#include "bench/policy_engine_common.hpp"
 #include "bench/policy_run_common.hpp"
 
 #include "marigoldyard/coordination/scheduler.hpp"
@@ -38,12 +39,15 @@
 /// of the ranks below and the load of the ranks above leave to it.
 double entitledLoad(const Trace &Source, std::size_t Index,
                     const std::array<double, RankCount> &Floors) {
-  double Left = 1.0;
+  const double Capacity =
+      static_cast<double>(ServerCount - Source.ServersLost) / ServerCount;
+  double Left = Capacity;
   for (std::size_t I = 0; I < RankCount; ++I)
     if (I != Index)
-      Left -= I > Index ? std::min(Floors[I], Source.Periods[1].Load[I])
-                        : Source.Periods[1].Load[I];
-  return std::max(Floors[Index], Left);
+      Left -= I > Index
+                  ? std::min(Floors[I] * Capacity, Source.Periods[1].Load[I])
+                  : Source.Periods[1].Load[I];
+  return std::max(Floors[Index] * Capacity, Left);
 }
 
 bool smallWithinShare(const Trace &Source, const Request &Item,
@@ -67,7 +71,7 @@
 void measureService(const Trace &Source, const RunResult &Result,
                     Measures &Out) {
   double Served = 0;
-  double EngineTime = 0;
+  std::array<double, RankCount> EngineTime{};
   for (std::size_t I = 0; I < Result.Requests.size(); ++I) {
     const Request &Item = Result.Requests[I];
     const RequestRecord &Record = Result.Records[I];
@@ -77,23 +81,27 @@
       continue;
     Out.TokenShare[rankIndex(Item.Priority)] += servedOf(Item);
     Served += servedOf(Item);
-    EngineTime += engineSeconds(Item.PromptTokens, Item.AnswerTokens);
+    EngineTime[rankIndex(Item.Priority)] +=
+        engineSeconds(Item.PromptTokens, Item.AnswerTokens);
   }
   for (double &Share : Out.TokenShare)
     Share = ratio(Share, Served);
   const double Window =
       seconds(Source.EventTo - Source.EventFrom - RecoveryTime);
-  Out.Goodput = EngineTime / Window /
-                static_cast<double>(ServerCount - Source.ServersLost);
+  Out.Goodput = (EngineTime[0] + EngineTime[1] + EngineTime[2]) / Window /
+                static_cast<double>(ServerCount - Source.ServersLost) /
+                saturatedCapacity(EngineTime);
 }
 
 void measureArrivals(const Trace &Source, const RunResult &Result,
                      const std::array<double, RankCount> &Floors,
                      Measures &Out) {
   std::array<std::vector<double>, RankCount> First;
+  std::array<std::vector<double>, RankCount> Start;
   std::array<double, RankCount> InTime{};
   std::array<double, RankCount> Offered{};
-  double SmallInTime = 0;
+  std::array<double, RankCount> SmallInTime{};
+  std::array<double, RankCount> Small{};
   for (std::size_t I = 0; I < Result.Requests.size(); ++I) {
     const Request &Item = Result.Requests[I];
     const RequestRecord &Record = Result.Records[I];
@@ -104,17 +112,19 @@
     InTime[Index] += inTime(Item, Record);
     if (Record.FirstToken >= Duration::zero())
       First[Index].push_back(seconds(Record.FirstToken - Item.Arrival));
+    if (Record.Started >= Duration::zero())
+      Start[Index].push_back(seconds(Record.Started - Item.Arrival));
     if (smallWithinShare(Source, Item, Floors)) {
-      ++Out.SmallRequests;
-      SmallInTime += inTime(Item, Record);
+      ++Small[Index];
+      SmallInTime[Index] += inTime(Item, Record);
     }
   }
   for (std::size_t I = 0; I < RankCount; ++I) {
     Out.FirstTokenP95[I] = quantile(First[I], 0.95);
+    Out.StartP95[I] = quantile(Start[I], 0.95);
     Out.InDeadline[I] = ratio(InTime[I], Offered[I]);
+    Out.SmallInDeadline[I] = ratio(SmallInTime[I], Small[I]);
   }
-  Out.SmallInDeadline =
-      ratio(SmallInTime, static_cast<double>(Out.SmallRequests));
 }
 
 void measureRecovery(const Trace &Source, const RunResult &Result,
@@ -152,6 +162,36 @@
   return Values[At];
 }
 
+double saturatedCapacity(const std::array<double, RankCount> &EngineTime) {
+  constexpr Duration Warmup = std::chrono::seconds(30);
+  constexpr Duration Length = std::chrono::seconds(330);
+  constexpr std::uint64_t Seed = 7;
+  const std::array<double, RankCount> MeanTime = {engineSeconds(766, 62),
+                                                  engineSeconds(766, 147),
+                                                  engineSeconds(1022, 295)};
+  std::array<double, RankCount> Requests{};
+  for (std::size_t I = 0; I < RankCount; ++I)
+    Requests[I] = EngineTime[I] / MeanTime[I];
+  Random Generator(Seed);
+  std::discrete_distribution<std::size_t> Mix(Requests.begin(), Requests.end());
+  Engine Model;
+  std::vector<Request> Drawn;
+  double Done = 0;
+  Duration Now{};
+  while (Now < Length) {
+    while (Model.Batch.size() < EngineSlots) {
+      Drawn.push_back(drawLengths(AllRanks[Mix(Generator)], Generator));
+      addStream(Model, Drawn.back(), Drawn.size() - 1);
+    }
+    Now += beginStep(Model);
+    for (const StepOutput &Output : endStep(Model))
+      if (Output.Ended && Now >= Warmup)
+        Done += engineSeconds(Drawn[Output.RequestIndex].PromptTokens,
+                              Drawn[Output.RequestIndex].AnswerTokens);
+  }
+  return Done / seconds(Length - Warmup);
+}
+
 Measures measure(const Trace &Source, const RunResult &Result,
                  const std::array<double, RankCount> &Floors) {
   Measures Out;
--- a/bench/policy_run_common.cpp
+++ b/bench/policy_run_common.cpp
@@ -74,13 +74,18 @@
   return std::stoul(Id.substr(0, Id.find('/')));
 }
 
+std::uint64_t estimatedCost(const Request &Source) {
+  return tokenCost(Source.PromptTokens, Source.EstimatedAnswer);
+}
+
 QueuedWork queuedWork(const Simulation &Sim, std::size_t Index) {
   const Request &Source = Sim.Result.Requests[Index];
   QueuedWork Work;
   Work.Id = std::to_string(Index) + "/" +
             std::to_string(Sim.Result.Records[Index].Generation);
   Work.Priority = Source.Priority;
-  Work.EstimatedTokens = Source.EstimatedCost;
+  Work.PromptTokens = Source.PromptTokens;
+  Work.AnswerTokens = Source.EstimatedAnswer;
   Work.Deadline =
       TimePoint(Source.Arrival) + Deadlines[rankIndex(Source.Priority)];
   // Both simpler policies are special cases of the scheduler: one rank or one
@@ -97,7 +102,7 @@
 void endAttempt(Simulation &Sim, std::size_t Index) {
   const Request &Source = Sim.Result.Requests[Index];
   recordEnded(Sim.Entries[Source.Entry].Views[Sim.SentTo[Index]],
-              Source.Priority, Source.EstimatedCost);
+              Source.Priority, estimatedCost(Source));
   ++Sim.Result.Records[Index].Generation;
 }
 
@@ -135,14 +140,13 @@
     if (Record.FirstToken < Duration::zero())
       Record.FirstToken = Seen;
     const std::string Id = queuedWork(Sim, Index).Id;
-    const std::uint64_t Cost = tokenCost(Source.PromptTokens, Record.Produced);
     if (!Output.Ended) {
-      correct(At.Scheduler, Id, Cost);
+      correct(At.Scheduler, Id, Record.Produced);
       continue;
     }
-    finish(At.Scheduler, Id, Cost, Sim.Now);
+    finish(At.Scheduler, Id, Record.Produced, Sim.Now);
     if (Sim.Options.Bind == Binding::Late)
-      finish(Sim.Entries[Source.Entry].Queue, Id, Cost, Sim.Now);
+      finish(Sim.Entries[Source.Entry].Queue, Id, Record.Produced, Sim.Now);
     Record.Done = Seen;
     endAttempt(Sim, Index);
   }
@@ -171,6 +175,8 @@
     }
     const std::size_t Index = requestOf(Next.Begin->Id);
     const Request &Source = Sim.Result.Requests[Index];
+    if (Sim.Result.Records[Index].Started < Duration::zero())
+      Sim.Result.Records[Index].Started = Sim.Now - TimePoint{};
     if (Next.Begin->Resume)
       resumeStream(At.Model, Index,
                    Source.PromptTokens + Sim.Result.Records[Index].Produced);
@@ -203,7 +209,7 @@
   Sim.Result.Records[Index].Produced = 0;
   Sim.SentTo[Index] = AgentIndex;
   recordSent(Sim.Entries[Source.Entry].Views[AgentIndex], Source.Priority,
-             Source.EstimatedCost);
+             estimatedCost(Source));
   const Duration Delay = Sim.Options.Bind == Binding::Late
                              ? 2 * NetworkDelay // credit and work
                              : NetworkDelay;
@@ -296,7 +302,7 @@
   Wanted.Priority =
       Sim.Options.Order == Policy::Fifo ? Rank::Batch : Source.Priority;
   Wanted.Weights = OnlyWeights;
-  Wanted.EstimatedTokens = Source.EstimatedCost;
+  Wanted.EstimatedTokens = estimatedCost(Source);
   Wanted.Tried = Sim.Tried[Index];
   const RoutingChoice Choice =
       route(Wanted, From.Views, RoutingSettings{}, Sim.Now, Sim.Generator);
--- a/bench/policy_run_common.hpp
+++ b/bench/policy_run_common.hpp
@@ -31,6 +31,7 @@
 /// @brief What became of a request.
 struct RequestRecord {
   Duration FirstToken{-1}; ///< after the begin of the trace; negative: none
+  Duration Started{-1};    ///< first time in an engine
   Duration Done{-1};       ///< negative: not completed
   std::uint32_t Attempts = 0;
   std::uint32_t Produced = 0;   ///< answer tokens of the present attempt
@@ -55,12 +56,14 @@
 struct Measures {
   std::array<double, RankCount> FirstTokenP95{}; ///< seconds; during the event,
                                                  ///< of answered requests
+  std::array<double, RankCount> StartP95{};      ///< the same to the start
   std::array<double, RankCount> InDeadline{};    ///< share of requests that
                                                  ///< arrived during the event
   std::array<double, RankCount> TokenShare{};    ///< share of served cost
-  double SmallInDeadline = 0; ///< share; small callers within their fair share
-  std::uint64_t SmallRequests = 0;
-  double Goodput = 0; ///< engine time of answers in time, by engine time
+  std::array<double, RankCount> SmallInDeadline{}; ///< share of requests of
+                                                   ///< small callers within
+                                                   ///< their fair share
+  double Goodput = 0; ///< answers in time, by the capacity for their mix
   double RecoveredP95[RankCount] = {}; ///< seconds; requests that arrived 10 s
                                        ///< or more after the event
   double RecoveredServed = 0; ///< share of the same requests that got a first
@@ -68,6 +71,11 @@
   std::uint64_t Pauses = 0;
 };
 
+/// @brief Work that an engine completes when all slots are always in use.
+/// @param EngineTime of each rank in the work
+/// @return engine seconds a second
+double saturatedCapacity(const std::array<double, RankCount> &EngineTime);
+
 /// @brief Computes the measures.
 /// @param Source the trace
 /// @param Result its run
--- a/bench/policy_trace_common.cpp
+++ b/bench/policy_trace_common.cpp
@@ -1,7 +1,5 @@
 #include "bench/policy_trace_common.hpp"
 
-#include "marigoldyard/coordination/scheduler.hpp"
-
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
@@ -17,13 +15,13 @@
 struct Lengths {
   double PromptMedian;
   double AnswerMedian;
+  double MaxAnswer; ///< the deadline of the rank leaves time for it
 };
 constexpr std::array<Lengths, RankCount> LengthsOf = {
-    Lengths{600, 55}, Lengths{600, 130}, Lengths{800, 260}};
+    Lengths{600, 55, 150}, Lengths{600, 130, 400}, Lengths{800, 260, 1000}};
 constexpr double PromptSpread = 0.7;
 constexpr double AnswerSpread = 0.5;
 constexpr double MaxPrompt = 8000;
-constexpr double MaxAnswer = 1000;
 
 constexpr Loads SteadyLoad = {0.2, 0.3, 0.2};
 constexpr Loads PeakLoad = {0.25, 0.4, 0.25};
@@ -133,24 +131,15 @@
 
 Request drawRequest(const Trace &Source, const LoadPeriod &Period,
                     Rank Priority, Duration Arrival, Random &Generator) {
-  const Lengths &Of = LengthsOf[rankIndex(Priority)];
   const Shares &Share = Period.Share[rankIndex(Priority)];
-  Request Result;
+  Request Result = drawLengths(Priority, Generator);
   Result.Arrival = Arrival;
-  Result.Priority = Priority;
   Result.CallerIndex = std::discrete_distribution<std::size_t>(
       Share.begin(), Share.end())(Generator);
   Result.Entry =
       std::uniform_int_distribution<std::size_t>(0, EntryCount - 1)(Generator);
   if (Source.PinnedCaller == Result.CallerIndex)
     Result.Entry = 0;
-  Result.PromptTokens =
-      drawLength(Of.PromptMedian, PromptSpread, MaxPrompt, Generator);
-  Result.AnswerTokens =
-      drawLength(Of.AnswerMedian, AnswerSpread, MaxAnswer, Generator);
-  Result.EstimatedCost = tokenCost(
-      Result.PromptTokens,
-      static_cast<std::uint64_t>(mean(Of.AnswerMedian, AnswerSpread)));
   return Result;
 }
 
@@ -203,6 +192,19 @@
   return Result;
 }
 
+Request drawLengths(Rank Priority, Random &Generator) {
+  const Lengths &Of = LengthsOf[rankIndex(Priority)];
+  Request Result;
+  Result.Priority = Priority;
+  Result.PromptTokens =
+      drawLength(Of.PromptMedian, PromptSpread, MaxPrompt, Generator);
+  Result.AnswerTokens =
+      drawLength(Of.AnswerMedian, AnswerSpread, Of.MaxAnswer, Generator);
+  Result.EstimatedAnswer =
+      static_cast<std::uint32_t>(mean(Of.AnswerMedian, AnswerSpread));
+  return Result;
+}
+
 std::vector<Request> drawRequests(const Trace &Source, std::uint64_t Seed) {
   Random Generator(Seed);
   std::vector<Request> Result;
--- a/bench/policy_trace_common.hpp
+++ b/bench/policy_trace_common.hpp
@@ -59,7 +59,7 @@
   std::size_t Entry = 0;
   std::uint32_t PromptTokens = 0;
   std::uint32_t AnswerTokens = 0;
-  std::uint64_t EstimatedCost = 1; ///< as tokenCost, from the mean answer
+  std::uint32_t EstimatedAnswer = 0; ///< tokens; the mean of the rank
 };
 
 /// @brief Lengths of the parts of a trace.
@@ -98,6 +98,12 @@
 /// @return seconds of one engine
 double engineSeconds(std::uint32_t PromptTokens, std::uint32_t AnswerTokens);
 
+/// @brief Draws the lengths of a request.
+/// @param Priority its rank
+/// @param Generator random numbers
+/// @return a request without arrival, caller and entry
+Request drawLengths(Rank Priority, Random &Generator);
+
 /// @brief Draws the requests of a trace.
 /// @param Source the trace
 /// @param Seed of the random numbers
--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -16,6 +16,23 @@
 
 namespace marigoldyard {
 
+/// @brief Prompt tokens that cost as much as one answer token. A prompt is
+/// processed in large parallel steps, an answer one step a token.
+inline constexpr std::uint64_t PromptTokensPerAnswerToken = 8;
+
+/// @brief Cost of a request in answer tokens, the unit of all shares, queue
+/// lengths and reports of the scheduler.
+/// @param PromptTokens of the request, without those in the prefix cache
+/// @param AnswerTokens estimated or produced
+/// @return the cost, at least 1
+/// @complexity constant
+constexpr std::uint64_t tokenCost(std::uint64_t PromptTokens,
+                                  std::uint64_t AnswerTokens) {
+  const std::uint64_t Cost =
+      PromptTokens / PromptTokensPerAnswerToken + AnswerTokens;
+  return Cost == 0 ? 1 : Cost;
+}
+
 /// @brief Limits and shares of one endpoint's scheduler.
 struct SchedulerSettings {
   std::uint32_t Slots = 1;         ///< requests that the endpoint runs at once
@@ -23,6 +40,7 @@
                                    ///< below Slots. For engines that cannot
                                    ///< resume a stream
   bool CanPause = false;           ///< the engine resumes a paused stream
+  std::uint32_t MaxPaused = 12;    ///< streams that are paused at once
   std::array<double, RankCount> Floors = {
       0.0, 0.2, 0.05}; ///< guaranteed share of tokens by rank, 0 to 1; the sum
                        ///< is at most 1; the floor of Urgent is ignored
@@ -33,7 +51,7 @@
       std::chrono::seconds(1), std::chrono::seconds(1),
       std::chrono::seconds(1)}; ///< waiting tokens divided by the token rate of
                                 ///< the endpoint
-  double StreamTokensPerSecond = 0; ///< first estimate of the rate of one
+  double AnswerTokensPerSecond = 0; ///< first estimate of the rate of one
                                     ///< stream; 0 when unknown
 };
 
@@ -43,8 +61,9 @@
   std::string Caller;  ///< product and caller
   double Weight = 1.0; ///< of the caller, above 0
   Rank Priority = Rank::Batch;
-  std::uint64_t EstimatedTokens = 1; ///< tokenCost of the estimate, at least 1
-  TimePoint Deadline;                ///< by which the answer must be complete
+  std::uint64_t PromptTokens = 0; ///< without those in the prefix cache
+  std::uint64_t AnswerTokens = 1; ///< estimate
+  TimePoint Deadline;             ///< by which the answer must be complete
 };
 
 /// @brief Work that was not and will not be run.
@@ -82,19 +101,27 @@
 
 namespace detail {
 
+/// Sums over finished work; older work counts less.
+struct RateSums {
+  double Cost = 0.0;
+  double Answer = 0.0; ///< tokens
+  double Time = 0.0;   ///< seconds that the work ran
+};
+
 struct WorkRecord {
   QueuedWork Work;
   WorkPhase Phase = WorkPhase::Waiting;
   std::uint64_t StartOrder = 0;
   TimePoint StartedAt;
-  Duration RunTime{}; ///< of earlier periods, before pauses
-  std::uint64_t ChargedTokens = 0;
-  std::uint64_t ProducedTokens = 0;
+  Duration RunTime{};     ///< of earlier periods, before pauses
+  std::uint64_t Cost = 1; ///< tokenCost of the estimate
+  std::uint64_t Charged = 0;
+  std::uint64_t AnswerTokens = 0; ///< produced so far
 };
 
 struct CallerFlow {
   std::deque<std::string> Waiting;
-  std::uint64_t WaitingTokens = 0;
+  std::uint64_t WaitingCost = 0;
   std::uint32_t Active = 0; ///< running or paused requests
   double Weight = 1.0;
   double VirtualFinish = 0.0; ///< tokens per unit of weight
@@ -103,11 +130,11 @@
 struct RankQueue {
   std::map<std::string, CallerFlow, std::less<>> Flows;
   double VirtualTime = 0.0;
-  double Credit = 0.0; ///< tokens owed to the floor; negative when ahead
-  std::uint64_t WaitingTokens = 0;
+  double Served = 0.0; ///< cost, older service counts less
+  std::uint64_t WaitingCost = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Running = 0;
-  std::uint64_t RunningTokens = 0; ///< charged and not yet finished
+  std::uint64_t RunningCost = 0; ///< charged and not yet finished
 };
 
 } // namespace detail
@@ -118,29 +145,13 @@
   SchedulerSettings Settings;
   bool Leaving = false;
   std::uint64_t Starts = 0;
-  double StreamRate = 0.0; ///< tokens per second of one stream, smoothed
+  TimePoint DecayedAt; ///< of the service that floors compare
+  detail::RateSums Rates;
   std::unordered_map<std::string, detail::WorkRecord> Records;
   std::array<detail::RankQueue, RankCount> Ranks;
   std::deque<std::string> Paused; ///< oldest first
 };
 
-/// @brief Prompt tokens that cost as much as one answer token. A prompt is
-/// processed in large parallel steps, an answer one step a token.
-inline constexpr std::uint64_t PromptTokensPerAnswerToken = 8;
-
-/// @brief Cost of a request in answer tokens, the unit of all token counts of
-/// the scheduler.
-/// @param PromptTokens of the request, without those found in the prefix cache
-/// @param AnswerTokens estimated or produced
-/// @return the cost, at least 1
-/// @complexity constant
-constexpr std::uint64_t tokenCost(std::uint64_t PromptTokens,
-                                  std::uint64_t AnswerTokens) {
-  const std::uint64_t Cost =
-      PromptTokens / PromptTokensPerAnswerToken + AnswerTokens;
-  return Cost == 0 ? 1 : Cost;
-}
-
 /// @brief A scheduler without work.
 /// @param Settings limits and shares
 /// @return the state
@@ -174,20 +185,20 @@
 /// its estimate is charged before it ends.
 /// @param State the scheduler
 /// @param Id the work; an unknown id is ignored
-/// @param ActualTokens tokenCost of prompt and answer so far
+/// @param AnswerTokens produced so far
 /// @complexity constant on average, logarithmic in the callers of the rank
 void correct(SchedulerState &State, std::string_view Id,
-             std::uint64_t ActualTokens);
+             std::uint64_t AnswerTokens);
 
 /// @brief Ends work that ran and replaces its estimated by its actual cost.
 /// @param State the scheduler
 /// @param Id the work
-/// @param ActualTokens tokenCost of prompt and answer
+/// @param AnswerTokens produced
 /// @param Now the present time
 /// @return whether the work was running or paused
 /// @complexity constant on average, logarithmic in the callers of the rank
 bool finish(SchedulerState &State, std::string_view Id,
-            std::uint64_t ActualTokens, TimePoint Now);
+            std::uint64_t AnswerTokens, TimePoint Now);
 
 /// @brief Removes work.
 /// @param State the scheduler
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -14,13 +14,13 @@
 using detail::RankQueue;
 using detail::WorkRecord;
 
-/// Weight of the newest sample in the smoothed rate of a stream.
-constexpr double RateSmoothing = 0.1;
-/// Limit of the credit of a floor, in seconds of the endpoint's token rate, so
-/// that a rank cannot save up service for a long burst or be in debt for long.
-constexpr double MaxCreditSeconds = 2.0;
-/// Credit limit while the rate is unknown, in tokens.
-constexpr double DefaultMaxCredit = 4000.0;
+/// Share of the sums of a rate that remains after each finished request; about
+/// the last 50 requests count.
+constexpr double RateMemory = 0.98;
+/// Service counts for the floors with a weight that falls to 1/e after this
+/// time: long enough for several requests of a rank with a small floor, short
+/// enough that a floor holds soon after a flood begins.
+constexpr double FloorWindowSeconds = 10.0;
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(10);
 
@@ -38,15 +38,23 @@
   return State.Ranks[rankIndex(Priority)];
 }
 
-/// Tokens per second of the whole endpoint; 0 when unknown.
+/// Cost per second of the whole endpoint; 0 when unknown.
 double endpointRate(const SchedulerState &State) {
-  return State.StreamRate * State.Settings.Slots;
+  if (State.Rates.Time <= 0)
+    return 0;
+  return State.Rates.Cost / State.Rates.Time * State.Settings.Slots;
 }
 
-Duration serviceTime(const SchedulerState &State, std::uint64_t Tokens) {
-  if (State.StreamRate <= 0)
+/// Expected time from start to end of work; zero when unknown.
+Duration serviceTime(const SchedulerState &State, const QueuedWork &Work) {
+  if (State.Rates.Answer <= 0)
     return Duration::zero();
-  return fromSeconds(static_cast<double>(Tokens) / State.StreamRate);
+  return fromSeconds(static_cast<double>(Work.AnswerTokens) * State.Rates.Time /
+                     State.Rates.Answer);
+}
+
+std::uint64_t costSoFar(const WorkRecord &Record) {
+  return tokenCost(Record.Work.PromptTokens, Record.AnswerTokens);
 }
 
 std::uint32_t runningCount(const SchedulerState &State) {
@@ -62,47 +70,40 @@
          (Priority == Rank::Batch && !State.Paused.empty());
 }
 
-/// Adjusts the credits of the floors for service of one rank. Service without
-/// competition is free, so that a rank isn't punished for using idle capacity.
-void chargeFloors(SchedulerState &State, Rank Served, double Tokens) {
-  const double Rate = endpointRate(State);
-  const double Limit = Rate > 0 ? Rate * MaxCreditSeconds : DefaultMaxCredit;
-  bool Contended = false;
-  for (Rank Other : AllRanks) {
-    if (Other == Served || !backlogged(State, Other))
-      continue;
-    Contended = true;
-    RankQueue &Queue = queueOf(State, Other);
-    Queue.Credit = std::clamp(
-        Queue.Credit + Tokens * State.Settings.Floors[rankIndex(Other)], -Limit,
-        Limit);
-  }
-  if (!Contended)
-    return;
-  RankQueue &Queue = queueOf(State, Served);
-  const double Own = Tokens * (State.Settings.Floors[rankIndex(Served)] - 1.0);
-  Queue.Credit = std::clamp(Queue.Credit + Own, -Limit, Limit);
+double servedByAll(const SchedulerState &State) {
+  double Sum = 0;
+  for (const RankQueue &Queue : State.Ranks)
+    Sum += Queue.Served;
+  return Sum;
 }
 
-/// Charges a difference of tokens, which may be negative, to the caller and the
-/// rank of a record.
-void charge(SchedulerState &State, WorkRecord &Record, double Tokens) {
-  RankQueue &Queue = queueOf(State, Record.Work.Priority);
-  auto Flow = Queue.Flows.find(Record.Work.Caller);
-  if (Flow != Queue.Flows.end())
-    Flow->second.VirtualFinish += Tokens / Flow->second.Weight;
-  chargeFloors(State, Record.Work.Priority, Tokens);
+/// Cost that a rank lacks to its floor; negative when it is above.
+double floorDeficit(const SchedulerState &State, Rank Priority) {
+  return State.Settings.Floors[rankIndex(Priority)] * servedByAll(State) -
+         State.Ranks[rankIndex(Priority)].Served;
+}
+
+void decayService(SchedulerState &State, TimePoint Now) {
+  if (Now <= State.DecayedAt)
+    return;
+  const double Factor =
+      std::exp(-toSeconds(Now - State.DecayedAt) / FloorWindowSeconds);
+  for (RankQueue &Queue : State.Ranks)
+    Queue.Served *= Factor;
+  State.DecayedAt = Now;
 }
 
-/// Sets the tokens charged for a record.
-void chargeTo(SchedulerState &State, WorkRecord &Record, std::uint64_t Tokens) {
+/// Sets the cost charged for a record to its caller and its rank.
+void chargeTo(SchedulerState &State, WorkRecord &Record, std::uint64_t Cost) {
   RankQueue &Queue = queueOf(State, Record.Work.Priority);
-  charge(State, Record,
-         static_cast<double>(Tokens) -
-             static_cast<double>(Record.ChargedTokens));
+  const double Difference =
+      static_cast<double>(Cost) - static_cast<double>(Record.Charged);
+  CallerFlow &Flow = Queue.Flows.find(Record.Work.Caller)->second;
+  Flow.VirtualFinish += Difference / Flow.Weight;
+  Queue.Served = std::max(0.0, Queue.Served + Difference);
   if (Record.Phase == WorkPhase::Running)
-    Queue.RunningTokens += Tokens - Record.ChargedTokens;
-  Record.ChargedTokens = Tokens;
+    Queue.RunningCost += Cost - Record.Charged;
+  Record.Charged = Cost;
 }
 
 /// Takes a waiting id out of its caller's queue; its record stays.
@@ -111,11 +112,9 @@
   CallerFlow &Flow = Queue.Flows.find(Record.Work.Caller)->second;
   auto At = std::find(Flow.Waiting.begin(), Flow.Waiting.end(), Record.Work.Id);
   Flow.Waiting.erase(At);
-  Flow.WaitingTokens -= Record.Work.EstimatedTokens;
-  Queue.WaitingTokens -= Record.Work.EstimatedTokens;
+  Flow.WaitingCost -= Record.Cost;
+  Queue.WaitingCost -= Record.Cost;
   --Queue.Waiting;
-  if (Queue.Waiting == 0 && !backlogged(State, Record.Work.Priority))
-    Queue.Credit = std::min(Queue.Credit, 0.0);
 }
 
 Refusal refuseWaiting(SchedulerState &State, const std::string &Id,
@@ -164,34 +163,47 @@
   const double Limit =
       Rate * toSeconds(State.Settings.MaxQueueTime[rankIndex(Priority)]);
   return Rate > 0 && Queue.Waiting > 0 &&
-         static_cast<double>(Queue.WaitingTokens + Added) > Limit;
+         static_cast<double>(Queue.WaitingCost + Added) > Limit;
 }
 
-/// Caller with the longest queue for its weight.
-CallerFlow &longestFlow(RankQueue &Queue) {
-  auto Less = [](const auto &A, const auto &B) {
-    return static_cast<double>(A.second.WaitingTokens) / A.second.Weight <
-           static_cast<double>(B.second.WaitingTokens) / B.second.Weight;
-  };
-  return std::max_element(Queue.Flows.begin(), Queue.Flows.end(), Less)->second;
+/// Virtual time at which the last waiting work of a caller would start after
+/// work of a given cost was added.
+double lastVirtualStart(const RankQueue &Queue, const CallerFlow &Flow,
+                        std::uint64_t Added) {
+  return std::max(Flow.VirtualFinish, Queue.VirtualTime) +
+         static_cast<double>(Flow.WaitingCost + Added) / Flow.Weight;
 }
 
-/// Evicts newest work of longer queues until the rank has room.
-bool makeRoom(SchedulerState &State, const QueuedWork &Work,
+/// Caller whose newest waiting work would be served last, among those with a
+/// least count of waiting requests; nothing if there is none.
+CallerFlow *lastServedFlow(RankQueue &Queue, std::size_t LeastWaiting) {
+  CallerFlow *Last = nullptr;
+  for (auto &[Name, Flow] : Queue.Flows)
+    if (Flow.Waiting.size() >= LeastWaiting &&
+        (!Last ||
+         lastVirtualStart(Queue, Flow, 0) > lastVirtualStart(Queue, *Last, 0)))
+      Last = &Flow;
+  return Last;
+}
+
+/// Evicts the work that would be served last until the rank has room. A caller
+/// that has nothing waiting gets a place beyond the limit of queue time if no
+/// other caller has two waiting requests, so that one large request of a caller
+/// within its share isn't refused because of its size.
+bool makeRoom(SchedulerState &State, const QueuedWork &Work, std::uint64_t Cost,
               std::vector<Refusal> &Evicted) {
   RankQueue &Queue = queueOf(State, Work.Priority);
-  while (rankFull(State, Work.Priority, Work.EstimatedTokens)) {
+  while (rankFull(State, Work.Priority, Cost)) {
     CallerFlow &Own = Queue.Flows.find(Work.Caller)->second;
-    CallerFlow &Longest = longestFlow(Queue);
-    const double Mine =
-        static_cast<double>(Own.WaitingTokens + Work.EstimatedTokens) /
-        Own.Weight;
-    const double Theirs =
-        static_cast<double>(Longest.WaitingTokens) / Longest.Weight;
-    if (&Longest == &Own || Longest.Waiting.empty() || Theirs <= Mine)
+    const bool First = Own.Waiting.empty();
+    CallerFlow *Last = lastServedFlow(Queue, First ? 2 : 1);
+    if (First && !Last)
+      return Queue.Waiting < State.Settings.MaxQueuedPerRank;
+    if (!First && (Last == &Own || lastVirtualStart(Queue, *Last, 0) <=
+                                       lastVirtualStart(Queue, Own, Cost)))
       return false;
     Evicted.push_back(refuseWaiting(
-        State, Longest.Waiting.back(), ErrorCode::QueueFull,
+        State, std::string(Last->Waiting.back()), ErrorCode::QueueFull,
         clampRetry(State.Settings.MaxQueueTime[rankIndex(Work.Priority)])));
   }
   return true;
@@ -199,7 +211,7 @@
 
 bool canMeetDeadline(const SchedulerState &State, const QueuedWork &Work,
                      TimePoint Now, Duration Wait) {
-  return Now + Wait + serviceTime(State, Work.EstimatedTokens) <= Work.Deadline;
+  return Now + Wait + serviceTime(State, Work) <= Work.Deadline;
 }
 
 /// Rank that goes next: the most underserved floor, else the most urgent.
@@ -209,7 +221,7 @@
   for (Rank Priority : AllRanks) {
     if (Priority == Rank::Urgent || !backlogged(State, Priority))
       continue;
-    const double Owed = State.Ranks[rankIndex(Priority)].Credit;
+    const double Owed = floorDeficit(State, Priority);
     if (Owed > MostOwed) {
       MostOwed = Owed;
       Result = Priority;
@@ -233,13 +245,13 @@
   return *Best;
 }
 
-/// Newest running batch stream, if batch holds more slots than its floor.
+/// Newest running batch stream, if batch keeps its floor without the tokens
+/// that the stream has yet to produce. Otherwise the floor would resume it at
+/// once.
 std::optional<std::string> pausable(const SchedulerState &State) {
   const RankQueue &Batch = State.Ranks[rankIndex(Rank::Batch)];
-  const double Kept =
-      State.Settings.Floors[rankIndex(Rank::Batch)] * State.Settings.Slots;
   if (!State.Settings.CanPause || Batch.Running == 0 ||
-      Batch.Running - 1 < Kept || State.Paused.size() >= State.Settings.Slots)
+      State.Paused.size() >= State.Settings.MaxPaused)
     return std::nullopt;
   const WorkRecord *Newest = nullptr;
   for (const auto &[Id, Record] : State.Records)
@@ -247,6 +259,10 @@
         Record.Work.Priority == Rank::Batch &&
         (!Newest || Record.StartOrder > Newest->StartOrder))
       Newest = &Record;
+  const double Remaining = static_cast<double>(Newest->Charged) -
+                           static_cast<double>(costSoFar(*Newest));
+  if (floorDeficit(State, Rank::Batch) + Remaining > 0)
+    return std::nullopt;
   return Newest->Work.Id;
 }
 
@@ -255,8 +271,8 @@
 void pauseRunning(SchedulerState &State, const std::string &Id, TimePoint Now) {
   WorkRecord &Record = State.Records.find(Id)->second;
   RankQueue &Queue = queueOf(State, Record.Work.Priority);
-  chargeTo(State, Record, Record.ProducedTokens);
-  Queue.RunningTokens -= Record.ChargedTokens;
+  chargeTo(State, Record, costSoFar(Record));
+  Queue.RunningCost -= Record.Charged;
   Record.RunTime += Now - Record.StartedAt;
   Record.Phase = WorkPhase::Paused;
   --Queue.Running;
@@ -269,9 +285,8 @@
   Record.StartedAt = Now;
   Record.StartOrder = ++State.Starts;
   ++Queue.Running;
-  Queue.RunningTokens += Record.ChargedTokens;
-  chargeTo(State, Record,
-           std::max(Record.Work.EstimatedTokens, Record.ProducedTokens));
+  Queue.RunningCost += Record.Charged;
+  chargeTo(State, Record, std::max(Record.Cost, costSoFar(Record)));
 }
 
 Start resumeOldest(SchedulerState &State, TimePoint Now) {
@@ -321,7 +336,7 @@
   RankQueue &Queue = queueOf(State, Record.Work.Priority);
   if (Record.Phase == WorkPhase::Running) {
     --Queue.Running;
-    Queue.RunningTokens -= Record.ChargedTokens;
+    Queue.RunningCost -= Record.Charged;
   } else {
     State.Paused.erase(std::find(State.Paused.begin(), State.Paused.end(), Id));
   }
@@ -334,7 +349,9 @@
 SchedulerState makeScheduler(const SchedulerSettings &Settings) {
   SchedulerState State;
   State.Settings = Settings;
-  State.StreamRate = Settings.StreamTokensPerSecond;
+  if (Settings.AnswerTokensPerSecond > 0)
+    State.Rates = {Settings.AnswerTokensPerSecond,
+                   Settings.AnswerTokensPerSecond, 1.0};
   return State;
 }
 
@@ -350,7 +367,7 @@
   }
   if (State.Leaving && !faultEnabled(Invariant::NoWorkWhileLeaving))
     return Refuse(ErrorCode::EndpointLeaving, Duration::zero());
-  Work.EstimatedTokens = std::max<std::uint64_t>(Work.EstimatedTokens, 1);
+  const std::uint64_t Cost = tokenCost(Work.PromptTokens, Work.AnswerTokens);
   const Duration Wait = estimatedWait(State, Work);
   if (!canMeetDeadline(State, Work, Now, Wait))
     return Refuse(ErrorCode::DeadlineExceeded, clampRetry(Wait));
@@ -358,14 +375,15 @@
   if (!Flow || Flow->Waiting.size() >= State.Settings.MaxQueuedPerCaller)
     return Refuse(ErrorCode::QueueFull, clampRetry(Wait));
   Flow->Weight = Work.Weight;
-  if (!makeRoom(State, Work, Result.Evicted))
+  if (!makeRoom(State, Work, Cost, Result.Evicted))
     return Refuse(ErrorCode::QueueFull, clampRetry(Wait));
   RankQueue &Queue = queueOf(State, Work.Priority);
   Flow->Waiting.push_back(Work.Id);
-  Flow->WaitingTokens += Work.EstimatedTokens;
-  Queue.WaitingTokens += Work.EstimatedTokens;
+  Flow->WaitingCost += Cost;
+  Queue.WaitingCost += Cost;
   ++Queue.Waiting;
   WorkRecord Record;
+  Record.Cost = Cost;
   Record.Work = std::move(Work);
   std::string Id = Record.Work.Id;
   State.Records.emplace(std::move(Id), std::move(Record));
@@ -375,6 +393,7 @@
 
 NextResult next(SchedulerState &State, TimePoint Now) {
   NextResult Result;
+  decayService(State, Now);
   dropLateHeads(State, Now, Result.Refused);
   const auto Chosen = chooseRank(State);
   if (!Chosen)
@@ -383,10 +402,13 @@
   const std::uint32_t Running = runningCount(State);
   std::optional<std::string> Pause;
   if (Running >= State.Settings.Slots) {
-    if (Priority == Rank::Urgent)
+    // A rank below its floor takes the next slot that ends; it doesn't keep
+    // urgent work from the slot of a paused stream.
+    if (backlogged(State, Rank::Urgent))
       Pause = pausable(State);
     if (!Pause)
       return Result;
+    Priority = Rank::Urgent;
   } else if (Priority != Rank::Urgent &&
              Running + State.Settings.UrgentReserve >= State.Settings.Slots) {
     if (!backlogged(State, Rank::Urgent))
@@ -406,34 +428,32 @@
 }
 
 void correct(SchedulerState &State, std::string_view Id,
-             std::uint64_t ActualTokens) {
+             std::uint64_t AnswerTokens) {
   auto At = State.Records.find(std::string(Id));
   if (At == State.Records.end() || At->second.Phase == WorkPhase::Waiting)
     return;
   WorkRecord &Record = At->second;
-  Record.ProducedTokens = std::max(Record.ProducedTokens, ActualTokens);
-  if (Record.ProducedTokens > Record.ChargedTokens)
-    chargeTo(State, Record, Record.ProducedTokens);
+  Record.AnswerTokens = std::max(Record.AnswerTokens, AnswerTokens);
+  if (costSoFar(Record) > Record.Charged)
+    chargeTo(State, Record, costSoFar(Record));
 }
 
 bool finish(SchedulerState &State, std::string_view Id,
-            std::uint64_t ActualTokens, TimePoint Now) {
+            std::uint64_t AnswerTokens, TimePoint Now) {
   auto At = State.Records.find(std::string(Id));
   if (At == State.Records.end() || At->second.Phase == WorkPhase::Waiting)
     return false;
   WorkRecord &Record = At->second;
-  chargeTo(State, Record, ActualTokens);
-  const Duration RunTime = Record.RunTime + (Record.Phase == WorkPhase::Running
-                                                 ? Now - Record.StartedAt
-                                                 : Duration::zero());
-  if (RunTime > Duration::zero() && ActualTokens > 0) {
-    const double Sample =
-        static_cast<double>(ActualTokens) / toSeconds(RunTime);
-    State.StreamRate =
-        State.StreamRate <= 0
-            ? Sample
-            : State.StreamRate + RateSmoothing * (Sample - State.StreamRate);
-  }
+  decayService(State, Now);
+  Record.AnswerTokens = AnswerTokens;
+  chargeTo(State, Record, costSoFar(Record));
+  Duration RunTime = Record.RunTime;
+  if (Record.Phase == WorkPhase::Running)
+    RunTime += Now - Record.StartedAt;
+  detail::RateSums &Rates = State.Rates;
+  Rates.Cost = Rates.Cost * RateMemory + static_cast<double>(Record.Charged);
+  Rates.Answer = Rates.Answer * RateMemory + static_cast<double>(AnswerTokens);
+  Rates.Time = Rates.Time * RateMemory + toSeconds(RunTime);
   removeStarted(State, std::string(Id));
   return true;
 }
@@ -448,7 +468,7 @@
     State.Records.erase(At);
     return Phase;
   }
-  chargeTo(State, At->second, At->second.ProducedTokens);
+  chargeTo(State, At->second, costSoFar(At->second));
   removeStarted(State, std::string(Id));
   return Phase;
 }
@@ -496,15 +516,16 @@
   const auto Own = Queue.Flows.find(Work.Caller);
   const double OwnTokens = Own == Queue.Flows.end()
                                ? 0.0
-                               : static_cast<double>(Own->second.WaitingTokens);
+                               : static_cast<double>(Own->second.WaitingCost);
   double Ahead = 0;
   for (const auto &[Name, Flow] : Queue.Flows)
-    Ahead += std::min(static_cast<double>(Flow.WaitingTokens),
-                      (OwnTokens + static_cast<double>(Work.EstimatedTokens)) *
+    Ahead += std::min(static_cast<double>(Flow.WaitingCost),
+                      (OwnTokens + static_cast<double>(tokenCost(
+                                       Work.PromptTokens, Work.AnswerTokens))) *
                           Flow.Weight / Work.Weight);
   double Higher = 0;
   for (std::size_t I = 0; I < Index; ++I)
-    Higher += static_cast<double>(State.Ranks[I].WaitingTokens);
+    Higher += static_cast<double>(State.Ranks[I].WaitingCost);
   const double Floor = State.Settings.Floors[Index];
   double Tokens = Ahead + Higher;
   if (Floor > 0)
@@ -517,7 +538,7 @@
   for (Rank Priority : AllRanks) {
     const RankQueue &Queue = State.Ranks[rankIndex(Priority)];
     Report.QueuedTokens[rankIndex(Priority)] =
-        Queue.WaitingTokens + Queue.RunningTokens;
+        Queue.WaitingCost + Queue.RunningCost;
   }
   Report.Running = runningCount(State);
   Report.Slots = State.Settings.Slots;
--- a/tests/src/unit-coordination-scheduler.cpp
+++ b/tests/src/unit-coordination-scheduler.cpp
@@ -11,7 +11,7 @@
 
 QueuedWork work(std::string Id, std::string Caller, Rank Priority,
                 std::uint64_t Tokens = 100, Duration TimeLeft = 60s) {
-  return {std::move(Id), std::move(Caller), 1.0, Priority,
+  return {std::move(Id), std::move(Caller), 1.0, Priority, 0,
           Tokens,        Origin + TimeLeft};
 }
 
