Add the transfer planner

Cause: the agent daemon needs to know which chunk to fetch from whom. Change: transfer.hpp decides draws from the store, imports between regions, exchange within a region, uploads, refusals, announcements and drops. One agent at each end of a link between regions keeps the link's rate, so that no messages about the rate are needed. Ruled out: an importer per chunk chosen by hash, because each would get a fixed small share of the link and the most loaded one would set the time.

--- /dev/null
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "marigoldyard/coordination/detail/transfer_state.hpp"
+
+namespace marigoldyard::detail {
+
+/// @brief Whether a peer may be asked for chunks or relied on.
+/// @param Peer the peer
+/// @param Now the time
+/// @return false when it is unlisted, lost or banned
+bool reachable(const PeerSlot &Peer, TimePoint Now);
+
+/// @brief Whether a chunk is wanted, not held and not in flight; updates the
+/// set of missing chunks.
+/// @param State the transfers
+/// @param Index the chunk
+void refreshMissing(TransferState &State, ChunkIndex Index);
+
+/// @brief Computes the regions' members and the own neighbours after a change
+/// of the member list.
+/// @param State the transfers
+/// @param Now the time
+/// @complexity linear in the members times their logarithm
+void assignRegions(TransferState &State, TimePoint Now);
+
+/// @brief Chooses the peers that receive the own maps.
+/// @param State the transfers
+/// @param Now the time
+/// @complexity linear in the neighbours
+void assignNeighbours(TransferState &State, TimePoint Now);
+
+/// @brief Computes for each wanted chunk its source, owners or importers, and
+/// the agent's part in that.
+/// @param State the transfers
+/// @param Now the time
+/// @complexity chunks times members of the own region
+void assignChunks(TransferState &State, TimePoint Now);
+
+/// @brief Makes the agent itself draw or import a chunk.
+/// @param State the transfers
+/// @param Index the chunk
+void takeOver(TransferState &State, ChunkIndex Index);
+
+/// @brief Ends a request or draw, if there is one. The chunk is missing again
+/// unless it is held.
+/// @param State the transfers
+/// @param Index the chunk
+/// @param Peer the peer; NoPeer for the store
+/// @return whether there was one
+/// @complexity linear in the requests in flight, which are bounded
+bool endFlight(TransferState &State, ChunkIndex Index, PeerIndex Peer);
+
+/// @brief Ends all requests to a peer and does not use it for a time that
+/// doubles with each loss in a row.
+/// @param State the transfers
+/// @param Peer the peer
+/// @param Now the time
+/// @complexity linear in the requests in flight, which are bounded
+void losePeer(TransferState &State, PeerIndex Peer, TimePoint Now);
+
+/// @brief Forgets that a peer holds a chunk.
+/// @param State the transfers
+/// @param Peer the peer
+/// @param Index the chunk
+void forgetHolder(TransferState &State, PeerIndex Peer, ChunkIndex Index);
+
+/// @brief Marks a chunk as not held and frees its slot when no known version
+/// contains it.
+/// @param State the transfers
+/// @param Index the chunk
+/// @complexity linear in the number of peers
+void releaseChunk(TransferState &State, ChunkIndex Index);
+
+} // namespace marigoldyard::detail
--- a/include/marigoldyard/coordination/loading.hpp
+++ b/include/marigoldyard/coordination/loading.hpp
@@ -55,11 +55,13 @@
   Ready,
   Failed, ///< waits for its backoff
 };
-inline constexpr LoadPhase AllLoadPhases[] = {
-    LoadPhase::WaitingForChunks, LoadPhase::WaitingForTurn,
-    LoadPhase::Draining,         LoadPhase::Ordered,
-    LoadPhase::ReadingBack,      LoadPhase::Ready,
-    LoadPhase::Failed};
+inline constexpr LoadPhase AllLoadPhases[] = {LoadPhase::WaitingForChunks,
+                                              LoadPhase::WaitingForTurn,
+                                              LoadPhase::Draining,
+                                              LoadPhase::Ordered,
+                                              LoadPhase::ReadingBack,
+                                              LoadPhase::Ready,
+                                              LoadPhase::Failed};
 
 /// @brief Name of a phase for logs and /status.
 /// @param Phase the phase
@@ -119,7 +121,7 @@
   std::optional<std::vector<LoadedModel>> Engine; ///< newest read-back; nothing
                                                   ///< when unknown
   TimePoint EngineReadAt;
-  TimePoint OrderEndedAt; ///< an older read-back confirms nothing
+  TimePoint OrderEndedAt;  ///< an older read-back confirms nothing
   TimePoint ReadBackAfter; ///< earliest next read-back while the engine is lost
   std::optional<TimePoint> ReadBackDeadline; ///< set while one is in flight
   bool ReadBackNeeded = true;
--- a/src/coordination/loading.cpp
+++ b/src/coordination/loading.cpp
@@ -209,12 +209,11 @@
   if (Ready == State.Announced)
     return;
   for (const Digest &Weights : Ready)
-    checkInvariant(State.Engine && std::any_of(State.Engine->begin(),
-                                               State.Engine->end(),
-                                               [&](const LoadedModel &Loaded) {
-                                                 return Loaded.Weights ==
-                                                        Weights;
-                                               }),
+    checkInvariant(State.Engine &&
+                       std::any_of(State.Engine->begin(), State.Engine->end(),
+                                   [&](const LoadedModel &Loaded) {
+                                     return Loaded.Weights == Weights;
+                                   }),
                    Invariant::UnmixedWeights, Step::Announce, State.Endpoint);
   State.Announced = std::move(Ready);
   Actions.emplace_back(
@@ -224,9 +223,13 @@
 } // namespace
 
 std::string_view loadPhaseName(LoadPhase Phase) {
-  static constexpr std::string_view Names[] = {
-      "waiting_for_chunks", "waiting_for_turn", "draining", "ordered",
-      "reading_back",       "ready",            "failed"};
+  static constexpr std::string_view Names[] = {"waiting_for_chunks",
+                                               "waiting_for_turn",
+                                               "draining",
+                                               "ordered",
+                                               "reading_back",
+                                               "ready",
+                                               "failed"};
   static_assert(std::size(Names) == std::size(AllLoadPhases));
   return Names[static_cast<std::size_t>(Phase)];
 }
@@ -346,9 +349,8 @@
   announceChanges(State, Actions);
   if (std::optional<Order> Next = nextOrder(State, Input))
     Actions.emplace_back(std::move(*Next));
-  const bool Due =
-      State.ReadBackNeeded ||
-      Input.Now - State.EngineReadAt >= State.Settings.ReconcileInterval;
+  const bool Due = State.ReadBackNeeded || Input.Now - State.EngineReadAt >=
+                                               State.Settings.ReconcileInterval;
   if (Due && !State.Outstanding && !State.ReadBackDeadline &&
       Input.Now >= State.ReadBackAfter) {
     State.ReadBackDeadline = Input.Now + State.Settings.ReadBackTimeout;
--- a/src/coordination/rollout.cpp
+++ b/src/coordination/rollout.cpp
@@ -62,8 +62,8 @@
   const std::uint64_t Key = detail::nameHash(Target);
   for (const RolloutMember &Member : Pool) {
     const bool IsSelf = Member.Name == State.Self;
-    if (!IsSelf && (Member.Leaving ||
-                    Now - Member.LastReport > State.Settings.DeadAfter))
+    if (!IsSelf &&
+        (Member.Leaving || Now - Member.LastReport > State.Settings.DeadAfter))
       continue;
     if (reports(Member, Target)) {
       SelfReady |= IsSelf;
--- /dev/null
+++ b/src/coordination/transfer.cpp
@@ -0,0 +1,238 @@
+#include "marigoldyard/coordination/transfer.hpp"
+
+#include "marigoldyard/coordination/detail/rendezvous.hpp"
+#include "marigoldyard/coordination/detail/transfer_roles.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace marigoldyard {
+
+using detail::ChunkIndex;
+using detail::PeerIndex;
+using detail::PeerSlot;
+using detail::VersionSlot;
+
+namespace {
+
+ChunkIndex referenceChunk(TransferState &State, const Digest &Id,
+                          std::uint64_t Size) {
+  const auto Known = State.ChunkById.find(Id);
+  if (Known != State.ChunkById.end()) {
+    ++State.Chunks[Known->second].References;
+    return Known->second;
+  }
+  auto Index = static_cast<ChunkIndex>(State.Chunks.size());
+  if (State.FreeChunks.empty()) {
+    State.Chunks.emplace_back();
+  } else {
+    Index = State.FreeChunks.back();
+    State.FreeChunks.pop_back();
+  }
+  detail::ChunkSlot &Slot = State.Chunks[Index];
+  Slot.Id = Id;
+  Slot.Hash = detail::nameHash(Id);
+  Slot.Size = Size;
+  Slot.References = 1;
+  State.ChunkById.emplace(Id, Index);
+  return Index;
+}
+
+void unreferenceChunk(TransferState &State, ChunkIndex Index) {
+  if (--State.Chunks[Index].References == 0 && !State.Held.test(Index))
+    detail::releaseChunk(State, Index);
+}
+
+void wantChunk(TransferState &State, ChunkIndex Index, TimePoint Now) {
+  detail::ChunkSlot &Slot = State.Chunks[Index];
+  if (Slot.WantedBy++ == 0) {
+    Slot.WantedSince = Now;
+    Slot.Probes = 0;
+  }
+  detail::refreshMissing(State, Index);
+}
+
+void setWanted(TransferState &State, VersionSlot &Version, bool Wanted,
+               TimePoint Now) {
+  if (Version.Wanted == Wanted)
+    return;
+  Version.Wanted = Wanted;
+  Version.Changed = true;
+  std::vector<ChunkIndex> All = Version.Chunks;
+  All.push_back(Version.Descriptor);
+  for (const ChunkIndex Index : All) {
+    if (Wanted) {
+      wantChunk(State, Index, Now);
+    } else {
+      --State.Chunks[Index].WantedBy;
+      detail::refreshMissing(State, Index);
+    }
+  }
+  if (!Wanted)
+    Version.UnwantedSince = Now;
+}
+
+/// Forgets the versions that have been unwanted for the longest time until a
+/// new one fits.
+void evictVersions(TransferState &State) {
+  while (State.Versions.size() >= State.Settings.MaxVersions) {
+    auto Oldest = State.Versions.end();
+    for (auto It = State.Versions.begin(); It != State.Versions.end(); ++It)
+      if (!It->second.Wanted &&
+          (Oldest == State.Versions.end() ||
+           It->second.UnwantedSince < Oldest->second.UnwantedSince))
+        Oldest = It;
+    if (Oldest == State.Versions.end())
+      return;
+    const VersionSlot Gone = std::move(Oldest->second);
+    for (PeerSlot &Peer : State.Peers)
+      std::erase(Peer.MapsOf, Oldest->first);
+    State.Versions.erase(Oldest);
+    for (const ChunkIndex Index : Gone.Chunks)
+      unreferenceChunk(State, Index);
+    unreferenceChunk(State, Gone.Descriptor);
+  }
+}
+
+void addPeer(TransferState &State, const TransferPeer &Listed) {
+  auto Index = static_cast<PeerIndex>(State.Peers.size());
+  if (State.FreePeers.empty()) {
+    State.Peers.emplace_back();
+  } else {
+    Index = State.FreePeers.back();
+    State.FreePeers.pop_back();
+  }
+  PeerSlot &Peer = State.Peers[Index];
+  Peer.Name = Listed.Name;
+  Peer.RegionName = Listed.Region;
+  Peer.Hash = detail::nameHash(Listed.Name);
+  Peer.Leaving = Listed.Leaving;
+  State.PeerByName.emplace(Listed.Name, Index);
+}
+
+void removePeer(TransferState &State, PeerIndex Index, TimePoint Now) {
+  detail::losePeer(State, Index, Now);
+  PeerSlot &Peer = State.Peers[Index];
+  for (ChunkIndex Chunk = 0; Chunk < State.Chunks.size(); ++Chunk)
+    detail::forgetHolder(State, Index, Chunk);
+  std::erase_if(State.Guests,
+                [&](const detail::Guest &One) { return One.Peer == Index; });
+  State.PeerByName.erase(Peer.Name);
+  Peer = PeerSlot{};
+  State.FreePeers.push_back(Index);
+}
+
+} // namespace
+
+TransferState makeTransfer(TransferSettings Settings) {
+  TransferState State;
+  State.Settings = std::move(Settings);
+  addPeer(State, {State.Settings.Self, State.Settings.Region});
+  detail::assignRegions(State, TimePoint{});
+  return State;
+}
+
+void transferMembers(TransferState &State,
+                     const std::vector<TransferPeer> &Peers, TimePoint Now) {
+  std::set<std::string> Listed{State.Settings.Self};
+  for (const TransferPeer &Peer : Peers)
+    Listed.insert(Peer.Name);
+  for (PeerIndex Index = 0; Index < State.Peers.size(); ++Index)
+    if (!State.Peers[Index].Name.empty() &&
+        !Listed.contains(State.Peers[Index].Name))
+      removePeer(State, Index, Now);
+  for (const TransferPeer &Peer : Peers) {
+    const auto Known = State.PeerByName.find(Peer.Name);
+    if (Known == State.PeerByName.end()) {
+      addPeer(State, Peer);
+      continue;
+    }
+    PeerSlot &Slot = State.Peers[Known->second];
+    Slot.Leaving = Peer.Leaving;
+    if (Known->second != 0)
+      Slot.RegionName = Peer.Region;
+  }
+  detail::assignRegions(State, Now);
+  detail::assignChunks(State, Now);
+}
+
+void wantVersions(TransferState &State, const std::vector<Digest> &Versions,
+                  TimePoint Now) {
+  for (auto &[Id, Version] : State.Versions)
+    if (std::find(Versions.begin(), Versions.end(), Id) == Versions.end())
+      setWanted(State, Version, false, Now);
+  for (const Digest &Id : Versions) {
+    if (!State.Versions.contains(Id)) {
+      evictVersions(State);
+      if (State.Versions.size() >= State.Settings.MaxVersions)
+        continue;
+      VersionSlot Added;
+      Added.Descriptor = referenceChunk(State, Id, 0);
+      State.Chunks[Added.Descriptor].IsDescriptor = true;
+      State.Versions.emplace(Id, std::move(Added));
+    }
+    setWanted(State, State.Versions[Id], true, Now);
+  }
+  detail::assignChunks(State, Now);
+}
+
+std::optional<Error> descriptorKnown(TransferState &State,
+                                     const VersionDescriptor &Descriptor,
+                                     TimePoint Now) {
+  const auto Found = State.Versions.find(Descriptor.Id);
+  if (Found == State.Versions.end())
+    return Error{ErrorCode::ChunkUnavailable, Step::DescriptorFetch, "",
+                 "descriptor " + Descriptor.Id + " is not wanted"};
+  VersionSlot &Version = Found->second;
+  if (Version.Described)
+    return std::nullopt;
+  std::uint64_t Bytes = 0;
+  for (const Chunk &Part : Descriptor.Chunks)
+    Bytes += Part.Size;
+  if (State.ChunkById.size() + Descriptor.Chunks.size() >
+          State.Settings.MaxChunks ||
+      (State.Settings.BufferBytes > 0 && Bytes > State.Settings.BufferBytes))
+    return Error{ErrorCode::ChunkUnavailable, Step::DescriptorFetch, "",
+                 "version " + Descriptor.Id + " with " + std::to_string(Bytes) +
+                     " bytes exceeds weights_buffer_bytes or the chunk limit"};
+  Version.Described = true;
+  Version.Changed = true;
+  for (const Chunk &Part : Descriptor.Chunks) {
+    const ChunkIndex Index = referenceChunk(State, Part.Id, Part.Size);
+    Version.Chunks.push_back(Index);
+    if (!Version.Content.test(Index) && !State.Held.test(Index))
+      ++Version.Missing;
+    Version.Content.set(Index);
+    if (Version.Wanted)
+      wantChunk(State, Index, Now);
+  }
+  detail::assignChunks(State, Now);
+  return std::nullopt;
+}
+
+bool versionComplete(const TransferState &State, const Digest &Version) {
+  const auto Found = State.Versions.find(Version);
+  return Found != State.Versions.end() && Found->second.Described &&
+         Found->second.Missing == 0;
+}
+
+std::vector<Digest> versionChunks(const TransferState &State,
+                                  const Digest &Version) {
+  std::vector<Digest> Result;
+  const auto Found = State.Versions.find(Version);
+  if (Found != State.Versions.end())
+    for (const ChunkIndex Index : Found->second.Chunks)
+      Result.push_back(State.Chunks[Index].Id);
+  return Result;
+}
+
+std::vector<Digest> droppableChunks(const TransferState &State) {
+  std::vector<Digest> Result;
+  for (ChunkIndex Index = 0; Index < State.Chunks.size(); ++Index)
+    if (State.Held.test(Index) && State.Chunks[Index].WantedBy == 0)
+      Result.push_back(State.Chunks[Index].Id);
+  return Result;
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/src/coordination/transfer_events.cpp
@@ -0,0 +1,258 @@
+#include "marigoldyard/coordination/detail/transfer_roles.hpp"
+#include "marigoldyard/coordination/transfer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigoldyard {
+
+using detail::ChunkIndex;
+using detail::ChunkSlot;
+using detail::NoPeer;
+using detail::NoRegion;
+using detail::PeerIndex;
+using detail::PeerSlot;
+using detail::VersionSlot;
+
+namespace {
+
+constexpr std::size_t MaxGuests = 8;
+constexpr std::size_t MaxRefusals = 64;
+constexpr Duration StoreBackoffBase = std::chrono::seconds(1);
+constexpr Duration StoreBackoffMax = std::chrono::seconds(30);
+/// Answer to a request for a chunk that is on its way.
+constexpr Duration NotYetRetry = std::chrono::seconds(1);
+
+PeerIndex findPeer(const TransferState &State, const std::string &Name) {
+  const auto Found = State.PeerByName.find(Name);
+  return Found == State.PeerByName.end() ? NoPeer : Found->second;
+}
+
+void backOffStore(TransferState &State, Duration Least, TimePoint Now) {
+  constexpr std::uint32_t MaxDoublings = 5;
+  const Duration Backoff = std::min(
+      StoreBackoffBase * (1 << std::min(State.StoreFailures, MaxDoublings)),
+      StoreBackoffMax);
+  ++State.StoreFailures;
+  State.StoreRetryAt = Now + std::max(Backoff, Least);
+}
+
+void noteCorrupt(TransferState &State, PeerIndex Peer, ChunkIndex Index,
+                 TimePoint Now) {
+  PeerSlot &Slot = State.Peers[Peer];
+  detail::forgetHolder(State, Peer, Index);
+  if (++Slot.Corrupt < State.Settings.CorruptLimit)
+    return;
+  constexpr std::uint32_t MaxDoublings = 6;
+  Slot.Corrupt = 0;
+  Slot.BannedUntil =
+      Now + State.Settings.BanTime * (1 << std::min(Slot.Bans, MaxDoublings));
+  ++Slot.Bans;
+}
+
+void hold(TransferState &State, ChunkIndex Index) {
+  State.Held.set(Index);
+  State.HeldBytes += State.Chunks[Index].Size;
+  detail::refreshMissing(State, Index);
+  for (auto &[Id, Version] : State.Versions)
+    if (Version.Content.test(Index)) {
+      --Version.Missing;
+      Version.Changed = true;
+    } else if (Version.Descriptor == Index) {
+      Version.Changed = true;
+    }
+}
+
+/// Whether the agent draws or imports a chunk and fails to.
+bool failsToObtain(const TransferState &State, const ChunkSlot &Slot,
+                   TimePoint Now) {
+  if (Slot.Source == NoRegion)
+    return State.StoreFailures > 0;
+  return Now - State.Regions[Slot.Source].Progress >=
+         State.Settings.StallTimeout;
+}
+
+Duration notHeldRetry(const TransferState &State, const Digest &Chunk,
+                      TimePoint Now) {
+  const auto Found = State.ChunkById.find(Chunk);
+  if (Found == State.ChunkById.end())
+    return Duration{};
+  const ChunkSlot &Slot = State.Chunks[Found->second];
+  if (Slot.WantedBy == 0)
+    return Duration{};
+  if (Slot.Responsible[0] == 0 && failsToObtain(State, Slot, Now))
+    return Duration{};
+  return NotYetRetry;
+}
+
+void refuse(TransferState &State, const std::string &Peer, const Digest &Chunk,
+            Duration RetryAfter) {
+  if (State.Refusals.size() < MaxRefusals)
+    State.Refusals.push_back({Chunk, Peer, RetryAfter});
+}
+
+/// Peers of other regions that ask are told what is held, so that an importer
+/// that lost its exporter finds another one.
+void noteGuest(TransferState &State, PeerIndex Peer, TimePoint Now) {
+  if (State.Peers[Peer].Region == State.Home)
+    return;
+  auto &All = State.Guests;
+  std::erase_if(All,
+                [&](const detail::Guest &One) { return One.Peer == Peer; });
+  if (All.size() >= MaxGuests)
+    All.erase(All.begin());
+  All.push_back({Peer, Now});
+}
+
+} // namespace
+
+std::optional<Error> chunkMapReceived(TransferState &State,
+                                      const std::string &Peer,
+                                      const Digest &Version,
+                                      const std::vector<bool> &Held,
+                                      TimePoint) {
+  const PeerIndex From = findPeer(State, Peer);
+  const auto Found = State.Versions.find(Version);
+  if (From == NoPeer || From == 0 || Found == State.Versions.end())
+    return std::nullopt;
+  VersionSlot &Slot = Found->second;
+  PeerSlot &Sender = State.Peers[From];
+  if (Slot.Described && !Held.empty() && Held.size() != Slot.Chunks.size())
+    return Error{ErrorCode::InvalidMessage, Step::ChunkRequest, Peer,
+                 "chunk map of " + std::to_string(Held.size()) +
+                     " bits for a version of " +
+                     std::to_string(Slot.Chunks.size()) + " chunks"};
+  if (!Sender.HasMap) {
+    Sender.HasMap = true;
+    State.Regions[Sender.Region].Sources.push_back(From);
+  }
+  const auto Note = [&](ChunkIndex Index, bool Has) {
+    if (Has && !Sender.Has.test(Index)) {
+      Sender.Has.set(Index);
+      ++State.Chunks[Index].Available;
+    } else if (!Has) {
+      detail::forgetHolder(State, From, Index);
+    }
+  };
+  Note(Slot.Descriptor, true);
+  if (!Slot.Described || Held.empty())
+    return std::nullopt;
+  for (std::size_t Index = 0; Index < Held.size(); ++Index)
+    Note(Slot.Chunks[Index], Held[Index]);
+  // A peer that sees the version for the first time is told at once what is
+  // held, instead of at the next refresh.
+  if (std::find(Sender.MapsOf.begin(), Sender.MapsOf.end(), Version) ==
+      Sender.MapsOf.end()) {
+    Sender.MapsOf.push_back(Version);
+    Slot.Changed = true;
+  }
+  return std::nullopt;
+}
+
+bool chunkReceived(TransferState &State, const Digest &Chunk,
+                   const std::string &From, bool Verified, TimePoint Now) {
+  const auto Found = State.ChunkById.find(Chunk);
+  const PeerIndex Peer = From.empty() ? NoPeer : findPeer(State, From);
+  if (Found == State.ChunkById.end())
+    return false;
+  const ChunkIndex Index = Found->second;
+  const bool New =
+      Verified && !State.Held.test(Index) && State.Chunks[Index].References > 0;
+  if (New)
+    hold(State, Index);
+  const bool Asked =
+      (From.empty() || Peer != NoPeer) && detail::endFlight(State, Index, Peer);
+  if (!Verified) {
+    if (From.empty())
+      backOffStore(State, Duration{}, Now);
+    else if (Asked)
+      noteCorrupt(State, Peer, Index, Now);
+    return false;
+  }
+  if (From.empty()) {
+    State.StoreFailures = 0;
+  } else if (Peer != NoPeer) {
+    PeerSlot &Sender = State.Peers[Peer];
+    Sender.Timeouts = 0;
+    State.Regions[Sender.Region].Progress = Now;
+  }
+  return New;
+}
+
+void chunkRefused(TransferState &State, const Digest &Chunk,
+                  const std::string &Peer, Duration RetryAfter, TimePoint Now) {
+  const auto Found = State.ChunkById.find(Chunk);
+  const PeerIndex From = findPeer(State, Peer);
+  if (Found == State.ChunkById.end() || From == NoPeer)
+    return;
+  const ChunkIndex Index = Found->second;
+  if (!detail::endFlight(State, Index, From) ||
+      !State.ChunkById.contains(Chunk))
+    return;
+  ChunkSlot &Slot = State.Chunks[Index];
+  PeerSlot &Sender = State.Peers[From];
+  Sender.Timeouts = 0;
+  const bool Ahead = Slot.Responsible[0] == From || Slot.Responsible[1] == From;
+  if (Sender.Has.test(Index)) {
+    if (RetryAfter > Duration::zero())
+      Sender.BusyUntil =
+          Now + std::min(RetryAfter, State.Settings.StallTimeout);
+    else
+      detail::forgetHolder(State, From, Index);
+  } else if (Ahead && RetryAfter == Duration::zero()) {
+    Slot.Probes = detail::MaxProbes;
+  } else if (Ahead) {
+    Slot.Probes = static_cast<std::uint8_t>(
+        std::min<unsigned>(Slot.Probes + 1U, detail::MaxProbes));
+    Slot.RetryAt = Now + std::max(RetryAfter, State.Settings.StallTimeout);
+  }
+}
+
+void storeFailed(TransferState &State, const Digest &Chunk, Duration RetryAfter,
+                 TimePoint Now) {
+  const auto Found = State.ChunkById.find(Chunk);
+  if (Found != State.ChunkById.end() &&
+      detail::endFlight(State, Found->second, NoPeer))
+    backOffStore(State, RetryAfter, Now);
+}
+
+void storeProgressed(TransferState &State, const Digest &Chunk, TimePoint Now) {
+  const auto Found = State.ChunkById.find(Chunk);
+  if (Found == State.ChunkById.end())
+    return;
+  for (detail::Flight &Request : State.Flights)
+    if (Request.Chunk == Found->second && Request.Peer == NoPeer)
+      Request.Deadline = Now + State.Settings.StoreTimeout;
+}
+
+void transferPeerLost(TransferState &State, const std::string &Peer,
+                      TimePoint Now) {
+  const PeerIndex Index = findPeer(State, Peer);
+  if (Index != NoPeer && Index != 0)
+    detail::losePeer(State, Index, Now);
+}
+
+void uploadAsked(TransferState &State, const std::string &Peer,
+                 const Digest &Chunk, TimePoint Now) {
+  const PeerIndex From = findPeer(State, Peer);
+  if (From == NoPeer || From == 0) {
+    refuse(State, Peer, Chunk, State.Settings.StallTimeout);
+    return;
+  }
+  noteGuest(State, From, Now);
+  const auto Found = State.ChunkById.find(Chunk);
+  if (Found == State.ChunkById.end() || !State.Held.test(Found->second)) {
+    refuse(State, Peer, Chunk, notHeldRetry(State, Chunk, Now));
+    return;
+  }
+  for (const detail::Upload &Queued : State.Uploads)
+    if (Queued.Chunk == Found->second && Queued.Peer == From)
+      return;
+  if (State.Uploads.size() >= State.Settings.MaxUploadQueue) {
+    refuse(State, Peer, Chunk, NotYetRetry);
+    return;
+  }
+  State.Uploads.push_back({Found->second, From});
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/src/coordination/transfer_roles.cpp
@@ -0,0 +1,318 @@
+#include "marigoldyard/coordination/detail/transfer_roles.hpp"
+
+#include "marigoldyard/coordination/detail/rendezvous.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace marigoldyard::detail {
+
+namespace {
+
+constexpr PeerIndex SelfPeer = 0;
+
+/// Region with the highest score for a chunk among those with members.
+RegionIndex bestRegion(const TransferState &State, std::uint64_t Chunk,
+                       RegionIndex Except) {
+  RegionIndex Best = NoRegion;
+  std::uint64_t BestScore = 0;
+  for (RegionIndex Index = 0; Index < State.Regions.size(); ++Index) {
+    if (Index == Except || State.Regions[Index].Members.empty())
+      continue;
+    const std::uint64_t Score =
+        rendezvousScore(Chunk, State.Regions[Index].Hash);
+    if (Best == NoRegion || Score > BestScore) {
+      Best = Index;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+/// The two regions that a chunk visits first.
+struct Path {
+  RegionIndex Draw;  ///< draws it from the store
+  RegionIndex First; ///< imports it from Draw and passes it on
+};
+
+Path pathOf(const TransferState &State, std::uint64_t Chunk,
+            RegionIndex StoreRegion) {
+  const RegionIndex Draw = StoreRegion != NoRegion
+                               ? StoreRegion
+                               : bestRegion(State, Chunk, NoRegion);
+  return {Draw, bestRegion(State, Chunk, Draw)};
+}
+
+RegionIndex sourceOf(const Path &Chunk, RegionIndex Region) {
+  if (Region == Chunk.Draw)
+    return NoRegion;
+  return Region == Chunk.First ? Chunk.Draw : Chunk.First;
+}
+
+RegionIndex storeRegion(const TransferState &State) {
+  for (RegionIndex Index = 0; Index < State.Regions.size(); ++Index)
+    if (State.Regions[Index].Name == State.Settings.StoreRegion &&
+        !State.Regions[Index].Members.empty())
+      return Index;
+  return NoRegion;
+}
+
+/// Member of Region that receives from Other. One agent at each end of a link
+/// keeps the link's rate without messages between agents.
+PeerIndex importer(const TransferState &State, RegionIndex Region,
+                   RegionIndex Other, std::size_t Place) {
+  const auto &Members = State.Regions[Region].Members;
+  if (Place >= Members.size())
+    return NoPeer;
+  const std::size_t Position = Other > Region ? Other - 1 : Other;
+  return Members[(Position + Place) % Members.size()];
+}
+
+/// Member of Region that sends to Other; not its importer where the region has
+/// enough members.
+PeerIndex exporter(const TransferState &State, RegionIndex Region,
+                   RegionIndex Other) {
+  const auto &Members = State.Regions[Region].Members;
+  if (Members.empty())
+    return NoPeer;
+  const std::size_t Position = Other > Region ? Other - 1 : Other;
+  return Members[(State.Regions.size() - 1 + Position) % Members.size()];
+}
+
+void assignOwners(const TransferState &State, ChunkSlot &Slot) {
+  std::array<std::uint64_t, ResponsibleCount> Scores{};
+  Slot.Responsible.fill(NoPeer);
+  for (const PeerIndex Member : State.Regions[State.Home].Members) {
+    PeerIndex Peer = Member;
+    std::uint64_t Score = rendezvousScore(Slot.Hash, State.Peers[Peer].Hash);
+    for (std::size_t Place = 0; Place < ResponsibleCount; ++Place)
+      if (Slot.Responsible[Place] == NoPeer || Score > Scores[Place]) {
+        std::swap(Peer, Slot.Responsible[Place]);
+        std::swap(Score, Scores[Place]);
+        if (Peer == NoPeer)
+          break;
+      }
+  }
+}
+
+void assignChunk(TransferState &State, ChunkIndex Index,
+                 RegionIndex StoreRegion) {
+  ChunkSlot &Slot = State.Chunks[Index];
+  const Path Chunk = pathOf(State, Slot.Hash, StoreRegion);
+  Slot.Mine = false;
+  Slot.Source = sourceOf(Chunk, State.Home);
+  if (Slot.Source == NoRegion)
+    assignOwners(State, Slot);
+  else
+    for (std::size_t Place = 0; Place < ResponsibleCount; ++Place)
+      Slot.Responsible[Place] = importer(State, State.Home, Slot.Source, Place);
+  for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other)
+    if (Other != State.Home && !State.Regions[Other].Members.empty() &&
+        sourceOf(Chunk, Other) == State.Home &&
+        exporter(State, State.Home, Other) == SelfPeer)
+      State.Exported.set(Index);
+  if (State.Held.test(Index))
+    return;
+  if (Slot.Responsible[0] == SelfPeer)
+    takeOver(State, Index);
+  else if (std::find(Slot.Responsible.begin(), Slot.Responsible.end(),
+                     SelfPeer) != Slot.Responsible.end())
+    State.Standby.push_back(Index);
+}
+
+void addNeighbour(TransferState &State, PeerIndex Peer) {
+  auto &All = State.Neighbours;
+  if (Peer != NoPeer && Peer != SelfPeer &&
+      std::find(All.begin(), All.end(), Peer) == All.end())
+    All.push_back(Peer);
+}
+
+} // namespace
+
+bool reachable(const PeerSlot &Peer, TimePoint Now) {
+  return !Peer.Name.empty() && Peer.LostUntil <= Now && Peer.BannedUntil <= Now;
+}
+
+void refreshMissing(TransferState &State, ChunkIndex Index) {
+  const ChunkSlot &Slot = State.Chunks[Index];
+  State.Missing.set(Index, Slot.WantedBy > 0 && !Slot.InFlight &&
+                               !State.Held.test(Index));
+}
+
+void assignRegions(TransferState &State, TimePoint Now) {
+  std::map<std::string, RegionSlot> ByName;
+  for (RegionSlot &Region : State.Regions) {
+    Region.Members.clear();
+    Region.Sources.clear();
+    Region.InFlight = 0;
+    ByName[Region.Name] = std::move(Region);
+  }
+  std::map<std::string, std::vector<PeerIndex>> Listed;
+  for (PeerIndex Index = 0; Index < State.Peers.size(); ++Index)
+    if (!State.Peers[Index].Name.empty())
+      Listed[State.Peers[Index].RegionName].push_back(Index);
+  State.Regions.clear();
+  for (auto &[Name, Indices] : Listed) {
+    RegionSlot Region;
+    if (const auto Known = ByName.find(Name); Known != ByName.end())
+      Region = std::move(Known->second);
+    else
+      Region.Progress = Now;
+    Region.Name = Name;
+    Region.Hash = nameHash(Name);
+    const auto Number = static_cast<RegionIndex>(State.Regions.size());
+    for (const PeerIndex Index : Indices) {
+      PeerSlot &Peer = State.Peers[Index];
+      Peer.Region = Number;
+      Region.InFlight += Peer.InFlight;
+      if (!Peer.Leaving)
+        Region.Members.push_back(Index);
+      if (Peer.HasMap)
+        Region.Sources.push_back(Index);
+    }
+    std::sort(
+        Region.Members.begin(), Region.Members.end(),
+        [&](PeerIndex Left, PeerIndex Right) {
+          return std::tie(State.Peers[Left].Hash, State.Peers[Left].Name) <
+                 std::tie(State.Peers[Right].Hash, State.Peers[Right].Name);
+        });
+    State.Regions.push_back(std::move(Region));
+  }
+  State.Home = State.Peers[SelfPeer].Region;
+  assignNeighbours(State, Now);
+}
+
+void assignNeighbours(TransferState &State, TimePoint Now) {
+  State.Neighbours.clear();
+  const auto &Members = State.Regions[State.Home].Members;
+  const std::size_t Count = Members.size();
+  const auto Self = std::find(Members.begin(), Members.end(), SelfPeer);
+  const auto Position = static_cast<std::size_t>(Self - Members.begin());
+  // Offsets of powers of two in both directions make a graph of logarithmic
+  // diameter, which is symmetric, so that map and request follow one link.
+  for (std::size_t Offset = 1;
+       Offset < Count && State.Neighbours.size() < State.Settings.MaxNeighbours;
+       Offset *= 2) {
+    addNeighbour(State, Members[(Position + Offset) % Count]);
+    addNeighbour(State, Members[(Position + Count - Offset) % Count]);
+  }
+  for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other) {
+    if (Other == State.Home || State.Regions[Other].Members.empty())
+      continue;
+    addNeighbour(State, importer(State, State.Home, Other, 0));
+    const PeerIndex Sender = exporter(State, State.Home, Other);
+    addNeighbour(State, Sender);
+    if (Sender != SelfPeer)
+      continue;
+    std::size_t Place = 0;
+    PeerIndex Receiver = importer(State, Other, State.Home, Place);
+    while (Receiver != NoPeer && !reachable(State.Peers[Receiver], Now))
+      Receiver = importer(State, Other, State.Home, ++Place);
+    addNeighbour(State, Receiver);
+  }
+}
+
+void assignChunks(TransferState &State, TimePoint Now) {
+  State.Draws.clear();
+  State.Standby.clear();
+  State.StandbyCursor = 0;
+  State.Exported.Words.clear();
+  for (RegionSlot &Region : State.Regions) {
+    Region.Imports.Words.clear();
+    Region.Progress = Now;
+  }
+  const RegionIndex StoreRegion = storeRegion(State);
+  for (ChunkIndex Index = 0; Index < State.Chunks.size(); ++Index)
+    if (State.Chunks[Index].WantedBy > 0)
+      assignChunk(State, Index, StoreRegion);
+}
+
+void takeOver(TransferState &State, ChunkIndex Index) {
+  ChunkSlot &Slot = State.Chunks[Index];
+  if (std::exchange(Slot.Mine, true))
+    return;
+  if (Slot.Source != NoRegion)
+    State.Regions[Slot.Source].Imports.set(Index);
+  else if (Slot.IsDescriptor)
+    State.Draws.push_front(Index);
+  else
+    State.Draws.push_back(Index);
+}
+
+bool endFlight(TransferState &State, ChunkIndex Index, PeerIndex Peer) {
+  const auto Found = std::find_if(
+      State.Flights.begin(), State.Flights.end(), [&](const Flight &Request) {
+        return Request.Chunk == Index && Request.Peer == Peer;
+      });
+  if (Found == State.Flights.end())
+    return false;
+  *Found = State.Flights.back();
+  State.Flights.pop_back();
+  if (Peer == NoPeer) {
+    --State.StoreFlights;
+    if (!State.Held.test(Index) && State.Chunks[Index].WantedBy > 0 &&
+        State.Chunks[Index].Source == NoRegion)
+      State.Draws.push_back(Index);
+  } else {
+    --State.Peers[Peer].InFlight;
+    --State.Regions[State.Peers[Peer].Region].InFlight;
+  }
+  State.Chunks[Index].InFlight = std::any_of(
+      State.Flights.begin(), State.Flights.end(),
+      [&](const Flight &Request) { return Request.Chunk == Index; });
+  refreshMissing(State, Index);
+  if (State.Chunks[Index].References == 0 && !State.Held.test(Index))
+    releaseChunk(State, Index);
+  return true;
+}
+
+void losePeer(TransferState &State, PeerIndex Peer, TimePoint Now) {
+  // Beyond six doublings the time exceeds ten minutes at the default settings.
+  constexpr std::uint32_t MaxDoublings = 6;
+  PeerSlot &Slot = State.Peers[Peer];
+  Slot.LostUntil = Now + State.Settings.StallTimeout *
+                             (1 << std::min(Slot.Timeouts, MaxDoublings));
+  ++Slot.Timeouts;
+  std::vector<ChunkIndex> Ended;
+  for (const Flight &Request : State.Flights)
+    if (Request.Peer == Peer)
+      Ended.push_back(Request.Chunk);
+  for (const ChunkIndex Index : Ended)
+    endFlight(State, Index, Peer);
+  std::erase_if(State.Uploads,
+                [&](const Upload &Queued) { return Queued.Peer == Peer; });
+  assignNeighbours(State, Now);
+}
+
+void forgetHolder(TransferState &State, PeerIndex Peer, ChunkIndex Index) {
+  if (!State.Peers[Peer].Has.test(Index))
+    return;
+  State.Peers[Peer].Has.set(Index, false);
+  --State.Chunks[Index].Available;
+}
+
+void releaseChunk(TransferState &State, ChunkIndex Index) {
+  ChunkSlot &Slot = State.Chunks[Index];
+  if (State.Held.test(Index)) {
+    State.Held.set(Index, false);
+    State.HeldBytes -= Slot.Size;
+    for (auto &[Id, Version] : State.Versions)
+      if (Version.Content.test(Index)) {
+        ++Version.Missing;
+        Version.Changed = true;
+      }
+  }
+  refreshMissing(State, Index);
+  if (Slot.References > 0 || Slot.InFlight)
+    return;
+  for (PeerIndex Peer = 0; Peer < State.Peers.size(); ++Peer)
+    forgetHolder(State, Peer, Index);
+  std::erase_if(State.Uploads,
+                [&](const Upload &Queued) { return Queued.Chunk == Index; });
+  State.ChunkById.erase(Slot.Id);
+  Slot = ChunkSlot{};
+  State.FreeChunks.push_back(Index);
+}
+
+} // namespace marigoldyard::detail
