--- a/include/marigoldyard/coordination/detail/transfer_roles.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -10,6 +10,18 @@
 /// @return false when it is unlisted, lost or banned
 bool reachable(const PeerSlot &Peer, TimePoint Now);
 
+/// @brief Time that bytes take at the upload rate of the agent.
+/// @param State the transfers
+/// @param Bytes the bytes
+/// @return the time; zero without a limit
+Duration uploadTime(const TransferState &State, std::uint64_t Bytes);
+
+/// @brief Time that bytes take on a link between regions beside live requests.
+/// @param State the transfers
+/// @param Bytes the bytes
+/// @return the time; zero without a limit
+Duration linkTime(const TransferState &State, std::uint64_t Bytes);
+
 /// @brief Whether a chunk is wanted, not held and not in flight; updates the
 /// set of missing chunks.
 /// @param State the transfers
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -22,6 +22,9 @@
   std::uint64_t UploadBytesPerSecond = 0;     ///< 0 means no limit
   std::uint64_t RegionLinkBytesPerSecond = 0; ///< whole link; 0 means no limit
   double LiveShare = 0.3; ///< share of a region link kept for live requests
+  /// Every region imports from the store's region, so that its links carry a
+  /// whole copy each; kept for comparison.
+  bool DirectImport = false;
   std::uint64_t BufferBytes = 0; ///< for chunks; 0 means no limit
   /// Time without progress after which the next owner, importer or source is
   /// used.
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -104,6 +104,25 @@
   All.push_back({Peer, Now});
 }
 
+/// Whether a further upload would be sent well before its requester gives up.
+bool fitsQueue(const TransferState &State, PeerIndex Peer, ChunkIndex Chunk) {
+  if (State.Uploads.size() >= State.Settings.MaxUploadQueue)
+    return false;
+  const bool Remote = State.Peers[Peer].Region != State.Home;
+  std::uint64_t Queued = 0;
+  std::uint64_t OnLink = 0;
+  for (const detail::Upload &Other : State.Uploads) {
+    Queued += State.Chunks[Other.Chunk].Size;
+    if (State.Peers[Other.Peer].Region == State.Peers[Peer].Region)
+      OnLink += State.Chunks[Other.Chunk].Size;
+  }
+  const std::uint64_t Size = State.Chunks[Chunk].Size;
+  const Duration Wait =
+      std::max(detail::uploadTime(State, Queued + Size),
+               Remote ? detail::linkTime(State, OnLink + Size) : Duration{});
+  return State.Uploads.empty() || Wait <= State.Settings.StallTimeout / 2;
+}
+
 } // namespace
 
 std::optional<Error> chunkMapReceived(TransferState &State,
@@ -175,6 +194,12 @@
     PeerSlot &Sender = State.Peers[Peer];
     Sender.Timeouts = 0;
     State.Regions[Sender.Region].Progress = Now;
+    // The peer sends in the order of requests, so the later ones are not
+    // stalled.
+    for (detail::Flight &Request : State.Flights)
+      if (Request.Peer == Peer)
+        Request.Deadline =
+            std::max(Request.Deadline, Now + State.Settings.StallTimeout);
   }
   return New;
 }
@@ -248,7 +273,7 @@
   for (const detail::Upload &Queued : State.Uploads)
     if (Queued.Chunk == Found->second && Queued.Peer == From)
       return;
-  if (State.Uploads.size() >= State.Settings.MaxUploadQueue) {
+  if (!fitsQueue(State, From, Found->second)) {
     refuse(State, Peer, Chunk, NotYetRetry);
     return;
   }
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -33,13 +33,6 @@
 /// Unused upload time that may be caught up on.
 constexpr Duration UploadBurst = std::chrono::milliseconds(50);
 
-Duration sendTime(std::uint64_t Bytes, double BytesPerSecond) {
-  if (BytesPerSecond <= 0)
-    return Duration{};
-  return Duration(static_cast<Duration::rep>(static_cast<double>(Bytes) * 1e6 /
-                                             BytesPerSecond));
-}
-
 void expireFlights(TransferState &State, TimePoint Now) {
   for (std::size_t Index = 0; Index < State.Flights.size();) {
     const detail::Flight Request = State.Flights[Index];
@@ -60,9 +53,6 @@
     Result.emplace_back(RefuseChunk{std::move(Answer.Chunk),
                                     std::move(Answer.Peer), Answer.RetryAfter});
   State.Refusals.clear();
-  const double LinkRate =
-      static_cast<double>(State.Settings.RegionLinkBytesPerSecond) *
-      (1.0 - State.Settings.LiveShare);
   for (auto It = State.Uploads.begin();
        It != State.Uploads.end() && State.UploadAt <= Now;) {
     const PeerSlot &Peer = State.Peers[It->Peer];
@@ -73,13 +63,11 @@
       ++It;
       continue;
     }
-    State.UploadAt =
-        std::max(State.UploadAt, Now - UploadBurst) +
-        sendTime(Slot.Size,
-                 static_cast<double>(State.Settings.UploadBytesPerSecond));
+    State.UploadAt = std::max(State.UploadAt, Now - UploadBurst) +
+                     detail::uploadTime(State, Slot.Size);
     if (Remote)
       Region.SendAt = std::max(Region.SendAt, Now - UploadBurst) +
-                      sendTime(Slot.Size, LinkRate);
+                      detail::linkTime(State, Slot.Size);
     Result.emplace_back(SendChunk{Slot.Id, Peer.Name});
     It = State.Uploads.erase(It);
   }
@@ -87,7 +75,10 @@
 
 void request(TransferState &State, ChunkIndex Index, PeerIndex Peer,
              TimePoint Now, Actions &Result) {
-  State.Flights.push_back({Index, Peer, Now + State.Settings.StallTimeout});
+  State.Flights.push_back(
+      {Index, Peer,
+       Now + State.Settings.StallTimeout +
+           detail::linkTime(State, State.Chunks[Index].Size)});
   State.Chunks[Index].InFlight = true;
   detail::refreshMissing(State, Index);
   ++State.Peers[Peer].InFlight;
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -12,6 +12,13 @@
 
 constexpr PeerIndex SelfPeer = 0;
 
+Duration sendTime(std::uint64_t Bytes, double BytesPerSecond) {
+  if (BytesPerSecond <= 0)
+    return Duration{};
+  return Duration(static_cast<Duration::rep>(static_cast<double>(Bytes) * 1e6 /
+                                             BytesPerSecond));
+}
+
 /// Region with the highest score for a chunk among those with members.
 RegionIndex bestRegion(const TransferState &State, std::uint64_t Chunk,
                        RegionIndex Except) {
@@ -41,13 +48,16 @@
   const RegionIndex Draw = StoreRegion != NoRegion
                                ? StoreRegion
                                : bestRegion(State, Chunk, NoRegion);
-  return {Draw, bestRegion(State, Chunk, Draw)};
+  // Without a first region, sourceOf makes every region import from Draw.
+  return {Draw, State.Settings.DirectImport ? NoRegion
+                                            : bestRegion(State, Chunk, Draw)};
 }
 
 RegionIndex sourceOf(const Path &Chunk, RegionIndex Region) {
   if (Region == Chunk.Draw)
     return NoRegion;
-  return Region == Chunk.First ? Chunk.Draw : Chunk.First;
+  return Region == Chunk.First || Chunk.First == NoRegion ? Chunk.Draw
+                                                          : Chunk.First;
 }
 
 RegionIndex storeRegion(const TransferState &State) {
@@ -134,6 +144,17 @@
   return !Peer.Name.empty() && Peer.LostUntil <= Now && Peer.BannedUntil <= Now;
 }
 
+Duration uploadTime(const TransferState &State, std::uint64_t Bytes) {
+  return sendTime(Bytes,
+                  static_cast<double>(State.Settings.UploadBytesPerSecond));
+}
+
+Duration linkTime(const TransferState &State, std::uint64_t Bytes) {
+  return sendTime(Bytes,
+                  static_cast<double>(State.Settings.RegionLinkBytesPerSecond) *
+                      (1.0 - State.Settings.LiveShare));
+}
+
 void refreshMissing(TransferState &State, ChunkIndex Index) {
   const ChunkSlot &Slot = State.Chunks[Index];
   State.Missing.set(Index, Slot.WantedBy > 0 && !Slot.InFlight &&
