Serve region links first and spread new chunks

Change: uploads to other regions come first; a busy sender refuses a chunk that it gave to another peer of the region within the last two announcements.

--- a/bench/bench_weights.cpp
+++ b/bench/bench_weights.cpp
@@ -17,6 +17,22 @@
   Net.publish(Net.makeVersion("one", 0));
   const TimePoint Start = Net.Now;
   const auto Wall = std::chrono::steady_clock::now();
+  if (getenv("TRACE"))
+    for (int T = 10; T < 300; T += 20)
+      Net.at(Start + std::chrono::seconds(T), [&, T] {
+        std::printf(
+            "t=%d link01=%.2f link02=%.2f l12=%.2f l21=%.2f store=%.2f |", T,
+            Net.LinkBytes[0][1] / 5e8, Net.LinkBytes[0][2] / 5e8,
+            Net.LinkBytes[1][2] / 5e8, Net.LinkBytes[2][1] / 5e8,
+            Net.originCopies());
+        for (auto &N : Net.Nodes) {
+          size_t F = N->State.Flights.size();
+          auto V = N->State.Versions.begin()->second;
+          std::printf(" %zu:%zu/%zu/%zu", N->Region, V.Missing, F,
+                      N->State.Uploads.size());
+        }
+        std::printf("\n");
+      });
   const bool Done = Net.run(Start + std::chrono::hours(1));
   const double Real =
       std::chrono::duration<double>(std::chrono::steady_clock::now() - Wall)
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -39,7 +39,7 @@
   std::size_t MaxImports = 8;  ///< requests to peers of one other region
   std::size_t MaxPerPeer = 4;
   std::size_t MaxStoreFetches = 2;
-  std::size_t MaxUploadQueue = 16;
+  std::size_t MaxUploadQueue = 6;
   std::size_t MaxNeighbours = 16; ///< that receive the own map
   std::size_t MaxVersions = 8;
   std::size_t MaxChunks = 65536;  ///< over all versions
@@ -75,6 +75,7 @@
   std::uint16_t Available = 0; ///< peers whose map contains it
   TimePoint WantedSince;
   TimePoint RetryAt;
+  TimePoint SentAt; ///< newest upload within the region
 };
 
 struct VersionSlot {
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -12,6 +12,7 @@
 using detail::NoRegion;
 using detail::PeerIndex;
 using detail::PeerSlot;
+using detail::RegionIndex;
 using detail::VersionSlot;
 
 namespace {
@@ -22,6 +23,8 @@
 constexpr Duration StoreBackoffMax = std::chrono::seconds(30);
 /// Answer to a request for a chunk that is on its way.
 constexpr Duration NotYetRetry = std::chrono::seconds(1);
+/// Answer of a sender whose queue is full.
+constexpr Duration BusyRetry = std::chrono::milliseconds(200);
 
 PeerIndex findPeer(const TransferState &State, const std::string &Name) {
   const auto Found = State.PeerByName.find(Name);
@@ -104,23 +107,40 @@
   All.push_back({Peer, Now});
 }
 
-/// Whether a further upload would be sent well before its requester gives up.
-bool fitsQueue(const TransferState &State, PeerIndex Peer, ChunkIndex Chunk) {
-  if (State.Uploads.size() >= State.Settings.MaxUploadQueue)
-    return false;
-  const bool Remote = State.Peers[Peer].Region != State.Home;
-  std::uint64_t Queued = 0;
-  std::uint64_t OnLink = 0;
-  for (const detail::Upload &Other : State.Uploads) {
-    Queued += State.Chunks[Other.Chunk].Size;
-    if (State.Peers[Other.Peer].Region == State.Peers[Peer].Region)
-      OnLink += State.Chunks[Other.Chunk].Size;
-  }
-  const std::uint64_t Size = State.Chunks[Chunk].Size;
-  const Duration Wait =
-      std::max(detail::uploadTime(State, Queued + Size),
-               Remote ? detail::linkTime(State, OnLink + Size) : Duration{});
-  return State.Uploads.empty() || Wait <= State.Settings.StallTimeout / 2;
+/// Whether another peer of the region gets the chunk now and passes it on. A
+/// busy sender spends its rate on chunks that nobody else in the region has.
+bool passedOnElsewhere(const TransferState &State, ChunkIndex Chunk,
+                       TimePoint Now) {
+  const bool Queued =
+      std::any_of(State.Uploads.begin(), State.Uploads.end(),
+                  [&](const detail::Upload &Other) {
+                    return Other.Chunk == Chunk &&
+                           State.Peers[Other.Peer].Region == State.Home;
+                  });
+  return Queued ||
+         Now - State.Chunks[Chunk].SentAt < 2 * State.Settings.AnnounceInterval;
+}
+
+/// Whether a further upload is accepted: it would be sent well before its
+/// requester gives up.
+bool acceptsUpload(const TransferState &State, PeerIndex Peer, ChunkIndex Chunk,
+                   TimePoint Now) {
+  const RegionIndex Region = State.Peers[Peer].Region;
+  const bool Remote = Region != State.Home;
+  std::size_t Count = 0;
+  std::uint64_t Bytes = State.Chunks[Chunk].Size;
+  for (const detail::Upload &Other : State.Uploads)
+    if (State.Peers[Other.Peer].Region == Region) {
+      Bytes += State.Chunks[Other.Chunk].Size;
+      ++Count;
+    }
+  if (Count == 0)
+    return true;
+  const Duration Wait = Remote ? detail::linkTime(State, Bytes)
+                               : detail::uploadTime(State, Bytes);
+  return Count < State.Settings.MaxUploadQueue &&
+         Wait <= State.Settings.StallTimeout / 2 &&
+         (Remote || !passedOnElsewhere(State, Chunk, Now));
 }
 
 } // namespace
@@ -219,11 +239,9 @@
   Sender.Timeouts = 0;
   const bool Ahead = Slot.Responsible[0] == From || Slot.Responsible[1] == From;
   if (Sender.Has.test(Index)) {
-    if (RetryAfter > Duration::zero())
-      Sender.BusyUntil =
-          Now + std::min(RetryAfter, State.Settings.StallTimeout);
-    else
-      detail::forgetHolder(State, From, Index);
+    // Until the next map this peer is asked for other chunks.
+    detail::forgetHolder(State, From, Index);
+    Sender.BusyUntil = Now + std::min(RetryAfter, State.Settings.StallTimeout);
   } else if (Ahead && RetryAfter == Duration::zero()) {
     Slot.Probes = detail::MaxProbes;
   } else if (Ahead) {
@@ -273,8 +291,8 @@
   for (const detail::Upload &Queued : State.Uploads)
     if (Queued.Chunk == Found->second && Queued.Peer == From)
       return;
-  if (!fitsQueue(State, From, Found->second)) {
-    refuse(State, Peer, Chunk, NotYetRetry);
+  if (!acceptsUpload(State, From, Found->second, Now)) {
+    refuse(State, Peer, Chunk, BusyRetry);
     return;
   }
   State.Uploads.push_back({Found->second, From});
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -48,18 +48,15 @@
   }
 }
 
-void serveUploads(TransferState &State, TimePoint Now, Actions &Result) {
-  for (detail::Refusal &Answer : State.Refusals)
-    Result.emplace_back(RefuseChunk{std::move(Answer.Chunk),
-                                    std::move(Answer.Peer), Answer.RetryAfter});
-  State.Refusals.clear();
+void serveQueue(TransferState &State, bool Remote, TimePoint Now,
+                Actions &Result) {
   for (auto It = State.Uploads.begin();
        It != State.Uploads.end() && State.UploadAt <= Now;) {
     const PeerSlot &Peer = State.Peers[It->Peer];
-    const ChunkSlot &Slot = State.Chunks[It->Chunk];
+    ChunkSlot &Slot = State.Chunks[It->Chunk];
     RegionSlot &Region = State.Regions[Peer.Region];
-    const bool Remote = Peer.Region != State.Home;
-    if (Remote && Region.SendAt > Now) {
+    if ((Peer.Region != State.Home) != Remote ||
+        (Remote && Region.SendAt > Now)) {
       ++It;
       continue;
     }
@@ -68,11 +65,23 @@
     if (Remote)
       Region.SendAt = std::max(Region.SendAt, Now - UploadBurst) +
                       detail::linkTime(State, Slot.Size);
+    else
+      Slot.SentAt = Now;
     Result.emplace_back(SendChunk{Slot.Id, Peer.Name});
     It = State.Uploads.erase(It);
   }
 }
 
+void serveUploads(TransferState &State, TimePoint Now, Actions &Result) {
+  for (detail::Refusal &Answer : State.Refusals)
+    Result.emplace_back(RefuseChunk{std::move(Answer.Chunk),
+                                    std::move(Answer.Peer), Answer.RetryAfter});
+  State.Refusals.clear();
+  // Links between regions are the scarcest, so their uploads come first.
+  serveQueue(State, true, Now, Result);
+  serveQueue(State, false, Now, Result);
+}
+
 void request(TransferState &State, ChunkIndex Index, PeerIndex Peer,
              TimePoint Now, Actions &Result) {
   State.Flights.push_back(
