--- a/include/marigoldyard/coordination/configuration.hpp
+++ b/include/marigoldyard/coordination/configuration.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -64,6 +65,10 @@
   std::map<std::string, CheckedValue> Values; ///< by key, digests match Index
 };
 
+/// @brief Number of peers that stand for the service at the start of a process:
+/// with this many the highest revision is known unless all of them lag.
+inline constexpr std::size_t EnoughPeers = 3;
+
 /// @brief Waiting times of a process that starts.
 struct StartTimeouts {
   Duration Service = std::chrono::seconds(3);
@@ -92,7 +97,7 @@
   TimePoint StartedAt;
   StartTimeouts Timeouts;
   bool ServiceHeard = false;
-  bool PeerHeard = false;
+  std::set<std::string, std::less<>> PeersHeard; ///< at most EnoughPeers
   Revision HighestHeard = 0; ///< highest revision of any valid source
   ConfigurationCounters Counters;
 };
@@ -173,9 +178,11 @@
 
 /// @brief Notes the revision that a peer's message carries.
 /// @param State state of acceptance
+/// @param Peer sender
 /// @param Number the sender's revision; 0 when it has none yet
 /// @complexity constant
-void notePeerRevision(ConfigurationState &State, Revision Number);
+void notePeerRevision(ConfigurationState &State, std::string_view Peer,
+                      Revision Number);
 
 /// @brief Keys of the pending index whose values are missing.
 /// @param State state of acceptance
@@ -185,9 +192,9 @@
 
 /// @brief Whether the process may serve.
 ///
-/// A configuration must be in force. During the start, the service and at least
-/// one peer must have been heard or have timed out, and the highest announced
-/// revision must be in force or its waiting time be over.
+/// A configuration must be in force. During the start, the service and one
+/// peer, or EnoughPeers peers, must have been heard or have timed out, and the
+/// highest announced revision must be in force or its waiting time be over.
 /// @param State state of acceptance
 /// @param Now current time
 /// @return true when ready
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -136,7 +136,11 @@
 
 /// @brief The sender has a newer configuration than the receiver.
 struct ConfigurationOffer {
-  ConfigurationIndex Index;
+  ConfigurationIndex Index; ///< without values when only the revision is told
+  /// Time since the configuration service was heard by the sender or by those
+  /// that told it. Each process adds the time it held the news, so that news
+  /// that circulates never looks fresh.
+  std::chrono::milliseconds Age{};
 };
 
 /// @brief Asks for values of a revision.
--- a/src/coordination/configuration.cpp
+++ b/src/coordination/configuration.cpp
@@ -22,8 +22,8 @@
                 Revision Number) {
   if (Source == ServiceSource)
     State.ServiceHeard = true;
-  else
-    State.PeerHeard = true;
+  else if (State.PeersHeard.size() < EnoughPeers)
+    State.PeersHeard.emplace(Source);
   State.HighestHeard = std::max(State.HighestHeard, Number);
 }
 
@@ -213,8 +213,9 @@
   return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt};
 }
 
-void notePeerRevision(ConfigurationState &State, Revision Number) {
-  noteSource(State, "", Number);
+void notePeerRevision(ConfigurationState &State, std::string_view Peer,
+                      Revision Number) {
+  noteSource(State, Peer, Number);
 }
 
 std::vector<std::string> neededKeys(const ConfigurationState &State) {
@@ -231,8 +232,11 @@
   if (!State.InForce)
     return false;
   const Duration Waited = Now - State.StartedAt;
-  const bool Service = State.ServiceHeard || Waited >= State.Timeouts.Service;
-  const bool Peers = State.PeerHeard || Waited >= State.Timeouts.Peers;
+  const bool Service = State.ServiceHeard ||
+                       State.PeersHeard.size() >= EnoughPeers ||
+                       Waited >= State.Timeouts.Service;
+  const bool Peers =
+      !State.PeersHeard.empty() || Waited >= State.Timeouts.Peers;
   const bool Current = revisionInForce(State) >= State.HighestHeard ||
                        Waited >= State.Timeouts.CatchUp;
   return Service && Peers && Current;
--- /dev/null
+++ b/src/coordination/rendezvous.cpp
@@ -0,0 +1,32 @@
+#include "marigoldyard/coordination/detail/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace marigoldyard::detail {
+
+std::uint64_t rendezvousWeight(std::string_view Key, std::string_view Name) {
+  return XXH3_64bits_withSeed(Name.data(), Name.size(),
+                              XXH3_64bits(Key.data(), Key.size()));
+}
+
+std::vector<std::string> rendezvousOrder(std::string_view Key,
+                                         std::vector<std::string> Names) {
+  std::vector<std::pair<std::uint64_t, std::string>> Weighted;
+  Weighted.reserve(Names.size());
+  for (std::string &Name : Names) {
+    const std::uint64_t Weight = rendezvousWeight(Key, Name);
+    Weighted.emplace_back(Weight, std::move(Name));
+  }
+  std::sort(Weighted.begin(), Weighted.end(),
+            [](const auto &A, const auto &B) { return B < A; });
+  std::vector<std::string> Result;
+  Result.reserve(Weighted.size());
+  for (auto &[Weight, Name] : Weighted)
+    Result.push_back(std::move(Name));
+  return Result;
+}
+
+} // namespace marigoldyard::detail
--- /dev/null
+++ b/src/coordination/watch_plan.cpp
@@ -0,0 +1,367 @@
+#include "marigoldyard/coordination/watch_plan.hpp"
+
+#include "marigoldyard/coordination/configuration.hpp"
+#include "marigoldyard/coordination/detail/rendezvous.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace marigoldyard {
+namespace {
+
+// Lowest share of an interval that jitter leaves.
+constexpr double JitterFloor = 0.5;
+// Age of an offer of a process that never heard of the service.
+constexpr Duration UnknownAge = std::chrono::hours(1);
+// A read that is overdue by more was held up by a pause of the own process.
+constexpr Duration OverdueLimit = std::chrono::seconds(2);
+
+Duration scaled(Duration Span, double Factor) {
+  return Duration(static_cast<Duration::rep>(double(Span.count()) * Factor));
+}
+
+Duration jittered(Duration Span, Random &Randomness) {
+  return scaled(Span, std::uniform_real_distribution<double>(JitterFloor,
+                                                             1.0)(Randomness));
+}
+
+/// Time in which each process of the region may read once.
+Duration regionReadTime(const WatchState &State) {
+  return scaled(std::chrono::seconds(1),
+                double(State.RegionSize) / State.Settings.RegionReadsPerSecond);
+}
+
+/// Time between own reads of this process so that the reads of the region stay
+/// within their budget.
+Duration fallbackInterval(const WatchState &State) {
+  return std::max(State.Settings.FallbackInterval, regionReadTime(State));
+}
+
+void refillTokens(WatchState &State, TimePoint Now) {
+  const double Seconds =
+      std::chrono::duration<double>(Now - State.TokensAt).count();
+  State.Tokens =
+      std::min(State.Settings.ReadTokens,
+               State.Tokens + Seconds * State.Settings.ReadTokensPerSecond);
+  State.TokensAt = Now;
+}
+
+TimePoint whenTokens(const WatchState &State, double Wanted, TimePoint Now) {
+  if (State.Tokens >= Wanted)
+    return Now;
+  return Now +
+         scaled(std::chrono::seconds(1),
+                (Wanted - State.Tokens) / State.Settings.ReadTokensPerSecond) +
+         Duration(1);
+}
+
+RelayPosition positionIn(const std::vector<std::string> &Order,
+                         std::string_view Self, std::size_t FanOut) {
+  const auto It = std::find(Order.begin(), Order.end(), Self);
+  if (It == Order.end() || FanOut == 0)
+    return {};
+  const auto Index = static_cast<std::size_t>(It - Order.begin());
+  RelayPosition Result;
+  if (Index > 0)
+    Result.Parent = Order[(Index - 1) / FanOut];
+  for (std::size_t I = Index * FanOut + 1;
+       I <= Index * FanOut + FanOut && I < Order.size(); ++I)
+    Result.Children.push_back(Order[I]);
+  return Result;
+}
+
+std::string pickPeer(const std::vector<std::string> &Peers,
+                     Random &Randomness) {
+  return Peers[std::uniform_int_distribution<std::size_t>(0, Peers.size() - 1)(
+      Randomness)];
+}
+
+bool contactAllowed(WatchState &State, std::string_view Peer, TimePoint Now) {
+  if (const auto It = State.LastContact.find(Peer);
+      It != State.LastContact.end()) {
+    if (Now - It->second < State.Settings.PeerInterval)
+      return false;
+    It->second = Now;
+    return true;
+  }
+  if (State.LastContact.size() >= State.Settings.MaxPeers)
+    std::erase_if(State.LastContact, [&](const auto &Entry) {
+      return Now - Entry.second >= State.Settings.PeerInterval;
+    });
+  if (State.LastContact.size() >= State.Settings.MaxPeers)
+    return false;
+  State.LastContact.emplace(std::string(Peer), Now);
+  return true;
+}
+
+/// Whether the process knows nothing newer than SilenceLimit of the service.
+bool isSilent(const WatchState &State, TimePoint Now) {
+  return !State.ConfirmedAt ||
+         Now - *State.ConfirmedAt >= State.Settings.SilenceLimit;
+}
+
+Duration offerAge(const WatchState &State, TimePoint Now) {
+  return State.ConfirmedAt ? std::min(Now - *State.ConfirmedAt, UnknownAge)
+                           : UnknownAge;
+}
+
+/// Time of the first own read after the service was heard last.
+TimePoint fallbackTime(const WatchState &State, TimePoint Heard) {
+  return Heard + State.Settings.SilenceLimit +
+         scaled(fallbackInterval(State), State.Phase);
+}
+
+void addReads(WatchState &State, TimePoint Now, WatchStep &Step) {
+  if (State.ReadInFlight)
+    return;
+  // Processes of a host or region that resume together must not read together.
+  if (!State.Watching && Now - State.NextRead > OverdueLimit)
+    State.NextRead = Now + scaled(fallbackInterval(State), State.Phase);
+  const TimePoint At = std::max(State.NextRead, whenTokens(State, 1, Now));
+  if (At > Now) {
+    Step.Next = std::min(Step.Next, At);
+    return;
+  }
+  State.Tokens -= 1;
+  State.ReadInFlight = true;
+  const bool Watch = State.Watching && State.Retry == Duration(0);
+  Step.Actions.push_back(
+      {Watch ? WatchActionKind::WatchIndex : WatchActionKind::ReadIndex,
+       {},
+       {},
+       Watch ? State.Settings.WatchWait : Duration(0),
+       {}});
+}
+
+void addValueReads(WatchState &State, TimePoint Now, Random &Randomness,
+                   WatchStep &Step) {
+  if (!State.Search)
+    return;
+  ValueSearch &Search = *State.Search;
+  if (Search.NextTry > Now) {
+    Step.Next = std::min(Step.Next, Search.NextTry);
+    return;
+  }
+  if (Search.Source != ServiceSource &&
+      Search.Tries < State.Settings.PeerValueTries) {
+    ++Search.Tries;
+    Search.NextTry = Now + State.Settings.PeerValueWait;
+    Step.Actions.push_back(
+        {WatchActionKind::AskValues, {Search.Source}, Search.Keys, {}, {}});
+    Step.Next = std::min(Step.Next, Search.NextTry);
+    return;
+  }
+  const auto Affordable =
+      std::min(static_cast<std::size_t>(State.Tokens), Search.Keys.size());
+  if (Affordable == 0) {
+    Step.Next = std::min(Step.Next, whenTokens(State, 1, Now));
+    return;
+  }
+  State.Tokens -= double(Affordable);
+  // Another order on each try lets a short budget reach all keys.
+  std::shuffle(Search.Keys.begin(), Search.Keys.end(), Randomness);
+  Step.Actions.push_back(
+      {WatchActionKind::ReadValues,
+       {},
+       {Search.Keys.begin(),
+        Search.Keys.begin() + static_cast<std::ptrdiff_t>(Affordable)},
+       {},
+       {}});
+  const std::uint32_t Doublings = std::min(Search.Tries++, 4U);
+  Search.NextTry =
+      Now + jittered(std::min(State.Settings.RetryMinimum * (1U << Doublings),
+                              State.Settings.RetryMaximum),
+                     Randomness);
+  Step.Next = std::min(Step.Next, Search.NextTry);
+}
+
+std::vector<std::string> childrenOfAllTrees(const WatchState &State) {
+  std::set<std::string> Names;
+  for (const RelayPosition &Tree : State.Trees)
+    Names.insert(Tree.Children.begin(), Tree.Children.end());
+  return {Names.begin(), Names.end()};
+}
+
+void addRelays(WatchState &State, TimePoint Now, WatchStep &Step) {
+  const bool ConfirmDue =
+      State.ConfirmedAt && !isSilent(State, Now) &&
+      (!State.ConfirmSent ||
+       *State.ConfirmedAt - *State.ConfirmSent >= State.Settings.ConfirmStep);
+  if (!State.OfferDue && !ConfirmDue)
+    return;
+  const WatchActionKind Kind =
+      State.OfferDue ? WatchActionKind::Offer : WatchActionKind::Confirm;
+  State.OfferDue = false;
+  State.ConfirmSent = State.ConfirmedAt;
+  std::vector<std::string> Peers = childrenOfAllTrees(State);
+  if (!Peers.empty())
+    Step.Actions.push_back(
+        {Kind, std::move(Peers), {}, {}, offerAge(State, Now)});
+}
+
+/// Asks one peer of the own region and one of another, so that a region that is
+/// cut off from the service learns from outside.
+void addQuestions(WatchState &State, TimePoint Now, Random &Randomness,
+                  WatchStep &Step) {
+  if (!isSilent(State, Now)) {
+    Step.Next =
+        std::min(Step.Next, *State.ConfirmedAt + State.Settings.SilenceLimit);
+    return;
+  }
+  if (Now < State.NextQuestion) {
+    Step.Next = std::min(Step.Next, State.NextQuestion);
+    return;
+  }
+  State.NextQuestion =
+      Now + jittered(State.Settings.PeerQuestionInterval, Randomness);
+  Step.Next = std::min(Step.Next, State.NextQuestion);
+  std::vector<std::string> Peers;
+  for (const auto *Candidates : {&State.RegionPeers, &State.OtherPeers})
+    if (!Candidates->empty())
+      Peers.push_back(pickPeer(*Candidates, Randomness));
+  if (!Peers.empty())
+    Step.Actions.push_back(
+        {WatchActionKind::AskNewer, std::move(Peers), {}, {}, {}});
+}
+
+} // namespace
+
+WatchState startWatch(std::string Self, std::string Region, TimePoint Now,
+                      Random &Randomness, WatchSettings Settings) {
+  WatchState State;
+  State.Settings = Settings;
+  State.Self = std::move(Self);
+  State.Region = std::move(Region);
+  State.StartedAt = Now;
+  State.Phase = std::uniform_real_distribution<double>(0.0, 1.0)(Randomness);
+  State.NextRead = Now + scaled(Settings.UnknownRegionWindow, State.Phase);
+  State.NextQuestion = Now;
+  State.Tokens = Settings.ReadTokens;
+  State.TokensAt = Now;
+  return State;
+}
+
+std::vector<std::string> watchersOfRegion(std::string_view Region,
+                                          std::vector<std::string> Names,
+                                          std::size_t Count) {
+  std::vector<std::string> Order =
+      detail::rendezvousOrder(Region, std::move(Names));
+  Order.resize(std::min(Count, Order.size()));
+  return Order;
+}
+
+void updateWatchMembers(WatchState &State, const std::vector<Member> &Present,
+                        TimePoint Now) {
+  std::set<std::string> Region{State.Self};
+  State.OtherPeers.clear();
+  for (const Member &Each : Present) {
+    if (Each.Region == State.Region)
+      Region.insert(Each.Name);
+    else
+      State.OtherPeers.push_back(Each.Name);
+  }
+  std::sort(State.OtherPeers.begin(), State.OtherPeers.end());
+  const std::vector<std::string> Names(Region.begin(), Region.end());
+  State.RegionPeers = Names;
+  std::erase(State.RegionPeers, State.Self);
+  State.RegionSize = Names.size();
+  const std::vector<std::string> Watchers =
+      watchersOfRegion(State.Region, Names, State.Settings.WatchersPerRegion);
+  const bool Watching =
+      std::find(Watchers.begin(), Watchers.end(), State.Self) != Watchers.end();
+  if (Watching && !State.Watching)
+    State.NextRead = std::min(State.NextRead, Now);
+  else if (!State.RegionKnown && !State.ConfirmedAt)
+    State.NextRead = Now + scaled(std::max(State.Settings.FirstReadWindow,
+                                           regionReadTime(State)),
+                                  State.Phase);
+  State.RegionKnown = true;
+  State.Watching = Watching;
+  // Each tree has another order and starts at another watcher.
+  for (std::size_t Tree = 0; Tree < RelayTreeCount; ++Tree) {
+    std::vector<std::string> Order = detail::rendezvousOrder(
+        State.Region + "/tree/" + std::to_string(Tree), Names);
+    const std::string &Root = Watchers[Tree % Watchers.size()];
+    std::rotate(Order.begin(), std::find(Order.begin(), Order.end(), Root),
+                Order.end());
+    State.Trees[Tree] = positionIn(Order, State.Self, State.Settings.FanOut);
+  }
+}
+
+void indexReadFinished(WatchState &State, bool Success, TimePoint Now,
+                       Random &Randomness) {
+  State.ReadInFlight = false;
+  if (!Success) {
+    State.Retry = std::clamp(State.Retry * 2, State.Settings.RetryMinimum,
+                             State.Settings.RetryMaximum);
+    const Duration Pause = State.Watching
+                               ? State.Retry
+                               : std::max(State.Retry, fallbackInterval(State));
+    State.NextRead = Now + jittered(Pause, Randomness);
+    return;
+  }
+  State.Retry = Duration(0);
+  State.ConfirmedAt = Now;
+  State.NextRead = State.Watching
+                       ? Now
+                       : Now + jittered(fallbackInterval(State), Randomness);
+}
+
+void offerReceived(WatchState &State, Duration Age, TimePoint Now) {
+  const TimePoint Heard = Now - std::max(Age, Duration(0));
+  if (State.ConfirmedAt && Heard <= *State.ConfirmedAt)
+    return;
+  State.ConfirmedAt = Heard;
+  if (!State.Watching)
+    State.NextRead = std::max(State.NextRead, fallbackTime(State, Heard));
+}
+
+void configurationAccepted(WatchState &State) {
+  State.OfferDue = true;
+  State.Search.reset();
+}
+
+void valuesNeeded(WatchState &State, std::string_view Source,
+                  std::vector<std::string> Keys, TimePoint Now) {
+  if (Keys.empty()) {
+    State.Search.reset();
+    return;
+  }
+  if (!State.Search) {
+    State.Search = ValueSearch{std::string(Source), std::move(Keys), 0, Now};
+    return;
+  }
+  // The number of tries is kept, so that peers that announce in turn and do not
+  // send values cannot keep the process from reading the service.
+  if (State.Search->Source != Source) {
+    State.Search->Source = Source;
+    State.Search->NextTry = Now;
+  }
+  State.Search->Keys = std::move(Keys);
+}
+
+std::optional<WatchAction>
+peerRevisionSeen(WatchState &State, std::string_view Peer,
+                 Revision PeerRevision, Revision OwnRevision, TimePoint Now) {
+  if (PeerRevision == OwnRevision || !contactAllowed(State, Peer, Now))
+    return std::nullopt;
+  return WatchAction{PeerRevision < OwnRevision ? WatchActionKind::Offer
+                                                : WatchActionKind::AskNewer,
+                     {std::string(Peer)},
+                     {},
+                     {},
+                     offerAge(State, Now)};
+}
+
+WatchStep nextWatchStep(WatchState &State, TimePoint Now, Random &Randomness) {
+  refillTokens(State, Now);
+  WatchStep Step;
+  Step.Next = Now + State.Settings.WatchWait;
+  addRelays(State, Now, Step);
+  addValueReads(State, Now, Randomness, Step);
+  addReads(State, Now, Step);
+  addQuestions(State, Now, Randomness, Step);
+  return Step;
+}
+
+} // namespace marigoldyard
