--- a/include/marigoldyard/coordination/detail/rendezvous.hpp
+++ b/include/marigoldyard/coordination/detail/rendezvous.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigoldyard::detail {
 
@@ -26,4 +28,12 @@
   return Mixed ^ (Mixed >> 31);
 }
 
+/// @brief Orders names by descending score.
+/// @param Key what is to be placed
+/// @param Names the candidates
+/// @return the names, the preferred one first
+/// @complexity O(n log n)
+std::vector<std::string> rendezvousOrder(std::string_view Key,
+                                         std::vector<std::string> Names);
+
 } // namespace marigoldyard::detail
--- a/include/marigoldyard/protocol/platform_api.hpp
+++ b/include/marigoldyard/protocol/platform_api.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/loading.hpp"
 #include "marigoldyard/state/error.hpp"
 #include "marigoldyard/state/manifest.hpp"
 #include "marigoldyard/state/types.hpp"
@@ -41,9 +42,6 @@
 /// member Id is not part of it.
 std::string descriptorJson(const VersionDescriptor &Descriptor);
 
-/// @brief What an order tells an engine to do.
-enum class OrderAction : std::uint8_t { Load, Unload };
-
 /// @brief Body of POST /orders.
 struct EngineOrder {
   OrderAction Action = OrderAction::Load;
@@ -61,15 +59,6 @@
 /// @brief Parses an order.
 Expected<EngineOrder> parseEngineOrder(std::string_view Text);
 
-/// @brief One model that an engine runs.
-struct LoadedModel {
-  std::string Model;
-  std::string Version;
-  Digest Weights;
-
-  friend bool operator==(const LoadedModel &, const LoadedModel &) = default;
-};
-
 /// @brief Parses the answer to GET /state of an engine.
 Expected<std::vector<LoadedModel>> parseEngineState(std::string_view Text);
 /// @brief Text of the answer to GET /state with only the member "loaded".
--- a/include/marigoldyard/protocol/settings.hpp
+++ b/include/marigoldyard/protocol/settings.hpp
@@ -57,6 +57,7 @@
   ServerAddress Endpoint;
   EndpointKind Kind = EndpointKind::Engine;
   ServerAddress Store;
+  std::string StoreRegion;
   std::uint32_t Slots = 0; ///< concurrent requests
   std::uint64_t WeightsBufferBytes = 0;
   std::uint64_t UploadBytesPerSecond = 0;
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -40,8 +40,7 @@
   TransferSettings Result;
   Result.Self = Settings.Process.Name;
   Result.Region = Settings.Process.Region;
-  Result.StoreRegion =
-      Settings.StoreRegion.empty() ? Result.Region : Settings.StoreRegion;
+  Result.StoreRegion = Settings.StoreRegion;
   Result.UploadBytesPerSecond = Settings.UploadBytesPerSecond;
   Result.RegionLinkBytesPerSecond = Settings.RegionLinkBytesPerSecond;
   Result.BufferBytes = Settings.WeightsBufferBytes;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -143,6 +143,7 @@
         self.configuration = f"{net}.9.1:9000"
         self.vm_list = f"{net}.9.2:9000"
         self.store = f"{net}.9.3:9000"
+        self.store_region = vms[0].region
         self.standins = {}
         self.folder = tempfile.mkdtemp(prefix="marigoldyard-")
         self.listing_states = {}
@@ -207,7 +208,7 @@
         if vm.kind == "entry":
             return {**value, "caller_port": CALLER_PORT, **self.entry_settings}
         return {**value, "pool": vm.pool, "endpoint": vm.endpoint_address, "endpoint_kind": vm.endpoint_kind,
-                "store": self.store, **self.agent_settings}
+                "store": self.store, "store_region": self.store_region, **self.agent_settings}
 
     def start_endpoint(self, vm):
         kind = "engine" if vm.endpoint_kind == "engine" else "service"
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -118,6 +118,10 @@
     {.Key = "store",
      .Kind = ValueKind::HostPort,
      .Help = "weight store, the origin"},
+    {.Key = "store_region",
+     .Kind = ValueKind::Name,
+     .Maximum = MaxNameBytes,
+     .Help = "region of the weight store"},
     {.Key = "slots",
      .Kind = ValueKind::Integer,
      .Unit = "concurrent requests",
@@ -238,6 +242,7 @@
   Settings.Kind = Value.at("endpoint_kind") == "engine" ? EndpointKind::Engine
                                                         : EndpointKind::Service;
   Settings.Store = serverAddress(Value.at("store"));
+  Settings.StoreRegion = Value.at("store_region").get<std::string>();
   Settings.Slots = Value.at("slots").get<std::uint32_t>();
   Settings.WeightsBufferBytes =
       Value.at("weights_buffer_bytes").get<std::uint64_t>();
