Weigh the queue of the own rank by its floor in the routing score

Change: on an endpoint without a free slot the own rank's tokens count by the inverse of its floor. Every caller may keep one waiting request, and standard work may wait two seconds of the endpoint's rate.

Ruled out: a longer queue for all ranks, which would not drain within 10 s after a flood.

--- a/include/marigoldyard/coordination/routing.hpp
+++ b/include/marigoldyard/coordination/routing.hpp
@@ -21,6 +21,8 @@
       std::chrono::seconds(60); ///< a cache entry is worth half after this time
   double GapFactor = 0.5; ///< remaining worth of cache entries after each gap
                           ///< in the cache events
+  std::array<double, RankCount> Floors = {
+      0.0, 0.2, 0.05}; ///< guaranteed share of an endpoint by rank, 0 to 1
   double DefaultTokensPerSecond =
       1000; ///< rate of an endpoint that reported none
 };
--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -48,7 +48,7 @@
   std::uint32_t MaxQueuedPerCaller = 256; ///< waiting requests in one rank
   std::uint32_t MaxCallers = 256;         ///< callers remembered in one rank
   std::array<Duration, RankCount> MaxQueueTime = {
-      std::chrono::seconds(1), std::chrono::seconds(1),
+      std::chrono::seconds(1), std::chrono::seconds(2),
       std::chrono::seconds(1)}; ///< waiting tokens divided by the token rate of
                                 ///< the endpoint
   double AnswerTokensPerSecond = 0; ///< first estimate of the rate of one
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -29,13 +29,18 @@
   return 0;
 }
 
-/// Tokens served before new work of a rank, by a count per rank. Lower ranks
-/// are ahead only as far as they run already, which is in the slots.
-double tokensAhead(const std::uint64_t *Tokens, Rank Priority) {
+/// Tokens of the own and higher ranks, which are served before new work. On an
+/// endpoint without a free slot a lower rank may get no more than its floor, so
+/// that work of its own rank delays it longer than work of higher ranks.
+double tokensAhead(const std::uint64_t *Tokens, Rank Priority,
+                   const LoadReport &Load, const RoutingSettings &Settings) {
   double Sum = 0;
-  for (std::size_t I = 0; I <= rankIndex(Priority); ++I)
+  for (std::size_t I = 0; I < rankIndex(Priority); ++I)
     Sum += static_cast<double>(Tokens[I]);
-  return Sum;
+  const double Floor = Settings.Floors[rankIndex(Priority)];
+  const bool Saturated = Load.Slots > 0 && Load.Running >= Load.Slots;
+  const double Own = static_cast<double>(Tokens[rankIndex(Priority)]);
+  return Sum + (Saturated && Floor > 0 ? Own / Floor : Own);
 }
 
 std::string fixed3(double Value) {
@@ -93,10 +98,12 @@
   const double Rate = View.Load.TokensPerSecond > 0
                           ? View.Load.TokensPerSecond
                           : Settings.DefaultTokensPerSecond;
-  const double Reported = tokensAhead(View.Load.QueuedTokens, Request.Priority);
-  const double Sent =
-      tokensAhead(View.SentSinceReport.data(), Request.Priority);
-  const double Own = tokensAhead(View.Outstanding.data(), Request.Priority);
+  auto Ahead = [&](const std::uint64_t *Tokens) {
+    return tokensAhead(Tokens, Request.Priority, View.Load, Settings);
+  };
+  const double Reported = Ahead(View.Load.QueuedTokens);
+  const double Sent = Ahead(View.SentSinceReport.data());
+  const double Own = Ahead(View.Outstanding.data());
   Result.QueueTime = Reported / Rate;
   // A late report may lack work of this entry that is still outstanding.
   Result.SentTime = std::max(Sent, Own - Reported) / Rate;
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -174,33 +174,33 @@
          static_cast<double>(Flow.WaitingCost + Added) / Flow.Weight;
 }
 
-/// Caller whose newest waiting work would be served last, among those with a
-/// least count of waiting requests; nothing if there is none.
-CallerFlow *lastServedFlow(RankQueue &Queue, std::size_t LeastWaiting) {
+/// Caller whose newest waiting work would be served last, among those with at
+/// least two waiting requests; nothing if there is none.
+CallerFlow *lastServedFlow(RankQueue &Queue) {
   CallerFlow *Last = nullptr;
   for (auto &[Name, Flow] : Queue.Flows)
-    if (Flow.Waiting.size() >= LeastWaiting &&
+    if (Flow.Waiting.size() >= 2 &&
         (!Last ||
          lastVirtualStart(Queue, Flow, 0) > lastVirtualStart(Queue, *Last, 0)))
       Last = &Flow;
   return Last;
 }
 
-/// Evicts the work that would be served last until the rank has room. A caller
-/// that has nothing waiting gets a place beyond the limit of queue time if no
-/// other caller has two waiting requests, so that one large request of a caller
-/// within its share isn't refused because of its size.
+/// Evicts the work that would be served last until the rank has room. Every
+/// caller may have one request waiting, beyond the limit of queue time too, so
+/// that a caller within its share isn't refused because its request is large.
 bool makeRoom(SchedulerState &State, const QueuedWork &Work, std::uint64_t Cost,
               std::vector<Refusal> &Evicted) {
   RankQueue &Queue = queueOf(State, Work.Priority);
   while (rankFull(State, Work.Priority, Cost)) {
     CallerFlow &Own = Queue.Flows.find(Work.Caller)->second;
+    CallerFlow *Last = lastServedFlow(Queue);
     const bool First = Own.Waiting.empty();
-    CallerFlow *Last = lastServedFlow(Queue, First ? 2 : 1);
     if (First && !Last)
       return Queue.Waiting < State.Settings.MaxQueuedPerRank;
-    if (!First && (Last == &Own || lastVirtualStart(Queue, *Last, 0) <=
-                                       lastVirtualStart(Queue, Own, Cost)))
+    if (!First && (!Last || Last == &Own ||
+                   lastVirtualStart(Queue, *Last, 0) <=
+                       lastVirtualStart(Queue, Own, Cost)))
       return false;
     Evicted.push_back(refuseWaiting(
         State, std::string(Last->Waiting.back()), ErrorCode::QueueFull,
