Model the store's queue in the fake network

Cause: a draw reserved the receiver's link while it still waited for the store, which made runs with many owners look slower than they are.

--- a/tests/src/weight_network.hpp
+++ b/tests/src/weight_network.hpp
@@ -294,12 +294,17 @@
     StoreCorrupts -= Corrupt ? 1 : 0;
     const std::uint64_t Bytes = sizeOf(Action.Chunk);
     StoreBytes += Bytes;
-    at(pass(&StoreFree, StoreRate, 0, From, Bytes),
-       [this, &From, Id = Action.Chunk, Corrupt] {
-         wake(From, [this, Id, Corrupt](Node &Target) {
-           receive(Target, Id, "", !Corrupt);
-         });
-       });
+    // The bytes occupy the receiver's link only once the store sends them.
+    const TimePoint Start = std::max(Now, StoreFree);
+    StoreFree = Start + seconds(static_cast<double>(Bytes) / StoreRate);
+    at(Start, [this, &From, Bytes, Id = Action.Chunk, Corrupt] {
+      TimePoint Sender = Now;
+      at(pass(&Sender, StoreRate, 0, From, Bytes), [this, &From, Id, Corrupt] {
+        wake(From, [this, Id, Corrupt](Node &Target) {
+          receive(Target, Id, "", !Corrupt);
+        });
+      });
+    });
   }
 
   void carryOut(Node &From, RequestFromPeer &Action) {
