Build the daemons on the merged layers

Cause: interfaces of the merged parts had moved while the programs were written. Change: adapt calls; send the age of a configuration offer on the wire, which the field list had left out.

--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -41,7 +41,7 @@
 MARIGOLDYARD_FIELDS(OperationResult, M.Request, M.Operation, M.Result, M.Status,
                     M.Body, M.Reason)
 MARIGOLDYARD_FIELDS(Report, M.Load)
-MARIGOLDYARD_FIELDS(ConfigurationOffer, M.Index)
+MARIGOLDYARD_FIELDS(ConfigurationOffer, M.Index, M.Age)
 MARIGOLDYARD_FIELDS(ConfigurationRequest, M.Number, M.Keys)
 MARIGOLDYARD_FIELDS(ConfigurationValues, M.Index, M.Values)
 MARIGOLDYARD_FIELDS(ChunkMap, asDigest(M.Version), M.Held)
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -272,13 +272,13 @@
 }
 
 HttpCallRequest Agent::endpointRequest(std::string Method, std::string Target,
-                                       std::string Body, Step At) const {
+                                       std::string Content, Step At) const {
   HttpCallRequest Request;
   Request.Address =
       Settings.Endpoint.Host + ":" + std::to_string(Settings.Endpoint.Port);
   Request.Method = std::move(Method);
   Request.Target = std::move(Target);
-  Request.Body = std::move(Body);
+  Request.Body = std::move(Content);
   Request.At = At;
   Request.Peer = Settings.Process.Name + "-endpoint";
   Request.ReuseConnection = false;
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -119,7 +119,7 @@
   std::vector<RolloutMember> poolMembers() const;
 
   HttpCallRequest endpointRequest(std::string Method, std::string Target,
-                                  std::string Body, Step At) const;
+                                  std::string Content, Step At) const;
   void callEndpoint(HttpCallRequest Request,
                     std::function<void(const HttpResult &)> Ended);
 
--- a/programs/agent/agent_operations.cpp
+++ b/programs/agent/agent_operations.cpp
@@ -2,6 +2,7 @@
 #include "programs/agent/agent.hpp"
 
 #include "marigoldyard/protocol/platform_api.hpp"
+#include "marigoldyard/state/invariant.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
@@ -72,7 +73,7 @@
   Item.Id = Key;
   Item.Caller = Content.Caller;
   Item.Priority = Rank::Urgent;
-  Item.EstimatedTokens = TokensPerRun;
+  Item.AnswerTokens = TokensPerRun;
   Item.Deadline = now() + Content.TimeLeft;
   const EnqueueResult Queued = enqueue(Scheduler, Item, now());
   if (!Queued.Accepted) {
--- a/programs/agent/agent_work.cpp
+++ b/programs/agent/agent_work.cpp
@@ -2,12 +2,14 @@
 #include "programs/agent/agent.hpp"
 
 #include "marigoldyard/protocol/platform_api.hpp"
+#include "marigoldyard/state/invariant.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 namespace marigoldyard {
 
 namespace {
 
+constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t MaxLineBytes = 64UL << 10;
 constexpr std::chrono::milliseconds NotReadyRetryAfter{500};
 
@@ -59,7 +61,8 @@
   Item.Caller = Content.Product + "/" + Content.Caller;
   Item.Weight = weightOf(Content.Product, Content.Caller);
   Item.Priority = Content.Priority;
-  Item.EstimatedTokens = std::max<std::uint64_t>(1, Content.EstimatedTokens);
+  Item.PromptTokens = Content.Prompt.size() / BytesPerToken;
+  Item.AnswerTokens = std::max<std::uint64_t>(1, Content.MaxTokens);
   Item.Deadline = now() + Content.TimeLeft;
   const EnqueueResult Result = enqueue(Scheduler, Item, now());
   if (Result.Duplicate)
@@ -179,7 +182,7 @@
                 Parsed->Weights);
     endWork(Key);
   } else if (Verdict.Verdict == StreamVerdict::Accept) {
-    ++Task.Produced;
+    correct(Scheduler, Key, ++Task.Produced);
     Base.send(Task.Entry,
               Piece{Id, Parsed->Weights, Parsed->Sequence, Parsed->Text});
   }
@@ -226,11 +229,7 @@
 
 void Agent::endWork(const std::string &Key) {
   const auto Found = Works.find(Key);
-  constexpr std::size_t BytesPerToken = 4;
-  const std::uint64_t Used =
-      Found->second.Content.Prompt.size() / BytesPerToken +
-      Found->second.Produced + 1;
-  finish(Scheduler, Key, Used, now());
+  finish(Scheduler, Key, Found->second.Produced, now());
   noteWorkFinished(Departure);
   Works.erase(Found);
   pump();
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -238,11 +238,7 @@
 void Entry::configurationChanged() {
   const AcceptedConfiguration &InForce = *Base.configuration();
   for (const Product &Owner : InForce.Content.Products) {
-    auto [Budget, Created] = Budgets.try_emplace(Owner.Name);
-    if (Created)
-      Budget->second = beginRetryBudget(Owner.RetryBudget);
-    else
-      updateRetryShare(Budget->second, Owner.RetryBudget);
+    Budgets[Owner.Name].Share = Owner.RetryBudget;
     Digest &Current = CurrentWeights[Owner.Name];
     if (!Current.empty() && Current != Owner.Weights)
       PreviousWeights[Owner.Name] = Current;
--- a/programs/node/node_configuration.cpp
+++ b/programs/node/node_configuration.cpp
@@ -28,9 +28,9 @@
 void Node::handleConfiguration(const Message &Incoming) {
   const std::string &Peer = Incoming.Head.Sender;
   const Revision Theirs = Incoming.Head.SenderRevision;
-  notePeerRevision(Configuration, Theirs);
+  notePeerRevision(Configuration, Peer, Theirs);
   if (const auto *Offer = std::get_if<ConfigurationOffer>(&Incoming.Content)) {
-    offerReceived(Watch, Peer, Loop.turn());
+    offerReceived(Watch, Offer->Age, Loop.turn());
     settle(receiveIndex(Configuration, Offer->Index, Peer), Peer);
   } else if (const auto *Asked =
                  std::get_if<ConfigurationRequest>(&Incoming.Content)) {
@@ -97,6 +97,7 @@
 
 void Node::perform(const WatchAction &Action) {
   const Revision Own = revisionInForce(Configuration);
+  const auto Age = std::chrono::ceil<std::chrono::milliseconds>(Action.Age);
   switch (Action.Kind) {
   case WatchActionKind::WatchIndex:
     readIndex(Action.Wait);
@@ -110,10 +111,11 @@
     return;
   case WatchActionKind::Offer:
     if (Configuration.InForce)
-      sendToAll(Action.Peers, ConfigurationOffer{Configuration.InForce->Index});
+      sendToAll(Action.Peers,
+                ConfigurationOffer{Configuration.InForce->Index, Age});
     return;
   case WatchActionKind::Confirm:
-    sendToAll(Action.Peers, ConfigurationOffer{{Own, {}}});
+    sendToAll(Action.Peers, ConfigurationOffer{{Own, {}}, Age});
     return;
   case WatchActionKind::AskValues:
     if (Configuration.Pending)
