Ask the service for values only after peers had time to answer

Cause: each announcement from another peer counted as a failed question, so that hundreds of processes read the service in the second after a change. Change: values are read from the service 1.4 s after the search began; the second relay tree has the reverse order of the first; a process that knows of a newer revision asks for it every second and reads the index after 3 to 8 s. Ruled out: full offers in every confirmation, which cost bytes all the time.

--- a/bench/configuration_fleet.hpp
+++ b/bench/configuration_fleet.hpp
@@ -79,7 +79,6 @@
 class Fleet {
 public:
   explicit Fleet(Options Chosen) : Settings(Chosen), Randomness(Chosen.Seed) {
-    std::vector<Member> Members;
     for (std::size_t I = 0; I < Settings.Processes; ++I) {
       Process Each;
       Each.Name = "vm-" + std::to_string(I);
@@ -103,6 +102,7 @@
   TimePoint Now{};
   ConfigurationIndex Published;
   bool ServiceUp = true;
+  Duration ServiceDelay{}; ///< added to each answer of the service
   /// Whether a process reaches the service, and two processes each other.
   std::function<bool(std::size_t)> ReachesService = [](std::size_t) {
     return true;
@@ -131,6 +131,20 @@
       answerWaiting(false);
   }
 
+  /// @brief Restarts a process: it keeps nothing.
+  void restart(std::size_t I) {
+    Process &Each = Processes[I];
+    ++Each.WatchId;
+    std::erase_if(Watches, [&](const Waiting &W) { return W.Process == I; });
+    LastRead.erase(I);
+    Each.InForceSince.clear();
+    Each.State = startConfiguration(Now);
+    Each.Watch = startWatch(Each.Name, planRegion(Each), Now, Randomness,
+                            Settings.Watch);
+    updateWatchMembers(Each.Watch, Members, Now);
+    wake(I, Now);
+  }
+
   /// @brief Runs an action at a time.
   void at(TimePoint When, std::function<void()> Action) {
     Events.push({When, NextEvent++, std::move(Action)});
@@ -300,14 +314,16 @@
     Process &Self = Processes[I];
     if (Result.Action == AcceptanceAction::Accepted) {
       Self.InForceSince[revisionInForce(Self.State)] = Now;
-      configurationAccepted(Self.Watch);
+      configurationAccepted(Self.Watch, revisionInForce(Self.State));
     } else if (Result.Action == AcceptanceAction::NeedValues) {
       valuesNeeded(Self.Watch, Source, Result.Needed, Now);
     } else if (Result.Action == AcceptanceAction::Refused) {
-      valuesNeeded(Self.Watch, Source, {}, Now);
+      configurationRefused(Self.Watch, Self.State.HighestHeard);
     }
   }
 
+  Duration serviceTime() const { return Settings.ServiceTime + ServiceDelay; }
+
   bool serviceAnswers(std::size_t I) const {
     return ServiceUp && ReachesService(I);
   }
@@ -318,10 +334,10 @@
     if (!serviceAnswers(I))
       return finishRead(
           I, Id, false,
-          Now + (ServiceUp ? Settings.ReadTimeout : Settings.ServiceTime), Now);
+          Now + (ServiceUp ? Settings.ReadTimeout : serviceTime()), Now);
     const bool Known = Published.Number == 0 || Served(I) == LastRead[I];
     if (Wait == Duration(0) || !Known)
-      return finishRead(I, Id, true, Now + Settings.ServiceTime, Now);
+      return finishRead(I, Id, true, Now + serviceTime(), Now);
     Watches.push_back({I, Id, Now});
     finishRead(I, Id, true, Now + Wait, Now);
   }
@@ -354,7 +370,7 @@
   void answerWaiting(bool Success) {
     for (const Waiting &Each : std::exchange(Watches, {}))
       if (Success ? serviceAnswers(Each.Process) : true)
-        finishRead(Each.Process, Each.Id, Success, Now + Settings.ServiceTime,
+        finishRead(Each.Process, Each.Id, Success, Now + serviceTime(),
                    Each.Since);
   }
 
@@ -362,7 +378,7 @@
     CallsBySecond[second(Now)] += std::int64_t(Keys.size());
     if (!serviceAnswers(I))
       return;
-    at(Now + Settings.ServiceTime, [this, I, Keys] {
+    at(Now + serviceTime(), [this, I, Keys] {
       if (!serviceAnswers(I) || Processes[I].Dead)
         return;
       std::vector<CheckedValue> Values;
@@ -381,6 +397,7 @@
   Options Settings;
   Random Randomness;
   std::map<std::string, std::size_t> ByName;
+  std::vector<Member> Members;
   std::priority_queue<Event> Events;
   std::uint64_t NextEvent = 0;
   std::vector<Waiting> Watches;
--- a/include/marigoldyard/coordination/watch_plan.hpp
+++ b/include/marigoldyard/coordination/watch_plan.hpp
@@ -39,9 +39,13 @@
   Duration RetryMinimum = std::chrono::milliseconds(500);
   Duration RetryMaximum = std::chrono::seconds(8);
   Duration PeerQuestionInterval = std::chrono::seconds(2);
-  /// Wait for values from the peer that announced them.
-  Duration PeerValueWait = std::chrono::milliseconds(700);
-  std::uint32_t PeerValueTries = 2;
+  /// Time between two questions for the values of a revision.
+  Duration PeerValueInterval = std::chrono::milliseconds(700);
+  /// After this time the values are read from the service: two questions.
+  Duration PeerValueWait = std::chrono::milliseconds(1400);
+  /// A process that knows of a newer revision and cannot get it from peers
+  /// reads the index after this time.
+  Duration BehindWait = std::chrono::seconds(3);
   /// Least time between two offers to, or two questions of, the same peer.
   Duration PeerInterval = std::chrono::seconds(1);
   double ReadTokens = 8; ///< calls in a row of one process
@@ -85,18 +89,26 @@
                          const RelayPosition &) = default;
 };
 
-/// @brief Number of relay trees in a region. Two trees with different roots and
-/// inner nodes let every process be reached when any one other is lost.
+/// @brief Number of relay trees in a region. The second tree has the reverse
+/// order of the first, so that no process relays in both: every process is
+/// reached when any one other is lost, and none has more than FanOut children.
 inline constexpr std::size_t RelayTreeCount = 2;
 
 /// @brief Values that are missing for the pending configuration.
 struct ValueSearch {
   std::string Source; ///< who announced the revision
   std::vector<std::string> Keys;
-  std::uint32_t Tries = 0;
+  std::uint32_t Reads = 0; ///< of the service
+  TimePoint Since;
   TimePoint NextTry;
 };
 
+/// @brief A newer revision that a peer holds.
+struct NewerRevision {
+  Revision Number = 0;
+  std::string Peer;
+};
+
 /// @brief State of watching and relaying in one process.
 struct WatchState {
   WatchSettings Settings;
@@ -121,6 +133,8 @@
   TimePoint NextQuestion;
   bool OfferDue = false;
   std::optional<ValueSearch> Search;
+  std::optional<NewerRevision> Newer; ///< not yet received
+  Revision Settled = 0; ///< highest revision that was accepted or refused
   double Tokens = 0;
   TimePoint TokensAt;
   std::map<std::string, TimePoint, std::less<>> LastContact; ///< bounded
@@ -177,8 +191,15 @@
 /// @brief Records that a configuration came into force; it is offered to all
 /// children.
 /// @param State the state
+/// @param Number its revision
+/// @complexity constant
+void configurationAccepted(WatchState &State, Revision Number);
+
+/// @brief Records that a revision was refused, so that it is not sought again.
+/// @param State the state
+/// @param Number the revision
 /// @complexity constant
-void configurationAccepted(WatchState &State);
+void configurationRefused(WatchState &State, Revision Number);
 
 /// @brief Records the keys that acceptance still needs.
 /// @param State the state
--- a/include/marigoldyard/protocol/detail/schema.hpp
+++ b/include/marigoldyard/protocol/detail/schema.hpp
@@ -62,6 +62,12 @@
                  std::span<const KeyDescription> Members,
                  std::vector<DocumentFault> &Faults);
 
+/// @brief Escapes a key for a JSON pointer.
+/// @param Key the key
+/// @return the reference token
+/// @complexity linear in the length of the key
+std::string escapePointer(std::string_view Key);
+
 /// @brief Expected type, unit and range of a key, as shown in faults.
 /// @param Key the description
 /// @return the text
--- a/src/coordination/watch_plan.cpp
+++ b/src/coordination/watch_plan.cpp
@@ -143,9 +143,8 @@
     return;
   }
   if (Search.Source != ServiceSource &&
-      Search.Tries < State.Settings.PeerValueTries) {
-    ++Search.Tries;
-    Search.NextTry = Now + State.Settings.PeerValueWait;
+      Now - Search.Since < State.Settings.PeerValueWait) {
+    Search.NextTry = Now + State.Settings.PeerValueInterval;
     Step.Actions.push_back(
         {WatchActionKind::AskValues, {Search.Source}, Search.Keys, {}, {}});
     Step.Next = std::min(Step.Next, Search.NextTry);
@@ -167,7 +166,7 @@
         Search.Keys.begin() + static_cast<std::ptrdiff_t>(Affordable)},
        {},
        {}});
-  const std::uint32_t Doublings = std::min(Search.Tries++, 4U);
+  const std::uint32_t Doublings = std::min(Search.Reads++, 4U);
   Search.NextTry =
       Now + jittered(std::min(State.Settings.RetryMinimum * (1U << Doublings),
                               State.Settings.RetryMaximum),
@@ -203,7 +202,9 @@
 /// cut off from the service learns from outside.
 void addQuestions(WatchState &State, TimePoint Now, Random &Randomness,
                   WatchStep &Step) {
-  if (!isSilent(State, Now)) {
+  // A search already asks the peer that announced the revision.
+  const bool Behind = State.Newer && !State.Search;
+  if (!isSilent(State, Now) && !Behind) {
     Step.Next =
         std::min(Step.Next, *State.ConfirmedAt + State.Settings.SilenceLimit);
     return;
@@ -213,9 +214,13 @@
     return;
   }
   State.NextQuestion =
-      Now + jittered(State.Settings.PeerQuestionInterval, Randomness);
+      Now + (Behind
+                 ? State.Settings.PeerInterval
+                 : jittered(State.Settings.PeerQuestionInterval, Randomness));
   Step.Next = std::min(Step.Next, State.NextQuestion);
   std::vector<std::string> Peers;
+  if (Behind)
+    Peers.push_back(State.Newer->Peer);
   for (const auto *Candidates : {&State.RegionPeers, &State.OtherPeers})
     if (!Candidates->empty())
       Peers.push_back(pickPeer(*Candidates, Randomness));
@@ -224,6 +229,13 @@
         {WatchActionKind::AskNewer, std::move(Peers), {}, {}, {}});
 }
 
+void settle(WatchState &State, Revision Number) {
+  State.Settled = std::max(State.Settled, Number);
+  State.Search.reset();
+  if (State.Newer && State.Newer->Number <= State.Settled)
+    State.Newer.reset();
+}
+
 } // namespace
 
 WatchState startWatch(std::string Self, std::string Region, TimePoint Now,
@@ -277,15 +289,17 @@
                                   State.Phase);
   State.RegionKnown = true;
   State.Watching = Watching;
-  // Each tree has another order and starts at another watcher.
-  for (std::size_t Tree = 0; Tree < RelayTreeCount; ++Tree) {
-    std::vector<std::string> Order = detail::rendezvousOrder(
-        State.Region + "/tree/" + std::to_string(Tree), Names);
-    const std::string &Root = Watchers[Tree % Watchers.size()];
-    std::rotate(Order.begin(), std::find(Order.begin(), Order.end(), Root),
-                Order.end());
-    State.Trees[Tree] = positionIn(Order, State.Self, State.Settings.FanOut);
-  }
+  std::vector<std::string> Order =
+      detail::rendezvousOrder(State.Region + "/tree", Names);
+  std::erase_if(Order, [&](const std::string &Name) {
+    return std::find(Watchers.begin(), Watchers.end(), Name) != Watchers.end();
+  });
+  Order.insert(Order.begin(), Watchers.front());
+  if (Watchers.size() > 1)
+    Order.insert(Order.end(), Watchers.begin() + 1, Watchers.end());
+  State.Trees[0] = positionIn(Order, State.Self, State.Settings.FanOut);
+  std::reverse(Order.begin(), Order.end());
+  State.Trees[1] = positionIn(Order, State.Self, State.Settings.FanOut);
 }
 
 void indexReadFinished(WatchState &State, bool Success, TimePoint Now,
@@ -312,13 +326,18 @@
   if (State.ConfirmedAt && Heard <= *State.ConfirmedAt)
     return;
   State.ConfirmedAt = Heard;
-  if (!State.Watching)
+  // A process that is behind keeps the read that ends its search.
+  if (!State.Watching && !State.Newer)
     State.NextRead = std::max(State.NextRead, fallbackTime(State, Heard));
 }
 
-void configurationAccepted(WatchState &State) {
+void configurationAccepted(WatchState &State, Revision Number) {
+  settle(State, Number);
   State.OfferDue = true;
-  State.Search.reset();
+}
+
+void configurationRefused(WatchState &State, Revision Number) {
+  settle(State, Number);
 }
 
 void valuesNeeded(WatchState &State, std::string_view Source,
@@ -328,21 +347,32 @@
     return;
   }
   if (!State.Search) {
-    State.Search = ValueSearch{std::string(Source), std::move(Keys), 0, Now};
+    State.Search =
+        ValueSearch{std::string(Source), std::move(Keys), 0, Now, Now};
     return;
   }
-  // The number of tries is kept, so that peers that announce in turn and do not
-  // send values cannot keep the process from reading the service.
-  if (State.Search->Source != Source) {
-    State.Search->Source = Source;
+  // Peers that announce in turn change whom the next question goes to, not its
+  // time: otherwise each announcement would cause another question or read.
+  if (Source == ServiceSource && State.Search->Source != Source)
     State.Search->NextTry = Now;
-  }
+  if (State.Search->Source != ServiceSource)
+    State.Search->Source = Source;
   State.Search->Keys = std::move(Keys);
 }
 
 std::optional<WatchAction>
 peerRevisionSeen(WatchState &State, std::string_view Peer,
                  Revision PeerRevision, Revision OwnRevision, TimePoint Now) {
+  if (PeerRevision > OwnRevision) {
+    if (PeerRevision <= State.Settled)
+      return std::nullopt;
+    if (!State.Newer)
+      State.NextRead = std::min(
+          State.NextRead, Now + State.Settings.BehindWait +
+                              scaled(fallbackInterval(State), State.Phase));
+    if (!State.Newer || State.Newer->Number <= PeerRevision)
+      State.Newer = NewerRevision{PeerRevision, std::string(Peer)};
+  }
   if (PeerRevision == OwnRevision || !contactAllowed(State, Peer, Now))
     return std::nullopt;
   return WatchAction{PeerRevision < OwnRevision ? WatchActionKind::Offer
--- a/src/protocol/manifest_json.cpp
+++ b/src/protocol/manifest_json.cpp
@@ -172,6 +172,22 @@
      .UniqueKey = "name"},
 };
 
+/// Whether the caller may use a rank of the product. Names that are not ranks
+/// are reported elsewhere and count as allowed here.
+bool allowsAnyRank(const json &Customer, const json &Ranks) {
+  const auto Parse = [](const json &Name) {
+    return Name.is_string() ? parseRank(Name.get_ref<const std::string &>())
+                            : std::nullopt;
+  };
+  const auto Highest = Parse(Customer.value("highest_rank", json()));
+  if (!Highest || Ranks.empty())
+    return true;
+  return std::any_of(Ranks.begin(), Ranks.end(), [&](const json &Name) {
+    const auto Each = Parse(Name);
+    return !Each || rankIndex(*Each) >= rankIndex(*Highest);
+  });
+}
+
 /// Checks of one product that concern several of its keys. Only members of the
 /// right type are looked at; the others are reported by checkObject().
 void checkProduct(const json &Value, const std::string &Path,
@@ -187,6 +203,7 @@
         {Path + "/floors", "floors add up to more than 1", "sum at most 1"});
   if (!Value.contains("callers") || !Value["callers"].is_array())
     return;
+  const json Ranks = Value.value("ranks", json());
   std::map<json, std::size_t> Keys;
   for (std::size_t I = 0; I < Value["callers"].size(); ++I) {
     const json &Customer = Value["callers"][I];
@@ -197,6 +214,10 @@
         !Keys.emplace(Customer["key_sha256"], I).second)
       Faults.push_back({CallerPath + "/key_sha256", "duplicate key",
                         "unique in the product"});
+    if (Ranks.is_array() && !allowsAnyRank(Customer, Ranks))
+      Faults.push_back({CallerPath + "/highest_rank",
+                        "allows none of the product's ranks",
+                        "a rank that the product accepts, or a higher one"});
     const json Rate = Customer.value("requests_per_second", json());
     const json Burst = Customer.value("burst", json());
     if (Rate.is_number() && Burst.is_number() && Rate.get<double>() > 0 &&
@@ -304,7 +325,7 @@
                               : ""},
                  {"digest", Id}};
     detail::checkObject(
-        Pair, "/values",
+        Pair, "/values/" + detail::escapePointer(Key),
         std::initializer_list<KeyDescription>{AnyName, DigestOfValue}, Faults);
   }
 }
--- a/src/protocol/schema.cpp
+++ b/src/protocol/schema.cpp
@@ -215,15 +215,15 @@
   return "";
 }
 
-std::string escapePointer(const std::string &Key) {
+} // namespace
+
+std::string escapePointer(std::string_view Key) {
   std::string Text;
   for (char C : Key)
     Text += C == '~' ? "~0" : C == '/' ? "~1" : std::string(1, C);
   return Text;
 }
 
-} // namespace
-
 std::string expectedUnit(const KeyDescription &Key) {
   std::string Text(kindName(Key.Kind));
   if (!Key.Unit.empty())
