--- a/programs/node/node_configuration.cpp
+++ b/programs/node/node_configuration.cpp
@@ -68,7 +68,7 @@
     return;
   case AcceptanceAction::Accepted:
     valuesNeeded(Watch, From, {}, Loop.turn());
-    configurationAccepted(Watch);
+    configurationAccepted(Watch, revisionInForce(Configuration));
     Log.write({.Event = "configuration_accepted",
                .At = Step::ConfigurationAccept,
                .Peer = From,
