Shorten the fake of entries and agents in tests

Change: replies carry the event that they become at the entry, and functions are defined in the class.

--- a/tests/src/fault-coordination-operations.cpp
+++ b/tests/src/fault-coordination-operations.cpp
@@ -215,13 +215,14 @@
       {Progress::RunStarted, Outcome::Unknown},
       {Progress::ResultOnLink, Outcome::Unknown},
       {Progress::Answered, Outcome::Complete}};
-  for (auto [At, Result] : Expected) {
+  for (const auto &Row : Expected) {
+    Progress At = Row.first;
     CAPTURE(static_cast<int>(At));
     Case Run;
     advance(Run, At);
     Run.Fleet.cut(First, 0);
     CHECK(Run.Fleet.Requests[Run.RunRequest].Answered);
-    CHECK(Run.Fleet.Requests[Run.RunRequest].Result == Result);
+    CHECK(Run.Fleet.Requests[Run.RunRequest].Result == Row.second);
   }
 }
 
--- a/tests/src/request_world.hpp
+++ b/tests/src/request_world.hpp
@@ -36,6 +36,7 @@
   InvariantHandler Previous;
 };
 
+/// The first three are in the order of RequestKind.
 enum class LetterKind { Work, Open, Run, Cancel };
 
 /// @brief Message of an entry to an agent.
@@ -48,19 +49,13 @@
   Digest Weights;
 };
 
-enum class ReplyKind { Accepted, Refused, Failed, Piece, End, Opened, Result };
-
-/// @brief Message of an agent to an entry.
+/// @brief Message of an agent to an entry. Views of a piece or an end are set
+/// to the strings when it arrives.
 struct Reply {
-  ReplyKind Kind = ReplyKind::Accepted;
   std::string Request;
-  std::uint32_t Attempt = 0;
   Digest Weights;
-  std::uint64_t Number = 0; ///< sequence of a piece, count of an end
-  std::uint64_t Checksum = 0;
-  std::string Text; ///< text of a piece, id of an operation
-  OperationAnswer Answer;
-  ErrorCode Reason = ErrorCode::NotReady;
+  std::string Text;
+  RequestEvent Event;
 };
 
 /// @brief Work or an operation at a fake agent.
@@ -98,36 +93,198 @@
 public:
   static constexpr std::size_t PiecesPerAnswer = 3;
 
-  World(std::size_t Entries, std::size_t Agents, OperationLimits Limits = {});
+  World(std::size_t Entries, std::size_t AgentCount,
+        OperationLimits Limits = {})
+      : EntryAlive(Entries, true), Budgets(Entries) {
+    for (std::size_t I = 0; I < AgentCount; ++I) {
+      FakeAgent Agent;
+      Agent.Name = "agent-" + std::to_string(I);
+      Agent.Table = beginOperationTable(Agent.Name, Agent.Own, Limits);
+      Agents.push_back(std::move(Agent));
+    }
+  }
+
+  std::string completion(std::size_t Entry, bool Idempotent, bool Streaming) {
+    return begin(Entry, {.Idempotent = Idempotent, .Streaming = Streaming},
+                 "caller");
+  }
+
+  std::string open(std::size_t Entry, const std::string &Caller) {
+    return begin(Entry,
+                 {.Kind = RequestKind::OperationOpen, .Streaming = false},
+                 Caller);
+  }
 
-  std::string completion(std::size_t Entry, bool Idempotent, bool Streaming);
-  std::string open(std::size_t Entry, const std::string &Caller);
   std::string run(std::size_t Entry, const std::string &Caller,
-                  const std::string &Operation);
+                  const std::string &Operation) {
+    return begin(Entry,
+                 {.Kind = RequestKind::OperationRun,
+                  .Idempotent = false,
+                  .Streaming = false,
+                  .Operation = Operation},
+                 Caller);
+  }
 
   /// The outbox of an entry hands its oldest letter to the link.
-  bool leave(std::size_t Entry, std::size_t Agent);
+  bool leave(std::size_t Entry, std::size_t Agent) {
+    Link &Used = link(Entry, Agent);
+    if (Used.Outbox.empty() || !EntryAlive[Entry])
+      return false;
+    Letter Message = Used.Outbox.front();
+    Used.Outbox.pop_front();
+    Used.Letters.push_back(Message);
+    if (Message.Kind != LetterKind::Cancel)
+      feed(Message.Request, request_event::WorkLeft{Message.Attempt});
+    return true;
+  }
+
   /// The oldest letter on the link arrives at the agent.
-  bool arrive(std::size_t Entry, std::size_t Agent);
+  bool arrive(std::size_t Entry, std::size_t Agent) {
+    Link &Used = link(Entry, Agent);
+    if (Used.Letters.empty() || Agents[Agent].Frozen)
+      return false;
+    Letter Message = Used.Letters.front();
+    Used.Letters.pop_front();
+    receive(Entry, Agent, Message);
+    return true;
+  }
+
   /// The oldest job of an agent makes one step.
-  bool work(std::size_t Agent);
+  bool work(std::size_t Agent) {
+    FakeAgent &Target = Agents[Agent];
+    if (Target.Frozen || Target.Jobs.empty())
+      return false;
+    Job &Next = Target.Jobs.front();
+    if (!Next.Started) {
+      Next.Started = true;
+      ++Requests.at(Next.Asked.Request).Starts;
+      if (Next.Asked.Kind == LetterKind::Run)
+        ++Runs[Next.Asked.Operation];
+      return true;
+    }
+    if (Next.Asked.Kind == LetterKind::Work)
+      return stepCompletion(Agent);
+    Job Done = std::move(Next);
+    Target.Jobs.pop_front();
+    runOperationJob(Agent, Done);
+    return true;
+  }
+
   /// The oldest reply on the link arrives at the entry.
-  bool answer(std::size_t Entry, std::size_t Agent);
+  bool answer(std::size_t Entry, std::size_t Agent) {
+    Link &Used = link(Entry, Agent);
+    if (Used.Replies.empty())
+      return false;
+    Reply Back = Used.Replies.front();
+    Used.Replies.pop_front();
+    if (auto *Piece = std::get_if<request_event::PieceArrived>(&Back.Event)) {
+      Piece->Piece.Request = Back.Request;
+      Piece->Piece.Weights = Back.Weights;
+      Piece->Piece.Text = Back.Text;
+    } else if (auto *End =
+                   std::get_if<request_event::EndArrived>(&Back.Event)) {
+      End->End.Request = Back.Request;
+      End->End.Weights = Back.Weights;
+    }
+    feed(Back.Request, Back.Event);
+    return true;
+  }
+
   /// Makes all moves and timers until nothing is left to do.
-  void settle();
+  void settle() {
+    for (bool Moved = true; Moved;) {
+      Moved = false;
+      for (std::size_t A = 0; A < Agents.size(); ++A) {
+        for (std::size_t E = 0; E < EntryAlive.size(); ++E) {
+          Moved = leave(E, A) || Moved;
+          Moved = arrive(E, A) || Moved;
+          Moved = answer(E, A) || Moved;
+        }
+        Moved = work(A) || Moved;
+      }
+      if (Moved)
+        continue;
+      for (const auto &[Id, Request] : Requests)
+        Moved =
+            Moved || (EntryAlive[Request.Entry] && nextTimer(Request.State));
+      pass(std::chrono::seconds(2));
+    }
+  }
 
   /// The connection closes; letters and replies on it are lost.
-  void cut(std::size_t Entry, std::size_t Agent);
+  void cut(std::size_t Entry, std::size_t Agent) {
+    link(Entry, Agent).Letters.clear();
+    link(Entry, Agent).Replies.clear();
+    // The agent cancels what it queued for the entry; what runs is stopped.
+    std::erase_if(Agents[Agent].Jobs, [&](const Job &Waiting) {
+      return Waiting.Entry == Entry && Waiting.Asked.Kind == LetterKind::Work;
+    });
+    suspect(Entry, Agent);
+  }
+
   /// The entry suspects an agent whose connection stays open.
-  void suspect(std::size_t Entry, std::size_t Agent);
-  void killEntry(std::size_t Entry);
+  void suspect(std::size_t Entry, std::size_t Agent) {
+    for (auto &[Id, Request] : Requests)
+      if (Request.Entry == Entry)
+        feed(Id, request_event::PeerLost{Agents[Agent].Name});
+  }
+
+  void killEntry(std::size_t Entry) {
+    EntryAlive[Entry] = false;
+    for (std::size_t A = 0; A < Agents.size(); ++A) {
+      link(Entry, A).Outbox.clear();
+      cut(Entry, A);
+    }
+  }
+
   /// The agent starts anew with an empty table; what its endpoint runs runs on.
-  void restartAgent(std::size_t Agent);
-  void pass(Duration Time);
-  void leaveCaller(const std::string &Request);
+  void restartAgent(std::size_t Agent) {
+    FakeAgent &Target = Agents[Agent];
+    Target.Table =
+        beginOperationTable(Target.Name, ++Target.Own, Target.Table.Limits);
+    Target.Jobs.clear();
+    Target.Frozen = false;
+    for (std::size_t E = 0; E < EntryAlive.size(); ++E)
+      cut(E, Agent);
+  }
+
+  void pass(Duration Time) {
+    Now += Time;
+    for (auto &[Id, Request] : Requests)
+      feed(Id, request_event::TimerFired{});
+  }
+
+  void leaveCaller(const std::string &Request) {
+    feed(Request, request_event::CallerLeft{});
+  }
 
   /// Throws when an outcome or a count of runs contradicts what happened.
-  void verify() const;
+  void verify() const {
+    auto Fail = [](const std::string &Text) { throw std::logic_error(Text); };
+    for (const auto &[Operation, Count] : Runs)
+      if (Count > 1)
+        Fail(Operation + " ran more than once");
+    for (const auto &[Id, Request] : Requests) {
+      const RequestState &State = Request.State;
+      if (!State.Idempotent && Request.Starts > 1)
+        Fail(Id + " is not idempotent and started twice");
+      if (!Request.Answered)
+        continue;
+      if (Request.Result == Outcome::NotRun && Request.Starts > 0)
+        Fail(Id + " was reported as not_run and started");
+      if (Request.Result == Outcome::Complete &&
+          State.Kind == RequestKind::OperationRun &&
+          Request.Answer != "result of " + State.Operation)
+        Fail(Id + " got the result of another operation");
+      if (State.Kind != RequestKind::Completion)
+        continue;
+      std::string Whole = wholeText(Id, State.Weights);
+      if (Request.Result == Outcome::Complete && Request.Answer != Whole)
+        Fail(Id + " completed with a text that is not its own");
+      if (Whole.compare(0, Request.Delivered.size(), Request.Delivered) != 0)
+        Fail(Id + " delivered a text that is not the start of its own");
+    }
+  }
 
   std::map<std::string, FakeRequest> Requests;
   std::map<std::string, std::uint64_t> Runs; ///< by operation
@@ -135,8 +292,18 @@
   std::vector<bool> EntryAlive;
   TimePoint Now{};
 
+  static std::string pieceText(const std::string &Request,
+                               const Digest &Weights, std::uint64_t Number) {
+    return Request + Weights + std::to_string(Number) + " ";
+  }
+
   static std::string wholeText(const std::string &Request,
-                               const Digest &Weights);
+                               const Digest &Weights) {
+    std::string Text;
+    for (std::size_t I = 0; I < PiecesPerAnswer; ++I)
+      Text += pieceText(Request, Weights, I);
+    return Text;
+  }
 
 private:
   struct Link {
@@ -145,417 +312,180 @@
     std::deque<Reply> Replies;
   };
 
-  std::string begin(std::size_t Entry, RequestKind Kind,
-                    const std::string &Caller);
-  void feed(const std::string &Request, const RequestEvent &Event);
-  void perform(const std::string &Request, const RequestAction &Action);
-  void choose(const std::string &Request,
-              const request_action::ChooseEndpoint &Choice);
-  void receive(std::size_t Entry, std::size_t Agent, const Letter &Message);
-  void cancel(std::size_t Entry, std::size_t Agent, const Letter &Message);
-  void runOperationJob(std::size_t Agent, const Job &Done);
-  bool stepCompletion(std::size_t Agent);
-  std::size_t agentIndex(const std::string &Name) const;
-  Link &link(std::size_t Entry, std::size_t Agent);
-
-  std::map<std::pair<std::size_t, std::size_t>, Link> Links;
-  std::vector<RetryBudget> Budgets;
-  std::size_t NextRequest = 0;
-  std::size_t NextAgent = 0;
-};
-
-inline World::World(std::size_t Entries, std::size_t AgentCount,
-                    OperationLimits Limits)
-    : EntryAlive(Entries, true), Budgets(Entries) {
-  for (std::size_t I = 0; I < AgentCount; ++I) {
-    FakeAgent Agent;
-    Agent.Name = "agent-" + std::to_string(I);
-    Agent.Table = beginOperationTable(Agent.Name, Agent.Own, Limits);
-    Agents.push_back(std::move(Agent));
+  std::string begin(std::size_t Entry, RequestState State,
+                    const std::string &Caller) {
+    std::string Id = "r" + std::to_string(NextRequest++);
+    State.Id = Id;
+    State.Deadline = Now + std::chrono::seconds(1);
+    FakeRequest &Request = Requests[Id];
+    Request.Entry = Entry;
+    Request.Caller = Caller;
+    Request.State = std::move(State);
+    feed(Id, request_event::Begun{});
+    return Id;
   }
-}
 
-inline World::Link &World::link(std::size_t Entry, std::size_t Agent) {
-  return Links[{Entry, Agent}];
-}
-
-inline std::size_t World::agentIndex(const std::string &Name) const {
-  return std::stoul(Name.substr(Name.rfind('-') + 1));
-}
+  void feed(const std::string &Id, const RequestEvent &Event) {
+    FakeRequest &Request = Requests.at(Id);
+    if (!EntryAlive[Request.Entry])
+      return;
+    for (const RequestAction &Action :
+         step(Request.State, Event, Budgets[Request.Entry], Now))
+      perform(Id, Action);
+  }
 
-inline std::string World::wholeText(const std::string &Request,
-                                    const Digest &Weights) {
-  std::string Text;
-  for (std::size_t I = 0; I < PiecesPerAnswer; ++I)
-    Text += Request + Weights + std::to_string(I) + " ";
-  return Text;
-}
-
-inline std::string World::begin(std::size_t Entry, RequestKind Kind,
-                                const std::string &Caller) {
-  std::string Id = "r" + std::to_string(NextRequest++);
-  FakeRequest &Request = Requests[Id];
-  Request.Entry = Entry;
-  Request.Caller = Caller;
-  Request.State.Id = Id;
-  Request.State.Kind = Kind;
-  Request.State.Deadline = Now + std::chrono::seconds(1);
-  return Id;
-}
-
-inline std::string World::completion(std::size_t Entry, bool Idempotent,
-                                     bool Streaming) {
-  std::string Id = begin(Entry, RequestKind::Completion, "caller");
-  Requests[Id].State.Idempotent = Idempotent;
-  Requests[Id].State.Streaming = Streaming;
-  feed(Id, request_event::Begun{});
-  return Id;
-}
-
-inline std::string World::open(std::size_t Entry, const std::string &Caller) {
-  std::string Id = begin(Entry, RequestKind::OperationOpen, Caller);
-  Requests[Id].State.Streaming = false;
-  feed(Id, request_event::Begun{});
-  return Id;
-}
-
-inline std::string World::run(std::size_t Entry, const std::string &Caller,
-                              const std::string &Operation) {
-  std::string Id = begin(Entry, RequestKind::OperationRun, Caller);
-  Requests[Id].State.Operation = Operation;
-  Requests[Id].State.Idempotent = false;
-  Requests[Id].State.Streaming = false;
-  feed(Id, request_event::Begun{});
-  return Id;
-}
-
-inline void World::feed(const std::string &Id, const RequestEvent &Event) {
-  FakeRequest &Request = Requests.at(Id);
-  if (!EntryAlive[Request.Entry])
-    return;
-  for (const RequestAction &Action :
-       step(Request.State, Event, Budgets[Request.Entry], Now))
-    perform(Id, Action);
-}
-
-inline void World::choose(const std::string &Id,
-                          const request_action::ChooseEndpoint &Choice) {
-  const RequestState &State = Requests.at(Id).State;
-  if (State.Kind == RequestKind::OperationRun) {
-    auto Parsed = parseOperationId(State.Operation);
-    feed(Id,
-         request_event::EndpointChosen{Parsed ? Parsed->Agent : "agent-0", ""});
-    return;
+  void perform(const std::string &Id, const RequestAction &Action) {
+    namespace action = request_action;
+    FakeRequest &Request = Requests.at(Id);
+    auto Outbox = [&](const std::string &Peer) -> std::deque<Letter> & {
+      return link(Request.Entry, agentIndex(Peer)).Outbox;
+    };
+    if (const auto *Choice = std::get_if<action::ChooseEndpoint>(&Action)) {
+      choose(Id, *Choice);
+    } else if (const auto *Send = std::get_if<action::SendWork>(&Action)) {
+      Outbox(Send->Peer)
+          .push_back({static_cast<LetterKind>(Request.State.Kind), Id,
+                      Send->Attempt, Request.State.Operation, Request.Caller,
+                      Send->Weights});
+    } else if (const auto *Back = std::get_if<action::WithdrawWork>(&Action)) {
+      if (std::erase_if(Outbox(Back->Peer), [&](const Letter &Waiting) {
+            return Waiting.Request == Id && Waiting.Attempt == Back->Attempt;
+          }) > 0)
+        feed(Id, request_event::WorkWithdrawn{Back->Attempt});
+    } else if (const auto *Stop = std::get_if<action::CancelTry>(&Action)) {
+      Outbox(Stop->Peer)
+          .push_back({LetterKind::Cancel, Id, Stop->Attempt, "", "", ""});
+    } else if (const auto *Piece = std::get_if<action::DeliverPiece>(&Action)) {
+      Request.Delivered += Piece->Text;
+    } else {
+      Request.Answered = true;
+      if (const auto *End = std::get_if<action::FinishAnswer>(&Action)) {
+        Request.Result = Outcome::Complete;
+        Request.Answer = Request.Delivered + End->Text;
+      } else if (const auto *Abort =
+                     std::get_if<action::AbortStream>(&Action)) {
+        Request.Result = Abort->Result;
+      } else {
+        Request.Result = std::get<action::AnswerOutcome>(Action).Result;
+      }
+    }
   }
-  for (std::size_t I = 0; I < Agents.size(); ++I) {
-    const FakeAgent &Agent = Agents[NextAgent++ % Agents.size()];
-    if (std::find(Choice.Avoid.begin(), Choice.Avoid.end(), Agent.Name) ==
-        Choice.Avoid.end()) {
-      feed(Id, request_event::EndpointChosen{Agent.Name, Agent.Weights});
+
+  void choose(const std::string &Id,
+              const request_action::ChooseEndpoint &Choice) {
+    const RequestState &State = Requests.at(Id).State;
+    if (State.Kind == RequestKind::OperationRun) {
+      auto Parsed = parseOperationId(State.Operation);
+      feed(Id, request_event::EndpointChosen{Parsed ? Parsed->Agent : "agent-0",
+                                             ""});
       return;
     }
+    for (std::size_t I = 0; I < Agents.size(); ++I) {
+      const FakeAgent &Agent = Agents[NextAgent++ % Agents.size()];
+      if (std::find(Choice.Avoid.begin(), Choice.Avoid.end(), Agent.Name) ==
+          Choice.Avoid.end()) {
+        feed(Id, request_event::EndpointChosen{Agent.Name, Agent.Weights});
+        return;
+      }
+    }
+    feed(Id, request_event::EndpointUnavailable{});
   }
-  feed(Id, request_event::EndpointUnavailable{});
-}
-
-inline void World::perform(const std::string &Id, const RequestAction &Action) {
-  FakeRequest &Request = Requests.at(Id);
-  if (const auto *Choice =
-          std::get_if<request_action::ChooseEndpoint>(&Action)) {
-    choose(Id, *Choice);
-  } else if (const auto *Send =
-                 std::get_if<request_action::SendWork>(&Action)) {
-    constexpr LetterKind Kinds[] = {LetterKind::Work, LetterKind::Open,
-                                    LetterKind::Run};
-    link(Request.Entry, agentIndex(Send->Peer))
-        .Outbox.push_back({Kinds[static_cast<int>(Request.State.Kind)], Id,
-                           Send->Attempt, Request.State.Operation,
-                           Request.Caller, Send->Weights});
-  } else if (const auto *Back =
-                 std::get_if<request_action::WithdrawWork>(&Action)) {
-    auto &Outbox = link(Request.Entry, agentIndex(Back->Peer)).Outbox;
-    if (std::erase_if(Outbox, [&](const Letter &Waiting) {
-          return Waiting.Request == Id && Waiting.Attempt == Back->Attempt;
-        }) > 0)
-      feed(Id, request_event::WorkWithdrawn{Back->Attempt});
-  } else if (const auto *Stop =
-                 std::get_if<request_action::CancelTry>(&Action)) {
-    link(Request.Entry, agentIndex(Stop->Peer))
-        .Outbox.push_back({LetterKind::Cancel, Id, Stop->Attempt, "", "", ""});
-  } else if (const auto *Piece =
-                 std::get_if<request_action::DeliverPiece>(&Action)) {
-    Request.Delivered += Piece->Text;
-  } else if (const auto *End =
-                 std::get_if<request_action::FinishAnswer>(&Action)) {
-    Request.Answered = true;
-    Request.Result = Outcome::Complete;
-    Request.Answer = Request.Delivered + End->Text;
-  } else if (const auto *Abort =
-                 std::get_if<request_action::AbortStream>(&Action)) {
-    Request.Answered = true;
-    Request.Result = Abort->Result;
-  } else {
-    Request.Answered = true;
-    Request.Result = std::get<request_action::AnswerOutcome>(Action).Result;
-  }
-}
-
-inline bool World::leave(std::size_t Entry, std::size_t Agent) {
-  Link &Used = link(Entry, Agent);
-  if (Used.Outbox.empty() || !EntryAlive[Entry])
-    return false;
-  Letter Message = Used.Outbox.front();
-  Used.Outbox.pop_front();
-  Used.Letters.push_back(Message);
-  if (Message.Kind != LetterKind::Cancel)
-    feed(Message.Request, request_event::WorkLeft{Message.Attempt});
-  return true;
-}
-
-inline bool World::arrive(std::size_t Entry, std::size_t Agent) {
-  Link &Used = link(Entry, Agent);
-  if (Used.Letters.empty() || Agents[Agent].Frozen)
-    return false;
-  Letter Message = Used.Letters.front();
-  Used.Letters.pop_front();
-  receive(Entry, Agent, Message);
-  return true;
-}
-
-inline void World::receive(std::size_t Entry, std::size_t Agent,
-                           const Letter &Message) {
-  FakeAgent &Target = Agents[Agent];
-  std::deque<Reply> &Replies = link(Entry, Agent).Replies;
-  Reply Back{.Request = Message.Request, .Attempt = Message.Attempt};
-  if (Message.Kind == LetterKind::Cancel) {
-    cancel(Entry, Agent, Message);
-  } else if (Message.Kind == LetterKind::Open) {
-    auto Id = openOperation(Target.Table, Message.Caller, "ledger");
-    Back.Kind = ReplyKind::Opened;
-    Back.Text = Id ? *Id : "";
-    Replies.push_back(Back);
-  } else if (Message.Kind == LetterKind::Run) {
-    RunDecision Decision =
-        runOperation(Target.Table, Message.Operation, Message.Caller,
-                     {std::to_string(Entry), Message.Request});
-    Back.Kind = ReplyKind::Result;
-    Back.Text = Message.Operation;
-    Back.Answer = Decision.Answer;
-    if (Decision.Action == RunAction::Start)
+
+  void receive(std::size_t Entry, std::size_t Agent, const Letter &Message) {
+    FakeAgent &Target = Agents[Agent];
+    auto Answer = [&](const RequestEvent &Event) {
+      link(Entry, Agent).Replies.push_back({Message.Request, "", "", Event});
+    };
+    if (Message.Kind == LetterKind::Cancel) {
+      cancel(Entry, Agent, Message);
+    } else if (Message.Kind == LetterKind::Open) {
+      auto Id = openOperation(Target.Table, Message.Caller, "ledger");
+      Answer(request_event::Opened{Target.Name, Id ? *Id : ""});
+    } else if (Message.Kind == LetterKind::Run) {
+      RunDecision Decision =
+          runOperation(Target.Table, Message.Operation, Message.Caller,
+                       {std::to_string(Entry), Message.Request});
+      if (Decision.Action == RunAction::Start)
+        Target.Jobs.push_back({Entry, Message, {}, false});
+      else if (Decision.Action == RunAction::Answer)
+        Answer(request_event::OperationAnswered{Target.Name, Message.Operation,
+                                                Decision.Answer});
+    } else if (Target.Refusing || Message.Weights != Target.Weights) {
+      Answer(request_event::Refused{Target.Name, Message.Attempt});
+    } else {
+      Answer(request_event::Accepted{Target.Name, Message.Attempt});
       Target.Jobs.push_back({Entry, Message, {}, false});
-    else if (Decision.Action == RunAction::Answer)
-      Replies.push_back(Back);
-  } else {
-    bool Refused = Target.Refusing || Message.Weights != Target.Weights;
-    Back.Kind = Refused ? ReplyKind::Refused : ReplyKind::Accepted;
-    Replies.push_back(Back);
-    if (!Refused)
-      Target.Jobs.push_back({Entry, Message,
-                             beginStream(Message.Request, Message.Attempt,
-                                         Message.Weights, Target.Name),
-                             false});
-  }
-}
-
-inline void World::cancel(std::size_t Entry, std::size_t Agent,
-                          const Letter &Message) {
-  std::deque<Job> &Jobs = Agents[Agent].Jobs;
-  auto Found = std::find_if(Jobs.begin(), Jobs.end(), [&](const Job &Waiting) {
-    return Waiting.Asked.Request == Message.Request &&
-           Waiting.Asked.Attempt == Message.Attempt;
-  });
-  if (Found == Jobs.end())
-    return;
-  Reply Back{.Request = Message.Request, .Attempt = Message.Attempt};
-  Back.Kind = Found->Started ? ReplyKind::Failed : ReplyKind::Refused;
-  Back.Reason = ErrorCode::Cancelled;
-  link(Entry, Agent).Replies.push_back(Back);
-  Jobs.erase(Found);
-}
-
-inline bool World::work(std::size_t Agent) {
-  FakeAgent &Target = Agents[Agent];
-  if (Target.Frozen || Target.Jobs.empty())
-    return false;
-  Job &Next = Target.Jobs.front();
-  if (!Next.Started) {
-    Next.Started = true;
-    ++Requests.at(Next.Asked.Request).Starts;
-    if (Next.Asked.Kind == LetterKind::Run)
-      ++Runs[Next.Asked.Operation];
-    return true;
-  }
-  if (Next.Asked.Kind == LetterKind::Work)
-    return stepCompletion(Agent);
-  Job Done = std::move(Next);
-  Target.Jobs.pop_front();
-  runOperationJob(Agent, Done);
-  return true;
-}
-
-inline void World::runOperationJob(std::size_t Agent, const Job &Done) {
-  OperationAnswer Result{Outcome::Complete, 200,
-                         "result of " + Done.Asked.Operation};
-  for (const OperationWaiter &Waiter :
-       finishOperation(Agents[Agent].Table, Done.Asked.Operation, Result)) {
-    Reply Back{.Kind = ReplyKind::Result, .Request = Waiter.Request};
-    Back.Text = Done.Asked.Operation;
-    Back.Answer = Result;
-    link(std::stoul(Waiter.Entry), Agent).Replies.push_back(Back);
+    }
   }
-}
-
-/// Sends the next piece or the end. The engine stamps what it has loaded.
-inline bool World::stepCompletion(std::size_t Agent) {
-  FakeAgent &Target = Agents[Agent];
-  Job &Next = Target.Jobs.front();
-  Reply Back{.Request = Next.Asked.Request, .Attempt = Next.Asked.Attempt};
-  Back.Weights = Target.Weights;
-  Back.Number = Next.Sent.Next;
-  if (Next.Sent.Next == PiecesPerAnswer) {
-    Back.Kind = ReplyKind::End;
-    Back.Checksum = streamChecksum(Next.Sent);
-  } else {
-    Back.Kind = ReplyKind::Piece;
-    Back.Text = Back.Request + Back.Weights + std::to_string(Back.Number) + " ";
-    Next.Sent.Hash.add(Back.Text);
-    ++Next.Sent.Next;
+
+  void cancel(std::size_t Entry, std::size_t Agent, const Letter &Message) {
+    std::deque<Job> &Jobs = Agents[Agent].Jobs;
+    auto Found =
+        std::find_if(Jobs.begin(), Jobs.end(), [&](const Job &Waiting) {
+          return Waiting.Asked.Request == Message.Request &&
+                 Waiting.Asked.Attempt == Message.Attempt;
+        });
+    if (Found == Jobs.end())
+      return;
+    const std::string &Name = Agents[Agent].Name;
+    RequestEvent Proof =
+        request_event::Refused{Name, Message.Attempt, ErrorCode::Cancelled};
+    RequestEvent Failure =
+        request_event::Failed{Name, Message.Attempt, ErrorCode::Cancelled};
+    link(Entry, Agent)
+        .Replies.push_back(
+            {Message.Request, "", "", Found->Started ? Failure : Proof});
+    Jobs.erase(Found);
   }
-  link(Next.Entry, Agent).Replies.push_back(Back);
-  if (Back.Kind == ReplyKind::End)
-    Target.Jobs.pop_front();
-  return true;
-}
-
-inline bool World::answer(std::size_t Entry, std::size_t Agent) {
-  Link &Used = link(Entry, Agent);
-  if (Used.Replies.empty())
-    return false;
-  Reply Back = Used.Replies.front();
-  Used.Replies.pop_front();
-  const std::string &Peer = Agents[Agent].Name;
-  switch (Back.Kind) {
-  case ReplyKind::Accepted:
-    feed(Back.Request, request_event::Accepted{Peer, Back.Attempt});
-    break;
-  case ReplyKind::Refused:
-    feed(Back.Request, request_event::Refused{Peer, Back.Attempt, Back.Reason,
-                                              std::chrono::milliseconds(0)});
-    break;
-  case ReplyKind::Failed:
-    feed(Back.Request, request_event::Failed{Peer, Back.Attempt, Back.Reason});
-    break;
-  case ReplyKind::Piece:
-    feed(Back.Request,
-         request_event::PieceArrived{Peer,
-                                     {Back.Request, Back.Attempt, Back.Weights,
-                                      Back.Number, Back.Text}});
-    break;
-  case ReplyKind::End:
-    feed(Back.Request,
-         request_event::EndArrived{Peer,
-                                   {Back.Request, Back.Attempt, Back.Weights,
-                                    Back.Number, Back.Checksum}});
-    break;
-  case ReplyKind::Opened:
-    feed(Back.Request, request_event::Opened{Peer, Back.Text});
-    break;
-  case ReplyKind::Result:
-    feed(Back.Request,
-         request_event::OperationAnswered{Peer, Back.Text, Back.Answer});
-    break;
+
+  void runOperationJob(std::size_t Agent, const Job &Done) {
+    OperationAnswer Result{Outcome::Complete, 200,
+                           "result of " + Done.Asked.Operation};
+    for (const OperationWaiter &Waiter :
+         finishOperation(Agents[Agent].Table, Done.Asked.Operation, Result)) {
+      link(std::stoul(Waiter.Entry), Agent)
+          .Replies.push_back(
+              {Waiter.Request, "", "",
+               request_event::OperationAnswered{Agents[Agent].Name,
+                                                Done.Asked.Operation, Result}});
+    }
   }
-  return true;
-}
 
-inline void World::settle() {
-  for (bool Moved = true; Moved;) {
-    Moved = false;
-    for (std::size_t A = 0; A < Agents.size(); ++A) {
-      for (std::size_t E = 0; E < EntryAlive.size(); ++E) {
-        Moved = leave(E, A) || Moved;
-        Moved = arrive(E, A) || Moved;
-        Moved = answer(E, A) || Moved;
-      }
-      Moved = work(A) || Moved;
+  /// Sends the next piece or the end. The engine stamps what it has loaded.
+  bool stepCompletion(std::size_t Agent) {
+    FakeAgent &Target = Agents[Agent];
+    Job &Next = Target.Jobs.front();
+    const Letter &Asked = Next.Asked;
+    Reply Back{Asked.Request, Target.Weights, "", request_event::Begun{}};
+    bool Last = Next.Sent.Next == PiecesPerAnswer;
+    if (Last) {
+      Back.Event = request_event::EndArrived{
+          Target.Name,
+          {"", Asked.Attempt, "", PiecesPerAnswer, streamChecksum(Next.Sent)}};
+    } else {
+      Back.Text = pieceText(Asked.Request, Target.Weights, Next.Sent.Next);
+      Back.Event = request_event::PieceArrived{
+          Target.Name, {"", Asked.Attempt, "", Next.Sent.Next++, ""}};
+      Next.Sent.Hash.add(Back.Text);
     }
-    if (Moved)
-      continue;
-    for (const auto &[Id, Request] : Requests)
-      Moved = Moved || (EntryAlive[Request.Entry] && nextTimer(Request.State));
-    pass(std::chrono::seconds(2));
+    link(Next.Entry, Agent).Replies.push_back(std::move(Back));
+    if (Last)
+      Target.Jobs.pop_front();
+    return true;
   }
-}
-
-inline void World::suspect(std::size_t Entry, std::size_t Agent) {
-  for (auto &[Id, Request] : Requests)
-    if (Request.Entry == Entry)
-      feed(Id, request_event::PeerLost{Agents[Agent].Name});
-}
-
-inline void World::cut(std::size_t Entry, std::size_t Agent) {
-  link(Entry, Agent).Letters.clear();
-  link(Entry, Agent).Replies.clear();
-  // The agent cancels what it queued for the entry; what runs is stopped.
-  std::erase_if(Agents[Agent].Jobs, [&](const Job &Waiting) {
-    return Waiting.Entry == Entry && Waiting.Asked.Kind == LetterKind::Work;
-  });
-  suspect(Entry, Agent);
-}
-
-inline void World::killEntry(std::size_t Entry) {
-  EntryAlive[Entry] = false;
-  for (std::size_t A = 0; A < Agents.size(); ++A) {
-    link(Entry, A).Outbox.clear();
-    cut(Entry, A);
+
+  std::size_t agentIndex(const std::string &Name) const {
+    return std::stoul(Name.substr(Name.rfind('-') + 1));
   }
-}
-
-inline void World::restartAgent(std::size_t Agent) {
-  FakeAgent &Target = Agents[Agent];
-  Target.Table =
-      beginOperationTable(Target.Name, ++Target.Own, Target.Table.Limits);
-  Target.Jobs.clear();
-  Target.Frozen = false;
-  for (std::size_t E = 0; E < EntryAlive.size(); ++E)
-    cut(E, Agent);
-}
-
-inline void World::pass(Duration Time) {
-  Now += Time;
-  for (auto &[Id, Request] : Requests)
-    feed(Id, request_event::TimerFired{});
-}
-
-inline void World::leaveCaller(const std::string &Request) {
-  feed(Request, request_event::CallerLeft{});
-}
-
-inline void World::verify() const {
-  auto Fail = [](const std::string &Text) { throw std::logic_error(Text); };
-  for (const auto &[Operation, Count] : Runs)
-    if (Count > 1)
-      Fail(Operation + " ran more than once");
-  for (const auto &[Id, Request] : Requests) {
-    const RequestState &State = Request.State;
-    if (!State.Idempotent && Request.Starts > 1)
-      Fail(Id + " is not idempotent and started twice");
-    if (!Request.Answered)
-      continue;
-    if (Request.Result == Outcome::NotRun && Request.Starts > 0)
-      Fail(Id + " was reported as not_run and started");
-    if (Request.Result == Outcome::Complete &&
-        State.Kind == RequestKind::OperationRun &&
-        Request.Answer != "result of " + State.Operation)
-      Fail(Id + " got the result of another operation");
-    if (State.Kind != RequestKind::Completion)
-      continue;
-    std::string Whole = wholeText(Id, State.Weights);
-    if (Request.Result == Outcome::Complete && Request.Answer != Whole)
-      Fail(Id + " completed with a text that is not its own");
-    if (Whole.compare(0, Request.Delivered.size(), Request.Delivered) != 0)
-      Fail(Id + " delivered a text that is not the start of its own");
+
+  Link &link(std::size_t Entry, std::size_t Agent) {
+    return Links[{Entry, Agent}];
   }
-}
+
+  std::map<std::pair<std::size_t, std::size_t>, Link> Links;
+  std::vector<RetryBudget> Budgets;
+  std::size_t NextRequest = 0;
+  std::size_t NextAgent = 0;
+};
 
 } // namespace marigoldyard::test
