Test each request decision on its own

Cause: the random tests show that claims hold, not which rule keeps them.

Leaving has tests with the fault switches of NoWorkWhileLeaving and NoCutOnShutdown.

--- /dev/null
+++ b/tests/src/unit-coordination-drain.cpp
@@ -0,0 +1,58 @@
+#include "request_world.hpp"
+
+#include "marigoldyard/coordination/drain.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace marigoldyard::test;
+
+namespace {
+
+TimePoint at(int Seconds) { return TimePoint(std::chrono::seconds(Seconds)); }
+
+DrainState busy(Duration Linger) {
+  DrainState State;
+  CHECK_FALSE(admitWork(State, at(0)));
+  beginDrain(State, Linger, std::chrono::seconds(30), at(0));
+  return State;
+}
+
+} // namespace
+
+TEST_CASE("a leaving agent refuses at once and exits when its work is done") {
+  DrainState State = busy(Duration(0));
+  CHECK(admitWork(State, at(0))->Code == ErrorCode::EndpointLeaving);
+  CHECK(drainStep(State, at(29)) == DrainStage::Finishing);
+  noteWorkFinished(State);
+  CHECK(drainStep(State, at(29)) == DrainStage::Done);
+  CHECK(State.Cut == 0);
+}
+
+TEST_CASE("a leaving entry serves callers that still hold its address") {
+  DrainState State = busy(std::chrono::seconds(10));
+  noteWorkFinished(State);
+  CHECK(drainStep(State, at(9)) == DrainStage::Lingering);
+  CHECK_FALSE(admitWork(State, at(9)));
+  CHECK(admitWork(State, at(10)));
+  CHECK(nextDrainStep(State) == at(30));
+  CHECK(State.Running == 1);
+}
+
+TEST_CASE("the deadline bounds a departure and reports what it cut off") {
+  DrainState State = busy(std::chrono::seconds(60));
+  CHECK(drainStep(State, at(30)) == DrainStage::Done);
+  CHECK(State.Cut == 1);
+}
+
+TEST_CASE("without their mechanisms the invariants of leaving are reported as "
+          "violated") {
+  ThrowOnViolation Handler;
+  {
+    ScopedFault Fault(Invariant::NoWorkWhileLeaving);
+    DrainState State = busy(Duration(0));
+    CHECK_THROWS_AS(admitWork(State, at(1)), Violated);
+  }
+  ScopedFault Fault(Invariant::NoCutOnShutdown);
+  CHECK_THROWS_AS(busy(Duration(0)), Violated);
+}
