--- a/include/marigoldyard/coordination/detail/transfer_roles.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -35,6 +35,14 @@
 /// @complexity linear in the members times their logarithm
 void assignRegions(TransferState &State, TimePoint Now);
 
+/// @brief Whether a member of the own region sends a chunk to another region.
+/// @param State the transfers
+/// @param Peer the member
+/// @param Index the chunk
+/// @return true when it is the exporter of a link that the chunk takes
+/// @complexity linear in the number of regions
+bool exports(const TransferState &State, PeerIndex Peer, ChunkIndex Index);
+
 /// @brief Chooses the peers that receive the own maps.
 /// @param State the transfers
 /// @param Now the time
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -105,6 +105,7 @@
   TimePoint LostUntil;
   TimePoint BannedUntil;
   ChunkBits Has;
+  std::size_t HasCount = 0;   ///< members of Has
   std::vector<Digest> MapsOf; ///< versions of which a map arrived
 };
 
@@ -129,6 +130,8 @@
 struct Upload {
   ChunkIndex Chunk = 0;
   PeerIndex Peer = NoPeer;
+  TimePoint AskedAt;
+  bool Exports = false; ///< the peer passes the chunk on to another region
 };
 
 /// A peer outside the neighbours that asked lately; it receives maps.
@@ -158,6 +161,7 @@
   std::unordered_map<std::string, detail::PeerIndex> PeerByName;
   std::vector<detail::RegionSlot> Regions; ///< by name
   detail::RegionIndex Home = detail::NoRegion;
+  detail::RegionIndex StoreRegion = detail::NoRegion; ///< if it has members
   detail::ChunkBits Held;
   detail::ChunkBits Missing;  ///< wanted, not held, not in flight
   detail::ChunkBits Exported; ///< chunks the agent sends to another region
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -124,7 +124,7 @@
 /// Whether a further upload is accepted: it would be sent well before its
 /// requester gives up.
 bool acceptsUpload(const TransferState &State, PeerIndex Peer, ChunkIndex Chunk,
-                   TimePoint Now) {
+                   bool Exports, TimePoint Now) {
   const RegionIndex Region = State.Peers[Peer].Region;
   const bool Remote = Region != State.Home;
   std::size_t Count = 0;
@@ -134,13 +134,13 @@
       Bytes += State.Chunks[Other.Chunk].Size;
       ++Count;
     }
+  const std::size_t Limit = State.Settings.MaxUploadQueue * (Exports ? 2 : 1);
   if (Count == 0)
     return true;
   const Duration Wait = Remote ? detail::linkTime(State, Bytes)
                                : detail::uploadTime(State, Bytes);
-  return Count < State.Settings.MaxUploadQueue &&
-         Wait <= State.Settings.StallTimeout / 2 &&
-         (Remote || !passedOnElsewhere(State, Chunk, Now));
+  return Count < Limit && Wait <= State.Settings.StallTimeout / 2 &&
+         (Remote || Exports || !passedOnElsewhere(State, Chunk, Now));
 }
 
 } // namespace
@@ -168,6 +168,7 @@
   const auto Note = [&](ChunkIndex Index, bool Has) {
     if (Has && !Sender.Has.test(Index)) {
       Sender.Has.set(Index);
+      ++Sender.HasCount;
       ++State.Chunks[Index].Available;
     } else if (!Has) {
       detail::forgetHolder(State, From, Index);
@@ -291,11 +292,14 @@
   for (const detail::Upload &Queued : State.Uploads)
     if (Queued.Chunk == Found->second && Queued.Peer == From)
       return;
-  if (!acceptsUpload(State, From, Found->second, Now)) {
+  // The store's region holds chunks long before its links can take them.
+  const bool Exports = State.Chunks[Found->second].Source != NoRegion &&
+                       detail::exports(State, From, Found->second);
+  if (!acceptsUpload(State, From, Found->second, Exports, Now)) {
     refuse(State, Peer, Chunk, BusyRetry);
     return;
   }
-  State.Uploads.push_back({Found->second, From});
+  State.Uploads.push_back({Found->second, From, Now, Exports});
 }
 
 } // namespace marigoldyard
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace marigoldyard {
@@ -48,27 +49,49 @@
   }
 }
 
+/// The upload that comes next among those to other regions or to the own one.
+/// Chunks that the peer passes on to another region come first, then the peer
+/// that lags most, so that all finish together, but no upload waits until its
+/// requester gives up.
+std::deque<detail::Upload>::iterator nextUpload(TransferState &State,
+                                                bool Remote, TimePoint Now) {
+  const TimePoint Overdue = Now - State.Settings.StallTimeout / 4;
+  const auto Urgency = [&](const detail::Upload &Queued) {
+    const bool Late = Queued.AskedAt <= Overdue;
+    return std::tuple(!Queued.Exports, !Late,
+                      Late ? 0 : State.Peers[Queued.Peer].HasCount);
+  };
+  auto Best = State.Uploads.end();
+  for (auto It = State.Uploads.begin(); It != State.Uploads.end(); ++It) {
+    const RegionIndex Region = State.Peers[It->Peer].Region;
+    if ((Region != State.Home) != Remote ||
+        (Remote && State.Regions[Region].SendAt > Now))
+      continue;
+    if (Best == State.Uploads.end() || Urgency(*It) < Urgency(*Best))
+      Best = It;
+  }
+  return Best;
+}
+
 void serveQueue(TransferState &State, bool Remote, TimePoint Now,
                 Actions &Result) {
-  for (auto It = State.Uploads.begin();
-       It != State.Uploads.end() && State.UploadAt <= Now;) {
-    const PeerSlot &Peer = State.Peers[It->Peer];
-    ChunkSlot &Slot = State.Chunks[It->Chunk];
-    RegionSlot &Region = State.Regions[Peer.Region];
-    if ((Peer.Region != State.Home) != Remote ||
-        (Remote && Region.SendAt > Now)) {
-      ++It;
-      continue;
-    }
+  while (State.UploadAt <= Now) {
+    const auto Next = nextUpload(State, Remote, Now);
+    if (Next == State.Uploads.end())
+      return;
+    const PeerSlot &Peer = State.Peers[Next->Peer];
+    ChunkSlot &Slot = State.Chunks[Next->Chunk];
     State.UploadAt = std::max(State.UploadAt, Now - UploadBurst) +
                      detail::uploadTime(State, Slot.Size);
-    if (Remote)
-      Region.SendAt = std::max(Region.SendAt, Now - UploadBurst) +
-                      detail::linkTime(State, Slot.Size);
-    else
+    if (Remote) {
+      TimePoint &SendAt = State.Regions[Peer.Region].SendAt;
+      SendAt = std::max(SendAt, Now - UploadBurst) +
+               detail::linkTime(State, Slot.Size);
+    } else {
       Slot.SentAt = Now;
+    }
     Result.emplace_back(SendChunk{Slot.Id, Peer.Name});
-    It = State.Uploads.erase(It);
+    State.Uploads.erase(Next);
   }
 }
 
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -106,10 +106,9 @@
   }
 }
 
-void assignChunk(TransferState &State, ChunkIndex Index,
-                 RegionIndex StoreRegion) {
+void assignChunk(TransferState &State, ChunkIndex Index) {
   ChunkSlot &Slot = State.Chunks[Index];
-  const Path Chunk = pathOf(State, Slot.Hash, StoreRegion);
+  const Path Chunk = pathOf(State, Slot.Hash, State.StoreRegion);
   Slot.Mine = false;
   Slot.Source = sourceOf(Chunk, State.Home);
   if (Slot.Source == NoRegion)
@@ -117,11 +116,8 @@
   else
     for (std::size_t Place = 0; Place < ResponsibleCount; ++Place)
       Slot.Responsible[Place] = importer(State, State.Home, Slot.Source, Place);
-  for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other)
-    if (Other != State.Home && !State.Regions[Other].Members.empty() &&
-        sourceOf(Chunk, Other) == State.Home &&
-        exporter(State, State.Home, Other) == SelfPeer)
-      State.Exported.set(Index);
+  if (exports(State, SelfPeer, Index))
+    State.Exported.set(Index);
   if (State.Held.test(Index))
     return;
   if (Slot.Responsible[0] == SelfPeer)
@@ -161,6 +157,18 @@
                                !State.Held.test(Index));
 }
 
+bool exports(const TransferState &State, PeerIndex Peer, ChunkIndex Index) {
+  if (State.Regions.size() < 2 || State.Peers[Peer].Region != State.Home)
+    return false;
+  const Path Chunk = pathOf(State, State.Chunks[Index].Hash, State.StoreRegion);
+  for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other)
+    if (Other != State.Home && !State.Regions[Other].Members.empty() &&
+        sourceOf(Chunk, Other) == State.Home &&
+        exporter(State, State.Home, Other) == Peer)
+      return true;
+  return false;
+}
+
 void assignRegions(TransferState &State, TimePoint Now) {
   std::map<std::string, RegionSlot> ByName;
   for (RegionSlot &Region : State.Regions) {
@@ -201,6 +209,7 @@
     State.Regions.push_back(std::move(Region));
   }
   State.Home = State.Peers[SelfPeer].Region;
+  State.StoreRegion = storeRegion(State);
   assignNeighbours(State, Now);
 }
 
@@ -243,10 +252,9 @@
     Region.Imports.Words.clear();
     Region.Progress = Now;
   }
-  const RegionIndex StoreRegion = storeRegion(State);
   for (ChunkIndex Index = 0; Index < State.Chunks.size(); ++Index)
     if (State.Chunks[Index].WantedBy > 0)
-      assignChunk(State, Index, StoreRegion);
+      assignChunk(State, Index);
 }
 
 void takeOver(TransferState &State, ChunkIndex Index) {
@@ -310,6 +318,7 @@
   if (!State.Peers[Peer].Has.test(Index))
     return;
   State.Peers[Peer].Has.set(Index, false);
+  --State.Peers[Peer].HasCount;
   --State.Chunks[Index].Available;
 }
 
