Add marigoldctl

Cause: operators need to check manifests and to see the fleet without reading logs. Change: check, plan, status, timeline and explain; the time line is merged by hybrid logical time.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -36,6 +36,7 @@
 target_link_libraries(marigoldyard_protocol PUBLIC marigoldyard_coordination nlohmann_json::nlohmann_json
                                             PRIVATE OpenSSL::Crypto)
 marigoldyard_layer(transport)
+target_compile_definitions(marigoldyard_transport PUBLIC MARIGOLDYARD_VERSION="${PROJECT_VERSION}")
 target_link_libraries(marigoldyard_transport PUBLIC marigoldyard_protocol fmt::fmt TBB::tbb nng Threads::Threads
                                                     OpenSSL::Crypto Boost::boost CLI11::CLI11)
 
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -1,1 +1,159 @@
-int main() { return 0; }
+#include "marigoldyard/protocol/manifest_json.hpp"
+#include "marigoldyard/transport/program.hpp"
+#include "programs/ctl/reports.hpp"
+
+#include <CLI/CLI.hpp>
+#include <fmt/core.h>
+
+using namespace marigoldyard;
+
+namespace {
+
+constexpr std::size_t MaxManifestBytes = 16UL << 20;
+constexpr std::uint16_t DefaultOperatorPort = 8081;
+
+/// Options of all commands.
+struct Options {
+  std::string File;
+  std::string Output;
+  std::string VmList;
+  std::uint16_t OperatorPort = DefaultOperatorPort;
+  bool AsJson = false;
+  TimelineFilter Filter;
+  std::string Target;
+};
+
+int checkManifest(const Options &Given) {
+  auto Text = readFile(Given.File, MaxManifestBytes);
+  if (!Text) {
+    fmt::print(stderr, "{}\n", Text.error().message());
+    return 1;
+  }
+  const Checked<Manifest> Result = parseManifest(*Text);
+  for (const DocumentFault &Fault : Result.Faults)
+    fmt::print("{}\n", describeFault(Fault));
+  if (!Result.Value)
+    return 1;
+  fmt::print("{}: revision {}, {} products, no faults\n", Given.File,
+             Result.Value->Number, Result.Value->Products.size());
+  return 0;
+}
+
+int planManifest(const Options &Given) {
+  auto Text = readFile(Given.File, MaxManifestBytes);
+  const Checked<Manifest> Result =
+      Text ? parseManifest(*Text) : Checked<Manifest>{};
+  if (!Result.Value)
+    return checkManifest(Given);
+  const PublishedManifest Published = splitManifest(*Result.Value);
+  nlohmann::json Keys = nlohmann::json::array();
+  for (const auto &[Key, Value] : Published.Values)
+    Keys.push_back({{"key", Key}, {"value", Value}});
+  Keys.push_back({{"key", IndexKey}, {"value", Published.Index}});
+  fmt::print("{}\n", Keys.dump(2));
+  return 0;
+}
+
+std::optional<std::vector<OperatorAddress>> daemonsOf(const Options &Given) {
+  auto Members = readMembers(Given.VmList);
+  if (!Members) {
+    fmt::print(stderr, "{}\n", Members.error().message());
+    return std::nullopt;
+  }
+  return operatorAddresses(*Members, Given.OperatorPort);
+}
+
+int showStatus(const Options &Given) {
+  const auto Daemons = daemonsOf(Given);
+  if (!Daemons)
+    return 1;
+  const auto Pages = readPages(*Daemons, "/status");
+  if (!Given.AsJson) {
+    fmt::print("{}", statusTable(Pages));
+    return 0;
+  }
+  nlohmann::json Result = nlohmann::json::array();
+  for (const OperatorPage &Page : Pages)
+    Result.push_back(Page.Failure.empty()
+                         ? Page.Content
+                         : nlohmann::json{{"name", Page.From.Name},
+                                          {"failure", Page.Failure}});
+  fmt::print("{}\n", Result.dump());
+  return 0;
+}
+
+int showTimeline(const Options &Given) {
+  const auto Daemons = daemonsOf(Given);
+  if (!Daemons)
+    return 1;
+  for (const nlohmann::json &Event :
+       mergeTimeline(readPages(*Daemons, "/timeline"), Given.Filter))
+    fmt::print("{}\n", Given.AsJson ? Event.dump() : timelineLine(Event));
+  return 0;
+}
+
+int explain(const Options &Given) {
+  const auto Daemons = daemonsOf(Given);
+  if (!Daemons)
+    return 1;
+  for (const OperatorAddress &Each : *Daemons)
+    if (Each.Name == Given.Target) {
+      fmt::print("{}", explainEndpoint(readPages({Each}, "/status").front()));
+      return 0;
+    }
+  const auto Events = mergeTimeline(readPages(*Daemons, "/timeline"),
+                                    {Given.Target, {}, {}});
+  fmt::print("{}", explainRequest(Events));
+  return Events.empty() ? 1 : 0;
+}
+
+void addFleetOptions(CLI::App &Command, Options &Given) {
+  Command.add_option("--vm-list", Given.VmList, "host:port of the VM list")
+      ->required();
+  Command.add_option("--operator-port", Given.OperatorPort,
+                     "operator port of the daemons")
+      ->capture_default_str();
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App("Checks manifests and shows what a fleet does", "marigoldctl");
+  App.set_version_flag("--version", MARIGOLDYARD_VERSION);
+  App.require_subcommand(1);
+  Options Given;
+  int Status = 0;
+  const auto Add = [&](const char *Name, const char *Help,
+                       int (*Run)(const Options &)) {
+    CLI::App *Command = App.add_subcommand(Name, Help);
+    Command->callback([&Status, &Given, Run] { Status = Run(Given); });
+    return Command;
+  };
+  Add("check", "name every fault of a manifest", checkManifest)
+      ->add_option("FILE", Given.File, "manifest")
+      ->required();
+  Add("plan", "print the keys to publish for a manifest, in order",
+      planManifest)
+      ->add_option("FILE", Given.File, "manifest")
+      ->required();
+  CLI::App *StatusCommand = Add("status", "show all daemons", showStatus);
+  addFleetOptions(*StatusCommand, Given);
+  StatusCommand->add_flag("--json", Given.AsJson, "print JSON");
+  CLI::App *Timeline =
+      Add("timeline", "merge the events of all daemons", showTimeline);
+  addFleetOptions(*Timeline, Given);
+  Timeline->add_option("--request", Given.Filter.Request, "request id");
+  Timeline->add_option("--endpoint", Given.Filter.Endpoint, "endpoint");
+  Timeline->add_option("--version", Given.Filter.Version,
+                       "start of a weight digest");
+  Timeline->add_flag("--json", Given.AsJson, "print JSON lines");
+  CLI::App *Explain =
+      Add("explain", "why a request went where it did, or why an endpoint runs "
+                     "what it runs",
+          explain);
+  addFleetOptions(*Explain, Given);
+  Explain->add_option("TARGET", Given.Target, "request id or name of an agent")
+      ->required();
+  CLI11_PARSE(App, Count, Arguments);
+  return Status;
+}
--- /dev/null
+++ b/programs/ctl/reports.cpp
@@ -0,0 +1,155 @@
+#include "programs/ctl/reports.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace marigoldyard {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t ShownDigestDigits = 12;
+
+std::string shortDigest(const std::string &Weights) {
+  return Weights.substr(0, ShownDigestDigits);
+}
+
+std::string text(const Json &Source, const char *Key) {
+  const auto Found = Source.find(Key);
+  if (Found == Source.end() || Found->is_null())
+    return {};
+  return Found->is_string() ? Found->get<std::string>() : Found->dump();
+}
+
+/// Array member of an object; empty when it is absent.
+const Json &list(const Json &Source, const char *Key) {
+  static const Json Empty = Json::array();
+  const auto Found = Source.find(Key);
+  return Found == Source.end() || !Found->is_array() ? Empty : *Found;
+}
+
+/// Progress of the models of an agent, e.g. "cup-helper v2 ready 32/32".
+std::string modelProgress(const Json &Page) {
+  std::string Result;
+  std::vector<std::string> Shown;
+  for (const Json &Model : list(Page, "models")) {
+    std::string Line = fmt::format(
+        "{} {} {} {}/{}", text(Model, "model"), text(Model, "version"),
+        text(Model, "phase"), Model.value("held", 0), Model.value("chunks", 0));
+    if (std::find(Shown.begin(), Shown.end(), Line) != Shown.end())
+      continue;
+    Result += (Result.empty() ? "" : "; ") + Line;
+    Shown.push_back(std::move(Line));
+  }
+  return Result;
+}
+
+/// Hybrid logical time of an event: microseconds, then the logical counter.
+std::pair<std::int64_t, std::uint32_t> timeOf(const Json &Event) {
+  return {Event.value("wall_us", std::int64_t{0}), Event.value("logical", 0U)};
+}
+
+std::string statusLine(const OperatorPage &Page) {
+  if (!Page.Failure.empty())
+    return fmt::format("{:<16} {:<22} unreachable: {}\n", Page.From.Name,
+                       Page.From.Address, Page.Failure);
+  const Json &Status = Page.Content;
+  return fmt::format("{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n",
+                     text(Status, "name"), text(Status, "kind"),
+                     text(Status, "failure_domain"),
+                     Status.value("ready", false) ? "yes" : "no",
+                     text(Status, "revision"), text(Status, "running"),
+                     modelProgress(Status));
+}
+
+bool matches(const Json &Event, const TimelineFilter &Filter) {
+  return (Filter.Request.empty() ||
+          text(Event, "request_id") == Filter.Request) &&
+         (Filter.Endpoint.empty() ||
+          text(Event, "endpoint") == Filter.Endpoint) &&
+         (Filter.Version.empty() ||
+          text(Event, "version").starts_with(Filter.Version));
+}
+
+} // namespace
+
+std::string statusTable(const std::vector<OperatorPage> &Pages) {
+  std::string Result =
+      fmt::format("{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n", "name", "kind",
+                  "failure domain", "ready", "revision", "running", "models");
+  for (const OperatorPage &Page : Pages)
+    Result += statusLine(Page);
+  return Result;
+}
+
+std::vector<Json> mergeTimeline(const std::vector<OperatorPage> &Pages,
+                                const TimelineFilter &Filter) {
+  std::vector<Json> Events;
+  for (const OperatorPage &Page : Pages) {
+    if (!Page.Failure.empty())
+      continue;
+    for (Json Event : list(Page.Content, "events")) {
+      if (!matches(Event, Filter))
+        continue;
+      Event["process"] = text(Page.Content, "process");
+      Events.push_back(std::move(Event));
+    }
+  }
+  std::stable_sort(Events.begin(), Events.end(),
+                   [](const Json &Left, const Json &Right) {
+                     return timeOf(Left) < timeOf(Right);
+                   });
+  return Events;
+}
+
+std::string timelineLine(const Json &Event) {
+  const auto [Wall, Logical] = timeOf(Event);
+  std::string Line =
+      fmt::format("{}.{:<3} {:<12} {:<24}", Wall, Logical,
+                  text(Event, "process"), text(Event, "event"));
+  for (const char *Key : {"request_id", "endpoint"})
+    if (const std::string Value = text(Event, Key); !Value.empty())
+      Line += fmt::format(" {}={}", Key, Value);
+  if (const std::string Version = text(Event, "version"); !Version.empty())
+    Line += " version=" + shortDigest(Version);
+  const auto Fields = Event.find("fields");
+  if (Fields == Event.end())
+    return Line;
+  for (const auto &[Key, Value] : Fields->items())
+    Line += fmt::format(" {}={}", Key,
+                        Value.is_string() ? Value.get<std::string>()
+                                          : Value.dump());
+  return Line;
+}
+
+std::string explainRequest(const std::vector<Json> &Events) {
+  if (Events.empty())
+    return "no process remembers this request\n";
+  std::string Result;
+  for (const Json &Event : Events)
+    Result += timelineLine(Event) + "\n";
+  return Result;
+}
+
+std::string explainEndpoint(const OperatorPage &Page) {
+  if (!Page.Failure.empty())
+    return fmt::format("{} cannot be read: {}\n", Page.From.Name, Page.Failure);
+  const Json &Status = Page.Content;
+  std::string Result = fmt::format(
+      "{} serves pool {} under revision {}\n", text(Status, "name"),
+      text(Status, "pool"), text(Status, "revision"));
+  for (const Json &Model : list(Status, "models"))
+    Result += fmt::format(
+        "  product {} wants {} {} ({}): {}, {} of {} chunks, {} failures\n",
+        text(Model, "product"), text(Model, "model"), text(Model, "version"),
+        shortDigest(text(Model, "weights")), text(Model, "phase"),
+        Model.value("held", 0), Model.value("chunks", 0),
+        Model.value("failures", 0));
+  for (const Json &Weights : list(Status, "ready_weights"))
+    Result += fmt::format("  announces {}\n",
+                          shortDigest(Weights.get<std::string>()));
+  return Result;
+}
+
+} // namespace marigoldyard
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -274,10 +274,11 @@
         for vm in self.vms:
             if vm.daemon is not None and vm.daemon.running():
                 try:
-                    events += request("GET", vm.operator, "/timeline").json()["events"]
+                    page = request("GET", vm.operator, "/timeline").json()
+                    events += [{"process": page["process"], **event} for event in page["events"]]
                 except OSError:
                     continue
-        return sorted(events, key=lambda event: event["time"])
+        return sorted(events, key=lambda event: (event["wall_us"], event["logical"]))
 
     def log_tail(self, name, size=3000):
         path = os.path.join(self.folder, name + ".log")
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-#ifndef MARIGOLDYARD_VERSION
-#define MARIGOLDYARD_VERSION "0.1.0"
-#endif
 
 /// Ends the signal thread; sent only to that thread.
 constexpr int EndSignal = SIGUSR1;
