--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -15,6 +15,7 @@
 /// the 3 KB/s that control may use.
 constexpr Duration PoolReportPerMember = std::chrono::milliseconds(80);
 constexpr Duration PlanInterval = std::chrono::milliseconds(10);
+constexpr Duration OrderInterval = std::chrono::milliseconds(50);
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(20);
 /// Time for the last messages to leave the sockets before the process exits.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
@@ -96,11 +97,11 @@
     refuseAll(expire(Scheduler, now()));
     pump();
     if (Settings.Kind == EndpointKind::Engine) {
-      planTransfers();
-      planOrders();
       reportToPool();
     }
   });
+  if (Settings.Kind == EndpointKind::Engine)
+    Base.Loop.every(OrderInterval, [this] { planOrders(); });
   return std::nullopt;
 }
 
@@ -125,7 +126,14 @@
     if (Known != Base.Members.Records.end() &&
         Known->second.Listed.Pool == Settings.Pool)
       PoolReports[Peer] = {Base.turn(), Load->Load.ReadyWeights};
-  } else if (const auto *Map = std::get_if<ChunkMap>(&Content)) {
+  } else {
+    receiveChunkMessage(Peer, Content);
+  }
+}
+
+void Agent::receiveChunkMessage(const std::string &Peer, const Body &Content) {
+  wakeTransfers();
+  if (const auto *Map = std::get_if<ChunkMap>(&Content)) {
     if (auto Failure = chunkMapReceived(Transfer, Peer, Map->Version, Map->Held,
                                         Base.turn()))
       Base.Log.write("chunk_map_refused", *Failure);
@@ -139,6 +147,7 @@
 
 void Agent::peerLost(const std::string &Peer) {
   transferPeerLost(Transfer, Peer, Base.turn());
+  wakeTransfers();
   std::vector<std::string> Affected;
   for (const auto &[Key, Task] : Works)
     if (Task.Entry == Peer)
@@ -210,6 +219,7 @@
   }
   if (Settings.Kind == EndpointKind::Engine)
     transferMembers(Transfer, Peers, Base.turn());
+  wakeTransfers();
   std::erase_if(PoolReports, [this](const auto &Each) {
     return !Base.Members.Records.contains(Each.first);
   });
@@ -242,6 +252,7 @@
   wantVersions(Transfer, Versions, Base.turn());
   wantModels(Loading, InForce.Index.Number, std::move(Models));
   checkComplete();
+  wakeTransfers();
 }
 
 void Agent::beginLeaving(bool Exit) {
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -61,6 +61,7 @@
 private:
   // agent.cpp: reports, members, leaving
   void receive(const Message &Incoming);
+  void receiveChunkMessage(const std::string &Peer, const Body &Content);
   void peerLost(const std::string &Peer);
   void membersChanged();
   void configurationChanged();
@@ -98,6 +99,7 @@
                  const OperationAnswer &Answer);
 
   // agent_transfer.cpp: chunks
+  void wakeTransfers();
   void planTransfers();
   void perform(const TransferAction &Action);
   void fetch(const FetchFromStore &Action);
@@ -152,6 +154,8 @@
   std::map<Digest, Staging> Stagings; ///< by version
   std::vector<Digest> ReadyWeights;
   TimePoint PoolReportedAt{};
+  bool TransferDue = false; ///< planTransfers runs in the next turn
+  TimePoint TransferAt{};
 
   boost::asio::io_context EndpointContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
--- a/programs/agent/agent_loading.cpp
+++ b/programs/agent/agent_loading.cpp
@@ -112,8 +112,7 @@
 }
 
 void Agent::planOrders() {
-  if (Base.configuration() == nullptr ||
-      nextLoadingPlan(Loading, Base.turn()) > Base.turn())
+  if (Base.configuration() == nullptr)
     return;
   LoadingInput Input;
   Input.Now = Base.turn();
--- a/programs/agent/agent_transfer.cpp
+++ b/programs/agent/agent_transfer.cpp
@@ -30,12 +30,26 @@
 
 } // namespace
 
-void Agent::planTransfers() {
-  if (nextTransferPlan(Transfer, Base.turn()) > Base.turn())
+void Agent::wakeTransfers() {
+  if (Settings.Kind != EndpointKind::Engine || TransferDue)
     return;
+  TransferDue = true;
+  Base.Loop.at(Base.turn(), [this] { planTransfers(); });
+}
+
+void Agent::planTransfers() {
+  TransferDue = false;
   for (const TransferAction &Action :
        planTransfer(Transfer, Base.turn(), Base.Source))
     perform(Action);
+  const TimePoint Next = nextTransferPlan(Transfer, Base.turn());
+  if (Next == TransferAt)
+    return;
+  TransferAt = Next;
+  Base.Loop.at(Next, [this, Next] {
+    if (TransferAt == Next)
+      wakeTransfers();
+  });
 }
 
 void Agent::perform(const TransferAction &Action) {
@@ -82,6 +96,7 @@
 
 void Agent::fetched(const FetchFromStore &Action, const HttpResult &Result,
                     bool Verified) {
+  wakeTransfers();
   const auto *Response = std::get_if<HttpResponse>(&Result);
   if (Response == nullptr || Response->Status != 200) {
     storeFailed(Transfer, Action.Chunk,
@@ -110,6 +125,7 @@
 
 void Agent::chunkArrived(const std::string &Peer, ChunkData &&Chunk,
                          bool Verified) {
+  wakeTransfers();
   if (!Verified)
     Base.Log.write("chunk_corrupt", Error{ErrorCode::ChunkCorrupt,
                                           Step::ChunkVerify, Peer,
--- a/programs/node/node_configuration.cpp
+++ b/programs/node/node_configuration.cpp
@@ -31,7 +31,8 @@
   notePeerRevision(Configuration, Peer, Theirs);
   if (const auto *Offer = std::get_if<ConfigurationOffer>(&Incoming.Content)) {
     offerReceived(Watch, Offer->Age, Loop.turn());
-    settle(receiveIndex(Configuration, Offer->Index, Peer), Peer);
+    if (Offer->Index.Number > 0) // 0 only tells that the service was heard
+      settle(receiveIndex(Configuration, Offer->Index, Peer), Peer);
   } else if (const auto *Asked =
                  std::get_if<ConfigurationRequest>(&Incoming.Content)) {
     if (auto Values = valuesForPeer(Configuration, Asked->Number, Asked->Keys))
