--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::uint64_t SeedCount = 5;
+
 struct Variant {
   std::string Name;
   RunOptions Options;
@@ -54,10 +56,21 @@
       Of.RecoveredServed, Of.Pauses);
 }
 
-double fairnessError(const RunOptions &Options, const TraceTimes &Times) {
+Measures measureSeeds(const Trace &Source, RunOptions Options) {
+  std::vector<Measures> Runs;
+  for (Options.Seed = 1; Options.Seed <= SeedCount; ++Options.Seed)
+    Runs.push_back(measure(Source, runTrace(Source, Options), Options.Floors));
+  return mean(Runs);
+}
+
+double fairnessError(RunOptions Options, const TraceTimes &Times) {
   const Trace Source = spreadTrace(Times);
-  const RunResult Result = runTrace(Source, Options);
-  return servedCost(Source, Result, 0) / servedCost(Source, Result, 1) - 1;
+  double Sum = 0;
+  for (Options.Seed = 1; Options.Seed <= SeedCount; ++Options.Seed) {
+    const RunResult Result = runTrace(Source, Options);
+    Sum += servedCost(Source, Result, 0) / servedCost(Source, Result, 1) - 1;
+  }
+  return Sum / SeedCount;
 }
 
 } // namespace
@@ -76,9 +89,7 @@
     if (Each.Name.find(Only) == std::string::npos)
       continue;
     for (const Trace &Source : Traces)
-      printRow(
-          Each.Name, Source,
-          measure(Source, runTrace(Source, Each.Options), Each.Options.Floors));
+      printRow(Each.Name, Source, measureSeeds(Source, Each.Options));
     fmt::print("fairness error of a caller on four entries against one on one "
                "entry, {}: {:+.3f}\n",
                Each.Name, fairnessError(Each.Options, Times));
--- a/bench/policy_measure_common.cpp
+++ b/bench/policy_measure_common.cpp
@@ -14,25 +14,32 @@
 /// Requests near the end of a trace could not complete within it.
 constexpr Duration Tail = std::chrono::seconds(20);
 
+double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
 bool inTime(const Request &Source, const RequestRecord &Record) {
   return Record.Done >= Duration::zero() &&
          Record.Done - Source.Arrival <= Deadlines[rankIndex(Source.Priority)];
 }
 
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 double servedOf(const Request &Source) {
   return static_cast<double>(
       tokenCost(Source.PromptTokens, Source.AnswerTokens));
 }
 
-/// Offered load of a caller in a rank during the event, in capacities.
-double offeredLoad(const Trace &Source, std::size_t Index,
-                   std::size_t CallerIndex) {
-  const LoadPeriod &During = Source.Periods[1];
-  return During.Load[Index] * During.Share[Index][CallerIndex];
+using CallerLoads = std::array<std::array<double, CallerCount>, RankCount>;
+
+/// Load that the callers in fact offered during the event, in capacities. The
+/// drawn requests of a caller differ from its mean load by several percent.
+CallerLoads offeredLoads(const Trace &Source, const RunResult &Result) {
+  CallerLoads Loads{};
+  for (const Request &Item : Result.Requests)
+    if (Item.Arrival >= Source.EventFrom && Item.Arrival < Source.EventTo)
+      Loads[rankIndex(Item.Priority)][Item.CallerIndex] +=
+          engineSeconds(Item.PromptTokens, Item.AnswerTokens) /
+          seconds(Source.EventTo - Source.EventFrom) / ServerCount;
+  return Loads;
 }
 
 /// Share of the fleet that a rank is entitled to: its floor, or what the floors
@@ -51,10 +58,11 @@
 }
 
 bool smallWithinShare(const Trace &Source, const Request &Item,
+                      const CallerLoads &Offered,
                       const std::array<double, RankCount> &Floors) {
   const std::size_t Index = rankIndex(Item.Priority);
   return Item.CallerIndex >= LargeCallers &&
-         offeredLoad(Source, Index, Item.CallerIndex) <=
+         Offered[Index][Item.CallerIndex] <=
              entitledLoad(Source, Index, Floors) / CallerCount;
 }
 
@@ -98,6 +106,7 @@
                      Measures &Out) {
   std::array<std::vector<double>, RankCount> First;
   std::array<std::vector<double>, RankCount> Start;
+  const CallerLoads Loads = offeredLoads(Source, Result);
   std::array<double, RankCount> InTime{};
   std::array<double, RankCount> Offered{};
   std::array<double, RankCount> SmallInTime{};
@@ -114,7 +123,7 @@
       First[Index].push_back(seconds(Record.FirstToken - Item.Arrival));
     if (Record.Started >= Duration::zero())
       Start[Index].push_back(seconds(Record.Started - Item.Arrival));
-    if (smallWithinShare(Source, Item, Floors)) {
+    if (smallWithinShare(Source, Item, Loads, Floors)) {
       ++Small[Index];
       SmallInTime[Index] += inTime(Item, Record);
     }
@@ -192,6 +201,25 @@
   return Done / seconds(Length - Warmup);
 }
 
+Measures mean(const std::vector<Measures> &Runs) {
+  Measures Out;
+  const double Part = 1.0 / static_cast<double>(Runs.size());
+  for (const Measures &Run : Runs) {
+    for (std::size_t I = 0; I < RankCount; ++I) {
+      Out.FirstTokenP95[I] += Part * Run.FirstTokenP95[I];
+      Out.StartP95[I] += Part * Run.StartP95[I];
+      Out.InDeadline[I] += Part * Run.InDeadline[I];
+      Out.TokenShare[I] += Part * Run.TokenShare[I];
+      Out.SmallInDeadline[I] += Part * Run.SmallInDeadline[I];
+      Out.RecoveredP95[I] += Part * Run.RecoveredP95[I];
+    }
+    Out.Goodput += Part * Run.Goodput;
+    Out.RecoveredServed += Part * Run.RecoveredServed;
+    Out.Pauses += Run.Pauses;
+  }
+  return Out;
+}
+
 Measures measure(const Trace &Source, const RunResult &Result,
                  const std::array<double, RankCount> &Floors) {
   Measures Out;
--- a/bench/policy_run_common.hpp
+++ b/bench/policy_run_common.hpp
@@ -64,8 +64,9 @@
                                                    ///< small callers within
                                                    ///< their fair share
   double Goodput = 0; ///< answers in time, by the capacity for their mix
-  double RecoveredP95[RankCount] = {}; ///< seconds; requests that arrived 10 s
-                                       ///< or more after the event
+  std::array<double, RankCount>
+      RecoveredP95{};         ///< seconds; requests that arrived 10 s
+                              ///< or more after the event
   double RecoveredServed = 0; ///< share of the same requests that got a first
                               ///< token
   std::uint64_t Pauses = 0;
@@ -84,6 +85,11 @@
 Measures measure(const Trace &Source, const RunResult &Result,
                  const std::array<double, RankCount> &Floors);
 
+/// @brief Mean over runs with different seeds; pauses are added.
+/// @param Runs measures of the runs, at least one
+/// @return the mean of each measure
+Measures mean(const std::vector<Measures> &Runs);
+
 /// @brief Served cost of a caller during the event, in tokenCost.
 /// @param Source the trace
 /// @param Result its run
--- a/bench/policy_trace_common.hpp
+++ b/bench/policy_trace_common.hpp
@@ -66,7 +66,7 @@
 struct TraceTimes {
   Duration Before = std::chrono::seconds(20);
   Duration Event = std::chrono::seconds(90);
-  Duration After = std::chrono::seconds(40);
+  Duration After = std::chrono::seconds(60);
 };
 
 /// @brief The traces of the design page.
--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -44,11 +44,13 @@
   std::array<double, RankCount> Floors = {
       0.0, 0.2, 0.05}; ///< guaranteed share of tokens by rank, 0 to 1; the sum
                        ///< is at most 1; the floor of Urgent is ignored
-  std::uint32_t MaxQueuedPerRank = 512;   ///< waiting requests
+  std::uint32_t MaxQueuedPerRank = 512; ///< waiting requests
+  std::array<std::uint32_t, RankCount> GuaranteedPerCaller = {
+      1, 2, 1}; ///< waiting requests that a caller may have in a full queue
   std::uint32_t MaxQueuedPerCaller = 256; ///< waiting requests in one rank
   std::uint32_t MaxCallers = 256;         ///< callers remembered in one rank
   std::array<Duration, RankCount> MaxQueueTime = {
-      std::chrono::seconds(1), std::chrono::seconds(2),
+      std::chrono::seconds(1), std::chrono::milliseconds(1000),
       std::chrono::seconds(1)}; ///< waiting tokens divided by the token rate of
                                 ///< the endpoint
   double AnswerTokensPerSecond = 0; ///< first estimate of the rate of one
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -174,33 +174,35 @@
          static_cast<double>(Flow.WaitingCost + Added) / Flow.Weight;
 }
 
-/// Caller whose newest waiting work would be served last, among those with at
-/// least two waiting requests; nothing if there is none.
-CallerFlow *lastServedFlow(RankQueue &Queue) {
+/// Caller whose newest waiting work would be served last, among those with more
+/// than a count of waiting requests; nothing if there is none.
+CallerFlow *lastServedFlow(RankQueue &Queue, std::uint32_t Guaranteed) {
   CallerFlow *Last = nullptr;
   for (auto &[Name, Flow] : Queue.Flows)
-    if (Flow.Waiting.size() >= 2 &&
+    if (Flow.Waiting.size() > Guaranteed &&
         (!Last ||
          lastVirtualStart(Queue, Flow, 0) > lastVirtualStart(Queue, *Last, 0)))
       Last = &Flow;
   return Last;
 }
 
-/// Evicts the work that would be served last until the rank has room. Every
-/// caller may have one request waiting, beyond the limit of queue time too, so
-/// that a caller within its share isn't refused because its request is large.
+/// Evicts the work that would be served last until the rank has room. The
+/// guaranteed places of a caller are beyond the limit of queue time, so that a
+/// caller within its share isn't refused because its request is large.
 bool makeRoom(SchedulerState &State, const QueuedWork &Work, std::uint64_t Cost,
               std::vector<Refusal> &Evicted) {
   RankQueue &Queue = queueOf(State, Work.Priority);
+  const std::uint32_t Guaranteed =
+      State.Settings.GuaranteedPerCaller[rankIndex(Work.Priority)];
   while (rankFull(State, Work.Priority, Cost)) {
     CallerFlow &Own = Queue.Flows.find(Work.Caller)->second;
-    CallerFlow *Last = lastServedFlow(Queue);
-    const bool First = Own.Waiting.empty();
-    if (First && !Last)
+    CallerFlow *Last = lastServedFlow(Queue, Guaranteed);
+    const bool Entitled = Own.Waiting.size() < Guaranteed;
+    if (Entitled && !Last)
       return Queue.Waiting < State.Settings.MaxQueuedPerRank;
-    if (!First && (!Last || Last == &Own ||
-                   lastVirtualStart(Queue, *Last, 0) <=
-                       lastVirtualStart(Queue, Own, Cost)))
+    if (!Entitled && (!Last || Last == &Own ||
+                      lastVirtualStart(Queue, *Last, 0) <=
+                          lastVirtualStart(Queue, Own, Cost)))
       return false;
     Evicted.push_back(refuseWaiting(
         State, std::string(Last->Waiting.back()), ErrorCode::QueueFull,
