Announce maps every 250 ms and retry busy senders after 50 ms

Cause: in regions that are fed by slow links every VM wants the same few new chunks, so stale maps and long waits after a refusal left links idle.

--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -32,7 +32,7 @@
   /// A draw from the store without progress is given up after this time. It
   /// exceeds StallTimeout because owners share the store's rate.
   Duration StoreTimeout = std::chrono::seconds(60);
-  Duration AnnounceInterval = std::chrono::milliseconds(500);
+  Duration AnnounceInterval = std::chrono::milliseconds(250);
   Duration RefreshInterval = std::chrono::seconds(5); ///< of unchanged maps
   Duration BanTime = std::chrono::seconds(60);        ///< doubles with each ban
   std::size_t MaxInFlight = 8; ///< requests to peers of the own region
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -24,7 +24,7 @@
 /// Answer to a request for a chunk that is on its way.
 constexpr Duration NotYetRetry = std::chrono::seconds(1);
 /// Answer of a sender whose queue is full.
-constexpr Duration BusyRetry = std::chrono::milliseconds(200);
+constexpr Duration BusyRetry = std::chrono::milliseconds(50);
 
 PeerIndex findPeer(const TransferState &State, const std::string &Name) {
   const auto Found = State.PeerByName.find(Name);
@@ -118,7 +118,7 @@
                            State.Peers[Other.Peer].Region == State.Home;
                   });
   return Queued ||
-         Now - State.Chunks[Chunk].SentAt < 2 * State.Settings.AnnounceInterval;
+         Now - State.Chunks[Chunk].SentAt < State.Settings.AnnounceInterval;
 }
 
 /// Whether a further upload is accepted: it would be sent well before its
