Search values at the peer and the service side by side; test under faults

Cause: a process that restarted while the service was stale kept asking the service for values that only a peer had, and never became ready. updateList could evict the record, and the incarnation, of a member that the same list names. Change: a search asks the announcing peer and reads the service independently; known members are updated before new ones are added. Fault tests over all faults, moments and pairs of faults; RapidCheck over interleavings of both decisions. Ruled out: switching the search to the last source, which a stale service can hold back with every read.

--- a/include/marigoldyard/coordination/watch_plan.hpp
+++ b/include/marigoldyard/coordination/watch_plan.hpp
@@ -94,13 +94,15 @@
 /// reached when any one other is lost, and none has more than FanOut children.
 inline constexpr std::size_t RelayTreeCount = 2;
 
-/// @brief Values that are missing for the pending configuration.
+/// @brief Values that are missing for the pending configuration. They are asked
+/// of the peer that announced the revision and, after PeerValueWait or when the
+/// service announced it, read from the service too: either may be behind.
 struct ValueSearch {
-  std::string Source; ///< who announced the revision
   std::vector<std::string> Keys;
-  std::uint32_t Reads = 0; ///< of the service
-  TimePoint Since;
-  TimePoint NextTry;
+  std::string Peer; ///< empty when only the service announced the revision
+  TimePoint NextQuestion;
+  TimePoint NextRead;
+  std::uint32_t Reads = 0;
 };
 
 /// @brief A newer revision that a peer holds.
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -84,6 +84,12 @@
   return true;
 }
 
+void describe(MemberRecord &Record, const Member &Listed) {
+  Record.Listed = Listed;
+  Record.Described = true;
+  Record.InList = true;
+}
+
 bool isVerified(const MembershipState &State, const MemberRecord &Record) {
   return !State.VoidedAt ||
          (Record.LastHeard && *Record.LastHeard >= *State.VoidedAt);
@@ -116,18 +122,18 @@
       Record.UnlistedSince = Now;
     }
   }
+  // Known members first: making room for a new one must not remove the record
+  // and incarnation of one that the list names further down.
+  for (const Member &Each : List)
+    if (MemberRecord *Record = findRecord(State, Each.Name))
+      describe(*Record, Each);
   for (const Member &Each : List) {
-    MemberRecord *Record = findRecord(State, Each.Name);
-    if (!Record) {
-      if (!makeRoomListed(State)) {
-        ++State.Refused;
-        continue;
-      }
-      Record = &State.Records[Each.Name];
-    }
-    Record->Listed = Each;
-    Record->Described = true;
-    Record->InList = true;
+    if (State.Records.contains(Each.Name))
+      continue;
+    if (makeRoomListed(State))
+      describe(State.Records[Each.Name], Each);
+    else
+      ++State.Refused;
   }
 }
 
--- a/src/coordination/watch_plan.cpp
+++ b/src/coordination/watch_plan.cpp
@@ -11,6 +11,8 @@
 
 // Lowest share of an interval that jitter leaves.
 constexpr double JitterFloor = 0.5;
+// Doublings of RetryMinimum that reach RetryMaximum.
+constexpr std::uint32_t MaxDoublings = 4;
 // Age of an offer of a process that never heard of the service.
 constexpr Duration UnknownAge = std::chrono::hours(1);
 // A read that is overdue by more was held up by a pause of the own process.
@@ -133,29 +135,30 @@
        {}});
 }
 
+void addValueQuestions(WatchState &State, TimePoint Now, WatchStep &Step) {
+  if (!State.Search || State.Search->Peer.empty())
+    return;
+  ValueSearch &Search = *State.Search;
+  if (Search.NextQuestion <= Now) {
+    Search.NextQuestion = Now + State.Settings.PeerValueInterval;
+    Step.Actions.push_back(
+        {WatchActionKind::AskValues, {Search.Peer}, Search.Keys, {}, {}});
+  }
+  Step.Next = std::min(Step.Next, Search.NextQuestion);
+}
+
 void addValueReads(WatchState &State, TimePoint Now, Random &Randomness,
                    WatchStep &Step) {
   if (!State.Search)
     return;
   ValueSearch &Search = *State.Search;
-  if (Search.NextTry > Now) {
-    Step.Next = std::min(Step.Next, Search.NextTry);
-    return;
-  }
-  if (Search.Source != ServiceSource &&
-      Now - Search.Since < State.Settings.PeerValueWait) {
-    Search.NextTry = Now + State.Settings.PeerValueInterval;
-    Step.Actions.push_back(
-        {WatchActionKind::AskValues, {Search.Source}, Search.Keys, {}, {}});
-    Step.Next = std::min(Step.Next, Search.NextTry);
+  const TimePoint At = std::max(Search.NextRead, whenTokens(State, 1, Now));
+  if (At > Now) {
+    Step.Next = std::min(Step.Next, At);
     return;
   }
   const auto Affordable =
       std::min(static_cast<std::size_t>(State.Tokens), Search.Keys.size());
-  if (Affordable == 0) {
-    Step.Next = std::min(Step.Next, whenTokens(State, 1, Now));
-    return;
-  }
   State.Tokens -= double(Affordable);
   // Another order on each try lets a short budget reach all keys.
   std::shuffle(Search.Keys.begin(), Search.Keys.end(), Randomness);
@@ -166,12 +169,12 @@
         Search.Keys.begin() + static_cast<std::ptrdiff_t>(Affordable)},
        {},
        {}});
-  const std::uint32_t Doublings = std::min(Search.Reads++, 4U);
-  Search.NextTry =
+  const std::uint32_t Doublings = std::min(Search.Reads++, MaxDoublings);
+  Search.NextRead =
       Now + jittered(std::min(State.Settings.RetryMinimum * (1U << Doublings),
                               State.Settings.RetryMaximum),
                      Randomness);
-  Step.Next = std::min(Step.Next, Search.NextTry);
+  Step.Next = std::min(Step.Next, Search.NextRead);
 }
 
 std::vector<std::string> childrenOfAllTrees(const WatchState &State) {
@@ -346,17 +349,20 @@
     State.Search.reset();
     return;
   }
-  if (!State.Search) {
-    State.Search =
-        ValueSearch{std::string(Source), std::move(Keys), 0, Now, Now};
-    return;
-  }
-  // Peers that announce in turn change whom the next question goes to, not its
-  // time: otherwise each announcement would cause another question or read.
-  if (Source == ServiceSource && State.Search->Source != Source)
-    State.Search->NextTry = Now;
-  if (State.Search->Source != ServiceSource)
-    State.Search->Source = Source;
+  const bool FromService = Source == ServiceSource;
+  if (!State.Search)
+    State.Search = ValueSearch{
+        {},
+        "",
+        Now,
+        Now + (FromService ? Duration(0) : State.Settings.PeerValueWait),
+        0};
+  // Announcements change whom the next question goes to, not its time:
+  // otherwise each one would cause another question or read.
+  if (!FromService)
+    State.Search->Peer = Source;
+  else if (State.Search->Reads == 0)
+    State.Search->NextRead = Now;
   State.Search->Keys = std::move(Keys);
 }
 
@@ -388,6 +394,7 @@
   WatchStep Step;
   Step.Next = Now + State.Settings.WatchWait;
   addRelays(State, Now, Step);
+  addValueQuestions(State, Now, Step);
   addValueReads(State, Now, Randomness, Step);
   addReads(State, Now, Step);
   addQuestions(State, Now, Randomness, Step);
