--- a/bench/configuration_fleet.hpp
+++ b/bench/configuration_fleet.hpp
@@ -274,6 +274,7 @@
     send(From, Processes[To].Name, Texts->size() * ValueBytes,
          [this, From, Texts = *Texts](std::size_t Receiver) {
            std::vector<CheckedValue> Values;
+           Values.reserve(Texts.size());
            for (const auto &[Key, Text] : Texts)
              Values.push_back(makeValue(Key, Text));
            accept(Receiver,
--- a/src/protocol/digest.cpp
+++ b/src/protocol/digest.cpp
@@ -10,7 +10,7 @@
   SHA256(reinterpret_cast<const unsigned char *>(Bytes.data()), Bytes.size(),
          Hash);
   Digest Text;
-  Text.reserve(2 * SHA256_DIGEST_LENGTH);
+  Text.reserve(std::size_t(2) * SHA256_DIGEST_LENGTH);
   for (const unsigned char Byte : Hash) {
     Text += Digits[Byte >> 4U];
     Text += Digits[Byte & 0xFU];
--- a/src/protocol/schema.cpp
+++ b/src/protocol/schema.cpp
@@ -66,6 +66,13 @@
          });
 }
 
+std::string childPath(const std::string &Path, std::string_view Key) {
+  std::string Text = Path;
+  Text += '/';
+  Text += escapePointer(Key);
+  return Text;
+}
+
 std::string numberText(double Value) {
   return std::floor(Value) == Value ? std::to_string(std::int64_t(Value))
                                     : json(Value).dump();
@@ -96,7 +103,7 @@
   default:
     break;
   }
-  if (Text.size() < std::max(Key.Minimum, 1.0))
+  if (double(Text.size()) < std::max(Key.Minimum, 1.0))
     return Text.empty() ? "is empty" : "is too short";
   if (Key.Maximum > 0 && double(Text.size()) > Key.Maximum)
     return "is too long";
@@ -121,7 +128,7 @@
                    std::vector<DocumentFault> &Faults) {
   std::set<std::string> Seen;
   for (std::size_t I = 0; I < Value.size(); ++I) {
-    const std::string ItemPath = Path + "/" + std::to_string(I);
+    const std::string ItemPath = childPath(Path, std::to_string(I));
     if (!Value[I].is_string()) {
       Faults.push_back({ItemPath, "has the wrong type", expectedUnit(Key)});
       continue;
@@ -146,12 +153,12 @@
   std::set<json> Seen;
   const std::string Unique(Key.UniqueKey);
   for (std::size_t I = 0; I < Value.size(); ++I) {
-    const std::string ItemPath = Path + "/" + std::to_string(I);
+    const std::string ItemPath = childPath(Path, std::to_string(I));
     checkObject(Value[I], ItemPath, Key.Members, Faults);
     if (Unique.empty() || !Value[I].is_object() || !Value[I].contains(Unique))
       continue;
     if (!Seen.insert(Value[I][Unique]).second)
-      Faults.push_back({ItemPath + "/" + Unique,
+      Faults.push_back({childPath(ItemPath, Unique),
                         "duplicate " + Value[I][Unique].dump(),
                         "unique in the list"});
   }
@@ -276,11 +283,11 @@
         Members.begin(), Members.end(),
         [&Name = Key](const KeyDescription &M) { return M.Key == Name; });
     if (Known == Members.end())
-      Faults.push_back({Path + "/" + escapePointer(Key), "unknown key", ""});
+      Faults.push_back({childPath(Path, Key), "unknown key", ""});
   }
   for (const KeyDescription &Member : Members) {
     const std::string Key(Member.Key);
-    const std::string MemberPath = Path + "/" + Key;
+    const std::string MemberPath = childPath(Path, Key);
     if (Value.contains(Key))
       checkValue(Value[Key], MemberPath, Member, Faults);
     else if (Member.Default.empty())
--- a/tests/src/unit-coordination-membership.cpp
+++ b/tests/src/unit-coordination-membership.cpp
@@ -16,6 +16,7 @@
 
 std::vector<Member> listOf(int Count, int Leaving = -1) {
   std::vector<Member> List;
+  List.reserve(std::size_t(Count));
   for (int I = 0; I < Count; ++I)
     List.push_back({agentName(I), "127.0.2." + std::to_string(I),
                     MemberKind::Endpoint, "r", "f", "pool", I == Leaving});
--- a/tests/src/unit-coordination-watch-plan.cpp
+++ b/tests/src/unit-coordination-watch-plan.cpp
@@ -14,6 +14,7 @@
 
 std::vector<Member> region(int Count) {
   std::vector<Member> Members;
+  Members.reserve(std::size_t(Count) + 1);
   for (int I = 0; I < Count; ++I)
     Members.push_back({"vm-" + std::to_string(I), "", MemberKind::Endpoint, "r",
                        "", "pool", false});
@@ -167,6 +168,7 @@
   WatchState State = listener();
   Random Randomness(6);
   std::vector<std::string> Keys;
+  Keys.reserve(100);
   for (int I = 0; I < 100; ++I)
     Keys.push_back("products/" + std::to_string(I));
   valuesNeeded(State, ServiceSource, Keys, Start);
