--- a/include/marigoldyard/state/time.hpp
+++ b/include/marigoldyard/state/time.hpp
@@ -13,7 +13,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, duration>;
-  static constexpr bool is_steady = true;
 };
 
 /// @brief Span of time; resolution one microsecond.
--- a/include/marigoldyard/transport/ring.hpp
+++ b/include/marigoldyard/transport/ring.hpp
@@ -46,7 +46,10 @@
     bool Pushed = false;
     ++Waiting;
     Changed.wait_for(Lock, Limit, [&] {
-      Pushed = !Closed.load() && Queue.try_push(std::move(Value));
+      // try_push leaves Value unchanged when the queue is full.
+      Pushed =
+          !Closed.load() &&
+          Queue.try_push(std::move(Value)); // NOLINT(bugprone-use-after-move)
       return Pushed || Closed.load();
     });
     --Waiting;
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -165,10 +165,10 @@
     else if (Each.Pool == Settings.Pool)
       Endpoints.push_back({Each.Name, Each.FailureDomain});
   }
-  const bool Listed = std::any_of(
-      Endpoints.begin(), Endpoints.end(), [this](const SubsetEndpoint &Each) {
-        return Each.Name == Settings.Process.Name;
-      });
+  const bool Listed = std::any_of(Endpoints.begin(), Endpoints.end(),
+                                  [this](const SubsetEndpoint &Each) {
+                                    return Each.Name == Settings.Process.Name;
+                                  });
   if (!Listed)
     Endpoints.push_back(
         {Settings.Process.Name, Settings.Process.FailureDomain});
@@ -214,8 +214,8 @@
       continue;
     const MemberState Current = memberState(Base.Members, Record, Base.turn());
     if (Current != MemberState::Dead)
-      Peers.push_back({Name, Record.Listed.Region,
-                       Current == MemberState::Leaving});
+      Peers.push_back(
+          {Name, Record.Listed.Region, Current == MemberState::Leaving});
   }
   if (Settings.Kind == EndpointKind::Engine)
     transferMembers(Transfer, Peers, Base.turn());
@@ -234,8 +234,7 @@
   std::vector<WantedModel> Models;
   std::vector<Digest> Versions;
   for (const Product *Each : productsOfPool(InForce.Content, Settings.Pool)) {
-    Models.push_back(
-        {Each->Name, Each->Model, Each->Version, Each->Weights});
+    Models.push_back({Each->Name, Each->Model, Each->Version, Each->Weights});
     if (std::find(Versions.begin(), Versions.end(), Each->Weights) ==
         Versions.end())
       Versions.push_back(Each->Weights);
@@ -298,12 +297,10 @@
 
 void Agent::callEndpoint(HttpCallRequest Request,
                          std::function<void(const HttpResult &)> Ended) {
-  Endpoint.call(std::move(Request),
-                [this, Ended = std::move(Ended)](HttpResult Result) {
-                  Base.Loop.post([Ended, Result = std::move(Result)] {
-                    Ended(Result);
-                  });
-                });
+  Endpoint.call(
+      std::move(Request), [this, Ended = std::move(Ended)](HttpResult Result) {
+        Base.Loop.post([Ended, Result = std::move(Result)] { Ended(Result); });
+      });
 }
 
 void Agent::status(nlohmann::json &Page) const {
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -94,7 +94,7 @@
   void operationRun(const Message &Incoming, const OperationRun &Content);
   void startRun(const std::string &Key);
   void runEnded(const std::string &Key, const HttpResult &Result);
-  void finishRun(const std::string &Operation, OperationAnswer Answer);
+  void finishRun(const std::string &Operation, const OperationAnswer &Answer);
   void answerRun(const OperationWaiter &Waiter, const std::string &Operation,
                  const OperationAnswer &Answer);
 
@@ -106,7 +106,7 @@
   void fetched(const FetchFromStore &Action, const HttpResult &Result,
                bool Verified);
   void chunkArrived(const std::string &Peer, ChunkData &&Chunk, bool Verified);
-  void keepChunk(const Digest &Id, ChunkBytes Bytes);
+  void keepChunk(const Digest &Id, const ChunkBytes &Bytes);
   void describeVersion(const Digest &Id, const std::vector<std::uint8_t> &Text);
   void checkComplete();
 
--- a/programs/agent/agent_loading.cpp
+++ b/programs/agent/agent_loading.cpp
@@ -68,8 +68,8 @@
     const MemberState Current = memberState(Base.Members, Record, Base.turn());
     if (Current == MemberState::Dead)
       continue;
-    RolloutMember Each{Name, Current == MemberState::Leaving, Record.LinkedSince,
-                       {}};
+    RolloutMember Each{
+        Name, Current == MemberState::Leaving, Record.LinkedSince, {}};
     if (const auto Found = PoolReports.find(Name); Found != PoolReports.end()) {
       Each.LastReport = Found->second.At;
       Each.ReadyWeights = Found->second.ReadyWeights;
@@ -164,22 +164,21 @@
 
 void Agent::readBack() {
   const TimePoint AskedAt = now();
-  callEndpoint(
-      endpointRequest("GET", "/state", {}, Step::ReadBack),
-      [this, AskedAt](const HttpResult &Result) {
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Response == nullptr || Response->Status != 200) {
-          engineLost(Loading, now());
-          return;
-        }
-        auto Loaded = parseEngineState(Response->Body);
-        if (!Loaded) {
-          Base.Log.write("read_back_invalid", Loaded.error());
-          engineLost(Loading, now());
-          return;
-        }
-        engineReported(Loading, std::move(*Loaded), AskedAt, now());
-      });
+  callEndpoint(endpointRequest("GET", "/state", {}, Step::ReadBack),
+               [this, AskedAt](const HttpResult &Result) {
+                 const auto *Response = std::get_if<HttpResponse>(&Result);
+                 if (Response == nullptr || Response->Status != 200) {
+                   engineLost(Loading, now());
+                   return;
+                 }
+                 auto Loaded = parseEngineState(Response->Body);
+                 if (!Loaded) {
+                   Base.Log.write("read_back_invalid", Loaded.error());
+                   engineLost(Loading, now());
+                   return;
+                 }
+                 engineReported(Loading, std::move(*Loaded), AskedAt, now());
+               });
 }
 
 } // namespace marigoldyard
--- a/programs/agent/agent_operations.cpp
+++ b/programs/agent/agent_operations.cpp
@@ -78,7 +78,9 @@
   const EnqueueResult Queued = enqueue(Scheduler, Item, now());
   if (!Queued.Accepted) {
     finishRun(Content.Operation,
-              {Outcome::NotRun, 0, {},
+              {Outcome::NotRun,
+               0,
+               {},
                Queued.Refused ? Queued.Refused->Reason : ErrorCode::QueueFull});
     return;
   }
@@ -125,11 +127,12 @@
                                              : ErrorCode::PeerUnreachable;
     Base.Log.write("operation_call_failed", Failure.Cause);
   }
-  finishRun(Operation, std::move(Answer));
+  finishRun(Operation, Answer);
   pump();
 }
 
-void Agent::finishRun(const std::string &Operation, OperationAnswer Answer) {
+void Agent::finishRun(const std::string &Operation,
+                      const OperationAnswer &Answer) {
   Base.record("operation_finished", {}, Settings.Process.Name, {},
               {{"operation", Operation},
                {"outcome", std::string(outcomeName(Answer.Result))}});
--- a/programs/agent/agent_transfer.cpp
+++ b/programs/agent/agent_transfer.cpp
@@ -120,16 +120,16 @@
       .add(Response->Body.size());
   auto Bytes =
       std::make_shared<std::vector<std::uint8_t>>(bytesOf(Response->Body));
-  keepChunk(Action.Chunk, std::move(Bytes));
+  keepChunk(Action.Chunk, Bytes);
 }
 
 void Agent::chunkArrived(const std::string &Peer, ChunkData &&Chunk,
                          bool Verified) {
   wakeTransfers();
   if (!Verified)
-    Base.Log.write("chunk_corrupt", Error{ErrorCode::ChunkCorrupt,
-                                          Step::ChunkVerify, Peer,
-                                          Chunk.Chunk});
+    Base.Log.write(
+        "chunk_corrupt",
+        Error{ErrorCode::ChunkCorrupt, Step::ChunkVerify, Peer, Chunk.Chunk});
   if (!chunkReceived(Transfer, Chunk.Chunk, Peer, Verified, Base.turn()))
     return;
   Base.Numbers
@@ -140,7 +140,7 @@
                              std::move(Chunk.Bytes)));
 }
 
-void Agent::keepChunk(const Digest &Id, ChunkBytes Bytes) {
+void Agent::keepChunk(const Digest &Id, const ChunkBytes &Bytes) {
   Chunks[Id] = Bytes;
   const bool IsDescriptor = Transfer.Versions.contains(Id);
   if (IsDescriptor)
--- a/programs/agent/agent_work.cpp
+++ b/programs/agent/agent_work.cpp
@@ -94,9 +94,8 @@
   if (const auto Found = Works.find(Key); Found != Works.end()) {
     checkInvariant(!Found->second.Running, Invariant::NotRunProof, Step::Queue,
                    Found->second.Entry);
-    Base.send(
-        Found->second.Entry,
-        WorkRefused{Found->second.Content.Id, Reason, milliseconds(RetryAfter)});
+    Base.send(Found->second.Entry, WorkRefused{Found->second.Content.Id, Reason,
+                                               milliseconds(RetryAfter)});
     Works.erase(Found);
   } else if (const auto Run = Runs.find(Key); Run != Runs.end()) {
     const std::string Operation = Run->second.Operation;
@@ -196,9 +195,9 @@
   constexpr unsigned NotFound = 404;
   const auto *Response = std::get_if<HttpResponse>(&Result);
   const auto *Failure = std::get_if<HttpFailure>(&Result);
-  const bool Refused = Response != nullptr &&
-                       (Response->Status == TooManyRequests ||
-                        Response->Status == NotFound);
+  const bool Refused =
+      Response != nullptr &&
+      (Response->Status == TooManyRequests || Response->Status == NotFound);
   const bool NeverSent = Failure != nullptr && !Failure->RequestBytesSent;
   if ((Refused || NeverSent) && Found->second.Produced == 0) {
     Base.send(Found->second.Entry,
--- a/programs/ctl/fleet_client.cpp
+++ b/programs/ctl/fleet_client.cpp
@@ -59,15 +59,14 @@
   return Result;
 }
 
-std::vector<OperatorPage>
-readPages(const std::vector<OperatorAddress> &Daemons,
-          const std::string &Target) {
+std::vector<OperatorPage> readPages(const std::vector<OperatorAddress> &Daemons,
+                                    const std::string &Target) {
   boost::asio::io_context Context;
   HttpClient Client(Context);
   std::vector<OperatorPage> Pages(Daemons.size());
   for (std::size_t I = 0; I < Daemons.size(); ++I)
     Client.call(pageRequest(Daemons[I].Address, Target),
-                [&, I](HttpResult Result) {
+                [&, I](const HttpResult &Result) {
                   Pages[I] = pageOf(Daemons[I], Result);
                 });
   Context.run();
--- a/programs/ctl/fleet_client.hpp
+++ b/programs/ctl/fleet_client.hpp
@@ -38,8 +38,7 @@
 /// @param Daemons the daemons
 /// @param Target path and query
 /// @return a page for each daemon, in the same order
-std::vector<OperatorPage>
-readPages(const std::vector<OperatorAddress> &Daemons,
-          const std::string &Target);
+std::vector<OperatorPage> readPages(const std::vector<OperatorAddress> &Daemons,
+                                    const std::string &Target);
 
 } // namespace marigoldyard
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -101,8 +101,8 @@
       fmt::print("{}", explainEndpoint(readPages({Each}, "/status").front()));
       return 0;
     }
-  const auto Events = mergeTimeline(readPages(*Daemons, "/timeline"),
-                                    {Given.Target, {}, {}});
+  const auto Events =
+      mergeTimeline(readPages(*Daemons, "/timeline"), {Given.Target, {}, {}});
   fmt::print("{}", explainRequest(Events));
   return Events.empty() ? 1 : 0;
 }
@@ -110,8 +110,9 @@
 void addFleetOptions(CLI::App &Command, Options &Given) {
   Command.add_option("--vm-list", Given.VmList, "host:port of the VM list")
       ->required();
-  Command.add_option("--operator-port", Given.OperatorPort,
-                     "operator port of the daemons")
+  Command
+      .add_option("--operator-port", Given.OperatorPort,
+                  "operator port of the daemons")
       ->capture_default_str();
 }
 
@@ -148,8 +149,9 @@
                        "start of a weight digest");
   Timeline->add_flag("--json", Given.AsJson, "print JSON lines");
   CLI::App *Explain =
-      Add("explain", "why a request went where it did, or why an endpoint runs "
-                     "what it runs",
+      Add("explain",
+          "why a request went where it did, or why an endpoint runs "
+          "what it runs",
           explain);
   addFleetOptions(*Explain, Given);
   Explain->add_option("TARGET", Given.Target, "request id or name of an agent")
--- a/programs/ctl/reports.cpp
+++ b/programs/ctl/reports.cpp
@@ -55,12 +55,11 @@
     return fmt::format("{:<16} {:<22} unreachable: {}\n", Page.From.Name,
                        Page.From.Address, Page.Failure);
   const Json &Status = Page.Content;
-  return fmt::format("{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n",
-                     text(Status, "name"), text(Status, "kind"),
-                     text(Status, "failure_domain"),
-                     Status.value("ready", false) ? "yes" : "no",
-                     text(Status, "revision"), text(Status, "running"),
-                     modelProgress(Status));
+  return fmt::format(
+      "{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n", text(Status, "name"),
+      text(Status, "kind"), text(Status, "failure_domain"),
+      Status.value("ready", false) ? "yes" : "no", text(Status, "revision"),
+      text(Status, "running"), modelProgress(Status));
 }
 
 bool matches(const Json &Event, const TimelineFilter &Filter) {
@@ -105,9 +104,8 @@
 
 std::string timelineLine(const Json &Event) {
   const auto [Wall, Logical] = timeOf(Event);
-  std::string Line =
-      fmt::format("{}.{:<3} {:<12} {:<24}", Wall, Logical,
-                  text(Event, "process"), text(Event, "event"));
+  std::string Line = fmt::format("{}.{:<3} {:<12} {:<24}", Wall, Logical,
+                                 text(Event, "process"), text(Event, "event"));
   for (const char *Key : {"request_id", "endpoint"})
     if (const std::string Value = text(Event, Key); !Value.empty())
       Line += fmt::format(" {}={}", Key, Value);
@@ -136,9 +134,9 @@
   if (!Page.Failure.empty())
     return fmt::format("{} cannot be read: {}\n", Page.From.Name, Page.Failure);
   const Json &Status = Page.Content;
-  std::string Result = fmt::format(
-      "{} serves pool {} under revision {}\n", text(Status, "name"),
-      text(Status, "pool"), text(Status, "revision"));
+  std::string Result =
+      fmt::format("{} serves pool {} under revision {}\n", text(Status, "name"),
+                  text(Status, "pool"), text(Status, "revision"));
   for (const Json &Model : list(Status, "models"))
     Result += fmt::format(
         "  product {} wants {} {} ({}): {}, {} of {} chunks, {} failures\n",
--- a/programs/ctl/reports.hpp
+++ b/programs/ctl/reports.hpp
@@ -23,8 +23,9 @@
 /// @param Pages time line pages
 /// @param Filter which events to keep
 /// @return the events, each with its process
-std::vector<nlohmann::json> mergeTimeline(
-    const std::vector<OperatorPage> &Pages, const TimelineFilter &Filter);
+std::vector<nlohmann::json>
+mergeTimeline(const std::vector<OperatorPage> &Pages,
+              const TimelineFilter &Filter);
 
 /// @brief One line of the time line.
 /// @param Event a merged event
--- a/programs/entry/answers.cpp
+++ b/programs/entry/answers.cpp
@@ -45,12 +45,12 @@
 HttpResponse entriesAnswer(const EntryDirectory &Directory) {
   nlohmann::json Entries = nlohmann::json::array();
   for (const ListedEntry &Each : Directory.Entries)
-    Entries.push_back({{"address", Each.Address},
-                       {"failure_domain", Each.FailureDomain}});
-  return jsonResponse(200, nlohmann::json{{"entries", std::move(Entries)},
-                                          {"max_age_ms",
-                                           Directory.MaxAge.count()}}
-                               .dump());
+    Entries.push_back(
+        {{"address", Each.Address}, {"failure_domain", Each.FailureDomain}});
+  return jsonResponse(200,
+                      nlohmann::json{{"entries", std::move(Entries)},
+                                     {"max_age_ms", Directory.MaxAge.count()}}
+                          .dump());
 }
 
 HttpResponse modelsAnswer(const std::vector<std::string> &Products) {
@@ -58,8 +58,8 @@
   for (const std::string &Name : Products)
     Models.push_back({{"id", Name}, {"object", "model"}});
   return jsonResponse(
-      200, nlohmann::json{{"object", "list"}, {"data", std::move(Models)}}
-               .dump());
+      200,
+      nlohmann::json{{"object", "list"}, {"data", std::move(Models)}}.dump());
 }
 
 HttpResponse operationOpenedAnswer(std::string_view Operation) {
--- a/programs/entry/entry.hpp
+++ b/programs/entry/entry.hpp
@@ -130,10 +130,10 @@
   Node Base;
   std::unique_ptr<HttpServer> Callers;
   std::map<std::string, ActiveRequest> Requests;
-  std::map<std::string, RetryBudget> Budgets;     ///< by product
-  std::map<std::string, EndpointView> Views;      ///< by endpoint
-  std::map<std::string, Digest> CurrentWeights;   ///< by product
-  std::map<std::string, Digest> PreviousWeights;  ///< by product
+  std::map<std::string, RetryBudget> Budgets;    ///< by product
+  std::map<std::string, EndpointView> Views;     ///< by endpoint
+  std::map<std::string, Digest> CurrentWeights;  ///< by product
+  std::map<std::string, Digest> PreviousWeights; ///< by product
   std::set<std::string> Links;
   BucketTable Admissions;
   FailedAuthentications Failures;
--- a/programs/entry/entry_http.cpp
+++ b/programs/entry/entry_http.cpp
@@ -79,18 +79,17 @@
     const MemberState Current = memberState(Base.Members, Record, Base.turn());
     if (Current == MemberState::Dead)
       continue;
-    Known.push_back({Name,
-                     Record.Listed.Address + ":" +
-                         std::to_string(Settings.CallerPort),
-                     Record.Listed.Region, Record.Listed.FailureDomain,
-                     Current == MemberState::Leaving,
-                     Current == MemberState::Suspected});
+    Known.push_back(
+        {Name,
+         Record.Listed.Address + ":" + std::to_string(Settings.CallerPort),
+         Record.Listed.Region, Record.Listed.FailureDomain,
+         Current == MemberState::Leaving, Current == MemberState::Suspected});
   }
-  Known.push_back({Settings.Process.Name,
-                   Settings.Process.Address + ":" +
-                       std::to_string(Settings.CallerPort),
-                   Settings.Process.Region, Settings.Process.FailureDomain,
-                   Departure.Stage != DrainStage::Serving, false});
+  Known.push_back(
+      {Settings.Process.Name,
+       Settings.Process.Address + ":" + std::to_string(Settings.CallerPort),
+       Settings.Process.Region, Settings.Process.FailureDomain,
+       Departure.Stage != DrainStage::Serving, false});
   Answer.send(
       entriesAnswer(listEntries(Known, Settings.Process.Region, Base.Source)));
 }
@@ -208,8 +207,7 @@
   Active.State.Id = newRequestId();
   Active.State.Kind = RequestKind::Completion;
   Active.State.Streaming = Active.Completion.Stream;
-  Active.State.Deadline =
-      now() + Owner->Deadlines[rankIndex(Active.Priority)];
+  Active.State.Deadline = now() + Owner->Deadlines[rankIndex(Active.Priority)];
   if (admit(Active, *Owner, *Customer))
     begin(std::move(Active));
 }
@@ -253,14 +251,13 @@
   const auto Sender = authenticate(Request, Answer);
   if (!Sender)
     return;
-  const std::string Operation =
-      Request.Path.substr(OperationsPath.size() + 1);
+  const std::string Operation = Request.Path.substr(OperationsPath.size() + 1);
   if (!parseOperationId(Operation) || !nlohmann::json::accept(Request.Body)) {
     const bool BadId = !parseOperationId(Operation);
-    refuse(Answer, admissionError(BadId ? ErrorCode::OperationNotFound
-                                        : ErrorCode::InvalidMessage,
-                                  BadId ? "malformed operation id"
-                                        : "body is not JSON"));
+    refuse(Answer,
+           admissionError(
+               BadId ? ErrorCode::OperationNotFound : ErrorCode::InvalidMessage,
+               BadId ? "malformed operation id" : "body is not JSON"));
     return;
   }
   const AcceptedConfiguration &InForce = *Sender->Configuration;
@@ -284,8 +281,7 @@
   Active.State.Idempotent = false;
   Active.State.Streaming = false;
   Active.State.Operation = Operation;
-  Active.State.Deadline =
-      now() + Owner.Deadlines[rankIndex(Active.Priority)];
+  Active.State.Deadline = now() + Owner.Deadlines[rankIndex(Active.Priority)];
   if (admit(Active, Owner, *Customer))
     begin(std::move(Active));
 }
--- a/programs/entry/entry_requests.cpp
+++ b/programs/entry/entry_requests.cpp
@@ -74,7 +74,8 @@
   for (std::size_t I = 0; I < Pending.size(); ++I) {
     const RequestEvent Current = std::move(Pending[I]);
     RetryBudget &Budget = Budgets[Active.Product];
-    for (const RequestAction &Action : step(Active.State, Current, Budget, now()))
+    for (const RequestAction &Action :
+         step(Active.State, Current, Budget, now()))
       perform(Active, Action, Pending);
   }
   if (Active.State.Phase == RequestPhase::Done)
@@ -147,9 +148,9 @@
   Active.Acknowledged = false;
   if (auto View = Views.find(Try.Peer); View != Views.end())
     recordSent(View->second, Active.Priority, Active.EstimatedTokens);
-  Base.record("work_sent", Id, Try.Peer, Try.Weights,
-              {{"attempt", std::to_string(Try.Attempt)},
-               {"choice", Active.Choice}});
+  Base.record(
+      "work_sent", Id, Try.Peer, Try.Weights,
+      {{"attempt", std::to_string(Try.Attempt)}, {"choice", Active.Choice}});
   if (Active.State.Kind == RequestKind::Completion)
     watchAcknowledgement(Id, Try.Attempt);
 }
@@ -216,8 +217,7 @@
     Active.Answer.finish();
   } else {
     Active.Answer.send(completionAnswer(headOf(Active), Action.Text,
-                                        State.Stream.Weights,
-                                        Active.Priority));
+                                        State.Stream.Weights, Active.Priority));
   }
 }
 
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -66,9 +66,9 @@
   if (Active.State.Kind == RequestKind::OperationRun)
     return chooseByOperation(Active);
   const AcceptedConfiguration *InForce = Base.configuration();
-  const Product *Owner =
-      InForce != nullptr ? findProduct(InForce->Content, Active.Product)
-                         : nullptr;
+  const Product *Owner = InForce != nullptr
+                             ? findProduct(InForce->Content, Active.Product)
+                             : nullptr;
   if (Owner == nullptr)
     return request_event::EndpointUnavailable{ErrorCode::NoEndpoint, {}};
   RoutingRequest Request;
@@ -83,14 +83,14 @@
     Request.Weights = Owner->Weights;
   }
   std::vector<EndpointView> Candidates = viewsOf(Active.Pool, Usable);
-  RoutingChoice Choice = route(Request, Candidates, RoutingSettings{},
-                               Base.turn(), Base.Source);
+  RoutingChoice Choice =
+      route(Request, Candidates, RoutingSettings{}, Base.turn(), Base.Source);
   if (!Choice.Chosen) {
     // The floor on suspicion keeps these as the last resort.
     for (EndpointView &View : Candidates)
       View.Suspected = false;
-    Choice = route(Request, Candidates, RoutingSettings{}, Base.turn(),
-                   Base.Source);
+    Choice =
+        route(Request, Candidates, RoutingSettings{}, Base.turn(), Base.Source);
   }
   Active.Choice = explainChoice(Choice);
   if (!Choice.Chosen)
@@ -117,8 +117,7 @@
                                    const Product &Owner) const {
   QueueEstimate Best;
   bool First = true;
-  for (const EndpointView &View :
-       viewsOf(Active.Pool, usableWeights(Owner))) {
+  for (const EndpointView &View : viewsOf(Active.Pool, usableWeights(Owner))) {
     if (View.Load.ReadyWeights.empty() || View.Leaving)
       continue;
     QueueEstimate Current;
@@ -159,8 +158,8 @@
     refused(Peer, Incoming.Head.SenderRevision, *No);
   } else if (const auto *Broken = std::get_if<WorkFailed>(&Content)) {
     Acknowledge(Broken->Id);
-    feed(Broken->Id.Request, event::Failed{Peer, Broken->Id.Attempt,
-                                           Broken->Reason, Broken->At});
+    feed(Broken->Id.Request,
+         event::Failed{Peer, Broken->Id.Attempt, Broken->Reason, Broken->At});
   } else if (const auto *End = std::get_if<StreamEnd>(&Content)) {
     feed(End->Id.Request,
          event::EndArrived{Peer, StreamEndView{End->Id.Request, End->Id.Attempt,
@@ -170,11 +169,10 @@
     feed(Opened->Request,
          event::Opened{Peer, Opened->Operation, Opened->Reason});
   } else if (const auto *Result = std::get_if<OperationResult>(&Content)) {
-    feed(Result->Request,
-         event::OperationAnswered{
-             Peer, Result->Operation,
-             OperationAnswer{Result->Result, Result->Status, Result->Body,
-                             Result->Reason}});
+    feed(Result->Request, event::OperationAnswered{
+                              Peer, Result->Operation,
+                              OperationAnswer{Result->Result, Result->Status,
+                                              Result->Body, Result->Reason}});
   }
 }
 
--- a/programs/node/core_loop.cpp
+++ b/programs/node/core_loop.cpp
@@ -8,7 +8,9 @@
 
 CoreLoop::CoreLoop(Duration Lease) : Tasks(RingCapacity), Pauses{Lease, {}} {}
 
-bool CoreLoop::post(Task Work) { return Tasks.push(std::move(Work), PostLimit); }
+bool CoreLoop::post(Task Work) {
+  return Tasks.push(std::move(Work), PostLimit);
+}
 
 bool CoreLoop::tryPost(Task Work) { return Tasks.tryPush(std::move(Work)); }
 
--- a/programs/node/node_configuration.cpp
+++ b/programs/node/node_configuration.cpp
@@ -47,9 +47,8 @@
     if (!Values.empty())
       settle(receiveValues(Configuration, std::move(Values), Peer), Peer);
   }
-  if (const auto Action =
-          peerRevisionSeen(Watch, Peer, Theirs, revisionInForce(Configuration),
-                           Loop.turn()))
+  if (const auto Action = peerRevisionSeen(
+          Watch, Peer, Theirs, revisionInForce(Configuration), Loop.turn()))
     perform(*Action);
 }
 
@@ -133,24 +132,22 @@
 void Node::readIndex(Duration Wait) {
   std::string Target = "/values/" + std::string(IndexKey);
   if (Wait > Duration::zero() && !IndexVersion.empty())
-    Target +=
-        "?after=" + IndexVersion + "&wait_ms=" +
-        std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(Wait)
-                .count());
-  Platform.call(valueRequest(Settings.ConfigurationService, Target, Wait),
-                [this](HttpResult Result) {
-                  Loop.post([this, Result = std::move(Result)] {
-                    indexRead(Result);
-                  });
-                });
+    Target += "?after=" + IndexVersion + "&wait_ms=" +
+              std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(Wait)
+                      .count());
+  Platform.call(
+      valueRequest(Settings.ConfigurationService, Target, Wait),
+      [this](HttpResult Result) {
+        Loop.post([this, Result = std::move(Result)] { indexRead(Result); });
+      });
 }
 
 void Node::indexRead(const HttpResult &Result) {
   const auto *Response = std::get_if<HttpResponse>(&Result);
-  const bool Answered = Response != nullptr && (Response->Status == 200 ||
-                                                Response->Status == 304 ||
-                                                Response->Status == 404);
+  const bool Answered = Response != nullptr &&
+                        (Response->Status == 200 || Response->Status == 304 ||
+                         Response->Status == 404);
   indexReadFinished(Watch, Answered, Loop.turn(), Source);
   const std::string From(ServiceSource);
   if (!Answered) {
--- a/programs/node/node_operator.cpp
+++ b/programs/node/node_operator.cpp
@@ -41,15 +41,15 @@
     Answer.send(textResponse(200, "ok\n"));
   } else if (Request.Path == "/readyz") {
     const bool Ready = ReadyNow.load();
-    Answer.send(textResponse(Ready ? 200 : 503, Ready ? "ready\n"
-                                                      : "not ready\n"));
+    Answer.send(
+        textResponse(Ready ? 200 : 503, Ready ? "ready\n" : "not ready\n"));
   } else if (Request.Path == "/metrics") {
     Answer.send(textResponse(200, Numbers.render(),
                              "text/plain; version=0.0.4; charset=utf-8"));
   } else if (Request.Path == "/timeline") {
-    Answer.send(textResponse(
-        200, Events.json(queryParameter(Request.Query, "request")),
-        "application/json"));
+    Answer.send(
+        textResponse(200, Events.json(queryParameter(Request.Query, "request")),
+                     "application/json"));
   } else if (Request.Path == "/status") {
     if (!Loop.tryPost([this, Answer] {
           Answer.send(textResponse(200, statusText(), "application/json"));
@@ -87,8 +87,7 @@
          {"pool", Record.Listed.Pool},
          {"region", Record.Listed.Region},
          {"failure_domain", Record.Listed.FailureDomain},
-         {"state", memberStateName(
-                       memberState(Members, Record, Loop.turn()))},
+         {"state", memberStateName(memberState(Members, Record, Loop.turn()))},
          {"linked", Record.Linked}});
   Page["members"] = std::move(Listing);
   if (Handlers.Status)
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-
 /// Ends the signal thread; sent only to that thread.
 constexpr int EndSignal = SIGUSR1;
 
