Test what contradicts an earlier message of a request

Cause: trials that removed single conditions showed that no test missed the checks of late withdrawals, refusals after pieces, late refusals of failed tries, results of other operations and second results.

Change: adds these cases. Removes the flag for a passed deadline, since the retry decision already refuses without time left.

--- a/include/marigoldyard/coordination/request.hpp
+++ b/include/marigoldyard/coordination/request.hpp
@@ -73,7 +73,6 @@
   RequestPhase Phase = RequestPhase::Choosing;
   TimePoint CloseBy{};    ///< valid in Closing
   bool Abandoned = false; ///< the caller left
-  bool Expired = false;   ///< the deadline passed
   Digest Weights;         ///< pinned while text was delivered or collected
   std::vector<TryRecord> Tries; ///< at most MaxTries; the last is the current
   StreamState Stream;           ///< of the current try
--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -125,8 +125,7 @@
   RequestState &State = Context.State;
   State.Tries.back().Fate = Fate;
   State.LastError = std::move(Reason);
-  bool Final = State.Abandoned || State.Expired ||
-               State.Kind == RequestKind::OperationRun;
+  bool Final = State.Abandoned || State.Kind == RequestKind::OperationRun;
   if (!Final) {
     RetryVerdict Verdict =
         decideRetry(Context.Budget, question(Context), Context.Now);
@@ -195,7 +194,6 @@
 /// Ends a request whose deadline passed; a try in progress is closed first.
 void expire(StepContext &Context) {
   RequestState &State = Context.State;
-  State.Expired = true;
   std::string Peer = State.Tries.empty() ? "" : State.Tries.back().Peer;
   Error Reason{ErrorCode::DeadlineExceeded, Step::Routing, Peer,
                "the deadline passed"};
--- a/tests/src/unit-coordination-operation_table.cpp
+++ b/tests/src/unit-coordination-operation_table.cpp
@@ -68,7 +68,9 @@
   runOperation(Table, Id, "c", {"e", "r"});
   CHECK_FALSE(openOperation(Table, "c", "ledger"));
   CHECK(finishOperation(Table, Id, {Outcome::Complete, 200, ""}).size() == 1);
-  CHECK(finishOperation(Table, Id, {Outcome::Complete, 200, ""}).empty());
+  CHECK(finishOperation(Table, Id, {Outcome::Failed, 500, ""}).empty());
+  CHECK(Table.Running == 0);
+  CHECK(repeat(Table, Id, "c") == Outcome::Complete);
 }
 
 TEST_CASE("an operation that the service proved not run can be run once") {
--- a/tests/src/unit-coordination-request.cpp
+++ b/tests/src/unit-coordination-request.cpp
@@ -75,6 +75,31 @@
   CHECK(Lost.last<action::AnswerOutcome>().Result == Outcome::NotRun);
 }
 
+TEST_CASE("what contradicts an earlier message proves nothing") {
+  Driven Ran;
+  Ran.feed(event::PieceArrived{"a", {"r", 1, "w", 0, "x"}});
+  Ran.feed(event::Refused{"a", 1});
+  CHECK(Ran.last<action::AbortStream>().Result == Outcome::Failed);
+  Driven Failed;
+  Failed.feed(event::Failed{"a", 1});
+  Failed.feed(event::Refused{"a", 1});
+  Failed.feed(event::EndpointUnavailable{});
+  CHECK(Failed.last<action::AnswerOutcome>().Result == Outcome::Failed);
+  Driven Left;
+  Left.feed(event::WorkLeft{1});
+  Left.feed(event::WorkWithdrawn{1});
+  CHECK(Left.State.Phase == RequestPhase::Sent);
+}
+
+TEST_CASE("work that leaves after it was given up is cancelled") {
+  Driven Late;
+  Late.feed(event::PeerLost{"a"});
+  Late.feed(event::TimerFired{}, Start + ClosingGrace);
+  CHECK(Late.last<action::ChooseEndpoint>().Avoid.size() == 1);
+  Late.feed(event::WorkLeft{1});
+  CHECK(Late.last<action::CancelTry>().Attempt == 1);
+}
+
 TEST_CASE("messages of other peers and of settled tries change nothing") {
   Driven Current;
   Current.feed(event::Refused{"b", 1});
@@ -84,6 +109,9 @@
   Current.feed(event::Failed{"a", 2});
   CHECK(Current.Last.empty());
   CHECK(Current.State.Phase == RequestPhase::Queued);
+  Driven Operation(RequestKind::OperationRun);
+  Operation.feed(event::OperationAnswered{"a", "a.1.2", {Outcome::Complete}});
+  CHECK(Operation.Last.empty());
 }
 
 TEST_CASE("the endpoint and its reason reach the caller with the time to come "
