--- a/bench/bench_retry.cpp
+++ b/bench/bench_retry.cpp
@@ -29,9 +29,9 @@
 constexpr double LoadFactorBound = 1.2;
 constexpr double DefaultShare = 0.1; ///< of Product::RetryBudget
 
-/// How the failing third behaves. None of it leaves the routing view, as with
-/// endpoints that report themselves ready.
-enum class Failure { FailsAtOnce, Silent, Refuses };
+/// How the failing third behaves. It leaves the routing view only when
+/// detected; otherwise its endpoints keep reporting themselves ready.
+enum class Failure { FailsAtOnce, Silent, Refuses, Detected };
 
 struct Scenario {
   const char *Name;
@@ -149,7 +149,8 @@
     bool Failing = fails(Next.Endpoint, Next.At);
     const std::string &Name = Names[Next.Endpoint];
     TimePoint Start = std::max(FreeAt[Next.Endpoint], Next.At);
-    if (Failing && Setting.Kind == Failure::FailsAtOnce) {
+    if (Failing && (Setting.Kind == Failure::FailsAtOnce ||
+                    Setting.Kind == Failure::Detected)) {
       feed(Next, request_event::Failed{Name, Next.Attempt});
     } else if (Failing && Setting.Kind == Failure::Silent) {
       push(Next.At + Detection, {.Kind = EventKind::Lost,
@@ -194,7 +195,7 @@
   void perform(const Event &At, const RequestAction &Action) {
     if (const auto *Choice =
             std::get_if<request_action::ChooseEndpoint>(&Action)) {
-      feed(At, choose(*Choice));
+      feed(At, choose(*Choice, At.At));
     } else if (const auto *Send =
                    std::get_if<request_action::SendWork>(&Action)) {
       if (At.At >= FailureStart && At.At < End)
@@ -211,12 +212,15 @@
     }
   }
 
-  RequestEvent choose(const request_action::ChooseEndpoint &Choice) {
+  RequestEvent choose(const request_action::ChooseEndpoint &Choice,
+                      TimePoint Now) {
     std::vector<std::string> Left;
-    for (const std::string &Name : Names)
-      if (std::find(Choice.Avoid.begin(), Choice.Avoid.end(), Name) ==
+    bool Known =
+        Setting.Kind == Failure::Detected && Now >= FailureStart + Detection;
+    for (std::size_t I = Known ? FailingCount : 0; I < EndpointCount; ++I)
+      if (std::find(Choice.Avoid.begin(), Choice.Avoid.end(), Names[I]) ==
           Choice.Avoid.end())
-        Left.push_back(Name);
+        Left.push_back(Names[I]);
     return request_event::EndpointChosen{Left[Source() % Left.size()], "w"};
   }
 
@@ -271,7 +275,8 @@
   const std::pair<const char *, Failure> Kinds[] = {
       {"fails at once", Failure::FailsAtOnce},
       {"silent", Failure::Silent},
-      {"refuses", Failure::Refuses}};
+      {"refuses", Failure::Refuses},
+      {"detected", Failure::Detected}};
   double Highest = 0.0;
   for (const auto &[Name, Kind] : Kinds)
     for (double Rate : {40.0, 1000.0})
--- a/include/marigoldyard/coordination/admission.hpp
+++ b/include/marigoldyard/coordination/admission.hpp
@@ -29,6 +29,12 @@
     EvictionRule::OldestUse, EvictionRule::EarliestRecovery};
 
 /// @brief Token buckets by name in a table of bounded size.
+///
+/// The article "Fixing our rate limiter's memory leak almost created a way to
+/// bypass it" describes how an offender pushes out its own record with fresh
+/// names. A record is evicted by the time its limit recovers, so that neither
+/// such a flood nor a rest during it restores a quota; see
+/// docs/decisions/operations.md for the measurement.
 struct BucketTable {
   struct Entry {
     TokenBucket Bucket;
--- a/include/marigoldyard/coordination/operation_table.hpp
+++ b/include/marigoldyard/coordination/operation_table.hpp
@@ -74,8 +74,9 @@
   std::size_t Records = 16384;
   std::size_t AnswerBytes = 32ULL * 1024 * 1024; ///< of all recorded bodies
   std::size_t Waiters = 16; ///< requests that wait for one operation
-  bool RefreshOnRepeat =
-      true; ///< a repeat makes the record its caller's youngest
+  /// A repeat makes the record its caller's youngest, so that a caller that
+  /// keeps asking finds its result; measured in docs/decisions/operations.md.
+  bool RefreshOnRepeat = true;
 };
 
 /// @brief One operation.
--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -236,7 +236,7 @@
   if (State.Tries.empty())
     State.LastError = {Reason.Reason, Step::Routing, "",
                        "no endpoint can take the request"};
-  State.RetryAfter = Reason.RetryAfter;
+  State.RetryAfter = std::max(State.RetryAfter, Reason.RetryAfter);
   answer(Context);
 }
 
