--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -34,7 +34,9 @@
   Duration StoreTimeout = std::chrono::seconds(60);
   Duration AnnounceInterval = std::chrono::milliseconds(250);
   Duration RefreshInterval = std::chrono::seconds(5); ///< of unchanged maps
-  Duration BanTime = std::chrono::seconds(60);        ///< doubles with each ban
+  Duration FullRefreshInterval =
+      std::chrono::seconds(60); ///< of maps to peers that claim to be complete
+  Duration BanTime = std::chrono::seconds(60); ///< doubles with each ban
   std::size_t MaxInFlight = 8; ///< requests to peers of the own region
   std::size_t MaxImports = 8;  ///< requests to peers of one other region
   std::size_t MaxPerPeer = 4;
@@ -87,6 +89,7 @@
   ChunkBits Content;       ///< the same chunks
   std::size_t Missing = 0; ///< distinct chunks not held
   TimePoint AnnouncedAt;
+  TimePoint ToAllAt; ///< newest announcement to complete peers too
   TimePoint UnwantedSince;
 };
 
@@ -101,6 +104,7 @@
   std::uint32_t Corrupt = 0;
   std::uint32_t Timeouts = 0;
   std::uint32_t Bans = 0;
+  TimePoint RefusedSince; ///< first refusal since it last sent a chunk
   TimePoint BusyUntil;
   TimePoint LostUntil;
   TimePoint BannedUntil;
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -40,19 +40,24 @@
   State.StoreRetryAt = Now + std::max(Backoff, Least);
 }
 
-void noteCorrupt(TransferState &State, PeerIndex Peer, ChunkIndex Index,
-                 TimePoint Now) {
-  PeerSlot &Slot = State.Peers[Peer];
-  detail::forgetHolder(State, Peer, Index);
-  if (++Slot.Corrupt < State.Settings.CorruptLimit)
-    return;
+void ban(TransferState &State, PeerIndex Peer, TimePoint Now) {
   constexpr std::uint32_t MaxDoublings = 6;
+  PeerSlot &Slot = State.Peers[Peer];
   Slot.Corrupt = 0;
+  Slot.RefusedSince = TimePoint{};
   Slot.BannedUntil =
       Now + State.Settings.BanTime * (1 << std::min(Slot.Bans, MaxDoublings));
   ++Slot.Bans;
 }
 
+void noteCorrupt(TransferState &State, PeerIndex Peer, ChunkIndex Index,
+                 TimePoint Now) {
+  PeerSlot &Slot = State.Peers[Peer];
+  detail::forgetHolder(State, Peer, Index);
+  if (++Slot.Corrupt >= State.Settings.CorruptLimit)
+    ban(State, Peer, Now);
+}
+
 void hold(TransferState &State, ChunkIndex Index) {
   State.Held.set(Index);
   State.HeldBytes += State.Chunks[Index].Size;
@@ -214,6 +219,7 @@
   } else if (Peer != NoPeer) {
     PeerSlot &Sender = State.Peers[Peer];
     Sender.Timeouts = 0;
+    Sender.RefusedSince = TimePoint{};
     State.Regions[Sender.Region].Progress = Now;
     // The peer sends in the order of requests, so the later ones are not
     // stalled.
@@ -238,18 +244,25 @@
   ChunkSlot &Slot = State.Chunks[Index];
   PeerSlot &Sender = State.Peers[From];
   Sender.Timeouts = 0;
-  const bool Ahead = Slot.Responsible[0] == From || Slot.Responsible[1] == From;
-  if (Sender.Has.test(Index)) {
-    // Until the next map this peer is asked for other chunks.
-    detail::forgetHolder(State, From, Index);
+  if (Sender.RefusedSince == TimePoint{} ||
+      Now - Sender.BusyUntil > State.Settings.StallTimeout)
+    Sender.RefusedSince = Now;
+  // Until the next map this peer is asked for other chunks.
+  const bool Claimed = Sender.Has.test(Index);
+  detail::forgetHolder(State, From, Index);
+  if (Claimed) {
     Sender.BusyUntil = Now + std::min(RetryAfter, State.Settings.StallTimeout);
-  } else if (Ahead && RetryAfter == Duration::zero()) {
-    Slot.Probes = detail::MaxProbes;
-  } else if (Ahead) {
-    Slot.Probes = static_cast<std::uint8_t>(
-        std::min<unsigned>(Slot.Probes + 1U, detail::MaxProbes));
-    Slot.RetryAt = Now + std::max(RetryAfter, State.Settings.StallTimeout);
+    // A sender that is only busy serves something in this time.
+    if (Now - Sender.RefusedSince >= 2 * State.Settings.StallTimeout)
+      ban(State, From, Now);
   }
+  if (Slot.Responsible[0] != From && Slot.Responsible[1] != From)
+    return;
+  if (!Claimed && RetryAfter == Duration::zero())
+    Slot.Probes = detail::MaxProbes;
+  if (Slot.Probes < detail::MaxProbes)
+    ++Slot.Probes;
+  Slot.RetryAt = Now + std::max(RetryAfter, State.Settings.StallTimeout);
 }
 
 void storeFailed(TransferState &State, const Digest &Chunk, Duration RetryAfter,
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -306,8 +306,8 @@
   }
 }
 
-std::vector<std::string>
-mapReceivers(TransferState &State, const VersionSlot &Version, TimePoint Now) {
+std::vector<std::string> mapReceivers(TransferState &State,
+                                      VersionSlot &Version, TimePoint Now) {
   std::erase_if(State.Guests, [&](const detail::Guest &One) {
     return Now - One.AskedAt > GuestTime;
   });
@@ -315,6 +315,11 @@
   for (const detail::Guest &One : State.Guests)
     if (std::find(All.begin(), All.end(), One.Peer) == All.end())
       All.push_back(One.Peer);
+  // Peers that claim to be complete are told rarely; the claim may be wrong.
+  const bool Everyone =
+      Now - Version.ToAllAt >= State.Settings.FullRefreshInterval;
+  if (Everyone)
+    Version.ToAllAt = Now;
   std::vector<std::string> Names;
   for (const PeerIndex Index : All) {
     const PeerSlot &Peer = State.Peers[Index];
@@ -328,7 +333,7 @@
                       ++Word;
                       return (Bits & ~Has) == 0;
                     });
-    if (!Complete)
+    if (Everyone || !Complete)
       Names.push_back(Peer.Name);
   }
   return Names;
--- a/tests/src/weight_network.hpp
+++ b/tests/src/weight_network.hpp
@@ -96,6 +96,15 @@
     }
   }
 
+  /// Adds an agent to a running fleet.
+  void join() {
+    addNode();
+    publishMembers();
+    wake(*Nodes.back(), [this](Node &Target) {
+      wantVersions(Target.State, {Published.Id}, Now);
+    });
+  }
+
   /// Tells the member list to all agents that run.
   void publishMembers() {
     std::vector<TransferPeer> Peers;
