--- /dev/null
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -0,0 +1,156 @@
+#include "tests/src/weight_network.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace marigoldyard::testing;
+
+namespace {
+
+const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+const VersionDescriptor One{"v1", "m", "1", {{"a", 100}, {"b", 100}}};
+const VersionDescriptor Two{"v2", "m", "2", {{"b", 100}, {"c", 100}}};
+
+TransferState agentWith(const std::vector<TransferPeer> &Peers) {
+  TransferSettings Settings;
+  Settings.Self = "self";
+  Settings.Region = "r0";
+  Settings.StoreRegion = "r0";
+  Settings.UploadBytesPerSecond = 1000;
+  Settings.RegionLinkBytesPerSecond = 1000;
+  Settings.BufferBytes = 300;
+  TransferState State = makeTransfer(Settings);
+  transferMembers(State, Peers, Start);
+  wantVersions(State, {"v1"}, Start);
+  return State;
+}
+
+template <typename Wanted>
+std::vector<Wanted> plan(TransferState &State, TimePoint Now) {
+  Random Source(1);
+  std::vector<Wanted> Result;
+  for (TransferAction &Action : planTransfer(State, Now, Source))
+    if (auto *Found = std::get_if<Wanted>(&Action))
+      Result.push_back(*Found);
+  return Result;
+}
+
+void obtain(TransferState &State, const VersionDescriptor &Version) {
+  chunkReceived(State, Version.Id, "", true, Start);
+  descriptorKnown(State, Version, Start);
+  for (const Chunk &Part : Version.Chunks)
+    chunkReceived(State, Part.Id, "", true, Start);
+}
+
+} // namespace
+
+TEST_CASE("a single agent draws the descriptor first, then each chunk once") {
+  TransferState State = agentWith({});
+  auto Draws = plan<FetchFromStore>(State, Start);
+  REQUIRE(Draws.size() == 1);
+  CHECK(Draws[0].IsDescriptor);
+  CHECK(chunkReceived(State, "v1", "", true, Start));
+  CHECK_FALSE(descriptorKnown(State, One, Start).has_value());
+  CHECK(plan<FetchFromStore>(State, Start).size() == 2);
+  CHECK(plan<FetchFromStore>(State, Start).empty());
+  CHECK(chunkReceived(State, "a", "", true, Start));
+  CHECK_FALSE(chunkReceived(State, "a", "", true, Start));
+  CHECK_FALSE(versionComplete(State, "v1"));
+  CHECK(chunkReceived(State, "b", "", true, Start));
+  CHECK(versionComplete(State, "v1"));
+}
+
+TEST_CASE("a corrupt chunk is not kept and its sender is banned when it "
+          "repeats, so that a bad peer cannot stop a transfer") {
+  TransferState State = agentWith({{"bad", "r0"}});
+  VersionDescriptor Many{"v1", "m", "1", {}};
+  for (int Index = 0; Index < 20; ++Index)
+    Many.Chunks.push_back({"chunk-" + std::to_string(Index), 10});
+  chunkReceived(State, "v1", "", true, Start);
+  descriptorKnown(State, Many, Start);
+  std::size_t Bad = 0;
+  for (int Second = 1; Second <= 20; ++Second) {
+    const TimePoint Now = Start + std::chrono::seconds(Second);
+    chunkMapReceived(State, "bad", "v1", std::vector<bool>(20, true), Now);
+    for (const RequestFromPeer &Asked : plan<RequestFromPeer>(State, Now)) {
+      ++Bad;
+      CHECK_FALSE(chunkReceived(State, Asked.Chunk, "bad", false, Now));
+    }
+  }
+  // Requests already in flight when the ban begins are answered too.
+  CHECK(Bad >= State.Settings.CorruptLimit);
+  CHECK(Bad <= State.Settings.MaxPerPeer);
+  CHECK_FALSE(versionComplete(State, "v1"));
+}
+
+TEST_CASE("a change of version and back reuses equal chunks") {
+  TransferState State = agentWith({});
+  obtain(State, One);
+  wantVersions(State, {"v2"}, Start);
+  CHECK(droppableChunks(State).size() == 3);
+  chunkReceived(State, "v2", "", true, Start);
+  descriptorKnown(State, Two, Start);
+  const auto Draws = plan<FetchFromStore>(State, Start);
+  REQUIRE(Draws.size() == 1);
+  CHECK(Draws[0].Chunk == "c");
+  wantVersions(State, {"v1"}, Start);
+  CHECK(versionComplete(State, "v1"));
+}
+
+TEST_CASE("unwanted chunks are dropped when the buffer needs the space, wanted "
+          "ones never") {
+  TransferState State = agentWith({});
+  obtain(State, One);
+  wantVersions(State, {"v2"}, Start);
+  obtain(State, Two);
+  CHECK(plan<DropChunk>(State, Start).empty());
+  const VersionDescriptor Three{"v3", "m", "3", {{"b", 100}, {"d", 150}}};
+  wantVersions(State, {"v3"}, Start);
+  obtain(State, Three);
+  CHECK_FALSE(plan<DropChunk>(State, Start).empty());
+  CHECK(versionComplete(State, "v3"));
+  CHECK(State.HeldBytes <= 300);
+}
+
+TEST_CASE("live requests keep their share of a link between regions, however "
+          "many chunks a peer asks for") {
+  TransferState State = agentWith({{"far", "r1"}});
+  obtain(State, One);
+  double Bytes = 0;
+  for (int Step = 0; Step < 1000; ++Step) {
+    const TimePoint Now = Start + std::chrono::milliseconds(100 * Step);
+    uploadAsked(State, "far", Step % 2 == 0 ? "a" : "b", Now);
+    Bytes += 100 * static_cast<double>(plan<SendChunk>(State, Now).size());
+  }
+  CHECK(Bytes <= 0.7 * 1000 * 100 + 200);
+  CHECK(Bytes >= 0.6 * 1000 * 100);
+}
+
+TEST_CASE("uploads and refusals stay bounded, so that a flood of requests "
+          "cannot exhaust memory") {
+  TransferState State = agentWith({{"near", "r0"}});
+  obtain(State, One);
+  for (int Step = 0; Step < 1000; ++Step) {
+    uploadAsked(State, "near", "unknown-" + std::to_string(Step), Start);
+    uploadAsked(State, "stranger-" + std::to_string(Step), "a", Start);
+  }
+  CHECK(plan<RefuseChunk>(State, Start).size() <= 64);
+  CHECK(State.Guests.size() <= 8);
+}
+
+TEST_CASE("a map that does not fit the descriptor is an error with its peer") {
+  TransferState State = agentWith({{"near", "r0"}});
+  obtain(State, One);
+  const auto Failure = chunkMapReceived(State, "near", "v1", {true}, Start);
+  REQUIRE(Failure.has_value());
+  CHECK(Failure->Peer == "near");
+}
+
+TEST_CASE("the cost of a decision stays small at 290 replicas") {
+  NetworkOptions Options;
+  Options.Replicas = 290;
+  Options.Chunks = 4000;
+  WeightNetwork Net(Options);
+  Net.publishMembers();
+  CHECK(Net.Nodes[0]->State.Neighbours.size() <= 16);
+}
