--- a/tests/src/fake_engine.hpp
+++ b/tests/src/fake_engine.hpp
@@ -44,6 +44,7 @@
   LoadingInput Input{TimePoint{} + std::chrono::hours(1)};
   std::vector<Order> Orders;
   std::vector<std::vector<Digest>> Announcements;
+  bool HoldsAnswers = false; ///< orders wait at the engine
 
   void step() {
     Input.Now += std::chrono::seconds(1);
@@ -51,7 +52,8 @@
     for (LoadingAction &Action : planLoading(State, Input)) {
       if (auto *Sent = std::get_if<Order>(&Action)) {
         Orders.push_back(*Sent);
-        orderAnswered(State, Sent->Number, Engine.carryOut(*Sent), Input.Now);
+        if (!HoldsAnswers)
+          orderAnswered(State, Sent->Number, Engine.carryOut(*Sent), Input.Now);
       } else if (std::holds_alternative<ReadBack>(Action)) {
         engineReported(State, Engine.Loaded, Input.Now, Input.Now);
       } else if (auto *Ready = std::get_if<AnnounceReady>(&Action)) {
--- a/tests/src/fault-coordination-weights.cpp
+++ b/tests/src/fault-coordination-weights.cpp
@@ -1,3 +1,4 @@
+#include "tests/src/fake_engine.hpp"
 #include "tests/src/weight_faults.hpp"
 
 #include <cmath>
@@ -23,8 +24,91 @@
   return Options;
 }
 
+enum class EngineFault {
+  FailsLoad,
+  LosesWeights,
+  RunsSomethingElse,
+  TakesOldOrder,
+  IssuerPauses,
+  ConnectionLost,
+  WantedBack,
+  Count,
+};
+
+/// Brings a swap from version one to version two into a phase.
+void reach(LoadingFixture &Test, LoadPhase Phase) {
+  Test.Engine.IgnoresFence = true;
+  Test.want(1, VersionOne);
+  Test.steps(5);
+  Test.want(2, VersionTwo, Phase != LoadPhase::WaitingForChunks);
+  Test.Input.Turn[VersionTwo.Weights] = Phase != LoadPhase::WaitingForTurn;
+  if (Phase == LoadPhase::Draining)
+    Test.Input.InProgress[VersionOne.Weights] = 1;
+  Test.HoldsAnswers = Phase == LoadPhase::Ordered;
+  Test.Engine.FailsLoad = Phase == LoadPhase::Failed;
+  for (int Step = 0; Step < 20 && Test.State.Models[0].Phase != Phase; ++Step)
+    Test.step();
+}
+
+void strike(LoadingFixture &Test, EngineFault Fault) {
+  switch (Fault) {
+  case EngineFault::FailsLoad:
+    Test.Engine.FailsLoad = true;
+    Test.steps(30);
+    return;
+  case EngineFault::LosesWeights:
+    Test.Engine.Loaded.clear();
+    return;
+  case EngineFault::RunsSomethingElse:
+    Test.Engine.Loaded = {{"model", "9", "digest-9"}};
+    return;
+  case EngineFault::TakesOldOrder:
+    Test.Engine.carryOut(Test.Orders.front());
+    return;
+  case EngineFault::IssuerPauses:
+    Test.Input.Now += std::chrono::minutes(5);
+    planLoading(Test.State, Test.Input);
+    return;
+  case EngineFault::ConnectionLost:
+    engineLost(Test.State, Test.Input.Now);
+    return;
+  case EngineFault::WantedBack:
+    Test.want(3, VersionOne);
+    Test.step();
+    Test.want(4, VersionTwo);
+    return;
+  case EngineFault::Count:
+    return;
+  }
+}
+
 } // namespace
 
+TEST_CASE("an endpoint reaches the wanted weights after every engine fault in "
+          "every phase") {
+  for (const LoadPhase Phase : AllLoadPhases)
+    for (int Fault = 0; Fault < static_cast<int>(EngineFault::Count); ++Fault)
+      for (const bool Twice : {false, true}) {
+        CAPTURE(std::string(loadPhaseName(Phase)));
+        CAPTURE(Fault);
+        CAPTURE(Twice);
+        LoadingFixture Test;
+        reach(Test, Phase);
+        REQUIRE(Test.State.Models[0].Phase == Phase);
+        strike(Test, static_cast<EngineFault>(Fault));
+        if (Twice) {
+          Test.steps(3);
+          strike(Test, static_cast<EngineFault>(Fault));
+        }
+        Test.HoldsAnswers = Test.Engine.FailsLoad = false;
+        Test.Input.InProgress.clear();
+        Test.want(5, VersionTwo);
+        Test.steps(300);
+        CHECK(Test.Engine.Loaded == std::vector<LoadedModel>{VersionTwo});
+        CHECK(Test.State.Announced == std::set<Digest>{VersionTwo.Weights});
+      }
+}
+
 TEST_CASE("without faults the time and the origin stay within the bounds") {
   for (const std::size_t Regions : {1, 3, 7})
     for (const std::size_t Replicas : {3, 9, 15, 32}) {
