Keep stall timers over unchanged member lists and bound the wanted bytes

Cause: every read of the VM list restarted the stall timers, and two wanted versions that each fit the buffer could exceed it together. Change: an unchanged list is ignored; descriptorKnown counts all wanted chunks.

--- a/bench/bench_weights.cpp
+++ b/bench/bench_weights.cpp
@@ -59,12 +59,11 @@
   const std::size_t Regions = Net.Options.Regions;
   double Seconds = std::max(
       Copy * static_cast<double>(Replicas) / Net.StoreRate, Copy / Net.VmRate);
-  for (std::size_t Region = 1; Region < Regions; ++Region)
-    Seconds = std::max(
-        Seconds,
-        Copy *
-            static_cast<double>((Replicas + Regions - 1 - Region) / Regions) /
-            Net.linkRate());
+  for (std::size_t Region = 1; Region < Regions; ++Region) {
+    const std::size_t Members = (Replicas + Regions - 1 - Region) / Regions;
+    Seconds =
+        std::max(Seconds, Copy * static_cast<double>(Members) / Net.linkRate());
+  }
   return Seconds;
 }
 
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -123,6 +123,30 @@
   State.FreePeers.push_back(Index);
 }
 
+bool isKnown(const TransferState &State, const TransferPeer &Listed) {
+  const auto Known = State.PeerByName.find(Listed.Name);
+  if (Known == State.PeerByName.end())
+    return false;
+  const PeerSlot &Peer = State.Peers[Known->second];
+  return Peer.Leaving == Listed.Leaving &&
+         (Known->second == 0 || Peer.RegionName == Listed.Region);
+}
+
+/// Bytes of all wanted chunks, as if Added were wanted too.
+std::uint64_t wantedBytes(const TransferState &State,
+                          const VersionDescriptor &Added) {
+  std::uint64_t Bytes = 0;
+  for (const detail::ChunkSlot &Slot : State.Chunks)
+    Bytes += Slot.WantedBy > 0 ? Slot.Size : 0;
+  for (const Chunk &Part : Added.Chunks) {
+    const auto Known = State.ChunkById.find(Part.Id);
+    if (Known == State.ChunkById.end() ||
+        State.Chunks[Known->second].WantedBy == 0)
+      Bytes += Part.Size;
+  }
+  return Bytes;
+}
+
 } // namespace
 
 TransferState makeTransfer(TransferSettings Settings) {
@@ -138,6 +162,12 @@
   std::set<std::string> Listed{State.Settings.Self};
   for (const TransferPeer &Peer : Peers)
     Listed.insert(Peer.Name);
+  // The list is read often and changes seldom; stall timers run on meanwhile.
+  if (Listed.size() == State.PeerByName.size() &&
+      std::all_of(Peers.begin(), Peers.end(), [&](const TransferPeer &Peer) {
+        return isKnown(State, Peer);
+      }))
+    return;
   for (PeerIndex Index = 0; Index < State.Peers.size(); ++Index)
     if (!State.Peers[Index].Name.empty() &&
         !Listed.contains(State.Peers[Index].Name))
@@ -187,15 +217,15 @@
   VersionSlot &Version = Found->second;
   if (Version.Described)
     return std::nullopt;
-  std::uint64_t Bytes = 0;
-  for (const Chunk &Part : Descriptor.Chunks)
-    Bytes += Part.Size;
+  const std::uint64_t Bytes = wantedBytes(State, Descriptor);
   if (State.ChunkById.size() + Descriptor.Chunks.size() >
           State.Settings.MaxChunks ||
       (State.Settings.BufferBytes > 0 && Bytes > State.Settings.BufferBytes))
     return Error{ErrorCode::ChunkUnavailable, Step::DescriptorFetch, "",
-                 "version " + Descriptor.Id + " with " + std::to_string(Bytes) +
-                     " bytes exceeds weights_buffer_bytes or the chunk limit"};
+                 "version " + Descriptor.Id + " needs " +
+                     std::to_string(Bytes) +
+                     " bytes with the other wanted versions and exceeds "
+                     "weights_buffer_bytes or the chunk limit"};
   Version.Described = true;
   Version.Changed = true;
   for (const Chunk &Part : Descriptor.Chunks) {
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -12,7 +12,6 @@
 using detail::ChunkIndex;
 using detail::ChunkSlot;
 using detail::NoPeer;
-using detail::NoRegion;
 using detail::PeerIndex;
 using detail::PeerSlot;
 using detail::RegionIndex;
--- a/tests/src/unit-coordination-rollout.cpp
+++ b/tests/src/unit-coordination-rollout.cpp
@@ -83,6 +83,7 @@
   auto Pool = pool(5);
   const std::size_t First = firstOf(Pool);
   std::vector<RolloutState> States;
+  States.reserve(Pool.size());
   for (const RolloutMember &Member : Pool)
     States.push_back(makeRollout(Member.Name));
   std::size_t Successors = 0;
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -146,6 +146,26 @@
   CHECK(Failure->Peer == "near");
 }
 
+TEST_CASE("an unchanged member list keeps the stall timers, so that frequent "
+          "reads of the list do not delay a takeover") {
+  TransferState State = agentWith({{"far", "r1"}, {"near", "r0"}});
+  const TimePoint Before = State.Regions[1].Progress;
+  transferMembers(State, {{"far", "r1"}, {"near", "r0"}},
+                  Start + std::chrono::seconds(5));
+  CHECK(State.Regions[1].Progress == Before);
+}
+
+TEST_CASE("two versions that fit the buffer only one at a time are refused, so "
+          "that memory stays bounded") {
+  TransferState State = agentWith({});
+  obtain(State, One);
+  wantVersions(State, {"v1", "big"}, Start);
+  const VersionDescriptor Big{"big", "m", "3", {{"d", 150}}};
+  const auto Failure = descriptorKnown(State, Big, Start);
+  REQUIRE(Failure.has_value());
+  CHECK(Failure->At == Step::DescriptorFetch);
+}
+
 TEST_CASE("the cost of a decision stays small at 290 replicas") {
   NetworkOptions Options;
   Options.Replicas = 290;
