--- a/include/marigoldyard/transport/detail/http_session.hpp
+++ b/include/marigoldyard/transport/detail/http_session.hpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -119,6 +120,7 @@
   std::shared_ptr<HttpServerShared> Shared;
   boost::beast::tcp_stream Stream;
   std::string Peer;
+  boost::asio::steady_timer RequestTimer;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Incoming;
   std::uint64_t Current = 0; ///< number of the request in progress
@@ -129,6 +131,7 @@
   bool LastQueued = false; ///< the response is complete in the queue
   bool Writing = false;
   bool Closed = false;
+  bool TooSlow = false; ///< the request took longer than RequestTime
   std::deque<Output> Queue;
   std::weak_ptr<HttpExchange> Exchange;
   std::shared_ptr<std::atomic<std::size_t>> Waiting;
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -62,7 +62,7 @@
 HttpSession::HttpSession(std::shared_ptr<HttpServerShared> Parts,
                          net::ip::tcp::socket Socket)
     : Shared(std::move(Parts)), Stream(std::move(Socket)),
-      Peer(peerName(Stream.socket())),
+      Peer(peerName(Stream.socket())), RequestTimer(Stream.get_executor()),
       Buffer(Shared->Options.MaxHeaderBytes + FirstReadBytes) {
   beast::error_code Ignored;
   Stream.socket().set_option(net::ip::tcp::no_delay(true), Ignored);
@@ -98,7 +98,19 @@
   Incoming->header_limit(
       static_cast<std::uint32_t>(Shared->Options.MaxHeaderBytes));
   Incoming->body_limit(Shared->Options.MaxBodyBytes);
-  Stream.expires_after(Shared->Options.RequestTime);
+  // The stream's own timer would close the socket, so that no answer could be
+  // sent.
+  Stream.expires_never();
+  RequestTimer.expires_after(Shared->Options.RequestTime);
+  RequestTimer.async_wait(
+      [Weak = weak_from_this(), Number = Current](beast::error_code Failure) {
+        auto Self = Weak.lock();
+        if (Failure || !Self || Self->Closed || Self->Current != Number)
+          return;
+        Self->TooSlow = true;
+        beast::error_code Ignored;
+        Self->Stream.socket().cancel(Ignored);
+      });
   http::async_read(
       Stream, Buffer, *Incoming,
       [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
@@ -109,9 +121,9 @@
 void HttpSession::requestRead(beast::error_code Failure) {
   ++Current;
   LastQueued = false;
+  RequestTimer.cancel();
   if (Failure)
-    return rejectRequest(Failure);
-  Stream.expires_never();
+    return rejectRequest(TooSlow ? beast::error::timeout : Failure);
   handleRequest();
 }
 
--- a/tests/src/unit-transport-http.cpp
+++ b/tests/src/unit-transport-http.cpp
@@ -1,50 +1,9 @@
-#include "marigoldyard/transport/http_client.hpp"
-#include "marigoldyard/transport/http_server.hpp"
-
-#include <boost/asio/executor_work_guard.hpp>
-#include <doctest/doctest.h>
-#include <future>
-#include <thread>
+#include "http_fixture.hpp"
 
 using namespace marigoldyard;
+using namespace marigoldyard::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A client with a thread of its own.
-struct ClientThread {
-  boost::asio::io_context Context;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      Guard{Context.get_executor()};
-  HttpClient Client{Context};
-  std::thread Thread{[this] { Context.run(); }};
-  ~ClientThread() {
-    Guard.reset();
-    Context.stop();
-    Thread.join();
-  }
-  HttpResult call(HttpCallRequest Request) {
-    std::promise<HttpResult> Result;
-    Client.call(std::move(Request),
-                [&](HttpResult R) { Result.set_value(std::move(R)); });
-    return Result.get_future().get();
-  }
-};
-
-std::unique_ptr<HttpServer> serve(HttpServer::Handler Handle,
-                                  HttpServerOptions Options = {}) {
-  Options.Address = "127.0.0.2";
-  auto Server = HttpServer::open(Options, std::move(Handle));
-  REQUIRE(Server);
-  return std::move(*Server);
-}
-
-std::string addressOf(const HttpServer &Server) {
-  return "127.0.0.2:" + std::to_string(Server.port());
-}
-
-} // namespace
-
 TEST_CASE("a request reaches the handler whole and its answer the caller") {
   auto Server = serve([](HttpRequest &&Request, Responder Answer) {
     Answer.send({201,
@@ -53,8 +12,7 @@
                  Request.Body});
   });
   ClientThread Client;
-  HttpCallRequest Request;
-  Request.Address = addressOf(*Server);
+  HttpCallRequest Request = requestTo(addressOf(*Server));
   Request.Method = "POST";
   Request.Target = "/a?b=c";
   Request.Body = std::string(200'000, 'x');
@@ -82,8 +40,7 @@
         Answer.abort();
     });
     ClientThread Client;
-    HttpCallRequest Request;
-    Request.Address = addressOf(*Server);
+    HttpCallRequest Request = requestTo(addressOf(*Server));
     std::vector<std::string> Lines;
     std::promise<HttpResult> Ended;
     Client.Client.stream(
@@ -103,3 +60,65 @@
     }
   }
 }
+
+TEST_CASE("requests sent without waiting are answered in order") {
+  auto Server = serve([](HttpRequest &&Request, Responder Answer) {
+    std::thread([Answer, Path = Request.Path] {
+      Answer.send({200, {}, "path=" + Path + ";"});
+    }).detach();
+  });
+  RawClient Client(*Server);
+  Client.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
+              "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+  std::string Text = Client.readAll();
+  auto First = Text.find("path=/1;"), Second = Text.find("path=/2;"),
+       Third = Text.find("path=/3;");
+  CHECK(First < Second);
+  CHECK(Second < Third);
+  CHECK(Third != std::string::npos);
+}
+
+TEST_CASE("a forgotten request gets an answer and a forgotten stream breaks "
+          "off, so that no caller waits for ever") {
+  auto Server = serve([](HttpRequest &&Request, Responder Answer) {
+    if (Request.Path == "/stream")
+      Answer.start({200, {}, {}});
+  });
+  ClientThread Client;
+  auto Request = requestTo(addressOf(*Server));
+  auto Result = Client.call(Request);
+  REQUIRE(std::holds_alternative<HttpResponse>(Result));
+  CHECK(std::get<HttpResponse>(Result).Status == 500);
+  Request.Target = "/stream";
+  CHECK(failureOf(Client.call(Request)).Cause.Code ==
+        ErrorCode::StreamIncomplete);
+}
+
+TEST_CASE("a request in progress is finished after the server stops accepting, "
+          "so that shutdown cuts off nobody") {
+  std::promise<Responder> Held;
+  auto Server = serve([&](HttpRequest &&, Responder Answer) {
+    Held.set_value(std::move(Answer));
+  });
+  ClientThread Client;
+  std::promise<HttpResult> Result;
+  auto Request = requestTo(addressOf(*Server));
+  Client.Client.call(Request,
+                     [&](HttpResult R) { Result.set_value(std::move(R)); });
+  Responder Answer = Held.get_future().get();
+  Server->stopAccepting();
+  Request.ReuseConnection = false;
+  // Refused from now on; a first try may still race with the stop.
+  HttpResult Refused = Client.call(Request);
+  CHECK(std::holds_alternative<HttpFailure>(Refused));
+  Answer.send({200, {}, "whole"});
+  auto Final = Result.get_future().get();
+  REQUIRE(std::holds_alternative<HttpResponse>(Final));
+  CHECK(std::get<HttpResponse>(Final).Body == "whole");
+}
+
+TEST_CASE("query parameters are decoded") {
+  CHECK(queryParameter("a=1&b=x%20y+z&c", "b") == "x y z");
+  CHECK(queryParameter("a=1&b=2", "c").empty());
+  CHECK(queryParameter("a=%4", "a") == "%4");
+}
