--- a/tests/standin/standin_common.cpp
+++ b/tests/standin/standin_common.cpp
@@ -65,8 +65,6 @@
   control("PUT", "/faults", [this](const Call &C) { changeFaults(C); });
 }
 
-StandinProgram::~StandinProgram() = default;
-
 void StandinProgram::platform(std::string Method, std::string Path,
                               StandinHandler Handle) {
   Routes.push_back(
@@ -106,10 +104,6 @@
   FaultsChanged = std::move(Action);
 }
 
-bool StandinProgram::fault(std::string_view Fault) const {
-  return Faults.find(Fault) != Faults.end();
-}
-
 double StandinProgram::faultNumber(std::string_view Fault) const {
   auto Found = Faults.find(Fault);
   return Found == Faults.end() ? 0.0 : Found->second;
@@ -170,8 +164,8 @@
     return Application.exit(Failure);
   }
   const std::size_t Colon = std::min(Listen.rfind(':'), Listen.size());
-  const auto Port = static_cast<std::uint16_t>(std::strtoul(
-      Listen.c_str() + std::min(Colon + 1, Listen.size()), nullptr, 10));
+  const auto Port = static_cast<std::uint16_t>(
+      std::strtoul(Listen.substr(Colon).erase(0, 1).c_str(), nullptr, 10));
   boost::asio::signal_set Signals(Context, SIGTERM, SIGINT);
   Signals.async_wait(
       [this](boost::system::error_code, int) { Context.stop(); });
--- a/tests/standin/standin_common.hpp
+++ b/tests/standin/standin_common.hpp
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
@@ -72,9 +71,6 @@
   /// @param FaultNames names that PUT /faults accepts besides down and delay_ms
   StandinProgram(const std::string &Name, const std::string &Purpose,
                  std::set<std::string> FaultNames);
-  ~StandinProgram();
-  StandinProgram(const StandinProgram &) = delete;
-  StandinProgram &operator=(const StandinProgram &) = delete;
 
   /// @return the command line, to add options before run()
   CLI::App &arguments() { return Application; }
@@ -109,9 +105,9 @@
   /// @param Action what to do after each change
   void onFaults(std::function<void()> Action);
 
-  /// @brief Whether a fault is set.
   /// @param Name name of the fault
-  bool fault(std::string_view Name) const;
+  /// @return whether the fault is set
+  bool fault(std::string_view Name) const { return faultNumber(Name) > 0; }
 
   /// @brief Number of a fault.
   /// @param Name name of the fault
--- a/tests/standin/standin_engine.cpp
+++ b/tests/standin/standin_engine.cpp
@@ -205,20 +205,19 @@
   if (AtMiddle && Program.fault("stall"))
     return; // keeps its slot until the client leaves or cancels
   const bool Truncated = AtMiddle && Program.fault("truncate");
-  if (Weights.empty() || Truncated || Stream.Next == Stream.Work.MaxTokens) {
-    if (Weights.empty())
-      Stream.Answer.abort();
-    else if (!Truncated)
-      Stream.Answer.write(generateLineJson({.Request = Stream.Work.Request,
-                                            .Weights = Weights,
-                                            .End = true,
-                                            .Count = Stream.Work.MaxTokens}) +
-                          "\n");
-    Stream.Answer.finish();
-    Target.Streams.erase(Found);
-    return;
+  const bool Complete = Stream.Next == Stream.Work.MaxTokens;
+  if (Weights.empty()) {
+    Stream.Answer.abort();
+  } else if (Complete) {
+    Stream.Answer.write(generateLineJson({.Request = Stream.Work.Request,
+                                          .Weights = Weights,
+                                          .End = true,
+                                          .Count = Stream.Work.MaxTokens}) +
+                        "\n");
   }
-  if (!Stream.Answer.write(nextLines(Target, Program, Stream, Weights))) {
+  if (Weights.empty() || Truncated || Complete ||
+      !Stream.Answer.write(nextLines(Target, Program, Stream, Weights))) {
+    Stream.Answer.finish();
     Target.Streams.erase(Found);
     return;
   }
@@ -303,18 +302,6 @@
            Target.Slots * std::micro::den / Target.TokenMicroseconds}};
 }
 
-void addOptions(CLI::App &Arguments, Engine &Target) {
-  auto Add = [&](const char *Name, std::size_t &Value, const char *Purpose) {
-    Arguments.add_option(Name, Value, Purpose)->check(CLI::PositiveNumber);
-  };
-  Add("--slots", Target.Slots, "Requests at once");
-  Add("--token-us", Target.TokenMicroseconds,
-      "Time for a token of one stream, in microseconds");
-  Add("--first-token-us", Target.FirstTokenMicroseconds,
-      "Time to the first token, in microseconds");
-  Add("--max-models", Target.MaxModels, "Versions at once");
-}
-
 } // namespace
 
 } // namespace marigoldyard
@@ -326,7 +313,17 @@
                           "ignore_fence", "fail_load", "wrong_weights",
                           "stall"});
   Engine Target;
-  addOptions(Program.arguments(), Target);
+  auto Option = [&](const char *Name, std::size_t &Value, const char *Text) {
+    Program.arguments()
+        .add_option(Name, Value, Text)
+        ->check(CLI::Range(1, 1 << 30));
+  };
+  Option("--slots", Target.Slots, "Requests at once");
+  Option("--token-us", Target.TokenMicroseconds,
+         "Time per token and stream, us");
+  Option("--first-token-us", Target.FirstTokenMicroseconds,
+         "Time to the first token, us");
+  Option("--max-models", Target.MaxModels, "Versions at once");
   Program.platform("PUT", "/staging/",
                    [&](const Call &C) { stage(Target, C); });
   Program.platform("POST", "/orders",
