--- a/bench/policy_run_common.cpp
+++ b/bench/policy_run_common.cpp
@@ -33,6 +33,8 @@
 struct Entry {
   std::vector<EndpointView> Views;
   SchedulerState Queue; ///< late binding
+  std::map<std::array<std::size_t, 3>, std::uint64_t>
+      Backlogs; ///< tokens by caller, rank and agent
 };
 
 struct Event {
@@ -98,11 +100,19 @@
   return Work;
 }
 
+/// Tokens of a request's caller and rank at the agent that got the request.
+std::uint64_t &backlogOf(Simulation &Sim, std::size_t Index) {
+  const Request &Source = Sim.Result.Requests[Index];
+  return Sim.Entries[Source.Entry].Backlogs[{
+      Source.CallerIndex, rankIndex(Source.Priority), Sim.SentTo[Index]}];
+}
+
 /// Frees the load that the entry counted for an attempt.
 void endAttempt(Simulation &Sim, std::size_t Index) {
   const Request &Source = Sim.Result.Requests[Index];
   recordEnded(Sim.Entries[Source.Entry].Views[Sim.SentTo[Index]],
               Source.Priority, estimatedCost(Source));
+  backlogOf(Sim, Index) -= estimatedCost(Source);
   ++Sim.Result.Records[Index].Generation;
 }
 
@@ -210,6 +220,7 @@
   Sim.SentTo[Index] = AgentIndex;
   recordSent(Sim.Entries[Source.Entry].Views[AgentIndex], Source.Priority,
              estimatedCost(Source));
+  backlogOf(Sim, Index) += estimatedCost(Source);
   const Duration Delay = Sim.Options.Bind == Binding::Late
                              ? 2 * NetworkDelay // credit and work
                              : NetworkDelay;
@@ -304,6 +315,10 @@
   Wanted.Weights = OnlyWeights;
   Wanted.EstimatedTokens = estimatedCost(Source);
   Wanted.Tried = Sim.Tried[Index];
+  for (std::size_t I = 0; I < ServerCount; ++I)
+    Wanted.Backlogs.push_back(
+        {agentName(I),
+         From.Backlogs[{Source.CallerIndex, rankIndex(Source.Priority), I}]});
   const RoutingChoice Choice =
       route(Wanted, From.Views, RoutingSettings{}, Sim.Now, Sim.Generator);
   if (!Choice.Chosen)
--- a/include/marigoldyard/coordination/routing.hpp
+++ b/include/marigoldyard/coordination/routing.hpp
@@ -23,6 +23,9 @@
                           ///< in the cache events
   std::array<double, RankCount> Floors = {
       0.0, 0.2, 0.05}; ///< guaranteed share of an endpoint by rank, 0 to 1
+  double CallerBacklogFactor = 10.0; ///< callers that share the rank of a
+                                     ///< saturated endpoint; each token of a
+                                     ///< caller waits for as many of others
   double DefaultTokensPerSecond =
       1000; ///< rate of an endpoint that reported none
 };
@@ -51,13 +54,22 @@
   std::uint32_t Gaps = 0; ///< gaps in the endpoint's cache events since then
 };
 
+/// @brief Work of one caller that an entry sent to an endpoint and that has not
+/// ended. Under fair queueing it delays the caller's next request there more
+/// than work of other callers does.
+struct CallerBacklog {
+  std::string Endpoint;
+  std::uint64_t Tokens = 0; ///< estimated, of the rank of the request
+};
+
 /// @brief A request that needs an endpoint.
 struct RoutingRequest {
   Rank Priority = Rank::Batch;
   Digest Weights;
   std::uint64_t EstimatedTokens = 1;
-  std::vector<std::string> Tried;    ///< endpoints of earlier attempts
-  std::vector<CacheHint> CacheHints; ///< at most one an endpoint
+  std::vector<std::string> Tried;      ///< endpoints of earlier attempts
+  std::vector<CacheHint> CacheHints;   ///< at most one an endpoint
+  std::vector<CallerBacklog> Backlogs; ///< at most one an endpoint
 };
 
 /// @brief Why an endpoint is not a candidate.
@@ -81,11 +93,12 @@
 /// @brief One compared candidate.
 struct CandidateScore {
   std::string Name;
-  double Score = 0;     ///< expected seconds to serve; lower is better
-  double QueueTime = 0; ///< seconds of work ahead by the last report
-  double SentTime = 0;  ///< seconds of own work that the report lacks
-  double AgeTime = 0;   ///< seconds added for the age of the report
-  double CacheTime = 0; ///< seconds saved by the prefix cache
+  double Score = 0;      ///< expected seconds to serve; lower is better
+  double QueueTime = 0;  ///< seconds of work ahead by the last report
+  double SentTime = 0;   ///< seconds of own work that the report lacks
+  double AgeTime = 0;    ///< seconds added for the age of the report
+  double CallerTime = 0; ///< seconds added for the caller's own backlog
+  double CacheTime = 0;  ///< seconds saved by the prefix cache
 };
 
 /// @brief The choice and its reason.
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -29,6 +29,18 @@
   return 0;
 }
 
+bool saturated(const LoadReport &Load) {
+  return Load.Slots > 0 && Load.Running >= Load.Slots;
+}
+
+double callerBacklog(const std::string &Endpoint,
+                     const RoutingRequest &Request) {
+  for (const CallerBacklog &Item : Request.Backlogs)
+    if (Item.Endpoint == Endpoint)
+      return static_cast<double>(Item.Tokens);
+  return 0;
+}
+
 /// Tokens of the own and higher ranks, which are served before new work. On an
 /// endpoint without a free slot a lower rank may get no more than its floor, so
 /// that work of its own rank delays it longer than work of higher ranks.
@@ -38,9 +50,8 @@
   for (std::size_t I = 0; I < rankIndex(Priority); ++I)
     Sum += static_cast<double>(Tokens[I]);
   const double Floor = Settings.Floors[rankIndex(Priority)];
-  const bool Saturated = Load.Slots > 0 && Load.Running >= Load.Slots;
   const double Own = static_cast<double>(Tokens[rankIndex(Priority)]);
-  return Sum + (Saturated && Floor > 0 ? Own / Floor : Own);
+  return Sum + (saturated(Load) && Floor > 0 ? Own / Floor : Own);
 }
 
 std::string fixed3(double Value) {
@@ -111,8 +122,14 @@
       View.ReportedAt ? Now - *View.ReportedAt : 4 * Settings.ReportInterval;
   Result.AgeTime = std::max(0.0, toSeconds(Age - Settings.ReportInterval));
   Result.CacheTime = cachedTokens(View.Name, Request, Settings, Now) / Rate;
-  Result.Score =
-      Result.QueueTime + Result.SentTime + Result.AgeTime - Result.CacheTime;
+  if (saturated(View.Load)) {
+    const double Floor = Settings.Floors[rankIndex(Request.Priority)];
+    Result.CallerTime = Settings.CallerBacklogFactor *
+                        callerBacklog(View.Name, Request) /
+                        (Floor > 0 ? Floor : 1.0) / Rate;
+  }
+  Result.Score = Result.QueueTime + Result.SentTime + Result.AgeTime +
+                 Result.CallerTime - Result.CacheTime;
   return Result;
 }
 
--- a/src/coordination/subset.cpp
+++ b/src/coordination/subset.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <tuple>
 #include <xxhash.h>
@@ -29,8 +30,27 @@
                               XXH3_64bits(Entry.data(), Entry.size()));
 }
 
-std::size_t dividedUp(std::size_t Dividend, std::size_t Divisor) {
-  return (Dividend + Divisor - 1) / Divisor;
+/// How the limits of one pass over the pairs are rounded.
+enum class Rounding : std::uint8_t { Down, Up, NoLimit };
+
+struct PassLimits {
+  Rounding Domain;
+  Rounding Endpoint;
+};
+
+/// Each pass is looser than the one before. Limits that are rounded down first
+/// leave room everywhere, so that the last entries don't crowd on few
+/// endpoints. The last pass gives every entry its links in any case.
+constexpr PassLimits Passes[] = {
+    {Rounding::Down, Rounding::Down},       {Rounding::Up, Rounding::Down},
+    {Rounding::Up, Rounding::Up},           {Rounding::NoLimit, Rounding::Up},
+    {Rounding::NoLimit, Rounding::NoLimit},
+};
+
+std::size_t divided(std::size_t Dividend, std::size_t Divisor, Rounding How) {
+  if (How == Rounding::NoLimit)
+    return std::numeric_limits<std::size_t>::max();
+  return (Dividend + (How == Rounding::Up ? Divisor - 1 : 0)) / Divisor;
 }
 
 /// Order and duplicates of the arguments must not change the links.
@@ -66,9 +86,7 @@
   return Result;
 }
 
-/// Takes pairs in the order of their hash. The first pass keeps all limits; the
-/// second lets an entry exceed its limit for a failure domain, the third lets
-/// an endpoint exceed its limit, so that every entry gets its links.
+/// Takes pairs in the order of their hash, under the limits of each pass.
 Links assignLinks(const std::vector<std::string> &Entries,
                   const std::vector<SubsetEndpoint> &Endpoints,
                   std::size_t Limit) {
@@ -76,29 +94,30 @@
   const std::size_t Count = Result.Endpoints.size();
   if (Count == 0 || Result.Entries.empty())
     return Result;
+  const std::size_t PerEntry = std::min(Limit, Count);
   std::vector<std::size_t> DomainSize(Count, 0);
   for (std::uint32_t Domain : Result.DomainOf)
     ++DomainSize[Domain];
-  const std::size_t PerEndpoint =
-      dividedUp(Result.Entries.size() * std::min(Limit, Count), Count);
   std::vector<std::size_t> OfEntry(Result.Entries.size(), 0);
   std::vector<std::size_t> OfEndpoint(Count, 0);
   std::vector<std::size_t> OfDomain(Result.Entries.size() * Count, 0);
-  for (int Pass = 0; Pass < 3; ++Pass)
+  for (const PassLimits &Limits : Passes) {
+    const std::size_t PerEndpoint =
+        divided(Result.Entries.size() * PerEntry, Count, Limits.Endpoint);
     for (Pair &Next : Result.Pairs) {
       const std::size_t Domain = Result.DomainOf[Next.Endpoint];
       std::size_t &InDomain = OfDomain[Next.Entry * Count + Domain];
-      const std::size_t PerDomain =
-          dividedUp(std::min(Limit, Count) * DomainSize[Domain], Count);
-      if (Next.Linked || OfEntry[Next.Entry] >= Limit ||
-          (Pass < 1 && InDomain >= PerDomain) ||
-          (Pass < 2 && OfEndpoint[Next.Endpoint] >= PerEndpoint))
+      if (Next.Linked || OfEntry[Next.Entry] >= PerEntry ||
+          OfEndpoint[Next.Endpoint] >= PerEndpoint ||
+          InDomain >=
+              divided(PerEntry * DomainSize[Domain], Count, Limits.Domain))
         continue;
       Next.Linked = true;
       ++OfEntry[Next.Entry];
       ++OfEndpoint[Next.Endpoint];
       ++InDomain;
     }
+  }
   return Result;
 }
 
