--- a/include/marigoldyard/coordination/membership.hpp
+++ b/include/marigoldyard/coordination/membership.hpp
@@ -40,7 +40,8 @@
   /// How long the VM list lags, in both directions.
   Duration ListLag = std::chrono::seconds(60);
   /// Unanswered work keeps a member suspected although its reports arrive: the
-  /// link may be cut in one direction only. After this time it is tried again.
+  /// link may be cut in one direction only. After this time it is tried again;
+  /// the time doubles, up to ListLag, while tries stay unanswered.
   Duration UnansweredHold = std::chrono::seconds(5);
   /// Share of a pool's linked endpoints that suspicion never removes.
   double SuspicionFloor = 0.5;
@@ -61,6 +62,7 @@
   TimePoint UnlistedSince;
   std::optional<TimePoint> ConnectionLostAt;
   std::optional<TimePoint> UnansweredAt;
+  Duration UnansweredHold{}; ///< current, set with UnansweredAt
 };
 
 /// @brief Members as the own process sees them. Bounded.
@@ -189,7 +191,8 @@
 ///
 /// Suspicion for missing reports or unanswered work removes at most half of
 /// them; those heard most recently stay. A closed connection is proof that the
-/// peer's process or link ended and is not limited.
+/// peer's process or link ended and is not limited. The result holds until the
+/// next event or nextMembershipChange(); a router keeps it until then.
 /// @param State the members
 /// @param Pool the pool
 /// @param Now current time
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -27,10 +27,9 @@
   return Since;
 }
 
-bool isUnanswered(const MembershipState &State, const MemberRecord &Record,
-                  TimePoint Now) {
+bool isUnanswered(const MemberRecord &Record, TimePoint Now) {
   return Record.UnansweredAt &&
-         Now - *Record.UnansweredAt < State.Settings.UnansweredHold;
+         Now - *Record.UnansweredAt < Record.UnansweredHold;
 }
 
 bool isSilent(const MembershipState &State, const MemberRecord &Record,
@@ -187,8 +186,18 @@
 
 void workUnanswered(MembershipState &State, std::string_view Name,
                     TimePoint Now) {
-  if (MemberRecord *Record = findRecord(State, Name))
-    Record->UnansweredAt = Now;
+  MemberRecord *Record = findRecord(State, Name);
+  // Work that was sent before the first piece went unanswered is the same
+  // fault.
+  if (!Record || isUnanswered(*Record, Now))
+    return;
+  const MembershipSettings &Limits = State.Settings;
+  Record->UnansweredHold =
+      Record->UnansweredAt
+          ? std::min(Record->UnansweredHold * 2,
+                     std::max(Limits.ListLag, Limits.UnansweredHold))
+          : Limits.UnansweredHold;
+  Record->UnansweredAt = Now;
 }
 
 void workAnswered(MembershipState &State, std::string_view Name,
@@ -239,9 +248,8 @@
     return MemberState::Dead;
   if (Record.ReportedLeaving || (Record.InList && Record.Listed.Leaving))
     return MemberState::Leaving;
-  return Silent || Lost || isUnanswered(State, Record, Now)
-             ? MemberState::Suspected
-             : MemberState::Live;
+  return Silent || Lost || isUnanswered(Record, Now) ? MemberState::Suspected
+                                                     : MemberState::Live;
 }
 
 std::vector<RoutableMember> routableMembers(const MembershipState &State,
@@ -312,7 +320,7 @@
       Consider(silentSince(State, Record) + State.Settings.ListLag);
     }
     if (Record.UnansweredAt)
-      Consider(*Record.UnansweredAt + State.Settings.UnansweredHold);
+      Consider(*Record.UnansweredAt + Record.UnansweredHold);
     if (!Record.InList && Record.LastHeard)
       Consider(*Record.LastHeard + State.Settings.SuspectAfter);
   }
--- a/tests/src/random-coordination-membership.cpp
+++ b/tests/src/random-coordination-membership.cpp
@@ -74,7 +74,7 @@
     Since = Heard ? std::max(Since, *Heard) : Since;
   RC_ASSERT(Now - Since < Limits.SuspectAfter);
   RC_ASSERT(!Record.UnansweredAt ||
-            Now - *Record.UnansweredAt >= Limits.UnansweredHold);
+            Now - *Record.UnansweredAt >= Record.UnansweredHold);
 }
 
 void checkPool(const MembershipState &State, std::string_view Pool,
--- a/tests/src/unit-coordination-membership.cpp
+++ b/tests/src/unit-coordination-membership.cpp
@@ -116,6 +116,13 @@
   workUnanswered(State, agentName(0), Start);
   report(State, 0, 3, Start + seconds(5));
   CHECK(isRoutable(State, 0, Start + seconds(5)));
+  // The second try in a row waits twice as long; answered work starts anew.
+  workUnanswered(State, agentName(0), Start + seconds(6));
+  workUnanswered(State, agentName(0), Start + seconds(7));
+  report(State, 0, 3, Start + seconds(15));
+  CHECK_FALSE(isRoutable(State, 0, Start + seconds(15)));
+  report(State, 0, 3, Start + seconds(16));
+  CHECK(isRoutable(State, 0, Start + seconds(16)));
 }
 
 TEST_CASE("a leaving endpoint gets no work, whoever says that it leaves") {
