Cancel the read of a process that caught up with a peer

Cause: knowing of a newer revision schedules a read of the index 3 to 8 s later, and the read stayed scheduled after the revision arrived from a peer. Change: the read moves back when the revision is settled. The flapping service of the fault test changes every 700 ms instead of every second: watches wait 4 s, so with a period of 1 s they always ended at the same value and, without the extra reads, never saw the old one. Ruled out: no scheduled read, which leaves a process behind when peers are lost.

--- a/src/coordination/watch_plan.cpp
+++ b/src/coordination/watch_plan.cpp
@@ -235,8 +235,12 @@
 void settle(WatchState &State, Revision Number) {
   State.Settled = std::max(State.Settled, Number);
   State.Search.reset();
-  if (State.Newer && State.Newer->Number <= State.Settled)
-    State.Newer.reset();
+  if (!State.Newer || State.Newer->Number > State.Settled)
+    return;
+  State.Newer.reset();
+  if (!State.Watching && State.ConfirmedAt)
+    State.NextRead =
+        std::max(State.NextRead, fallbackTime(State, *State.ConfirmedAt));
 }
 
 } // namespace
--- a/tests/src/fault-coordination-configuration.cpp
+++ b/tests/src/fault-coordination-configuration.cpp
@@ -46,6 +46,7 @@
 constexpr Revision Last = 12;
 constexpr std::uint64_t Seeds = 5;
 constexpr Duration InForceBound = seconds(17);
+constexpr Duration FlapPeriod = milliseconds(700);
 constexpr Duration FaultLength = seconds(20);
 constexpr TimePoint Change{seconds(30)};
 
@@ -109,11 +110,9 @@
   }
 
   ConfigurationIndex served(std::size_t I) const {
-    const bool Odd =
-        std::chrono::duration_cast<seconds>(Run.Now.time_since_epoch())
-                .count() %
-            2 ==
-        1;
+    // The period is no divisor of the wait of a watch, so that watches end at
+    // both values.
+    const bool Odd = Run.Now.time_since_epoch() / FlapPeriod % 2 == 1;
     if (Older.Number != 0 &&
         (on(ServiceFault::Stale) || on(ServiceFault::RestartWhileStale) ||
          (on(ServiceFault::FlappingOldNew) && Odd)))
--- a/tests/src/unit-coordination-watch-plan.cpp
+++ b/tests/src/unit-coordination-watch-plan.cpp
@@ -185,6 +185,16 @@
                              10 * State.Settings.ReadTokensPerSecond + 1);
 }
 
+TEST_CASE("a process that caught up with a peer does not read the service") {
+  WatchState State = listener();
+  Random Randomness(8);
+  offerReceived(State, Duration(0), Start);
+  peerRevisionSeen(State, "vm-1", 9, 8, Start);
+  CHECK(State.NextRead < Start + State.Settings.SilenceLimit);
+  configurationAccepted(State, 9);
+  CHECK(State.NextRead >= Start + State.Settings.SilenceLimit);
+}
+
 TEST_CASE("a refused revision is not sought again") {
   WatchState State = listener();
   Random Randomness(7);
