Name the revision in the result of acceptance

Cause: the owner had to guess which revision a refusal concerns; with the highest announced one, a valid revision above the refused one was not sought. Change: AcceptanceResult carries the revision.

--- a/bench/configuration_fleet.hpp
+++ b/bench/configuration_fleet.hpp
@@ -315,11 +315,11 @@
     Process &Self = Processes[I];
     if (Result.Action == AcceptanceAction::Accepted) {
       Self.InForceSince[revisionInForce(Self.State)] = Now;
-      configurationAccepted(Self.Watch, revisionInForce(Self.State));
+      configurationAccepted(Self.Watch, Result.Number);
     } else if (Result.Action == AcceptanceAction::NeedValues) {
       valuesNeeded(Self.Watch, Source, Result.Needed, Now);
     } else if (Result.Action == AcceptanceAction::Refused) {
-      configurationRefused(Self.Watch, Self.State.HighestHeard);
+      configurationRefused(Self.Watch, Result.Number);
     }
   }
 
--- a/include/marigoldyard/coordination/configuration.hpp
+++ b/include/marigoldyard/coordination/configuration.hpp
@@ -115,6 +115,8 @@
   AcceptanceAction Action = AcceptanceAction::Keep;
   std::vector<std::string> Needed;
   std::optional<Error> Failure;
+  Revision Number = 0; ///< revision that was accepted or refused; 0 when an
+                       ///< index without a usable revision was refused
 };
 
 /// @brief State of a process that starts.
--- a/src/coordination/configuration.cpp
+++ b/src/coordination/configuration.cpp
@@ -14,8 +14,8 @@
                std::move(Detail)};
 }
 
-AcceptanceResult refused(Error Failure) {
-  return {AcceptanceAction::Refused, {}, std::move(Failure)};
+AcceptanceResult refused(Error Failure, Revision Number) {
+  return {AcceptanceAction::Refused, {}, std::move(Failure), Number};
 }
 
 void noteSource(ConfigurationState &State, std::string_view Source,
@@ -77,7 +77,7 @@
   ++State.Counters.Invalid;
   State.LastRefused = std::move(State.Pending->Index);
   State.Pending.reset();
-  return refused(std::move(Failure));
+  return refused(std::move(Failure), State.LastRefused->Number);
 }
 
 /// Puts the pending configuration in force when it is complete and valid.
@@ -85,7 +85,7 @@
                                  std::string_view Source) {
   std::vector<std::string> Needed = neededKeys(State);
   if (!Needed.empty())
-    return {AcceptanceAction::NeedValues, std::move(Needed), std::nullopt};
+    return {AcceptanceAction::NeedValues, std::move(Needed), std::nullopt, 0};
   auto Next = std::make_shared<AcceptedConfiguration>(
       assemble(PendingConfiguration(*State.Pending)));
   const std::vector<ManifestConflict> Conflicts =
@@ -103,16 +103,18 @@
   State.InForce = std::move(Next);
   State.Pending.reset();
   ++State.Counters.Accepted;
-  return {AcceptanceAction::Accepted, {}, std::nullopt};
+  return {AcceptanceAction::Accepted, {}, std::nullopt, revisionInForce(State)};
 }
 
 AcceptanceResult conflict(ConfigurationState &State, Revision Number,
                           std::string_view Source) {
   ++State.Counters.Conflicts;
-  return refused(configurationError(
-      ErrorCode::ConflictingRevision, Step::ConfigurationAccept, Source,
-      "revision " + std::to_string(Number) +
-          " has other digests than the one in force"));
+  return refused(
+      configurationError(ErrorCode::ConflictingRevision,
+                         Step::ConfigurationAccept, Source,
+                         "revision " + std::to_string(Number) +
+                             " has other digests than the one in force"),
+      Number);
 }
 
 } // namespace
@@ -154,14 +156,16 @@
     return {};
   }
   if (State.LastRefused && *State.LastRefused == Index)
-    return refused(configurationError(
-        ErrorCode::InvalidManifest, Step::ConfigurationAccept, Source,
-        "revision " + std::to_string(Index.Number) + " was refused before"));
+    return refused(
+        configurationError(
+            ErrorCode::InvalidManifest, Step::ConfigurationAccept, Source,
+            "revision " + std::to_string(Index.Number) + " was refused before"),
+        Index.Number);
   PendingConfiguration Next{Index, {}};
   reuseValuesInForce(State, Next);
   if (State.Pending) {
     if (State.Pending->Index.Number > Index.Number)
-      return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt};
+      return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt, 0};
     // Nothing of this revision is in force here, so the latest index read is
     // taken; the alarm tells the operator that the number was used twice.
     if (State.Pending->Index.Number == Index.Number &&
@@ -204,13 +208,13 @@
                                      std::string_view Source) {
   noteSource(State, Source, 0);
   ++State.Counters.Invalid;
-  return refused(std::move(Failure));
+  return refused(std::move(Failure), 0);
 }
 
 AcceptanceResult receiveReadFailure(const ConfigurationState &State) {
   if (!State.Pending)
     return {};
-  return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt};
+  return {AcceptanceAction::NeedValues, neededKeys(State), std::nullopt, 0};
 }
 
 void notePeerRevision(ConfigurationState &State, std::string_view Peer,
--- a/tests/src/unit-coordination-configuration.cpp
+++ b/tests/src/unit-coordination-configuration.cpp
@@ -86,8 +86,10 @@
   receiveIndex(State, Next, ServiceSource);
   auto Values = valuesFor(Next);
   Values.back() = invalidValue(Values.back().Key, Values.back().Id);
-  CHECK(receiveValues(State, Values, ServiceSource).Action ==
-        AcceptanceAction::Refused);
+  notePeerRevision(State, "peer-1", 9);
+  const auto Result = receiveValues(State, Values, ServiceSource);
+  CHECK(Result.Action == AcceptanceAction::Refused);
+  CHECK(Result.Number == 6); // Not the higher one that a peer announced.
   CHECK(revisionInForce(State) == 4);
   CHECK_FALSE(State.Pending);
   // It is not read again with every watch.
