Keep the search for a pending revision when another offer is refused

Cause: a refused offer, such as one with other digests for the revision in force, ended the search for the values of a higher pending revision. Change: configurationRefused takes whether a revision is still pending.

--- a/bench/configuration_fleet.hpp
+++ b/bench/configuration_fleet.hpp
@@ -319,7 +319,8 @@
     } else if (Result.Action == AcceptanceAction::NeedValues) {
       valuesNeeded(Self.Watch, Source, Result.Needed, Now);
     } else if (Result.Action == AcceptanceAction::Refused) {
-      configurationRefused(Self.Watch, Result.Number);
+      configurationRefused(Self.Watch, Result.Number,
+                           Self.State.Pending.has_value());
     }
   }
 
--- a/include/marigoldyard/coordination/watch_plan.hpp
+++ b/include/marigoldyard/coordination/watch_plan.hpp
@@ -200,8 +200,11 @@
 /// @brief Records that a revision was refused, so that it is not sought again.
 /// @param State the state
 /// @param Number the revision
+/// @param StillPending whether another revision is pending; the search for its
+/// values goes on
 /// @complexity constant
-void configurationRefused(WatchState &State, Revision Number);
+void configurationRefused(WatchState &State, Revision Number,
+                          bool StillPending);
 
 /// @brief Records the keys that acceptance still needs.
 /// @param State the state
--- a/src/coordination/watch_plan.cpp
+++ b/src/coordination/watch_plan.cpp
@@ -234,7 +234,6 @@
 
 void settle(WatchState &State, Revision Number) {
   State.Settled = std::max(State.Settled, Number);
-  State.Search.reset();
   if (!State.Newer || State.Newer->Number > State.Settled)
     return;
   State.Newer.reset();
@@ -340,11 +339,15 @@
 
 void configurationAccepted(WatchState &State, Revision Number) {
   settle(State, Number);
+  State.Search.reset();
   State.OfferDue = true;
 }
 
-void configurationRefused(WatchState &State, Revision Number) {
+void configurationRefused(WatchState &State, Revision Number,
+                          bool StillPending) {
   settle(State, Number);
+  if (!StillPending)
+    State.Search.reset();
 }
 
 void valuesNeeded(WatchState &State, std::string_view Source,
--- a/tests/src/unit-coordination-watch-plan.cpp
+++ b/tests/src/unit-coordination-watch-plan.cpp
@@ -164,6 +164,15 @@
       WatchActionKind::ReadValues));
 }
 
+TEST_CASE("a refused offer does not end the search for a pending revision") {
+  WatchState State = listener();
+  valuesNeeded(State, "vm-9", {"products/a"}, Start);
+  configurationRefused(State, 8, true);
+  CHECK(State.Search);
+  configurationRefused(State, 9, false);
+  CHECK_FALSE(State.Search);
+}
+
 TEST_CASE("reads of one process stay within its token bucket") {
   WatchState State = listener();
   Random Randomness(6);
@@ -203,7 +212,7 @@
         WatchActionKind::AskNewer);
   CHECK(hasAction(nextWatchStep(State, Start, Randomness),
                   WatchActionKind::AskNewer));
-  configurationRefused(State, 9);
+  configurationRefused(State, 9, false);
   CHECK_FALSE(peerRevisionSeen(State, "vm-2", 9, 8, Start));
   CHECK_FALSE(hasAction(nextWatchStep(State, Start + seconds(2), Randomness),
                         WatchActionKind::AskNewer));
