--- a/include/marigoldyard/protocol/digest.hpp
+++ b/include/marigoldyard/protocol/digest.hpp
@@ -20,12 +20,6 @@
 /// @complexity linear in the length of the text
 Digest sha256Hex(std::string_view Text);
 
-/// @brief Same as sha256Hex(std::string_view).
-/// @param Bytes the bytes
-/// @return 64 lower-case hexadecimal digits
-/// @complexity linear in the number of bytes
-inline Digest sha256(std::string_view Bytes) { return sha256Hex(Bytes); }
-
 /// @brief Whether a text has the form of a digest.
 /// @param Text the text
 /// @return true for exactly 64 lower-case hexadecimal digits
--- a/programs/agent/agent_operations.cpp
+++ b/programs/agent/agent_operations.cpp
@@ -54,16 +54,11 @@
 
 void Agent::operationRun(const Message &Incoming, const OperationRun &Content) {
   const OperationWaiter Waiter{Incoming.Head.Sender, Content.Request};
-  const auto Id = parseOperationId(Content.Operation);
-  if (leaving() && Id && Id->Issuer == Operations.Own) {
-    const auto Found = Operations.Records.find(Id->Counter);
-    if (Found != Operations.Records.end() &&
-        Found->second.State == OperationState::Open)
-      return answerRun(Waiter, Content.Operation,
-                       {Outcome::NotRun, 0, {}, ErrorCode::EndpointLeaving});
-  }
-  const RunDecision Decision =
-      runOperation(Operations, Content.Operation, Content.Caller, Waiter);
+  std::optional<ErrorCode> RefuseStart;
+  if (leaving())
+    RefuseStart = ErrorCode::EndpointLeaving;
+  const RunDecision Decision = runOperation(
+      Operations, Content.Operation, Content.Caller, Waiter, RefuseStart);
   if (Decision.Action == RunAction::Answer)
     return answerRun(Waiter, Content.Operation, Decision.Answer);
   if (Decision.Action == RunAction::Wait)
--- a/programs/node/node_configuration.cpp
+++ b/programs/node/node_configuration.cpp
@@ -61,7 +61,8 @@
     runWatch();
     return;
   case AcceptanceAction::Refused:
-    valuesNeeded(Watch, From, neededKeys(Configuration), Loop.turn());
+    configurationRefused(Watch, Result.Number,
+                         Configuration.Pending.has_value());
     Log.write("configuration_refused", *Result.Failure);
     record("configuration_refused", {}, {}, {},
            {{"reason", Result.Failure->message()}, {"from", From}});
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -51,7 +51,12 @@
                              cwd=ROOT)
     except subprocess.TimeoutExpired as error:
         return [(f"{name} / (script)", False, f"{error}")]
-    return [(f"{name} / (script)", run.returncode == 0, (run.stdout + run.stderr)[-6000:])]
+    output = (run.stdout + run.stderr)[-6000:]
+    results = [(f"{name} / {case.strip()}", verdict == "passed", output if verdict == "failed" else "")
+               for verdict, case in re.findall(r"^case (passed|failed): (.*)$", run.stdout, re.M)]
+    if not results or (run.returncode != 0 and all(passed for _, passed, _ in results)):
+        results.append((f"{name} / (script)", run.returncode == 0, output))
+    return results
 
 
 def main():
--- a/tests/src/unit-protocol-manifest.cpp
+++ b/tests/src/unit-protocol-manifest.cpp
@@ -157,7 +157,7 @@
   REQUIRE(Published.Values.size() == 1);
   const auto &[Key, Text] = *Published.Values.begin();
   CHECK(Key == "products/tokens");
-  CHECK(Index->Values.at(Key) == sha256(Text));
+  CHECK(Index->Values.at(Key) == sha256Hex(Text));
   const CheckedValue Value = checkValue(Key, Text, "configuration");
   REQUIRE(Value.Content);
   CHECK(*Value.Content == Content.Products[0]);
@@ -180,7 +180,7 @@
 }
 
 TEST_CASE("digests are those of SHA-256") {
-  CHECK(sha256("abc") ==
+  CHECK(sha256Hex("abc") ==
         "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
