Fix two hangs of the mailbox

Cause: under load about 1 of 100 runs of three mailbox tests hung. Stack traces showed (a) the receive thread in nng_recvmsg after its socket was closed, and (b) a link replaced by a second one because its connection opened before the link was stored; the first was then destroyed under the lock that its own callback waits for. Change: receiving has a timeout and looks whether the mailbox closes; the first link is stored under the same lock as later ones. Ruled out: closing the socket again, because the receive that started late is on no list.

--- a/include/marigoldyard/transport/detail/mailbox_peer.hpp
+++ b/include/marigoldyard/transport/detail/mailbox_peer.hpp
@@ -91,6 +91,7 @@
   };
 
   std::shared_ptr<PushLink> makeLink();
+  bool openLink();
   void pump();
   nng_msg *encode(Message &Content);
 
--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// How often the receive thread looks whether the mailbox is closing.
+constexpr nng_duration ReceiveCheckMilliseconds = 250;
+
 bool usable(const KeyRing &Keys) {
   return !Keys.Keys.empty() && Keys.Keys.front().Id.size() <= MaxKeyIdBytes;
 }
@@ -48,6 +51,7 @@
   ReplayFilter Replays;
   nng_socket Pull = NNG_SOCKET_INITIALIZER;
   std::uint16_t Port = 0;
+  std::atomic<bool> Closing{false};
   std::thread Receiver;
   mutable std::mutex Mutex;
   Peers Known;
@@ -93,6 +97,8 @@
   if (int Status = nng_pull0_open(&Pull); Status != 0)
     return Status;
   nng_socket_set_size(Pull, NNG_OPT_RECVMAXSZ, Options.MaxMessageBytes);
+  // A receive that starts while the socket closes may wait for ever.
+  nng_socket_set_ms(Pull, NNG_OPT_RECVTIMEO, ReceiveCheckMilliseconds);
   nng_pipe_notify(Pull, NNG_PIPE_EV_ADD_PRE, &ConnectionGate::changed, GateId);
   nng_pipe_notify(Pull, NNG_PIPE_EV_REM_POST, &ConnectionGate::changed, GateId);
   std::string Url =
@@ -110,7 +116,7 @@
   for (;;) {
     nng_msg *Wire = nullptr;
     int Status = nng_recvmsg(Pull, &Wire, 0);
-    if (Status == NNG_ECLOSED)
+    if (Status == NNG_ECLOSED || Closing.load())
       return;
     if (Status != 0)
       continue;
@@ -180,6 +186,7 @@
 Mailbox::Mailbox(std::unique_ptr<Data> Parts) : Content(std::move(Parts)) {}
 
 Mailbox::~Mailbox() {
+  Content->Closing = true;
   nng_close(Content->Pull);
   Content->Receiver.join();
   Data::Peers Closing;
--- a/src/transport/mailbox_peer.cpp
+++ b/src/transport/mailbox_peer.cpp
@@ -132,7 +132,14 @@
   return New;
 }
 
+// A connection may open before its link is stored; service() must not see the
+// gap and open a second one.
 bool MailboxPeer::start() {
+  std::lock_guard Replacing(LinkMutex);
+  return openLink();
+}
+
+bool MailboxPeer::openLink() {
   auto New = makeLink();
   std::lock_guard Lock(Mutex);
   Link = std::move(New);
@@ -154,7 +161,7 @@
     }
     if (Old)
       Old->close();
-    if (Missing && !start()) // such as no file descriptors
+    if (Missing && !openLink()) // such as no file descriptors
       Shared->Worker->schedule(weak_from_this(),
                                Shared->Options.ReconnectHighest);
   }
