--- a/include/marigoldyard/transport/detail/callback_registry.hpp
+++ b/include/marigoldyard/transport/detail/callback_registry.hpp
@@ -24,8 +24,8 @@
     std::lock_guard Lock(Mutex);
     Objects.emplace(++LastId, std::move(Object));
     // nng passes the number back unchanged and nothing dereferences it.
-    return reinterpret_cast<void *>(
-        LastId); // NOLINT(performance-no-int-to-ptr)
+    // NOLINTNEXTLINE(performance-no-int-to-ptr)
+    return reinterpret_cast<void *>(LastId);
   }
   /// @brief Removes an object; unknown numbers are ignored.
   void remove(void *Id) {
