--- a/tests/src/unit-coordination-routing.cpp
+++ b/tests/src/unit-coordination-routing.cpp
@@ -128,6 +128,7 @@
   // Guards against a lost cache benefit and against a hot endpoint.
   Random Generator(1);
   std::vector<EndpointView> Views;
+  Views.reserve(20);
   for (int I = 0; I < 20; ++I) {
     Views.push_back(readyView("e" + std::to_string(I)));
     Views.back().Load.QueuedTokens[rankIndex(Rank::Standard)] = 50;
@@ -143,6 +144,7 @@
   // Guards against herds on the first or the least loaded endpoint.
   Random Generator(1);
   std::vector<EndpointView> Views;
+  Views.reserve(20);
   for (int I = 0; I < 15; ++I)
     Views.push_back(readyView("e" + std::to_string(I)));
   Views[3].Load.QueuedTokens[rankIndex(Rank::Urgent)] = 10;
--- a/tests/src/unit-coordination-scheduler.cpp
+++ b/tests/src/unit-coordination-scheduler.cpp
@@ -144,6 +144,18 @@
   CHECK(next(State, Origin).Begin->Id == "u");
 }
 
+TEST_CASE("an urgent flood beyond the reserve leaves the floors their slots") {
+  // Guards against a reserve that an urgent flood uses to keep all slots.
+  SchedulerState State = makeScheduler({.Slots = 3, .UrgentReserve = 1});
+  for (int I = 0; I < 9; ++I)
+    enqueue(State, work("u" + std::to_string(I), "x", Rank::Urgent), Origin);
+  for (int I = 0; I < 3; ++I)
+    next(State, Origin);
+  enqueue(State, work("s", "y", Rank::Standard), Origin);
+  finish(State, "u0", 100, Origin);
+  CHECK(next(State, Origin).Begin->Id == "s");
+}
+
 TEST_CASE("leaving refuses waiting work and keeps running work") {
   // Guards against new work on a leaving endpoint and against cut streams.
   SchedulerState State = makeScheduler({.Slots = 1});
