--- a/bench/bench_policy.cpp
+++ b/bench/bench_policy.cpp
@@ -34,7 +34,7 @@
     Result.push_back({"ranked/" + Suffix, Options});
     Options.CanPause = false;
     Result.push_back({"ranked-nopause/" + Suffix, Options});
-    Options.UrgentReserve = 2;
+    Options.UrgentReserve = 8;
     Result.push_back({"ranked-reserve/" + Suffix, Options});
   }
   return Result;
