Do not take an old revision from another process that restarted

Cause: two processes that restarted while the service was stale counted as heard peers for each other, and a process that heard the stale service asked no peer. Change: a process that is not ready advertises no revision, and a starting process asks peers every 300 ms for 3 s. Ruled out: comparing start times of processes, since wall clocks of two machines are not compared. Conclusion: readiness counts established peers only.

--- a/bench/bench_weights.cpp
+++ b/bench/bench_weights.cpp
@@ -6,7 +6,7 @@
 #include <fmt/core.h>
 
 using namespace marigoldyard;
-using namespace marigoldyard::testing;
+using namespace marigoldyard::test;
 
 namespace {
 
--- a/bench/configuration_fleet.hpp
+++ b/bench/configuration_fleet.hpp
@@ -292,7 +292,7 @@
                       Settings.Loss;
     if (Lost || !Reach(From, To) || Processes[To].Dead)
       return;
-    const Revision Number = revisionInForce(Processes[From].State);
+    const Revision Number = advertisedRevision(Processes[From].State, Now);
     at(Now + (Processes[From].Region == Processes[To].Region
                   ? Settings.WithinRegion
                   : Settings.BetweenRegions),
--- a/include/marigoldyard/coordination/configuration.hpp
+++ b/include/marigoldyard/coordination/configuration.hpp
@@ -178,14 +178,24 @@
 /// @complexity linear in the number of products
 AcceptanceResult receiveReadFailure(const ConfigurationState &State);
 
-/// @brief Notes the revision that a peer's message carries.
+/// @brief Notes the revision that a peer's message carries. Only a peer that
+/// advertises one counts as heard for the own readiness.
 /// @param State state of acceptance
 /// @param Peer sender
-/// @param Number the sender's revision; 0 when it has none yet
+/// @param Number the sender's revision; 0 while it is not ready
 /// @complexity constant
 void notePeerRevision(ConfigurationState &State, std::string_view Peer,
                       Revision Number);
 
+/// @brief Revision to put on messages. A process that is not ready advertises
+/// none: two processes that restarted while the service is stale would
+/// otherwise confirm the old revision to each other.
+/// @param State state of acceptance
+/// @param Now current time
+/// @return the revision in force, or 0 while not ready
+/// @complexity constant
+Revision advertisedRevision(const ConfigurationState &State, TimePoint Now);
+
 /// @brief Keys of the pending index whose values are missing.
 /// @param State state of acceptance
 /// @return the keys, sorted; empty when nothing is pending
--- a/include/marigoldyard/coordination/watch_plan.hpp
+++ b/include/marigoldyard/coordination/watch_plan.hpp
@@ -39,6 +39,10 @@
   Duration RetryMinimum = std::chrono::milliseconds(500);
   Duration RetryMaximum = std::chrono::seconds(8);
   Duration PeerQuestionInterval = std::chrono::seconds(2);
+  /// A process that starts asks peers this often for a newer revision, so that
+  /// it meets one that was not restarted with it before it is ready.
+  Duration StartQuestionInterval = std::chrono::milliseconds(300);
+  Duration StartQuestionTime = std::chrono::seconds(3);
   /// Time between two questions for the values of a revision.
   Duration PeerValueInterval = std::chrono::milliseconds(700);
   /// After this time the values are read from the service: two questions.
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -154,7 +154,7 @@
   NamesByAddress[Address] = Peer;
   Message Outgoing;
   Outgoing.Head.Receiver = Peer;
-  Outgoing.Head.SenderRevision = revisionInForce(Configuration);
+  Outgoing.Head.SenderRevision = advertisedRevision(Configuration, Loop.turn());
   Outgoing.Content = std::move(Content);
   return Box.send(Address, std::move(Outgoing));
 }
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -366,8 +366,8 @@
 SERVICES = ({"name": "redemptions", "pool": "registry", "idempotent": False},)
 
 
-def demo_manifest(revision, weights, version, callers):
+def demo_manifest(revision, weights, version, callers, **changes):
     """Two products on one pool of engines; the first also uses the plain service."""
     return {"revision": revision, "products": [
-        product("deposits", "cup-helper", "models", version, weights, callers, SERVICES),
-        product("ledgers", "cup-helper", "models", version, weights, callers)]}
+        product("deposits", "cup-helper", "models", version, weights, callers, SERVICES, **changes),
+        product("ledgers", "cup-helper", "models", version, weights, callers, **changes)]}
--- a/src/coordination/configuration.cpp
+++ b/src/coordination/configuration.cpp
@@ -22,8 +22,6 @@
                 Revision Number) {
   if (Source == ServiceSource)
     State.ServiceHeard = true;
-  else if (State.PeersHeard.size() < EnoughPeers)
-    State.PeersHeard.emplace(Source);
   State.HighestHeard = std::max(State.HighestHeard, Number);
 }
 
@@ -220,6 +218,12 @@
 void notePeerRevision(ConfigurationState &State, std::string_view Peer,
                       Revision Number) {
   noteSource(State, Peer, Number);
+  if (Number > 0 && State.PeersHeard.size() < EnoughPeers)
+    State.PeersHeard.emplace(Peer);
+}
+
+Revision advertisedRevision(const ConfigurationState &State, TimePoint Now) {
+  return configurationReady(State, Now) ? revisionInForce(State) : 0;
 }
 
 std::vector<std::string> neededKeys(const ConfigurationState &State) {
--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -264,7 +264,14 @@
     return;
   if (State.Tries[Withdrawn.Attempt - 1].MaySent)
     return;
-  noteProof(Context, Withdrawn.Attempt, TryFate::Withdrawn, State.LastError);
+  // The error that led to closing stands; without one the daemon withdrew the
+  // work because it could not reach the agent.
+  Error Reason = State.LastError;
+  if (State.Phase != RequestPhase::Closing)
+    Reason = Error{ErrorCode::PeerUnreachable, Step::Send,
+                   State.Tries[Withdrawn.Attempt - 1].Peer,
+                   "the work was withdrawn before it was sent"};
+  noteProof(Context, Withdrawn.Attempt, TryFate::Withdrawn, std::move(Reason));
 }
 
 /// Notes that the agent has the work, as a message from it shows.
--- a/src/coordination/watch_plan.cpp
+++ b/src/coordination/watch_plan.cpp
@@ -207,7 +207,10 @@
                   WatchStep &Step) {
   // A search already asks the peer that announced the revision.
   const bool Behind = State.Newer && !State.Search;
-  if (!isSilent(State, Now) && !Behind) {
+  // The service may be stale, so a process that starts also asks peers.
+  const bool Starting =
+      Now - State.StartedAt < State.Settings.StartQuestionTime;
+  if (!isSilent(State, Now) && !Behind && !Starting) {
     Step.Next =
         std::min(Step.Next, *State.ConfirmedAt + State.Settings.SilenceLimit);
     return;
@@ -217,9 +220,10 @@
     return;
   }
   State.NextQuestion =
-      Now + (Behind
-                 ? State.Settings.PeerInterval
-                 : jittered(State.Settings.PeerQuestionInterval, Randomness));
+      Now + (Behind ? State.Settings.PeerInterval
+                    : jittered(Starting ? State.Settings.StartQuestionInterval
+                                        : State.Settings.PeerQuestionInterval,
+                               Randomness));
   Step.Next = std::min(Step.Next, State.NextQuestion);
   std::vector<std::string> Peers;
   if (Behind)
--- a/tests/src/unit-coordination-request.cpp
+++ b/tests/src/unit-coordination-request.cpp
@@ -48,6 +48,17 @@
   CHECK(Delivered.last<action::AbortStream>().Result == Outcome::Failed);
 }
 
+TEST_CASE(
+    "work that the daemon withdrew by itself is tried elsewhere, since an "
+    "empty error is not retryable") {
+  Driven Withdrawn;
+  Withdrawn.feed(event::WorkWithdrawn{1});
+  CHECK(Withdrawn.last<action::ChooseEndpoint>().Avoid ==
+        std::vector<std::string>{"a"});
+  Withdrawn.feed(event::EndpointUnavailable{ErrorCode::NoEndpoint});
+  CHECK(Withdrawn.last<action::AnswerOutcome>().Result == Outcome::NotRun);
+}
+
 TEST_CASE("at the deadline the proof of the agent decides between not_run and "
           "unknown") {
   Driven Proved;
--- a/tests/src/unit-protocol-settings.cpp
+++ b/tests/src/unit-protocol-settings.cpp
@@ -24,6 +24,7 @@
   Value["pool"] = "drafting";
   Value["endpoint"] = "127.0.2.1:7000";
   Value["store"] = "[::1]:9002";
+  Value["store_region"] = "dar";
   return Value;
 }
 
