Retry work that could not be sent

Cause: a try that was withdrawn without a close in progress (no address, a full outbox, or a peer lost while the work waited) took the last error of the request as its reason. For a first try that is the default error, which is not retryable, so the caller got HTTP 500 with the title "Success". The process test of a listed departure showed it.

Change: without a close, the reason is PeerUnreachable at the send step, with the peer.

Ruled out: a refusal by the agent with an empty reason; the answer named no peer, which a refusal always does.

--- a/src/coordination/request.cpp
+++ b/src/coordination/request.cpp
@@ -264,7 +264,14 @@
     return;
   if (State.Tries[Withdrawn.Attempt - 1].MaySent)
     return;
-  noteProof(Context, Withdrawn.Attempt, TryFate::Withdrawn, State.LastError);
+  // Closing has noted its reason. Without it, LastError is that of an earlier
+  // try, or none.
+  Error Reason = State.LastError;
+  if (State.Phase != RequestPhase::Closing)
+    Reason = {ErrorCode::PeerUnreachable, Step::Send,
+              State.Tries[Withdrawn.Attempt - 1].Peer,
+              "the work was not sent to the agent"};
+  noteProof(Context, Withdrawn.Attempt, TryFate::Withdrawn, std::move(Reason));
 }
 
 /// Notes that the agent has the work, as a message from it shows.
--- a/tests/src/unit-coordination-request.cpp
+++ b/tests/src/unit-coordination-request.cpp
@@ -91,6 +91,16 @@
   CHECK(Left.State.Phase == RequestPhase::Sent);
 }
 
+// Guards against a default error, which is not retryable, as the reason.
+TEST_CASE("work that could not be sent is repeated elsewhere with its reason") {
+  Driven Unsent;
+  Unsent.feed(event::WorkWithdrawn{1});
+  CHECK(Unsent.last<action::ChooseEndpoint>().Avoid ==
+        std::vector<std::string>{"a"});
+  CHECK(Unsent.State.LastError.Code == ErrorCode::PeerUnreachable);
+  CHECK(Unsent.State.LastError.Peer == "a");
+}
+
 TEST_CASE("work that leaves after it was given up is cancelled") {
   Driven Late;
   Late.feed(event::PeerLost{"a"});
