Bound the time until exit only, not a listed departure

Cause: an agent that the VM list names leaving started its drain deadline at once, although it does not exit before SIGTERM. Streams that ran past the deadline finished, but were counted as cut, and the exit code was 1. A later SIGTERM had no time left to drain.

Change: the deadline starts when the process is told to exit (restartDeadline); before that the agent refuses new work and has no deadline.

Ruled out: a longer deadline for listed departures; there is no exit that it could bound.

--- a/include/marigoldyard/coordination/drain.hpp
+++ b/include/marigoldyard/coordination/drain.hpp
@@ -43,6 +43,15 @@
 void beginDrain(DrainState &State, Duration Linger, Duration Limit,
                 TimePoint Now);
 
+/// @brief Starts the time until exit again, for a process that already left
+/// service and is told to exit only now. Changes nothing before beginDrain and
+/// at Done.
+/// @param State the process
+/// @param Limit time until exit at the latest
+/// @param Now the current time
+/// @complexity constant
+void restartDeadline(DrainState &State, Duration Limit, TimePoint Now);
+
 /// @brief Accepts a request and counts it as running, or refuses it.
 /// @param State the process
 /// @param Now the current time
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -255,9 +255,13 @@
 }
 
 void Agent::beginLeaving(bool Exit) {
-  ExitWhenDrained = ExitWhenDrained || Exit;
-  if (leaving())
+  if (leaving()) {
+    if (Exit && !ExitWhenDrained)
+      restartDeadline(Departure, Settings.Process.DrainDeadline, now());
+    ExitWhenDrained = ExitWhenDrained || Exit;
     return;
+  }
+  ExitWhenDrained = Exit;
   beginDrain(Departure, Duration::zero(), Settings.Process.DrainDeadline,
              now());
   Base.record("leaving", {}, Settings.Process.Name);
@@ -268,7 +272,9 @@
 
 void Agent::drainTurn() {
   pump();
-  if (drainStep(Departure, now()) != DrainStage::Done || !ExitWhenDrained)
+  // The deadline bounds the time until exit. A departure that only the VM list
+  // announces has none, and its work runs on.
+  if (!ExitWhenDrained || drainStep(Departure, now()) != DrainStage::Done)
     return;
   if (Base.waitingMessages() > 0 && now() < Departure.Deadline)
     return;
--- a/src/coordination/drain.cpp
+++ b/src/coordination/drain.cpp
@@ -18,6 +18,13 @@
   drainStep(State, Now);
 }
 
+void restartDeadline(DrainState &State, Duration Limit, TimePoint Now) {
+  if (State.Stage == DrainStage::Serving || State.Stage == DrainStage::Done)
+    return;
+  State.Deadline = Now + std::max(Limit, Duration::zero());
+  State.LingerUntil = std::min(State.LingerUntil, State.Deadline);
+}
+
 std::optional<Error> admitWork(DrainState &State, TimePoint Now) {
   drainStep(State, Now);
   bool Closed =
--- a/tests/src/unit-coordination-drain.cpp
+++ b/tests/src/unit-coordination-drain.cpp
@@ -45,6 +45,18 @@
   CHECK(State.Cut == 1);
 }
 
+// Guards against a departure without exit that uses up the time until exit.
+TEST_CASE("the deadline starts again when a leaving process is told to exit") {
+  DrainState State = busy(Duration(0));
+  restartDeadline(State, std::chrono::seconds(30), at(100));
+  CHECK(drainStep(State, at(129)) == DrainStage::Finishing);
+  CHECK(drainStep(State, at(130)) == DrainStage::Done);
+  DrainState Serving;
+  restartDeadline(Serving, std::chrono::seconds(30), at(100));
+  CHECK(Serving.Stage == DrainStage::Serving);
+  CHECK_FALSE(nextDrainStep(Serving));
+}
+
 TEST_CASE("without their mechanisms the invariants of leaving are reported as "
           "violated") {
   ThrowOnViolation Handler;
