Keep the links of a leaving entry and let it unlist itself

Cause: entries that the VM list names leaving were left out of the choice of links on both sides, so agents stopped their reports and the entry answered "no endpoint available" to callers that were still told of it. Also, such an entry kept listing itself in GET /v1/entries, because it looked at its own SIGTERM only.

Change: links are chosen over servingEntries, which includes leaving entries until they are gone. The entry's own listing takes part in its directory.

Ruled out: a drain at the first sight of the listing; the VM list lags and an exit is asked for by SIGTERM.

--- a/include/marigoldyard/coordination/membership.hpp
+++ b/include/marigoldyard/coordination/membership.hpp
@@ -217,6 +217,16 @@
 /// @complexity linear in the number of members
 std::vector<Member> presentMembers(const MembershipState &State, TimePoint Now);
 
+/// @brief Entries that serve callers, for the choice of links between entries
+/// and endpoints. Leaving ones are included: they serve the callers that were
+/// told of them, and need reports for it until they end.
+/// @param State the view
+/// @param Now current time
+/// @return their names, ascending
+/// @complexity linear in the number of records
+std::vector<std::string> servingEntries(const MembershipState &State,
+                                        TimePoint Now);
+
 /// @brief Earliest time at which silence changes the state of a member.
 /// @param State the members
 /// @param Now current time
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -157,14 +157,12 @@
 }
 
 std::vector<std::string> Agent::linkedEntries() const {
-  std::vector<std::string> Entries;
+  const std::vector<std::string> Entries =
+      servingEntries(Base.Members, Base.turn());
   std::vector<SubsetEndpoint> Endpoints;
-  for (const Member &Each : presentMembers(Base.Members, Base.turn())) {
-    if (Each.Kind == MemberKind::Entry)
-      Entries.push_back(Each.Name);
-    else if (Each.Pool == Settings.Pool)
+  for (const Member &Each : presentMembers(Base.Members, Base.turn()))
+    if (Each.Kind == MemberKind::Endpoint && Each.Pool == Settings.Pool)
       Endpoints.push_back({Each.Name, Each.FailureDomain});
-  }
   const bool Listed = std::any_of(Endpoints.begin(), Endpoints.end(),
                                   [this](const SubsetEndpoint &Each) {
                                     return Each.Name == Settings.Process.Name;
--- a/programs/entry/entry_http.cpp
+++ b/programs/entry/entry_http.cpp
@@ -72,7 +72,10 @@
 
 void Entry::listEntriesFor(const Responder &Answer) {
   std::vector<EntryView> Known;
+  bool OwnLeaving = Departure.Stage != DrainStage::Serving;
   for (const auto &[Name, Record] : Base.Members.Records) {
+    if (Name == Settings.Process.Name)
+      OwnLeaving = OwnLeaving || Record.Listed.Leaving;
     if (Record.Listed.Kind != MemberKind::Entry || !Record.Described ||
         Name == Settings.Process.Name)
       continue;
@@ -88,8 +91,8 @@
   Known.push_back(
       {Settings.Process.Name,
        Settings.Process.Address + ":" + std::to_string(Settings.CallerPort),
-       Settings.Process.Region, Settings.Process.FailureDomain,
-       Departure.Stage != DrainStage::Serving, false});
+       Settings.Process.Region, Settings.Process.FailureDomain, OwnLeaving,
+       false});
   Answer.send(
       entriesAnswer(listEntries(Known, Settings.Process.Region, Base.Source)));
 }
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -246,12 +246,11 @@
 }
 
 void Entry::membersChanged() {
-  std::vector<std::string> Entries;
+  const std::vector<std::string> Entries =
+      servingEntries(Base.Members, Base.turn());
   std::map<std::string, std::vector<SubsetEndpoint>> Pools;
   for (const Member &Each : presentMembers(Base.Members, Base.turn())) {
-    if (Each.Kind == MemberKind::Entry)
-      Entries.push_back(Each.Name);
-    else
+    if (Each.Kind == MemberKind::Endpoint)
       Pools[Each.Pool].push_back({Each.Name, Each.FailureDomain});
   }
   std::erase_if(Views, [this](const auto &Each) {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -307,6 +307,16 @@
   return Result;
 }
 
+std::vector<std::string> servingEntries(const MembershipState &State,
+                                        TimePoint Now) {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Record] : State.Records)
+    if (Record.Described && Record.Listed.Kind == MemberKind::Entry &&
+        memberState(State, Record, Now) != MemberState::Dead)
+      Names.push_back(Name);
+  return Names;
+}
+
 std::optional<TimePoint> nextMembershipChange(const MembershipState &State,
                                               TimePoint Now) {
   std::optional<TimePoint> Next;
--- a/tests/src/unit-coordination-membership.cpp
+++ b/tests/src/unit-coordination-membership.cpp
@@ -52,6 +52,23 @@
 
 } // namespace
 
+// Guards against an entry that leaves without reports of endpoints, and so
+// without service for the callers that were told of it.
+TEST_CASE("a leaving entry keeps its links until it is gone") {
+  MembershipState State;
+  updateList(
+      State,
+      {{"entry-1", "127.0.1.1", MemberKind::Entry, "r", "f", "", true},
+       {"entry-2", "127.0.1.2", MemberKind::Entry, "r", "f", "", false},
+       {"agent-1", "127.0.2.1", MemberKind::Endpoint, "r", "f", "pool", false}},
+      Start);
+  CHECK(servingEntries(State, Start) ==
+        std::vector<std::string>{"entry-1", "entry-2"});
+  CHECK(presentMembers(State, Start).size() == 2);
+  updateList(State, {}, Start);
+  CHECK(servingEntries(State, Start + State.Settings.ListLag * 2).empty());
+}
+
 TEST_CASE("a dead endpoint gets no work after 1 s although the list names it") {
   MembershipState State = linkedAgents(4);
   const TimePoint Now = Start + seconds(1);
