Log the address that unauthenticated messages come from

Cause: a message with a wrong key was counted and logged without a peer, so an operator could not find the process with the wrong key.

Change: the error names the remote address, without its port, so that the log counts the messages of one machine as repeats.

Ruled out: the sender's name in the envelope; it is not proved.

--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -4,6 +4,8 @@
 #include "marigoldyard/transport/detail/callback_registry.hpp"
 #include "marigoldyard/transport/detail/mailbox_peer.hpp"
 
+#include <arpa/inet.h>
+#include <boost/asio/ip/address_v4.hpp>
 #include <map>
 #include <nng/protocol/pipeline0/pull.h>
 #include <thread>
@@ -19,6 +21,17 @@
   return !Keys.Keys.empty() && Keys.Keys.front().Id.size() <= MaxKeyIdBytes;
 }
 
+/// Address of the other end without its port, so that the log counts the
+/// messages of one machine as repeats; empty when the connection is closed.
+std::string remoteAddress(nng_pipe Origin) {
+  nng_sockaddr Address{};
+  if (nng_pipe_get_addr(Origin, NNG_OPT_REMADDR, &Address) != 0 ||
+      Address.s_family != NNG_AF_INET)
+    return {};
+  const std::uint32_t Number = Address.s_in.sa_addr; // network byte order
+  return boost::asio::ip::address_v4(ntohl(Number)).to_string();
+}
+
 /// Counts incoming connections and refuses those over the limit.
 struct ConnectionGate {
   std::atomic<std::size_t> Open{0};
@@ -88,7 +101,7 @@
 
   int listen();
   void receive();
-  void accept(std::span<const std::uint8_t> Bytes);
+  void accept(std::span<const std::uint8_t> Bytes, nng_pipe Origin);
   void drop(std::uint64_t MailboxCounters::*Which, const Error &Cause);
 };
 
@@ -121,7 +134,8 @@
     if (Status != 0)
       continue;
     accept({static_cast<const std::uint8_t *>(nng_msg_body(Wire)),
-            nng_msg_len(Wire)});
+            nng_msg_len(Wire)},
+           nng_msg_get_pipe(Wire));
     nng_msg_free(Wire);
   }
 }
@@ -133,15 +147,20 @@
     Shared->Handlers.Dropped(Cause);
 }
 
-void Mailbox::Data::accept(std::span<const std::uint8_t> Bytes) {
+void Mailbox::Data::accept(std::span<const std::uint8_t> Bytes,
+                           nng_pipe Origin) {
   const MailboxOptions &Options = Shared->Options;
   Shared->count(&MailboxCounters::ReceivedBytes, Bytes.size());
   auto Decoded = decodeMessage(Bytes, *Shared->Keys.load());
-  if (!Decoded)
-    return drop(Decoded.error().Code == ErrorCode::Unauthenticated
+  if (!Decoded) {
+    // Such a message proves no sender, so only its address can be named.
+    Error Cause = Decoded.error();
+    Cause.Peer = remoteAddress(Origin);
+    return drop(Cause.Code == ErrorCode::Unauthenticated
                     ? &MailboxCounters::Unauthenticated
                     : &MailboxCounters::Malformed,
-                Decoded.error());
+                Cause);
+  }
   Header &Head = Decoded->Head;
   if (Head.Receiver != Shared->wireName(Options.Name))
     return drop(&MailboxCounters::WrongReceiver,
