--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -157,14 +157,12 @@
 }
 
 std::vector<std::string> Agent::linkedEntries() const {
-  std::vector<std::string> Entries;
+  const std::vector<std::string> Entries =
+      servingEntries(Base.Members, Base.turn());
   std::vector<SubsetEndpoint> Endpoints;
-  for (const Member &Each : presentMembers(Base.Members, Base.turn())) {
-    if (Each.Kind == MemberKind::Entry)
-      Entries.push_back(Each.Name);
-    else if (Each.Pool == Settings.Pool)
+  for (const Member &Each : presentMembers(Base.Members, Base.turn()))
+    if (Each.Kind == MemberKind::Endpoint && Each.Pool == Settings.Pool)
       Endpoints.push_back({Each.Name, Each.FailureDomain});
-  }
   const bool Listed = std::any_of(Endpoints.begin(), Endpoints.end(),
                                   [this](const SubsetEndpoint &Each) {
                                     return Each.Name == Settings.Process.Name;
@@ -255,9 +253,13 @@
 }
 
 void Agent::beginLeaving(bool Exit) {
-  ExitWhenDrained = ExitWhenDrained || Exit;
-  if (leaving())
+  if (leaving()) {
+    if (Exit && !ExitWhenDrained)
+      restartDeadline(Departure, Settings.Process.DrainDeadline, now());
+    ExitWhenDrained = ExitWhenDrained || Exit;
     return;
+  }
+  ExitWhenDrained = Exit;
   beginDrain(Departure, Duration::zero(), Settings.Process.DrainDeadline,
              now());
   Base.record("leaving", {}, Settings.Process.Name);
@@ -268,7 +270,9 @@
 
 void Agent::drainTurn() {
   pump();
-  if (drainStep(Departure, now()) != DrainStage::Done || !ExitWhenDrained)
+  // The deadline bounds the time until exit. A departure that only the VM list
+  // announces has none, and its work runs on.
+  if (!ExitWhenDrained || drainStep(Departure, now()) != DrainStage::Done)
     return;
   if (Base.waitingMessages() > 0 && now() < Departure.Deadline)
     return;
