Complete the test data of messages and settings

Change: the wire test covers Hello and the age of an offer; the settings test gives store_region and checks it.

--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -52,14 +52,16 @@
       OperationResult{"request-2", "agent.1.2", Outcome::Complete, 200, "{}",
                       ErrorCode::OperationUnknown},
       Report{typicalLoad()},
-      ConfigurationOffer{Index},
+      ConfigurationOffer{Index, 250ms},
       ConfigurationRequest{5, {"products/a", "products/b"}},
       ConfigurationValues{Index, {{"products/a", "{}"}}},
       ChunkMap{Weights,
                {true, false, true, true, false, false, true, true, true}},
       ChunkRequest{Weights},
       ChunkData{Weights, {0, 1, 255}},
-      ChunkRefused{Weights, 40ms}};
+      ChunkRefused{Weights, 40ms},
+      Hello{{"agent-127", "127.0.2.7", MemberKind::Endpoint, "dar", "dar-a",
+             "drafting", true}}};
   std::vector<Message> Messages;
   for (Body &Content : Bodies)
     Messages.push_back({typicalHead(), std::move(Content)});
--- a/tests/src/unit-protocol-settings.cpp
+++ b/tests/src/unit-protocol-settings.cpp
@@ -24,6 +24,7 @@
   Value["pool"] = "drafting";
   Value["endpoint"] = "127.0.2.1:7000";
   Value["store"] = "[::1]:9002";
+  Value["store_region"] = "dar";
   return Value;
 }
 
@@ -58,6 +59,7 @@
   CHECK(Result.Value->Kind == EndpointKind::Service);
   CHECK(Result.Value->Slots == 3);
   CHECK(Result.Value->Store == ServerAddress{"::1", 9002});
+  CHECK(Result.Value->StoreRegion == "dar");
 }
 
 TEST_CASE("all faults of settings are reported at once with path and unit") {
