--- a/include/marigoldyard/protocol/settings.hpp
+++ b/include/marigoldyard/protocol/settings.hpp
@@ -64,6 +64,12 @@
   std::uint64_t RegionLinkBytesPerSecond = 0;
 };
 
+/// @brief Settings of marigoldctl. Options of its command line replace them.
+struct CtlSettings {
+  ServerAddress VmList;
+  std::uint16_t OperatorPort = 0; ///< of all daemons
+};
+
 /// @brief Parses and checks the settings of marigold-entry.
 /// @param Text JSON with comments
 /// @return the settings, or all faults
@@ -76,6 +82,12 @@
 /// @complexity O(n log n) in the length of the text
 Checked<AgentSettings> parseAgentSettings(std::string_view Text);
 
+/// @brief Parses and checks the settings of marigoldctl.
+/// @param Text JSON with comments
+/// @return the settings, or all faults
+/// @complexity O(n log n) in the length of the text
+Checked<CtlSettings> parseCtlSettings(std::string_view Text);
+
 /// @brief Reference page of the settings of all programs.
 /// @return Markdown
 std::string settingsReference();
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -1,23 +1,28 @@
 #include "marigoldyard/protocol/manifest_json.hpp"
+#include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/program.hpp"
 #include "programs/ctl/reports.hpp"
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
+#include <functional>
 
 using namespace marigoldyard;
 
 namespace {
 
 constexpr std::size_t MaxManifestBytes = 16UL << 20;
+constexpr std::size_t MaxSettingsBytes = 1UL << 20;
 constexpr std::uint16_t DefaultOperatorPort = 8081;
 
 /// Options of all commands.
 struct Options {
   std::string File;
   std::string Output;
+  std::string SettingsPath;
+  bool CheckOnly = false;
   std::string VmList;
-  std::uint16_t OperatorPort = DefaultOperatorPort;
+  std::uint16_t OperatorPort = 0; ///< 0 when not given
   bool AsJson = false;
   TimelineFilter Filter;
   std::string Target;
@@ -54,13 +59,58 @@
   return 0;
 }
 
+int printReference(const Options &) {
+  fmt::print("{}\n{}", settingsReference(), manifestReference());
+  return 0;
+}
+
+/// Settings of the file, if one is given, replaced by those of the command
+/// line. Prints all faults.
+std::optional<CtlSettings> settingsOf(const Options &Given) {
+  CtlSettings Result{{}, DefaultOperatorPort};
+  if (!Given.SettingsPath.empty()) {
+    const auto Text = readFile(Given.SettingsPath, MaxSettingsBytes);
+    if (!Text) {
+      fmt::print(stderr, "{}\n", Text.error().message());
+      return std::nullopt;
+    }
+    const Checked<CtlSettings> Parsed = parseCtlSettings(*Text);
+    for (const DocumentFault &Fault : Parsed.Faults)
+      fmt::print(stderr, "{}\n", describeFault(Fault));
+    if (!Parsed.Value)
+      return std::nullopt;
+    Result = *Parsed.Value;
+  }
+  if (Given.OperatorPort != 0)
+    Result.OperatorPort = Given.OperatorPort;
+  return Result;
+}
+
+/// Address of the VM list: that of the command line or of the settings.
+std::string vmListOf(const Options &Given, const CtlSettings &Settings) {
+  if (!Given.VmList.empty() || Settings.VmList.Host.empty())
+    return Given.VmList;
+  const std::string &Host = Settings.VmList.Host;
+  const bool IsVersion6 = Host.find(':') != std::string::npos;
+  return fmt::format("{}:{}", IsVersion6 ? "[" + Host + "]" : Host,
+                     Settings.VmList.Port);
+}
+
 std::optional<std::vector<OperatorAddress>> daemonsOf(const Options &Given) {
-  auto Members = readMembers(Given.VmList);
+  const auto Settings = settingsOf(Given);
+  if (!Settings)
+    return std::nullopt;
+  const std::string VmList = vmListOf(Given, *Settings);
+  if (VmList.empty()) {
+    fmt::print(stderr, "--vm-list or --settings is required\n");
+    return std::nullopt;
+  }
+  auto Members = readMembers(VmList);
   if (!Members) {
     fmt::print(stderr, "{}\n", Members.error().message());
     return std::nullopt;
   }
-  return operatorAddresses(*Members, Given.OperatorPort);
+  return operatorAddresses(*Members, Settings->OperatorPort);
 }
 
 int showStatus(const Options &Given) {
@@ -108,35 +158,47 @@
 }
 
 void addFleetOptions(CLI::App &Command, Options &Given) {
-  Command.add_option("--vm-list", Given.VmList, "host:port of the VM list")
+  Command.add_option("--vm-list", Given.VmList, "host:port of the VM list");
+  Command.add_option("--operator-port", Given.OperatorPort,
+                     "operator port of the daemons (default 8081)");
+}
+
+using CommandFunction = int (*)(const Options &);
+
+void addManifestCommands(
+    const std::function<CLI::App *(const char *, const char *, CommandFunction)>
+        &Add,
+    Options &Given) {
+  Add("check", "name every fault of a manifest", checkManifest)
+      ->add_option("FILE", Given.File, "manifest")
+      ->required();
+  Add("plan", "print the keys to publish for a manifest, in order",
+      planManifest)
+      ->add_option("FILE", Given.File, "manifest")
       ->required();
-  Command
-      .add_option("--operator-port", Given.OperatorPort,
-                  "operator port of the daemons")
-      ->capture_default_str();
+  Add("reference", "print the reference of settings and manifest",
+      printReference);
 }
 
 } // namespace
 
 int main(int Count, char **Arguments) {
   CLI::App App("Checks manifests and shows what a fleet does", "marigoldctl");
-  App.set_version_flag("--version", MARIGOLDYARD_VERSION);
-  App.require_subcommand(1);
+  App.set_version_flag("--version", "marigoldctl " MARIGOLDYARD_VERSION);
+  App.require_subcommand(0, 1);
   Options Given;
+  App.add_option("--settings", Given.SettingsPath,
+                 "File with the settings (JSON with comments)");
+  App.add_flag("--check", Given.CheckOnly, "Check the settings and exit")
+      ->needs("--settings");
   int Status = 0;
   const auto Add = [&](const char *Name, const char *Help,
-                       int (*Run)(const Options &)) {
+                       CommandFunction Run) {
     CLI::App *Command = App.add_subcommand(Name, Help);
     Command->callback([&Status, &Given, Run] { Status = Run(Given); });
     return Command;
   };
-  Add("check", "name every fault of a manifest", checkManifest)
-      ->add_option("FILE", Given.File, "manifest")
-      ->required();
-  Add("plan", "print the keys to publish for a manifest, in order",
-      planManifest)
-      ->add_option("FILE", Given.File, "manifest")
-      ->required();
+  addManifestCommands(Add, Given);
   CLI::App *StatusCommand = Add("status", "show all daemons", showStatus);
   addFleetOptions(*StatusCommand, Given);
   StatusCommand->add_flag("--json", Given.AsJson, "print JSON");
@@ -157,5 +219,11 @@
   Explain->add_option("TARGET", Given.Target, "request id or name of an agent")
       ->required();
   CLI11_PARSE(App, Count, Arguments);
+  if (Given.CheckOnly)
+    return settingsOf(Given) ? 0 : 1;
+  if (App.get_subcommands().empty()) {
+    fmt::print(stderr, "a command is required; see marigoldctl --help\n");
+    return 1;
+  }
   return Status;
 }
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -152,6 +152,17 @@
      .Help = "capacity of the link between regions in each direction"},
 };
 
+constexpr KeyDescription CtlMembers[] = {
+    {.Key = "vm_list", .Kind = ValueKind::HostPort, .Help = "VM list"},
+    {.Key = "operator_port",
+     .Kind = ValueKind::Integer,
+     .Unit = "port",
+     .Minimum = 1,
+     .Maximum = MaxPort,
+     .Default = "8081",
+     .Help = "operator port of all daemons"},
+};
+
 std::vector<KeyDescription>
 withProcessMembers(std::span<const KeyDescription> Own) {
   std::vector<KeyDescription> Members(std::begin(ProcessMembers),
@@ -254,11 +265,21 @@
   return Result;
 }
 
+Checked<CtlSettings> parseCtlSettings(std::string_view Text) {
+  Checked<CtlSettings> Result;
+  const json Value = checkedDocument(Text, CtlMembers, Result.Faults);
+  if (Result.Faults.empty())
+    Result.Value = CtlSettings{serverAddress(Value.at("vm_list")),
+                               Value.at("operator_port").get<std::uint16_t>()};
+  return Result;
+}
+
 std::string settingsReference() {
   return "## Settings\n\n" +
          detail::referenceTable("Entries and agents", ProcessMembers) + "\n" +
          detail::referenceTable("Entries", EntryMembers) + "\n" +
-         detail::referenceTable("Agents", AgentMembers);
+         detail::referenceTable("Agents", AgentMembers) + "\n" +
+         detail::referenceTable("marigoldctl", CtlMembers);
 }
 
 } // namespace marigoldyard
