--- a/programs/ctl/reports.cpp
+++ b/programs/ctl/reports.cpp
@@ -50,16 +50,33 @@
   return {Event.value("wall_us", std::int64_t{0}), Event.value("logical", 0U)};
 }
 
-std::string statusLine(const OperatorPage &Page) {
+/// Widths of the columns of the status table whose content has no limit.
+struct ColumnWidths {
+  std::size_t Name = std::string_view("name").size();
+  std::size_t FailureDomain = std::string_view("failure domain").size();
+};
+
+ColumnWidths widthsOf(const std::vector<OperatorPage> &Pages) {
+  ColumnWidths Widths;
+  for (const OperatorPage &Page : Pages) {
+    Widths.Name = std::max(Widths.Name, Page.From.Name.size());
+    if (Page.Failure.empty())
+      Widths.FailureDomain = std::max(
+          Widths.FailureDomain, text(Page.Content, "failure_domain").size());
+  }
+  return Widths;
+}
+
+std::string statusLine(const OperatorPage &Page, const ColumnWidths &Widths) {
   if (!Page.Failure.empty())
-    return fmt::format("{:<16} {:<22} unreachable: {}\n", Page.From.Name,
-                       Page.From.Address, Page.Failure);
+    return fmt::format("{:<{}} {:<22} unreachable: {}\n", Page.From.Name,
+                       Widths.Name, Page.From.Address, Page.Failure);
   const Json &Status = Page.Content;
   return fmt::format(
-      "{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n", text(Status, "name"),
+      "{:<{}} {:<6} {:<{}} {:<5} {:>8} {:>7} {}\n", Page.From.Name, Widths.Name,
       text(Status, "kind"), text(Status, "failure_domain"),
-      Status.value("ready", false) ? "yes" : "no", text(Status, "revision"),
-      text(Status, "running"), modelProgress(Status));
+      Widths.FailureDomain, Status.value("ready", false) ? "yes" : "no",
+      text(Status, "revision"), text(Status, "running"), modelProgress(Status));
 }
 
 bool matches(const Json &Event, const TimelineFilter &Filter) {
@@ -74,11 +91,13 @@
 } // namespace
 
 std::string statusTable(const std::vector<OperatorPage> &Pages) {
+  const ColumnWidths Widths = widthsOf(Pages);
   std::string Result =
-      fmt::format("{:<16} {:<6} {:<14} {:<5} {:>8} {:>7} {}\n", "name", "kind",
-                  "failure domain", "ready", "revision", "running", "models");
+      fmt::format("{:<{}} {:<6} {:<{}} {:<5} {:>8} {:>7} {}\n", "name",
+                  Widths.Name, "kind", "failure domain", Widths.FailureDomain,
+                  "ready", "revision", "running", "models");
   for (const OperatorPage &Page : Pages)
-    Result += statusLine(Page);
+    Result += statusLine(Page, Widths);
   return Result;
 }
 
