--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -52,7 +52,7 @@
       OperationResult{"request-2", "agent.1.2", Outcome::Complete, 200, "{}",
                       ErrorCode::OperationUnknown},
       Report{typicalLoad()},
-      ConfigurationOffer{Index},
+      ConfigurationOffer{Index, 250ms},
       ConfigurationRequest{5, {"products/a", "products/b"}},
       ConfigurationValues{Index, {{"products/a", "{}"}}},
       ChunkMap{Weights,
@@ -60,8 +60,8 @@
       ChunkRequest{Weights},
       ChunkData{Weights, {0, 1, 255}},
       ChunkRefused{Weights, 40ms},
-      Hello{{"agent-1", "127.0.2.1", MemberKind::Endpoint, "dar", "dar-a",
-             "models", true}}};
+      Hello{{"agent-127", "127.0.2.7", MemberKind::Endpoint, "dar", "dar-a",
+             "drafting", true}}};
   std::vector<Message> Messages;
   for (Body &Content : Bodies)
     Messages.push_back({typicalHead(), std::move(Content)});
