Choose links only when members change and bound them for each endpoint

Cause: an agent chose its entries anew for each report. With 390 entries and 1,100 endpoints in a pool this takes 75 ms each 450 ms, 17 % of a core, and the list of pool members was copied 100 times a second (0.34 ms with 1,490 members, 3.4 %). The budget of control is 2.7 % of a core. An entry chose the links of all pools at each read of the VM list. Besides, an agent in a pool of 73 endpoints was linked to 129 of 390 entries and sent 11 KB/s of reports.

Change: both keep the members that the links were chosen from and choose again when they differ.

Ruled out: links from a ring of hashes, which is faster but does not balance endpoints and failure domains.

Conclusion: the choice costs nothing between changes of members. Very small pools behind hundreds of entries need another rule.

--- a/include/marigoldyard/coordination/subset.hpp
+++ b/include/marigoldyard/coordination/subset.hpp
@@ -12,10 +12,21 @@
 /// bytes each 450 ms are 2.7 KB/s, below the 3 KB/s that control may use.
 inline constexpr std::size_t MaxLinksPerPool = 24;
 
+/// @brief Entries that link to one endpoint, for the same bound on the reports
+/// that its agent sends. Entries of a small pool get fewer links for it.
+inline constexpr std::size_t MaxLinksPerEndpoint = 24;
+
+/// @brief Links that an entry keeps in any case: two random choices and one
+/// more for a try elsewhere. It goes before MaxLinksPerEndpoint.
+inline constexpr std::size_t MinLinksPerPool = 3;
+
 /// @brief An endpoint as the choice of links sees it.
 struct SubsetEndpoint {
   std::string Name;
   std::string FailureDomain;
+
+  friend bool operator==(const SubsetEndpoint &,
+                         const SubsetEndpoint &) = default;
 };
 
 /// @brief Endpoints that an entry links to. Every process that knows the same
@@ -30,6 +41,7 @@
 /// @param Endpoints endpoints of the pool
 /// @param Limit links of one entry
 /// @return names in ascending order; all endpoints when there are at most Limit
+/// and MaxLinksPerEndpoint allows it
 /// @complexity P log P for P pairs of entry and endpoint
 std::vector<std::string>
 linksOfEntry(const std::string &Entry, const std::vector<std::string> &Entries,
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -1,6 +1,5 @@
 #include "programs/agent/agent.hpp"
 
-#include "marigoldyard/coordination/subset.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
@@ -11,8 +10,9 @@
 
 constexpr Duration EntryReportInterval = std::chrono::milliseconds(450);
 constexpr Duration PoolReportLowest = std::chrono::seconds(1);
-/// Reports to a pool of N take N x 120 B; the interval keeps them below half of
-/// the 3 KB/s that control may use.
+/// A process of a pool sends and receives one report in this time on average:
+/// 0.5 KB/s in each direction with 38 bytes a report, see
+/// docs/decisions/control-traffic.md.
 constexpr Duration PoolReportPerMember = std::chrono::milliseconds(80);
 constexpr Duration PlanInterval = std::chrono::milliseconds(10);
 constexpr Duration OrderInterval = std::chrono::milliseconds(50);
@@ -156,23 +156,24 @@
     cancelWork(Key);
 }
 
-std::vector<std::string> Agent::linkedEntries() const {
+// The choice of links takes 75 ms with 390 entries and 1,100 endpoints, so it
+// is made only when members came or went.
+void Agent::refreshLinks() {
   std::vector<std::string> Entries;
   std::vector<SubsetEndpoint> Endpoints;
   for (const Member &Each : presentMembers(Base.Members, Base.turn())) {
     if (Each.Kind == MemberKind::Entry)
       Entries.push_back(Each.Name);
-    else if (Each.Pool == Settings.Pool)
+    else if (Each.Pool == Settings.Pool && Each.Name != Settings.Process.Name)
       Endpoints.push_back({Each.Name, Each.FailureDomain});
   }
-  const bool Listed = std::any_of(Endpoints.begin(), Endpoints.end(),
-                                  [this](const SubsetEndpoint &Each) {
-                                    return Each.Name == Settings.Process.Name;
-                                  });
-  if (!Listed)
-    Endpoints.push_back(
-        {Settings.Process.Name, Settings.Process.FailureDomain});
-  return entriesOfEndpoint(Settings.Process.Name, Entries, Endpoints);
+  // The own VM may be missing from the list, or leaving.
+  Endpoints.push_back({Settings.Process.Name, Settings.Process.FailureDomain});
+  if (Entries == PresentEntries && Endpoints == PresentEndpoints)
+    return;
+  LinkedEntries = entriesOfEndpoint(Settings.Process.Name, Entries, Endpoints);
+  PresentEntries = std::move(Entries);
+  PresentEndpoints = std::move(Endpoints);
 }
 
 LoadReport Agent::currentReport() const {
@@ -186,28 +187,26 @@
 }
 
 void Agent::reportToEntries() {
+  refreshLinks();
   const Report Content{currentReport()};
-  for (const std::string &Name : linkedEntries())
+  for (const std::string &Name : LinkedEntries)
     Base.send(Name, Content);
 }
 
 void Agent::reportToPool() {
-  std::vector<std::string> Peers;
-  for (const Member &Each : presentMembers(Base.Members, Base.turn()))
-    if (Each.Pool == Settings.Pool && Each.Kind == MemberKind::Endpoint &&
-        Each.Name != Settings.Process.Name)
-      Peers.push_back(Each.Name);
-  const Duration Interval =
-      std::max<Duration>(PoolReportLowest, PoolReportPerMember * Peers.size());
+  const Duration Interval = std::max<Duration>(
+      PoolReportLowest, PoolReportPerMember * PresentEndpoints.size());
   if (Base.turn() - PoolReportedAt < Interval)
     return;
   PoolReportedAt = Base.turn();
   const Report Content{currentReport()};
-  for (const std::string &Name : Peers)
-    Base.send(Name, Content);
+  for (const SubsetEndpoint &Each : PresentEndpoints)
+    if (Each.Name != Settings.Process.Name)
+      Base.send(Each.Name, Content);
 }
 
 void Agent::membersChanged() {
+  refreshLinks();
   std::vector<TransferPeer> Peers;
   for (const auto &[Name, Record] : Base.Members.Records) {
     if (Record.Listed.Pool != Settings.Pool || !Record.Described)
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -6,6 +6,7 @@
 #include "marigoldyard/coordination/rollout.hpp"
 #include "marigoldyard/coordination/scheduler.hpp"
 #include "marigoldyard/coordination/stream.hpp"
+#include "marigoldyard/coordination/subset.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/http_client.hpp"
@@ -68,7 +69,7 @@
   void reportToEntries();
   void reportToPool();
   LoadReport currentReport() const;
-  std::vector<std::string> linkedEntries() const;
+  void refreshLinks();
   void beginLeaving(bool Exit);
   void drainTurn();
   bool leaving() const { return Departure.Stage != DrainStage::Serving; }
@@ -154,6 +155,9 @@
   std::map<Digest, Staging> Stagings; ///< by version
   std::vector<Digest> ReadyWeights;
   TimePoint PoolReportedAt{};
+  std::vector<std::string> PresentEntries;
+  std::vector<SubsetEndpoint> PresentEndpoints; ///< of the own pool
+  std::vector<std::string> LinkedEntries;       ///< that get reports
   bool TransferDue = false; ///< planTransfers runs in the next turn
   TimePoint TransferAt{};
 
--- a/programs/entry/entry.hpp
+++ b/programs/entry/entry.hpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/coordination/drain.hpp"
 #include "marigoldyard/coordination/request.hpp"
 #include "marigoldyard/coordination/routing.hpp"
+#include "marigoldyard/coordination/subset.hpp"
 #include "marigoldyard/protocol/http_api.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "programs/node/node.hpp"
@@ -119,6 +120,7 @@
   void reportArrived(const std::string &Peer, const LoadReport &Load);
   void peerLost(const std::string &Peer);
   void membersChanged();
+  void relink();
   void configurationChanged();
   void status(nlohmann::json &Page) const;
 
@@ -135,6 +137,8 @@
   std::map<std::string, Digest> CurrentWeights;  ///< by product
   std::map<std::string, Digest> PreviousWeights; ///< by product
   std::set<std::string> Links;
+  std::vector<std::string> PresentEntries;
+  std::map<std::string, std::vector<SubsetEndpoint>> PresentPools;
   BucketTable Admissions;
   FailedAuthentications Failures;
   DrainState Departure;
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -2,7 +2,6 @@
 #include "programs/entry/entry.hpp"
 
 #include "marigoldyard/coordination/operation_table.hpp"
-#include "marigoldyard/coordination/subset.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
@@ -257,10 +256,28 @@
   std::erase_if(Views, [this](const auto &Each) {
     return !Base.Members.Records.contains(Each.first);
   });
+  // The choice of links takes 75 ms with 390 entries and 1,100 endpoints in a
+  // pool, and the VM list is read each few seconds.
+  if (Entries != PresentEntries || Pools != PresentPools) {
+    PresentEntries = Entries;
+    PresentPools = std::move(Pools);
+    relink();
+  }
+  std::size_t Linked = 0;
+  for (const std::string &Name : Entries)
+    if (Name != Settings.Process.Name && Linked++ < MaxEntryLinks) {
+      Base.connect(Name);
+      LoadReport Own;
+      Own.Leaving = Departure.Stage != DrainStage::Serving;
+      Base.send(Name, Report{Own});
+    }
+}
+
+void Entry::relink() {
   std::set<std::string> Wanted;
-  for (const auto &[Pool, Endpoints] : Pools)
+  for (const auto &[Pool, Endpoints] : PresentPools)
     for (const std::string &Name :
-         linksOfEntry(Settings.Process.Name, Entries, Endpoints)) {
+         linksOfEntry(Settings.Process.Name, PresentEntries, Endpoints)) {
       Wanted.insert(Name);
       Views[Name].Name = Name;
     }
@@ -273,14 +290,6 @@
       Base.connect(Name);
     }
   Links = std::move(Wanted);
-  std::size_t Linked = 0;
-  for (const std::string &Name : Entries)
-    if (Name != Settings.Process.Name && Linked++ < MaxEntryLinks) {
-      Base.connect(Name);
-      LoadReport Own;
-      Own.Leaving = Departure.Stage != DrainStage::Serving;
-      Base.send(Name, Report{Own});
-    }
 }
 
 void Entry::status(nlohmann::json &Page) const {
--- a/scripts/measure_overhead.py
+++ b/scripts/measure_overhead.py
@@ -2,6 +2,8 @@
 
 --part streams: 1 entry, 1 agent and 1 engine stand-in; direct and routed streams alternate in the same run.
 --part control: the demo fleet without callers, bytes on the links by /status.
+--part members: 1 entry and 1 agent whose VM list has the size of the target; the other VMs do not answer, so this
+shows processor time and memory only.
 
 Every figure is printed as one JSON line with the load average, because a busy machine lengthens all times.
 """
@@ -159,19 +161,44 @@
         control_window(fleet, arguments.seconds, "idle")
 
 
+def target_listing(pools, net=fl.NET):
+    """VMs of the target beside the two that run: 389 entries and 1,099 endpoints in equal pools."""
+    def vm(number, kind, pool=""):
+        address = f"{net}.{100 + number // 250}.{number % 250 + 1}"
+        return fl.Vm(f"listed-{number}", kind, address, f"region-{number % 7}", f"domain-{number % 22}", pool)
+
+    names = ["models"] + [f"pool-{i}" for i in range(1, pools)]
+    return [vm(i, "entry") for i in range(389)] + [vm(i, "endpoint", names[i % pools]) for i in range(389, 1488)]
+
+
+def measure_members(arguments):
+    vms = [vm for vm in fl.demo_vms() if vm.name in ("entry-1", "engine-1")]
+    with fl.Fleet(vms) as fleet:
+        listing = [vm.listing() for vm in vms + target_listing(arguments.pools)]
+        fleet.check(fl.request("PUT", fleet.vm_list, "/vms", {"vms": listing}))
+        fleet.start_all()
+        digest = fleet.publish_version("cup-helper", "v1", CHUNKS, CHUNK_BYTES, 1)
+        fleet.publish_manifest(fl.demo_manifest(1, digest, "v1", CALLERS))
+        time.sleep(8)
+        control_window(fleet, arguments.seconds, f"1,490 listed VMs in {arguments.pools} pools")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--part", choices=("streams", "control", "all"), default="all")
+    parser.add_argument("--part", choices=("streams", "control", "members", "all"), default="all")
     parser.add_argument("--streams", type=int, default=32, help="streams at a time")
     parser.add_argument("--rounds", type=int, default=4, help="streams that each caller runs one after the other")
     parser.add_argument("--tokens", type=int, default=200, help="tokens of a stream")
     parser.add_argument("--token-us", type=int, default=10000, help="time of a token in the stand-in, microseconds")
+    parser.add_argument("--pools", type=int, default=15, help="pools of the target that the endpoints belong to")
     parser.add_argument("--seconds", type=float, default=30, help="window of the control measurement")
     arguments = parser.parse_args()
     if arguments.part in ("streams", "all"):
         measure_streams(arguments)
     if arguments.part in ("control", "all"):
         measure_control(arguments)
+    if arguments.part in ("members", "all"):
+        measure_members(arguments)
 
 
 if __name__ == "__main__":
--- a/src/coordination/subset.cpp
+++ b/src/coordination/subset.cpp
@@ -86,6 +86,15 @@
   return Result;
 }
 
+/// Links of each entry. With many entries and a small pool it is the number
+/// that gives each endpoint MaxLinksPerEndpoint.
+std::size_t linksPerEntry(std::size_t Entries, std::size_t Endpoints,
+                          std::size_t Limit) {
+  const std::size_t Shared =
+      std::max(MinLinksPerPool, MaxLinksPerEndpoint * Endpoints / Entries);
+  return std::min({Limit, Endpoints, Shared});
+}
+
 /// Takes pairs in the order of their hash, under the limits of each pass.
 Links assignLinks(const std::vector<std::string> &Entries,
                   const std::vector<SubsetEndpoint> &Endpoints,
@@ -94,7 +103,8 @@
   const std::size_t Count = Result.Endpoints.size();
   if (Count == 0 || Result.Entries.empty())
     return Result;
-  const std::size_t PerEntry = std::min(Limit, Count);
+  const std::size_t PerEntry =
+      linksPerEntry(Result.Entries.size(), Count, Limit);
   std::vector<std::size_t> DomainSize(Count, 0);
   for (std::uint32_t Domain : Result.DomainOf)
     ++DomainSize[Domain];
--- a/tests/src/unit-coordination-subset.cpp
+++ b/tests/src/unit-coordination-subset.cpp
@@ -85,6 +85,25 @@
   }
 }
 
+TEST_CASE("many entries share a small pool without flooding its agents") {
+  // Guards against an agent that reports to 129 entries, 11 KB/s, because all
+  // 390 entries take 24 links in its pool of 73.
+  const auto Entries = entries(390);
+  const auto Endpoints = endpoints(73, 22);
+  for (std::size_t I = 0; I < Endpoints.size(); I += 9) {
+    const auto Count =
+        entriesOfEndpoint(Endpoints[I].Name, Entries, Endpoints).size();
+    CHECK(Count > 0);
+    CHECK(Count <= MaxLinksPerEndpoint);
+  }
+  for (std::size_t I = 0; I < Entries.size(); I += 40)
+    CHECK(linksOfEntry(Entries[I], Entries, Endpoints).size() >=
+          MinLinksPerPool);
+  // A choice between endpoints remains where the pool is too small for that.
+  CHECK(linksOfEntry(Entries[0], Entries, endpoints(15, 3)).size() ==
+        MinLinksPerPool);
+}
+
 TEST_CASE("both sides of a link agree, in any order of members") {
   // Guards against an agent that sends reports to other entries than those
   // that link to it.
