--- a/bench/bench_capacity.cpp
+++ b/bench/bench_capacity.cpp
@@ -48,10 +48,12 @@
 
 void measureSubsets() {
   std::vector<std::string> Names;
+  Names.reserve(Entries);
   for (int I = 0; I < Entries; ++I)
     Names.push_back("entry-" + std::to_string(I));
   for (int Pool : {15, 73, 290, Endpoints}) {
     std::vector<SubsetEndpoint> Targets;
+    Targets.reserve(static_cast<std::size_t>(Pool));
     for (int I = 0; I < Pool; ++I)
       Targets.push_back({"agent-" + std::to_string(I),
                          "domain-" + std::to_string(I % FailureDomains)});
@@ -240,6 +242,7 @@
 /// Memory of both ends of connections between two mailboxes of one process.
 void measureConnections() {
   constexpr int Peers = 200;
+  constexpr int ReceiverCount = 8;
   const KeyRing Keys{{{"k1", "secret"}}};
   const auto Open = [&](std::string Name) {
     MailboxOptions Options;
@@ -248,13 +251,14 @@
     return std::move(*Mailbox::open(Options, Keys, {}));
   };
   std::vector<std::unique_ptr<Mailbox>> Receivers;
-  auto Sender = Open("sender");
-  for (int I = 0; I < 8; ++I)
+  Receivers.reserve(ReceiverCount);
+  for (int I = 0; I < ReceiverCount; ++I)
     Receivers.push_back(Open("receiver"));
   const double Before = residentBytes();
   std::vector<std::unique_ptr<Mailbox>> Senders;
+  Senders.reserve(Peers / ReceiverCount);
   int Connected = 0;
-  for (int I = 0; I < Peers / 8; ++I) {
+  for (int I = 0; I < Peers / ReceiverCount; ++I) {
     Senders.push_back(Open("sender-" + std::to_string(I)));
     for (auto &Each : Receivers)
       Connected +=
--- a/scripts/measure_overhead.py
+++ b/scripts/measure_overhead.py
@@ -2,8 +2,8 @@
 
 --part streams: 1 entry, 1 agent and 1 engine stand-in; direct and routed streams alternate in the same run.
 --part control: the demo fleet without callers, bytes on the links by /status.
---part members: 1 entry and 1 agent whose VM list has the size of the target; the other VMs do not answer, so this
-shows processor time and memory only.
+--part members: 1 entry and 1 agent whose VM list has the size of the target. The other VMs do not answer, so only the
+processor time of the core thread, the main thread of a daemon, and the memory count.
 
 Every figure is printed as one JSON line with the load average, because a busy machine lengthens all times.
 """
@@ -22,9 +22,10 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
-def cpu_seconds(pid):
-    """User and system time of a process so far."""
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+def cpu_seconds(pid, thread=None):
+    """User and system time of a process, or of one of its threads, so far."""
+    path = f"/proc/{pid}/stat" if thread is None else f"/proc/{pid}/task/{thread}/stat"
+    with open(path, encoding="utf-8") as file:
         fields = file.read().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / TICKS
 
@@ -137,11 +138,14 @@
     """Prints link bytes and processor time for each daemon over a window."""
     first, start = links_of(fleet), time.monotonic()
     busy = {vm.name: cpu_seconds(vm.daemon.pid) for vm in fleet.vms}
+    deciding = {vm.name: cpu_seconds(vm.daemon.pid, vm.daemon.pid) for vm in fleet.vms}
     time.sleep(seconds)
     last, passed = links_of(fleet), time.monotonic() - start
     for vm in fleet.vms:
         line = {"window": label, "daemon": vm.name, "resident_mb": round(resident_mb(vm.daemon.pid), 1),
-                "core_percent": round(100 * (cpu_seconds(vm.daemon.pid) - busy[vm.name]) / passed, 2)}
+                "core_percent": round(100 * (cpu_seconds(vm.daemon.pid) - busy[vm.name]) / passed, 2),
+                "core_thread_percent": round(
+                    100 * (cpu_seconds(vm.daemon.pid, vm.daemon.pid) - deciding[vm.name]) / passed, 2)}
         for direction in ("sent", "received"):
             count = last[vm.name][direction] - first[vm.name][direction]
             size = last[vm.name][direction + "_bytes"] - first[vm.name][direction + "_bytes"]
