--- a/bench/bench_capacity.cpp
+++ b/bench/bench_capacity.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <fmt/format.h>
 #include <fstream>
+#include <malloc.h>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,10 @@
   return Span.count() / Repeats;
 }
 
+/// Bytes in use on the heap; unlike resident memory they do not hide memory
+/// that was freed before and is used again.
+double heapBytes() { return static_cast<double>(mallinfo2().uordblks); }
+
 double residentBytes() {
   std::ifstream Source("/proc/self/statm");
   double Total = 0;
@@ -92,9 +97,9 @@
 }
 
 void measureMembers() {
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   auto State = std::make_unique<MembershipState>(fleetMembers());
-  const double After = residentBytes();
+  const double After = heapBytes();
   row("memory for one member", (After - Before) / (Entries + Endpoints), "B");
   std::size_t Sum = 0;
   row("presentMembers, 1,490 members",
@@ -158,19 +163,21 @@
 
 void measureScheduler() {
   for (int Callers : {10, 100, 250}) {
-    constexpr int Waiting = 1400;
+    constexpr int Offered = 1400;
     SchedulerSettings Settings;
     Settings.Slots = 8;
+    // Queues are bounded by requests here, not by time.
     Settings.MaxQueueTime.fill(std::chrono::hours(1));
-    const double Before = residentBytes();
+    Settings.AnswerTokensPerSecond = 1e6;
+    const double Before = heapBytes();
     auto State = std::make_unique<SchedulerState>(makeScheduler(Settings));
     int Number = 0;
-    const double Enqueue = microseconds(Waiting, [&](int) {
+    const double Enqueue = microseconds(Offered, [&](int) {
       enqueue(*State, workOf(Number++, Callers), TimePoint{});
     });
-    if (Callers == 10)
-      row("memory for one waiting request",
-          (residentBytes() - Before) / Waiting, "B");
+    const std::size_t Waiting = State->Records.size();
+    row(fmt::format("memory for one of {} waiting requests", Waiting),
+        (heapBytes() - Before) / static_cast<double>(Waiting), "B");
     // One request leaves and one arrives, so that the queue stays as long.
     const double Turn = microseconds(5000, [&](int) {
       if (auto Begun = next(*State, TimePoint{}).Begin)
@@ -178,9 +185,9 @@
       enqueue(*State, workOf(Number++, Callers), TimePoint{});
     });
     row(fmt::format("enqueue, {} callers", Callers), Enqueue, "us");
-    row(fmt::format("next, finish and enqueue with {} callers and 1,400 "
-                    "waiting requests",
-                    Callers),
+    row(fmt::format("next, finish and enqueue, {} callers and {} waiting "
+                    "requests",
+                    Callers, State->Records.size()),
         Turn, "us");
   }
 }
