--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -1,5 +1,6 @@
 #include "marigoldyard/transport/mailbox.hpp"
 
+#include "marigoldyard/protocol/link_report.hpp"
 #include "marigoldyard/protocol/replay_filter.hpp"
 #include "marigoldyard/transport/detail/callback_registry.hpp"
 #include "marigoldyard/transport/detail/mailbox_peer.hpp"
@@ -62,6 +63,7 @@
   std::shared_ptr<ConnectionGate> Gate;
   void *GateId = nullptr;
   ReplayFilter Replays;
+  ReportBases Bases;
   nng_socket Pull = NNG_SOCKET_INITIALIZER;
   std::uint16_t Port = 0;
   std::atomic<bool> Closing{false};
@@ -71,7 +73,8 @@
 
   explicit Data(std::shared_ptr<detail::MailboxShared> Parts)
       : Shared(std::move(Parts)), Gate(std::make_shared<ConnectionGate>()),
-        Replays(Shared->Options.MaxConnections) {
+        Replays(Shared->Options.MaxConnections),
+        Bases(Shared->Options.MaxConnections) {
     Gate->Limit = Shared->Options.MaxConnections;
     Gate->Shared = Shared;
     GateId = detail::CallbackRegistry<ConnectionGate>::instance().add(Gate);
@@ -151,7 +154,10 @@
                            nng_pipe Origin) {
   const MailboxOptions &Options = Shared->Options;
   Shared->count(&MailboxCounters::ReceivedBytes, Bytes.size());
-  auto Decoded = decodeMessage(Bytes, *Shared->Keys.load());
+  const auto Keys = Shared->Keys.load();
+  const bool Compact = isCompactReport(Bytes);
+  auto Decoded =
+      Compact ? Bases.complete(Bytes, *Keys) : decodeMessage(Bytes, *Keys);
   if (!Decoded) {
     // Such a message proves no sender, so only its address can be named.
     Error Cause = Decoded.error();
@@ -166,12 +172,14 @@
     return drop(&MailboxCounters::WrongReceiver,
                 {ErrorCode::InvalidMessage, Step::Authenticate, Head.Sender,
                  "message is for " + Head.Receiver});
-  Head.Receiver = Options.Name;
   ReplayVerdict Verdict = Replays.check(Head);
   if (Verdict != ReplayVerdict::Accepted)
     return drop(&MailboxCounters::Replayed,
                 {ErrorCode::InvalidMessage, Step::Authenticate, Head.Sender,
                  std::string(replayVerdictName(Verdict))});
+  if (!Compact)
+    Bases.remember(*Decoded);
+  Head.Receiver = Options.Name;
   Shared->count(&MailboxCounters::Received);
   if (Shared->Handlers.Observe)
     Shared->Handlers.Observe(Head.SentAt);
