Ask neighbours for their maps before drawing from the store

Cause: an owner drew its chunks as soon as it wanted a version. After a restart it did so before the maps of its peers arrived, and drew its share again although they held all chunks. Peers also counted a restarted owner as lost for ten seconds, in which the next owner drew its chunks a second time.

Change: an agent of the store's region that starts to want a version sends its map with a question to its neighbours and draws only after they answered or MapWait (1 s) passed. It asks again when maps with chunks arrived before the descriptor. A chunk that a reachable neighbour holds is not drawn, nor one that a busy holder refused less than a stall timeout ago. A peer that announces that it holds nothing is no longer lost. ChunkMap has two new fields, HasDescriptor and Asks.

Ruled out: a second round of questions in every rollout, and questions in other regions.

--- a/include/marigoldyard/coordination/detail/transfer_roles.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -56,6 +56,35 @@
 /// @complexity chunks times members of the own region
 void assignChunks(TransferState &State, TimePoint Now);
 
+/// @brief Makes the next decision ask the neighbours for their maps of a
+/// version. Until they answered or MapWait has passed, nothing is drawn from
+/// the store, because a peer may hold it already.
+/// @param State the transfers
+/// @param Version the version
+/// @param Now the time
+void startAsking(TransferState &State, VersionSlot &Version, TimePoint Now);
+
+/// @brief Whether the answers of neighbours are awaited.
+/// @param State the transfers
+/// @param Now the time
+/// @return true while drawing from the store is to wait
+/// @complexity linear in the versions
+bool awaitsMaps(const TransferState &State, TimePoint Now);
+
+/// @brief Notes that a peer needs not be waited for any longer.
+/// @param Version the version
+/// @param Peer the peer
+/// @complexity linear in the neighbours
+void stopAwaiting(VersionSlot &Version, PeerIndex Peer);
+
+/// @brief Whether a peer of the own region that can be asked holds a chunk.
+/// @param State the transfers
+/// @param Index the chunk
+/// @param Now the time
+/// @return true when the chunk need not come from the store
+/// @complexity linear in the members of the own region
+bool heldNearby(const TransferState &State, ChunkIndex Index, TimePoint Now);
+
 /// @brief Makes the agent itself draw or import a chunk.
 /// @param State the transfers
 /// @param Index the chunk
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -32,6 +32,10 @@
   /// A draw from the store without progress is given up after this time. It
   /// exceeds StallTimeout because owners share the store's rate.
   Duration StoreTimeout = std::chrono::seconds(60);
+  /// Longest wait for the members and for the maps of neighbours before the
+  /// store is drawn. Answers take a few round trips; a link to a process that
+  /// has just restarted takes some hundred milliseconds to reconnect.
+  Duration MapWait = std::chrono::seconds(1);
   Duration AnnounceInterval = std::chrono::milliseconds(250);
   Duration RefreshInterval = std::chrono::seconds(5); ///< of unchanged maps
   Duration FullRefreshInterval =
@@ -77,7 +81,8 @@
   std::uint16_t Available = 0; ///< peers whose map contains it
   TimePoint WantedSince;
   TimePoint RetryAt;
-  TimePoint SentAt; ///< newest upload within the region
+  TimePoint BusyUntil; ///< a busy peer that holds it is waited for
+  TimePoint SentAt;    ///< newest upload within the region
 };
 
 struct VersionSlot {
@@ -91,6 +96,11 @@
   TimePoint AnnouncedAt;
   TimePoint ToAllAt; ///< newest announcement to complete peers too
   TimePoint UnwantedSince;
+  bool AskDue = false; ///< the neighbours are to be asked for their maps
+  std::vector<PeerIndex> Awaited; ///< asked and not heard yet
+  bool UnreadMaps =
+      false;          ///< a peer held chunks before the descriptor was known
+  TimePoint AskUntil; ///< end of the wait for members and maps
 };
 
 struct PeerSlot {
@@ -144,6 +154,12 @@
   TimePoint AskedAt;
 };
 
+/// A peer that asked for the map of a version.
+struct MapQuestion {
+  Digest Version;
+  std::string Peer;
+};
+
 struct Refusal {
   Digest Chunk;
   std::string Peer;
@@ -178,6 +194,8 @@
   std::vector<detail::Flight> Flights;
   std::deque<detail::Upload> Uploads;
   std::vector<detail::Refusal> Refusals;
+  std::vector<detail::MapQuestion> MapQuestions;
+  bool MembersKnown = false; ///< the whole member list was received
   std::size_t StoreFlights = 0;
   std::uint32_t StoreFailures = 0;
   TimePoint StoreRetryAt;
--- a/include/marigoldyard/coordination/transfer.hpp
+++ b/include/marigoldyard/coordination/transfer.hpp
@@ -53,6 +53,8 @@
   Digest Version;
   std::vector<bool> Held; ///< empty until the descriptor is known
   std::vector<std::string> Peers;
+  bool HasDescriptor = true; ///< false: nothing of the version is held
+  bool Asks = false;         ///< the receivers are to answer with their maps
 };
 
 /// @brief Release a held chunk that no wanted version contains.
@@ -73,9 +75,12 @@
 /// @param State the transfers
 /// @param Peers the list; the agent itself may be in it
 /// @param Now the time
+/// @param Whole false while the VM list has not been read, so that Peers may
+/// lack members
 /// @complexity chunks times members of the own region
 void transferMembers(TransferState &State,
-                     const std::vector<TransferPeer> &Peers, TimePoint Now);
+                     const std::vector<TransferPeer> &Peers, TimePoint Now,
+                     bool Whole = true);
 
 /// @brief Replaces the set of wanted versions. Chunks already held stay and are
 /// reused by every version that contains them.
@@ -112,6 +117,22 @@
                                       const std::vector<bool> &Held,
                                       TimePoint Now);
 
+/// @brief A ChunkMap arrived whose sender holds not even the descriptor.
+/// @param State the transfers
+/// @param Peer sender
+/// @param Version digest of the version
+/// @complexity linear in the number of chunks
+void peerHoldsNothing(TransferState &State, const std::string &Peer,
+                      const Digest &Version);
+
+/// @brief A peer asks for the own map of a version. planTransfer answers it.
+/// @param State the transfers
+/// @param Peer the peer
+/// @param Version digest of the version
+/// @complexity linear in the questions, which are bounded
+void mapAsked(TransferState &State, const std::string &Peer,
+              const Digest &Version);
+
 /// @brief Chunk bytes arrived and were compared with their digest.
 /// @param State the transfers
 /// @param Chunk digest that was asked for
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -157,10 +157,13 @@
 };
 
 /// @brief Which chunks of a version the sender holds, one bit a chunk in
-/// descriptor order.
+/// descriptor order. A process that starts to want a version asks its
+/// neighbours for their maps before it draws chunks from the store.
 struct ChunkMap {
   Digest Version;
   std::vector<bool> Held;
+  bool HasDescriptor = true; ///< false: nothing of the version is held
+  bool Asks = false;         ///< the receiver is to answer with its map
 };
 
 /// @brief Asks for a chunk on the bulk socket.
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -134,9 +134,7 @@
 void Agent::receiveChunkMessage(const std::string &Peer, const Body &Content) {
   wakeTransfers();
   if (const auto *Map = std::get_if<ChunkMap>(&Content)) {
-    if (auto Failure = chunkMapReceived(Transfer, Peer, Map->Version, Map->Held,
-                                        Base.turn()))
-      Base.Log.write("chunk_map_refused", *Failure);
+    chunkMapArrived(Peer, *Map);
   } else if (const auto *Asked = std::get_if<ChunkRequest>(&Content)) {
     uploadAsked(Transfer, Peer, Asked->Chunk, Base.turn());
   } else if (const auto *Denied = std::get_if<ChunkRefused>(&Content)) {
@@ -218,7 +216,7 @@
           {Name, Record.Listed.Region, Current == MemberState::Leaving});
   }
   if (Settings.Kind == EndpointKind::Engine)
-    transferMembers(Transfer, Peers, Base.turn());
+    transferMembers(Transfer, Peers, Base.turn(), Base.MemberListKnown);
   wakeTransfers();
   std::erase_if(PoolReports, [this](const auto &Each) {
     return !Base.Members.Records.contains(Each.first);
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -105,6 +105,7 @@
   void fetch(const FetchFromStore &Action);
   void fetched(const FetchFromStore &Action, const HttpResult &Result,
                bool Verified);
+  void chunkMapArrived(const std::string &Peer, const ChunkMap &Map);
   void chunkArrived(const std::string &Peer, ChunkData &&Chunk, bool Verified);
   void keepChunk(const Digest &Id, const ChunkBytes &Bytes);
   void describeVersion(const Digest &Id, const std::vector<std::uint8_t> &Text);
--- a/programs/agent/agent_transfer.cpp
+++ b/programs/agent/agent_transfer.cpp
@@ -67,7 +67,8 @@
               ChunkRefused{Deny->Chunk, milliseconds(Deny->RetryAfter)});
   } else if (const auto *Map = std::get_if<AnnounceMap>(&Action)) {
     for (const std::string &Peer : Map->Peers)
-      Base.send(Peer, ChunkMap{Map->Version, Map->Held});
+      Base.send(Peer, ChunkMap{Map->Version, Map->Held, Map->HasDescriptor,
+                               Map->Asks});
   } else if (const auto *Old = std::get_if<DropChunk>(&Action)) {
     Chunks.erase(Old->Chunk);
   }
@@ -123,6 +124,16 @@
   keepChunk(Action.Chunk, Bytes);
 }
 
+void Agent::chunkMapArrived(const std::string &Peer, const ChunkMap &Map) {
+  if (!Map.HasDescriptor)
+    peerHoldsNothing(Transfer, Peer, Map.Version);
+  else if (auto Failure = chunkMapReceived(Transfer, Peer, Map.Version,
+                                           Map.Held, Base.turn()))
+    Base.Log.write("chunk_map_refused", *Failure);
+  if (Map.Asks)
+    mapAsked(Transfer, Peer, Map.Version);
+}
+
 void Agent::chunkArrived(const std::string &Peer, ChunkData &&Chunk,
                          bool Verified) {
   wakeTransfers();
--- a/programs/node/node.hpp
+++ b/programs/node/node.hpp
@@ -128,6 +128,7 @@
   EventLog Events;
   Random Source;
   MembershipState Members;
+  bool MemberListKnown = false; ///< the VM list was read at least once
 
 private:
   std::string peerAddress(const std::string &Peer, std::uint16_t Port) const;
--- a/programs/node/node_members.cpp
+++ b/programs/node/node_members.cpp
@@ -128,6 +128,7 @@
   if (Response != nullptr && Response->Status == 200) {
     auto List = parseVmList(Response->Body);
     if (List) {
+      MemberListKnown = true;
       updateList(Members, *List, Loop.turn());
       updateWatchMembers(Watch, presentMembers(Members, Loop.turn()),
                          Loop.turn());
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -59,6 +59,8 @@
     return;
   Version.Wanted = Wanted;
   Version.Changed = true;
+  if (Wanted)
+    detail::startAsking(State, Version, Now);
   std::vector<ChunkIndex> All = Version.Chunks;
   All.push_back(Version.Descriptor);
   for (const ChunkIndex Index : All) {
@@ -158,7 +160,9 @@
 }
 
 void transferMembers(TransferState &State,
-                     const std::vector<TransferPeer> &Peers, TimePoint Now) {
+                     const std::vector<TransferPeer> &Peers, TimePoint Now,
+                     bool Whole) {
+  State.MembersKnown |= Whole;
   std::set<std::string> Listed{State.Settings.Self};
   for (const TransferPeer &Peer : Peers)
     Listed.insert(Peer.Name);
@@ -228,6 +232,10 @@
                      "weights_buffer_bytes or the chunk limit"};
   Version.Described = true;
   Version.Changed = true;
+  // Maps that arrive before the descriptor cannot be read. In a fresh rollout
+  // there are none, and the first draws start without a second round of maps.
+  if (std::exchange(Version.UnreadMaps, false))
+    detail::startAsking(State, Version, Now);
   for (const Chunk &Part : Descriptor.Chunks) {
     const ChunkIndex Index = referenceChunk(State, Part.Id, Part.Size);
     Version.Chunks.push_back(Index);
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t MaxGuests = 8;
 constexpr std::size_t MaxRefusals = 64;
+constexpr std::size_t MaxMapQuestions = 64;
 constexpr Duration StoreBackoffBase = std::chrono::seconds(1);
 constexpr Duration StoreBackoffMax = std::chrono::seconds(30);
 /// Answer to a request for a chunk that is on its way.
@@ -166,6 +167,7 @@
                  "chunk map of " + std::to_string(Held.size()) +
                      " bits for a version of " +
                      std::to_string(Slot.Chunks.size()) + " chunks"};
+  detail::stopAwaiting(Slot, From);
   if (!Sender.HasMap) {
     Sender.HasMap = true;
     State.Regions[Sender.Region].Sources.push_back(From);
@@ -180,6 +182,9 @@
     }
   };
   Note(Slot.Descriptor, true);
+  if (!Slot.Described &&
+      std::find(Held.begin(), Held.end(), true) != Held.end())
+    Slot.UnreadMaps = true;
   if (!Slot.Described || Held.empty())
     return std::nullopt;
   for (std::size_t Index = 0; Index < Held.size(); ++Index)
@@ -194,6 +199,37 @@
   return std::nullopt;
 }
 
+void peerHoldsNothing(TransferState &State, const std::string &Peer,
+                      const Digest &Version) {
+  const auto Found = State.Versions.find(Version);
+  const PeerIndex From = findPeer(State, Peer);
+  if (Found == State.Versions.end() || From == NoPeer)
+    return;
+  detail::stopAwaiting(Found->second, From);
+  PeerSlot &Sender = State.Peers[From];
+  // It starts anew. While it counted as lost, the next owner would draw its
+  // chunks a second time.
+  Sender.LostUntil = TimePoint{};
+  Sender.Timeouts = 0;
+  if (!Sender.Has.test(Found->second.Descriptor))
+    return;
+  // It held the descriptor before, so it has restarted and holds nothing.
+  Sender.MapsOf.clear();
+  for (ChunkIndex Index = 0; Index < State.Chunks.size(); ++Index)
+    detail::forgetHolder(State, From, Index);
+}
+
+void mapAsked(TransferState &State, const std::string &Peer,
+              const Digest &Version) {
+  auto &All = State.MapQuestions;
+  const bool Known =
+      std::any_of(All.begin(), All.end(), [&](const detail::MapQuestion &One) {
+        return One.Peer == Peer && One.Version == Version;
+      });
+  if (!Known && All.size() < MaxMapQuestions)
+    All.push_back({Version, Peer});
+}
+
 bool chunkReceived(TransferState &State, const Digest &Chunk,
                    const std::string &From, bool Verified, TimePoint Now) {
   const auto Found = State.ChunkById.find(Chunk);
@@ -251,6 +287,9 @@
   const bool Claimed = Sender.Has.test(Index);
   detail::forgetHolder(State, From, Index);
   if (Claimed) {
+    // A busy holder repeats its map well before this; a liar is banned.
+    if (RetryAfter > Duration::zero())
+      Slot.BusyUntil = Now + State.Settings.StallTimeout;
     Sender.BusyUntil = Now + std::min(RetryAfter, State.Settings.StallTimeout);
     // A sender that is only busy serves something in this time.
     if (Now - Sender.RefusedSince >= 2 * State.Settings.StallTimeout)
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -33,6 +33,20 @@
 /// Unused upload time that may be caught up on.
 constexpr Duration UploadBurst = std::chrono::milliseconds(50);
 
+/// The own map of a version, for no peer yet.
+AnnounceMap ownMap(const TransferState &State, const Digest &Id) {
+  AnnounceMap Map{.Version = Id};
+  const auto Found = State.Versions.find(Id);
+  Map.HasDescriptor = Found != State.Versions.end() &&
+                      State.Held.test(Found->second.Descriptor);
+  if (!Map.HasDescriptor)
+    return Map;
+  Map.Held.reserve(Found->second.Chunks.size());
+  for (const ChunkIndex Index : Found->second.Chunks)
+    Map.Held.push_back(State.Held.test(Index));
+  return Map;
+}
+
 void expireFlights(TransferState &State, TimePoint Now) {
   for (std::size_t Index = 0; Index < State.Flights.size();) {
     const detail::Flight Request = State.Flights[Index];
@@ -193,8 +207,46 @@
               });
 }
 
-/// Draws one chunk, if the store may be asked.
+/// Asks the neighbours of the own region for the maps of new versions, once
+/// the members are known or did not arrive in time.
+void askMaps(TransferState &State, TimePoint Now, Actions &Result) {
+  for (auto &[Id, Version] : State.Versions) {
+    if (!Version.AskDue || !Version.Wanted ||
+        (!State.MembersKnown && Now < Version.AskUntil))
+      continue;
+    Version.AskDue = false;
+    // Agents outside the store's region draw nothing.
+    if (State.StoreRegion != detail::NoRegion &&
+        State.StoreRegion != State.Home)
+      continue;
+    Version.AskUntil = Now + State.Settings.MapWait;
+    AnnounceMap Question = ownMap(State, Id);
+    Question.Asks = true;
+    for (const PeerIndex Index : State.Neighbours) {
+      const PeerSlot &Peer = State.Peers[Index];
+      if (Peer.Region != State.Home || !detail::reachable(Peer, Now))
+        continue;
+      Version.Awaited.push_back(Index);
+      Question.Peers.push_back(Peer.Name);
+    }
+    if (!Question.Peers.empty())
+      Result.emplace_back(std::move(Question));
+  }
+}
+
+void answerMaps(TransferState &State, Actions &Result) {
+  for (detail::MapQuestion &Question : State.MapQuestions) {
+    AnnounceMap Answer = ownMap(State, Question.Version);
+    Answer.Peers.push_back(std::move(Question.Peer));
+    Result.emplace_back(std::move(Answer));
+  }
+  State.MapQuestions.clear();
+}
+
+/// Draws chunks that no neighbour holds, if the store may be asked.
 void drawDue(TransferState &State, TimePoint Now, Actions &Result) {
+  if (detail::awaitsMaps(State, Now))
+    return;
   for (std::size_t Step = 0;
        Step < DrawsPerPlan && !State.Draws.empty() &&
        State.StoreFlights < State.Settings.MaxStoreFetches &&
@@ -202,9 +254,11 @@
        ++Step) {
     const ChunkIndex Index = State.Draws.front();
     State.Draws.pop_front();
-    if (State.Missing.test(Index))
+    const bool Missing = State.Missing.test(Index);
+    if (Missing && State.Chunks[Index].BusyUntil <= Now &&
+        !detail::heldNearby(State, Index, Now))
       draw(State, Index, Now, Result);
-    else if (State.Chunks[Index].InFlight)
+    else if (Missing || State.Chunks[Index].InFlight)
       State.Draws.push_back(Index);
   }
 }
@@ -349,13 +403,10 @@
       detail::assignNeighbours(State, Now);
     Version.Changed = false;
     Version.AnnouncedAt = Now;
-    AnnounceMap Map{Id, {}, mapReceivers(State, Version, Now)};
-    if (Map.Peers.empty())
-      continue;
-    Map.Held.reserve(Version.Chunks.size());
-    for (const ChunkIndex Index : Version.Chunks)
-      Map.Held.push_back(State.Held.test(Index));
-    Result.emplace_back(std::move(Map));
+    AnnounceMap Map = ownMap(State, Id);
+    Map.Peers = mapReceivers(State, Version, Now);
+    if (!Map.Peers.empty())
+      Result.emplace_back(std::move(Map));
   }
 }
 
@@ -379,6 +430,8 @@
   Actions Result;
   expireFlights(State, Now);
   serveUploads(State, Now, Result);
+  answerMaps(State, Result);
+  askMaps(State, Now, Result);
   drawDue(State, Now, Result);
   import(State, Now, Source, Result);
   requestAtHome(State, Now, Source, Result);
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -257,6 +257,35 @@
       assignChunk(State, Index);
 }
 
+void startAsking(TransferState &State, VersionSlot &Version, TimePoint Now) {
+  Version.AskDue = true;
+  Version.Awaited.clear();
+  Version.AskUntil = Now + State.Settings.MapWait;
+}
+
+bool awaitsMaps(const TransferState &State, TimePoint Now) {
+  return std::any_of(State.Versions.begin(), State.Versions.end(),
+                     [&](const auto &Item) {
+                       const VersionSlot &Version = Item.second;
+                       return Version.Wanted && Now < Version.AskUntil &&
+                              (Version.AskDue || !Version.Awaited.empty());
+                     });
+}
+
+void stopAwaiting(VersionSlot &Version, PeerIndex Peer) {
+  std::erase(Version.Awaited, Peer);
+}
+
+bool heldNearby(const TransferState &State, ChunkIndex Index, TimePoint Now) {
+  if (State.Chunks[Index].Available == 0)
+    return false;
+  const auto &Sources = State.Regions[State.Home].Sources;
+  return std::any_of(Sources.begin(), Sources.end(), [&](PeerIndex Peer) {
+    return State.Peers[Peer].Has.test(Index) &&
+           reachable(State.Peers[Peer], Now);
+  });
+}
+
 void takeOver(TransferState &State, ChunkIndex Index) {
   ChunkSlot &Slot = State.Chunks[Index];
   if (std::exchange(Slot.Mine, true))
@@ -303,6 +332,8 @@
   Slot.LostUntil = Now + State.Settings.StallTimeout *
                              (1 << std::min(Slot.Timeouts, MaxDoublings));
   ++Slot.Timeouts;
+  for (auto &[Id, Version] : State.Versions)
+    stopAwaiting(Version, Peer);
   std::vector<ChunkIndex> Ended;
   for (const Flight &Request : State.Flights)
     if (Request.Peer == Peer)
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -174,3 +174,62 @@
   Net.publishMembers();
   CHECK(Net.Nodes[0]->State.Neighbours.size() <= 16);
 }
+
+TEST_CASE("a restarted agent obtains everything from its peers, so that "
+          "restarts draw nothing from the store") {
+  for (const std::size_t Replicas : {3, 15}) {
+    CAPTURE(Replicas);
+    NetworkOptions Options;
+    Options.Replicas = Replicas;
+    Options.Chunks = 64;
+    WeightNetwork Net(Options);
+    Net.publishMembers();
+    Net.publish(Net.makeVersion("one", 0));
+    REQUIRE(Net.run(Net.Now + std::chrono::hours(1)));
+    for (std::size_t Index = 0; Index < 3; ++Index) {
+      const std::uint64_t Before = Net.StoreBytes;
+      Net.restart(Index);
+      REQUIRE(Net.run(Net.Now + std::chrono::hours(1)));
+      CHECK(Net.StoreBytes == Before);
+    }
+  }
+}
+
+TEST_CASE("a silent neighbour and a missing member list delay a draw only for "
+          "a bounded time, so that a rollout starts without them") {
+  TransferState State = makeTransfer({.Self = "self", .Region = "r0"});
+  wantVersions(State, {"v1"}, Start);
+  CHECK(plan<FetchFromStore>(State, Start).empty());
+  transferMembers(State, {{"near", "r0"}}, Start, false);
+  const Duration Wait = State.Settings.MapWait;
+  CHECK(plan<FetchFromStore>(State, Start + Wait / 2).empty());
+  const auto Asked = plan<AnnounceMap>(State, Start + Wait);
+  REQUIRE(Asked.size() == 1);
+  CHECK(Asked[0].Asks);
+  CHECK_FALSE(Asked[0].HasDescriptor);
+  transferMembers(State, {}, Start + Wait);
+  CHECK(plan<FetchFromStore>(State, Start + 2 * Wait).size() == 1);
+}
+
+TEST_CASE("questions for maps are answered once and stay bounded, so that a "
+          "flood of them cannot exhaust memory") {
+  TransferState State = agentWith({{"near", "r0"}});
+  obtain(State, One);
+  for (int Step = 0; Step < 1000; ++Step) {
+    mapAsked(State, "near", "v1");
+    mapAsked(State, "near", "unknown-" + std::to_string(Step));
+  }
+  const auto Answers = plan<AnnounceMap>(State, Start);
+  CHECK(Answers.size() <= 70);
+  CHECK(Answers[0].Held == std::vector<bool>{true, true});
+  CHECK_FALSE(Answers[1].HasDescriptor);
+}
+
+TEST_CASE("a peer that restarts is an owner again at once, so that the next "
+          "owner does not draw its chunks a second time") {
+  TransferState State = agentWith({{"near", "r0"}});
+  transferPeerLost(State, "near", Start);
+  CHECK(State.Peers[1].LostUntil > Start);
+  peerHoldsNothing(State, "near", "v1");
+  CHECK(State.Peers[1].LostUntil <= Start);
+}
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -56,7 +56,9 @@
       ConfigurationRequest{5, {"products/a", "products/b"}},
       ConfigurationValues{Index, {{"products/a", "{}"}}},
       ChunkMap{Weights,
-               {true, false, true, true, false, false, true, true, true}},
+               {true, false, true, true, false, false, true, true, true},
+               false,
+               true},
       ChunkRequest{Weights},
       ChunkData{Weights, {0, 1, 255}},
       ChunkRefused{Weights, 40ms}};
--- a/tests/src/weight_network.hpp
+++ b/tests/src/weight_network.hpp
@@ -105,6 +105,24 @@
     });
   }
 
+  /// Replaces an agent by one that has just started, like a restarted process:
+  /// it learns the wanted version first and the members a little later.
+  void restart(std::size_t Index) {
+    Node &Target = *Nodes[Index];
+    Target.State = makeTransfer(TransferSettings(Target.State.Settings));
+    Target.CompleteAt = TimePoint{};
+    --CompleteCount;
+    for (std::size_t Other = 0; Other < Nodes.size(); ++Other)
+      if (Other != Index)
+        wake(*Nodes[Other], [this, &Target](Node &Peer) {
+          transferPeerLost(Peer.State, Target.Name, Now);
+        });
+    wake(Target, [this](Node &Fresh) {
+      wantVersions(Fresh.State, {Published.Id}, Now);
+    });
+    at(Now + std::chrono::milliseconds(200), [this] { publishMembers(); });
+  }
+
   /// Tells the member list to all agents that run.
   void publishMembers() {
     std::vector<TransferPeer> Peers;
@@ -355,8 +373,14 @@
       MapBytes += Held.size() / 8;
       message(From, *find(Peer), Now,
               [this, Version = Action.Version, Held,
+               HasDescriptor = Action.HasDescriptor, Asks = Action.Asks,
                Name = From.Name](Node &Target) {
-                chunkMapReceived(Target.State, Name, Version, Held, Now);
+                if (HasDescriptor)
+                  chunkMapReceived(Target.State, Name, Version, Held, Now);
+                else
+                  peerHoldsNothing(Target.State, Name, Version);
+                if (Asks)
+                  mapAsked(Target.State, Name, Version);
               });
     }
   }
