Describe the wait for maps without a figure

Cause: the comment on MapWait named a reconnection time that was not measured. Change: comment only. Conclusion: no change of behaviour; the unit tests give the same result.

--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -33,8 +33,8 @@
   /// exceeds StallTimeout because owners share the store's rate.
   Duration StoreTimeout = std::chrono::seconds(60);
   /// Longest wait for the members and for the maps of neighbours before the
-  /// store is drawn. Answers take a few round trips; a link to a process that
-  /// has just restarted takes some hundred milliseconds to reconnect.
+  /// store is drawn. Answers take a round trip, and longer when a link to a
+  /// process that has just restarted is not connected again yet.
   Duration MapWait = std::chrono::seconds(1);
   Duration AnnounceInterval = std::chrono::milliseconds(250);
   Duration RefreshInterval = std::chrono::seconds(5); ///< of unchanged maps
