Place the lint notes of the ring where clang-tidy reads them

Cause: the formatter had moved the line that the note covered, so every source that instantiates BoundedRing::push failed check-lint.

--- a/include/marigoldyard/transport/ring.hpp
+++ b/include/marigoldyard/transport/ring.hpp
@@ -45,11 +45,10 @@
     std::unique_lock Lock(Mutex);
     bool Pushed = false;
     ++Waiting;
+    // tryPush and try_push leave Value unchanged when the queue is full.
+    // NOLINTNEXTLINE(bugprone-use-after-move)
     Changed.wait_for(Lock, Limit, [&] {
-      // try_push leaves Value unchanged when the queue is full.
-      Pushed =
-          !Closed.load() &&
-          Queue.try_push(std::move(Value)); // NOLINT(bugprone-use-after-move)
+      Pushed = !Closed.load() && Queue.try_push(std::move(Value));
       return Pushed || Closed.load();
     });
     --Waiting;
