Keep pauses and unfinished work out of the measured token rate

Cause: running time of streams that were frozen with the agent, and of work that failed or was cancelled, counted in the rate. After a pause the agent reported 1 token/s, entries scored it 102 s for a request, and without work the rate was never measured again. Change: a detected pause is left out of the running time, only work that ended counts, and an endpoint without work forgets a rate older than 5 s. Ruled out: a floor on the reported rate, since it would also hide an engine that is really slow while it works.

--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -108,6 +108,7 @@
   double Cost = 0.0;
   double Answer = 0.0; ///< tokens
   double Time = 0.0;   ///< seconds that the work ran
+  TimePoint MeasuredAt{};
 };
 
 struct WorkRecord {
@@ -210,8 +211,15 @@
 /// @complexity linear in the waiting work of the caller
 std::optional<WorkPhase> cancel(SchedulerState &State, std::string_view Id);
 
+/// @brief Leaves a pause of the own process out of the running time of work, so
+/// that it does not lower the measured rate of the endpoint.
+/// @param State the scheduler
+/// @param Pause length of the pause
+/// @complexity linear in all work
+void excludePause(SchedulerState &State, Duration Pause);
+
 /// @brief Drops waiting work whose deadline cannot be met. Work that started is
-/// never dropped.
+/// never dropped. Without work, an old measured rate is forgotten.
 /// @param State the scheduler
 /// @param Now the present time
 /// @return the dropped work
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -84,7 +84,10 @@
   Handlers.PeerLost = [this](const std::string &Peer) { peerLost(Peer); };
   Handlers.ConfigurationChanged = [this] { configurationChanged(); };
   Handlers.MembersChanged = [this] { membersChanged(); };
-  Handlers.Paused = [this](Duration) { pauseDetected(Loading); };
+  Handlers.Paused = [this](Duration Pause) {
+    pauseDetected(Loading);
+    excludePause(Scheduler, Pause);
+  };
   Handlers.DrainRequested = [this] { beginLeaving(true); };
   Handlers.Status = [this](nlohmann::json &Page) { status(Page); };
   Handlers.Ready = [this] { return currentReport().Ready; };
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -87,6 +87,8 @@
   void engineEnded(const std::string &Key, const HttpResult &Result);
   void failWork(const std::string &Key, ErrorCode Reason, Step At);
   void endWork(const std::string &Key);
+  void dropWork(const std::string &Key);
+  void removeWork(const std::string &Key);
   void cancelWork(const std::string &Key);
   double weightOf(const std::string &Product, const std::string &Caller) const;
 
--- a/programs/agent/agent_work.cpp
+++ b/programs/agent/agent_work.cpp
@@ -206,7 +206,7 @@
                               ? ErrorCode::WrongWeights
                               : ErrorCode::NotReady,
                           NotReadyRetryAfter});
-    endWork(Key);
+    dropWork(Key);
     if (NeverSent)
       engineLost(Loading, now());
     return;
@@ -223,14 +223,24 @@
   Base.record("work_failed", Id.Request, Settings.Process.Name, {},
               {{"reason", make_error_code(Reason).message()}});
   Found->second.Call.cancel();
-  endWork(Key);
+  dropWork(Key);
+}
+
+void Agent::dropWork(const std::string &Key) {
+  // Work that did not end says nothing about the rate of the endpoint.
+  cancel(Scheduler, Key);
+  removeWork(Key);
 }
 
 void Agent::endWork(const std::string &Key) {
   const auto Found = Works.find(Key);
   finish(Scheduler, Key, Found->second.Produced, now());
+  removeWork(Key);
+}
+
+void Agent::removeWork(const std::string &Key) {
   noteWorkFinished(Departure);
-  Works.erase(Found);
+  Works.erase(Key);
   pump();
 }
 
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -17,6 +17,9 @@
 /// Share of the sums of a rate that remains after each finished request; about
 /// the last 50 requests count.
 constexpr double RateMemory = 0.98;
+/// An endpoint without work forgets its rate after this time. A rate measured
+/// while it was slow would otherwise keep work away for good.
+constexpr Duration RateLifetime = std::chrono::seconds(5);
 
 /// Rank that goes next: the most underserved floor, else the most urgent.
 std::optional<Rank> chooseRank(const SchedulerState &State) {
@@ -148,14 +151,17 @@
   State.Records.erase(At);
 }
 
+detail::RateSums initialRates(const SchedulerSettings &Settings) {
+  const double Rate = Settings.AnswerTokensPerSecond;
+  return Rate > 0 ? detail::RateSums{Rate, Rate, 1.0} : detail::RateSums{};
+}
+
 } // namespace
 
 SchedulerState makeScheduler(const SchedulerSettings &Settings) {
   SchedulerState State;
   State.Settings = Settings;
-  if (Settings.AnswerTokensPerSecond > 0)
-    State.Rates = {Settings.AnswerTokensPerSecond,
-                   Settings.AnswerTokensPerSecond, 1.0};
+  State.Rates = initialRates(Settings);
   return State;
 }
 
@@ -262,6 +268,7 @@
   Rates.Cost = Rates.Cost * RateMemory + static_cast<double>(Record.Charged);
   Rates.Answer = Rates.Answer * RateMemory + static_cast<double>(AnswerTokens);
   Rates.Time = Rates.Time * RateMemory + toSeconds(RunTime);
+  Rates.MeasuredAt = Now;
   removeStarted(State, std::string(Id));
   return true;
 }
@@ -281,7 +288,15 @@
   return Phase;
 }
 
+void excludePause(SchedulerState &State, Duration Pause) {
+  for (auto &[Id, Record] : State.Records)
+    if (Record.Phase == WorkPhase::Running)
+      Record.StartedAt += Pause;
+}
+
 std::vector<Refusal> expire(SchedulerState &State, TimePoint Now) {
+  if (State.Records.empty() && Now - State.Rates.MeasuredAt > RateLifetime)
+    State.Rates = initialRates(State.Settings);
   std::vector<std::string> Late;
   for (const auto &[Id, Record] : State.Records)
     if (Record.Phase == WorkPhase::Waiting &&
--- a/tests/src/unit-coordination-scheduler.cpp
+++ b/tests/src/unit-coordination-scheduler.cpp
@@ -201,3 +201,27 @@
   CHECK(loadReport(State).QueuedTokens[rankIndex(Rank::Standard)] == 50);
   CHECK(loadReport(State).TokensPerSecond == 50);
 }
+
+TEST_CASE("a pause of the process does not lower the measured rate") {
+  // Guards against an endpoint that gets no work after its agent was frozen:
+  // it reported 1 token per second and was never measured again.
+  SchedulerState State = makeScheduler({.Slots = 1});
+  enqueue(State, work("a", "x", Rank::Urgent), Origin);
+  REQUIRE(next(State, Origin).Begin);
+  excludePause(State, 20s);
+  finish(State, "a", 100, Origin + 21s);
+  CHECK(loadReport(State).TokensPerSecond == 100);
+}
+
+TEST_CASE("an endpoint without work forgets a rate that was measured while it "
+          "was slow") {
+  // Guards against a slow measurement that keeps work away for good.
+  SchedulerState State = makeScheduler({.Slots = 1});
+  enqueue(State, work("a", "x", Rank::Urgent), Origin);
+  REQUIRE(next(State, Origin).Begin);
+  finish(State, "a", 100, Origin + 50s);
+  expire(State, Origin + 51s);
+  CHECK(loadReport(State).TokensPerSecond == 2);
+  expire(State, Origin + 56s);
+  CHECK(loadReport(State).TokensPerSecond == 0);
+}
