--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -128,17 +128,18 @@
 def description(fleet):
     """The line that --serve prints."""
     return {
-        "entries": [{"address": vm.caller_address, "operator": vm.operator, "failure_domain": vm.failure_domain,
+        "entries": [{"address": vm.caller_address, "operator_address": vm.operator, "failure_domain": vm.failure_domain,
                      "pid": vm.daemon.pid} for vm in fleet.entries()],
-        "agents": [{"name": vm.name, "operator": vm.operator, "pid": vm.daemon.pid, "endpoint": vm.endpoint_address}
+        "agents": [{"name": vm.name, "operator_address": vm.operator, "pid": vm.daemon.pid,
+                    "endpoint_address": vm.endpoint_address}
                    for vm in fleet.agents()],
         "callers": [{"name": c.name, "key": c.key} for c in CALLERS],
         "products": [{"name": name, "model": "cup-helper", "ranks": ["urgent", "standard", "batch"]}
                      for name in ("deposits", "ledgers")],
         "services": ["redemptions"],
-        "standins": [{"name": name, "control": address} for name, address in (
+        "standins": [{"name": name, "control_address": address} for name, address in (
             ("configuration", fleet.configuration), ("vm_list", fleet.vm_list), ("store", fleet.store))] +
-                    [{"name": vm.name + "-endpoint", "control": vm.endpoint_address} for vm in fleet.agents()]}
+                    [{"name": vm.name + "-endpoint", "control_address": vm.endpoint_address} for vm in fleet.agents()]}
 
 
 def serve(fleet):
