Forget replaced VMs and products that are gone, and lower floors with the manifest

Change: a forgotten member closes its links, the history of weights is one tested part for entry and agent, floors of products are combined anew for each configuration, and the lag of the VM list is a setting. Ruled out: a limit on the age of links, since a quiet link is normal between agents. Before: found by reading. Conclusion: memory of names is as long as the configuration and the VM list.

--- a/include/marigoldyard/coordination/scheduler.hpp
+++ b/include/marigoldyard/coordination/scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/state/error.hpp"
+#include "marigoldyard/state/manifest.hpp"
 #include "marigoldyard/state/types.hpp"
 
 #include <array>
@@ -9,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -155,6 +157,14 @@
   std::deque<std::string> Paused; ///< oldest first
 };
 
+/// @brief Floors of an endpoint that serves several products: the highest of
+/// each rank, scaled down when their sum exceeds the capacity.
+/// @param Products products that the endpoint serves
+/// @return the floors by rank
+/// @complexity linear in the number of products
+std::array<double, RankCount>
+combinedFloors(std::span<const Product *const> Products);
+
 /// @brief A scheduler without work.
 /// @param Settings limits and shares
 /// @return the state
--- a/include/marigoldyard/protocol/settings.hpp
+++ b/include/marigoldyard/protocol/settings.hpp
@@ -39,6 +39,7 @@
   ServerAddress VmList;
   std::vector<MessageKey> Keys; ///< the first signs, all verify
   std::chrono::milliseconds DrainDeadline{};
+  std::chrono::milliseconds ListLag{};
 };
 
 /// @brief Settings of marigold-entry.
--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -232,22 +232,23 @@
 
 void Agent::configurationChanged() {
   const AcceptedConfiguration &InForce = *Base.configuration();
+  const std::vector<const Product *> Products =
+      productsOfPool(InForce.Content, Settings.Pool);
   SchedulerSettings Fresh = Scheduler.Settings;
+  Fresh.Floors = combinedFloors(Products);
+  changeSettings(Scheduler, Fresh);
+  updateWeights(History, Products);
+  std::erase_if(Rollouts, [this](const auto &Item) {
+    return !History.Current.contains(Item.first);
+  });
   std::vector<WantedModel> Models;
   std::vector<Digest> Versions;
-  for (const Product *Each : productsOfPool(InForce.Content, Settings.Pool)) {
+  for (const Product *Each : Products) {
     Models.push_back({Each->Name, Each->Model, Each->Version, Each->Weights});
     if (std::find(Versions.begin(), Versions.end(), Each->Weights) ==
         Versions.end())
       Versions.push_back(Each->Weights);
-    for (std::size_t I = 0; I < RankCount; ++I)
-      Fresh.Floors[I] = std::max(Fresh.Floors[I], Each->Floors[I]);
-    Digest &Current = CurrentWeights[Each->Name];
-    if (!Current.empty() && Current != Each->Weights)
-      PreviousWeights[Each->Name] = Current;
-    Current = Each->Weights;
   }
-  changeSettings(Scheduler, Fresh);
   if (Settings.Kind != EndpointKind::Engine)
     return;
   wantVersions(Transfer, Versions, Base.turn());
--- a/programs/agent/agent.hpp
+++ b/programs/agent/agent.hpp
@@ -8,6 +8,7 @@
 #include "marigoldyard/coordination/stream.hpp"
 #include "marigoldyard/coordination/subset.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
+#include "marigoldyard/coordination/weight_history.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/http_client.hpp"
 #include "programs/node/node.hpp"
@@ -157,8 +158,7 @@
   TransferState Transfer;
   LoadingState Loading;
   std::map<std::string, RolloutState> Rollouts; ///< by product
-  std::map<std::string, Digest> CurrentWeights; ///< by product
-  std::map<std::string, Digest> PreviousWeights;
+  WeightHistory History;
   std::map<std::string, PoolReport> PoolReports;
   std::map<Digest, ChunkBytes> Chunks;
   std::map<Digest, Staging> Stagings; ///< by version
--- a/programs/agent/agent_loading.cpp
+++ b/programs/agent/agent_loading.cpp
@@ -89,11 +89,8 @@
     auto [Rollout, Created] = Rollouts.try_emplace(Each->Name);
     if (Created)
       Rollout->second = makeRollout(Settings.Process.Name);
-    std::vector<Digest> Usable{Each->Weights};
-    if (const auto Old = PreviousWeights.find(Each->Name);
-        Old != PreviousWeights.end())
-      Usable.push_back(Old->second);
-    const bool May = decideRollout(Rollout->second, Each->Weights, Usable, Pool,
+    const bool May = decideRollout(Rollout->second, Each->Weights,
+                                   usableWeights(History, *Each), Pool,
                                    Each->MaxUnavailable, Base.turn())
                          .MayBeUnready;
     // Products that share weights also share the engine, so all must agree.
--- a/programs/entry/entry.hpp
+++ b/programs/entry/entry.hpp
@@ -5,6 +5,7 @@
 #include "marigoldyard/coordination/request.hpp"
 #include "marigoldyard/coordination/routing.hpp"
 #include "marigoldyard/coordination/subset.hpp"
+#include "marigoldyard/coordination/weight_history.hpp"
 #include "marigoldyard/protocol/http_api.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "programs/node/node.hpp"
@@ -109,7 +110,6 @@
   RequestEvent chooseByOperation(const ActiveRequest &Active) const;
   std::vector<EndpointView> viewsOf(const std::string &Pool,
                                     const std::vector<Digest> &Usable) const;
-  std::vector<Digest> usableWeights(const Product &Owner) const;
   QueueEstimate queueEstimate(const ActiveRequest &Active,
                               const Product &Owner) const;
   void receive(const Message &Incoming);
@@ -132,10 +132,9 @@
   Node Base;
   std::unique_ptr<HttpServer> Callers;
   std::map<std::string, ActiveRequest> Requests;
-  std::map<std::string, RetryBudget> Budgets;    ///< by product
-  std::map<std::string, EndpointView> Views;     ///< by endpoint
-  std::map<std::string, Digest> CurrentWeights;  ///< by product
-  std::map<std::string, Digest> PreviousWeights; ///< by product
+  std::map<std::string, RetryBudget> Budgets; ///< by product
+  std::map<std::string, EndpointView> Views;  ///< by endpoint
+  WeightHistory History;
   std::set<std::string> Links;
   std::vector<std::string> PresentEntries;
   std::map<std::string, std::vector<SubsetEndpoint>> PresentPools;
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -25,14 +25,6 @@
 
 } // namespace
 
-std::vector<Digest> Entry::usableWeights(const Product &Owner) const {
-  std::vector<Digest> Usable{Owner.Weights};
-  if (auto Found = PreviousWeights.find(Owner.Name);
-      Found != PreviousWeights.end())
-    Usable.push_back(Found->second);
-  return Usable;
-}
-
 std::vector<EndpointView>
 Entry::viewsOf(const std::string &Pool,
                const std::vector<Digest> &Usable) const {
@@ -78,7 +70,7 @@
       Request.Tried.push_back(Peer);
   std::vector<Digest> Usable;
   if (Active.State.Kind == RequestKind::Completion) {
-    Usable = usableWeights(*Owner);
+    Usable = usableWeights(History, *Owner);
     Request.Weights = Owner->Weights;
   }
   std::vector<EndpointView> Candidates = viewsOf(Active.Pool, Usable);
@@ -116,7 +108,8 @@
                                    const Product &Owner) const {
   QueueEstimate Best;
   bool First = true;
-  for (const EndpointView &View : viewsOf(Active.Pool, usableWeights(Owner))) {
+  for (const EndpointView &View :
+       viewsOf(Active.Pool, usableWeights(History, Owner))) {
     if (View.Load.ReadyWeights.empty() || View.Leaving)
       continue;
     QueueEstimate Current;
@@ -234,13 +227,15 @@
 
 void Entry::configurationChanged() {
   const AcceptedConfiguration &InForce = *Base.configuration();
+  std::vector<const Product *> Products;
   for (const Product &Owner : InForce.Content.Products) {
+    Products.push_back(&Owner);
     Budgets[Owner.Name].Share = Owner.RetryBudget;
-    Digest &Current = CurrentWeights[Owner.Name];
-    if (!Current.empty() && Current != Owner.Weights)
-      PreviousWeights[Owner.Name] = Current;
-    Current = Owner.Weights;
   }
+  updateWeights(History, Products);
+  std::erase_if(Budgets, [this](const auto &Item) {
+    return !History.Current.contains(Item.first);
+  });
   membersChanged();
 }
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -37,7 +37,9 @@
       Configuration(startConfiguration(now())),
       Watch(startWatch(Settings.Name, Settings.Region, now(), Source)),
       PlatformWork(boost::asio::make_work_guard(PlatformContext)),
-      Platform(PlatformContext) {}
+      Platform(PlatformContext) {
+  Members.Settings.ListLag = Settings.ListLag;
+}
 
 Node::~Node() {
   Operator.reset();
--- a/programs/node/node.hpp
+++ b/programs/node/node.hpp
@@ -142,6 +142,7 @@
   void receive(const Message &Incoming);
   void receiveOnThread(Message &&Incoming);
   void lose(const std::string &Address);
+  void forgetPeer(const std::string &Peer);
   void checkMembers();
   void readMemberList();
   void memberListRead(const HttpResult &Result);
--- a/programs/node/node_members.cpp
+++ b/programs/node/node_members.cpp
@@ -80,6 +80,18 @@
     Handlers.PeerLost(Peer);
 }
 
+// Each link that keeps trying to reach a VM that is gone costs a place in the
+// bounded table of peers; about 360 VMs are replaced a day.
+void Node::forgetPeer(const std::string &Peer) {
+  std::erase_if(NamesByAddress, [&](const auto &Item) {
+    if (Item.second != Peer)
+      return false;
+    Messages->removePeer(Item.first);
+    Bulk->removePeer(Item.first);
+    return true;
+  });
+}
+
 void Node::checkMembers() {
   ReadyNow.store(ready());
   bool Changed = false;
@@ -101,6 +113,7 @@
   }
   for (const std::string &Name : removeDeadMembers(Members, Loop.turn())) {
     LastStates.erase(Name);
+    forgetPeer(Name);
     Changed = true;
   }
   if (!Changed)
--- a/programs/node/node_operator.cpp
+++ b/programs/node/node_operator.cpp
@@ -71,7 +71,8 @@
   Page["revision"] = revisionInForce(Configuration);
   Page["watching"] = Watch.Watching;
   const MailboxCounters Counts = Messages->counters();
-  Page["links"] = {{"sent", Counts.Sent},
+  Page["links"] = {{"peers", NamesByAddress.size()},
+                   {"sent", Counts.Sent},
                    {"sent_bytes", Counts.SentBytes},
                    {"received", Counts.Received},
                    {"received_bytes", Counts.ReceivedBytes},
--- a/src/coordination/scheduler.cpp
+++ b/src/coordination/scheduler.cpp
@@ -158,6 +158,21 @@
 
 } // namespace
 
+std::array<double, RankCount>
+combinedFloors(std::span<const Product *const> Products) {
+  std::array<double, RankCount> Floors{};
+  for (const Product *Each : Products)
+    for (std::size_t I = 0; I < RankCount; ++I)
+      Floors[I] = std::max(Floors[I], Each->Floors[I]);
+  double Sum = 0;
+  for (const double Floor : Floors)
+    Sum += Floor;
+  if (Sum > 1.0)
+    for (double &Floor : Floors)
+      Floor /= Sum;
+  return Floors;
+}
+
 SchedulerState makeScheduler(const SchedulerSettings &Settings) {
   SchedulerState State;
   State.Settings = Settings;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -90,6 +90,14 @@
      .Maximum = MaxDrainMs,
      .Default = "30000",
      .Help = "longest time between SIGTERM and exit"},
+    {.Key = "vm_list_lag_ms",
+     .Kind = ValueKind::Integer,
+     .Unit = "ms",
+     .Minimum = 1,
+     .Maximum = MaxDrainMs,
+     .Default = "60000",
+     .Help = "how long the VM list lags; a silent member is forgotten after "
+             "twice this time"},
 };
 
 constexpr KeyDescription EntryMembers[] = {
@@ -230,6 +238,8 @@
         {Key.at("id").get<std::string>(), Key.at("secret").get<std::string>()});
   Result.DrainDeadline = std::chrono::milliseconds(
       Value.at("drain_deadline_ms").get<std::int64_t>());
+  Result.ListLag =
+      std::chrono::milliseconds(Value.at("vm_list_lag_ms").get<std::int64_t>());
   return Result;
 }
 
