--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -20,17 +20,6 @@
 /// Time for the last messages to leave the sockets before the process exits.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
 
-Member selfOf(const AgentSettings &Settings) {
-  Member Self;
-  Self.Name = Settings.Process.Name;
-  Self.Address = Settings.Process.Address;
-  Self.Kind = MemberKind::Endpoint;
-  Self.Region = Settings.Process.Region;
-  Self.FailureDomain = Settings.Process.FailureDomain;
-  Self.Pool = Settings.Pool;
-  return Self;
-}
-
 SchedulerSettings schedulerSettings(const AgentSettings &Settings) {
   SchedulerSettings Result;
   Result.Slots = Settings.Slots;
@@ -52,7 +41,9 @@
 } // namespace
 
 Agent::Agent(AgentSettings Checked)
-    : Settings(std::move(Checked)), Base(Settings.Process, selfOf(Settings)),
+    : Settings(std::move(Checked)),
+      Base(Settings.Process,
+           selfMember(Settings.Process, MemberKind::Endpoint, Settings.Pool)),
       Scheduler(makeScheduler(schedulerSettings(Settings))),
       Operations(beginOperationTable(Settings.Process.Name, Base.Number)),
       Transfer(makeTransfer(transferSettings(Settings))),
--- a/programs/entry/entry.cpp
+++ b/programs/entry/entry.cpp
@@ -10,20 +10,11 @@
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(20);
 constexpr std::size_t MaxCallerConnections = 4096;
 
-Member selfOf(const EntrySettings &Settings) {
-  Member Self;
-  Self.Name = Settings.Process.Name;
-  Self.Address = Settings.Process.Address;
-  Self.Kind = MemberKind::Entry;
-  Self.Region = Settings.Process.Region;
-  Self.FailureDomain = Settings.Process.FailureDomain;
-  return Self;
-}
-
 } // namespace
 
 Entry::Entry(EntrySettings Checked)
-    : Settings(std::move(Checked)), Base(Settings.Process, selfOf(Settings)),
+    : Settings(std::move(Checked)),
+      Base(Settings.Process, selfMember(Settings.Process, MemberKind::Entry)),
       Admissions(beginBucketTable(MaxAdmissionRecords)) {
   Departure.Process = Settings.Process.Name;
 }
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -29,6 +29,18 @@
   return Keys;
 }
 
+Member selfMember(const ProcessSettings &Settings, MemberKind Kind,
+                  std::string Pool) {
+  Member Self;
+  Self.Name = Settings.Name;
+  Self.Address = Settings.Address;
+  Self.Kind = Kind;
+  Self.Region = Settings.Region;
+  Self.FailureDomain = Settings.FailureDomain;
+  Self.Pool = std::move(Pool);
+  return Self;
+}
+
 Node::Node(ProcessSettings ProcessPart, Member SelfMember)
     : Settings(std::move(ProcessPart)), Self(std::move(SelfMember)),
       Number(newIncarnation()), Loop(Lease),
--- a/programs/node/node.hpp
+++ b/programs/node/node.hpp
@@ -179,6 +179,14 @@
   std::unique_ptr<HttpServer> Operator;
 };
 
+/// @brief How a process describes itself to peers whose VM list lags.
+/// @param Settings checked settings
+/// @param Kind kind of VM
+/// @param Pool pool of the endpoint; empty for entries
+/// @return the own entry of the VM list
+Member selfMember(const ProcessSettings &Settings, MemberKind Kind,
+                  std::string Pool = {});
+
 /// @brief Key ring of the settings.
 /// @param Settings checked settings
 /// @return the keys in the order of the settings
