--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -149,7 +149,7 @@
 };
 
 /// A peer outside the neighbours that asked lately; it receives maps.
-struct Guest {
+struct Requester {
   PeerIndex Peer = NoPeer;
   TimePoint AskedAt;
 };
@@ -186,7 +186,7 @@
   detail::ChunkBits Missing;  ///< wanted, not held, not in flight
   detail::ChunkBits Exported; ///< chunks the agent sends to another region
   std::vector<detail::PeerIndex> Neighbours; ///< receive the own maps
-  std::vector<detail::Guest> Guests;
+  std::vector<detail::Requester> Requesters;
   std::deque<detail::ChunkIndex> Draws;    ///< chunks to draw from the store
   std::vector<detail::ChunkIndex> Standby; ///< chunks with a later claim
   std::size_t StandbyCursor = 0;
--- a/include/marigoldyard/protocol/replay_filter.hpp
+++ b/include/marigoldyard/protocol/replay_filter.hpp
@@ -25,7 +25,8 @@
 /// One filter belongs to one receiving socket, because sequences are counted
 /// for each (sender, incarnation, receiver, socket). The table is bounded: the
 /// sender that was silent for longest is forgotten first. Only authenticated
-/// messages may be passed, so that strangers cannot evict records.
+/// messages may be passed, so that unauthenticated senders cannot evict
+/// records.
 class ReplayFilter {
 public:
   /// @param MaxSenders records kept, at least 1
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -118,8 +118,9 @@
   PeerSlot &Peer = State.Peers[Index];
   for (ChunkIndex Chunk = 0; Chunk < State.Chunks.size(); ++Chunk)
     detail::forgetHolder(State, Index, Chunk);
-  std::erase_if(State.Guests,
-                [&](const detail::Guest &One) { return One.Peer == Index; });
+  std::erase_if(State.Requesters, [&](const detail::Requester &One) {
+    return One.Peer == Index;
+  });
   State.PeerByName.erase(Peer.Name);
   Peer = PeerSlot{};
   State.FreePeers.push_back(Index);
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t MaxGuests = 8;
+constexpr std::size_t MaxRequesters = 8;
 constexpr std::size_t MaxRefusals = 64;
 constexpr std::size_t MaxMapQuestions = 64;
 constexpr Duration StoreBackoffBase = std::chrono::seconds(1);
@@ -102,13 +102,13 @@
 
 /// Peers of other regions that ask are told what is held, so that an importer
 /// that lost its exporter finds another one.
-void noteGuest(TransferState &State, PeerIndex Peer, TimePoint Now) {
+void noteRequester(TransferState &State, PeerIndex Peer, TimePoint Now) {
   if (State.Peers[Peer].Region == State.Home)
     return;
-  auto &All = State.Guests;
+  auto &All = State.Requesters;
   std::erase_if(All,
-                [&](const detail::Guest &One) { return One.Peer == Peer; });
-  if (All.size() >= MaxGuests)
+                [&](const detail::Requester &One) { return One.Peer == Peer; });
+  if (All.size() >= MaxRequesters)
     All.erase(All.begin());
   All.push_back({Peer, Now});
 }
@@ -335,7 +335,7 @@
     refuse(State, Peer, Chunk, State.Settings.StallTimeout);
     return;
   }
-  noteGuest(State, From, Now);
+  noteRequester(State, From, Now);
   const auto Found = State.ChunkById.find(Chunk);
   if (Found == State.ChunkById.end() || !State.Held.test(Found->second)) {
     refuse(State, Peer, Chunk, notHeldRetry(State, Chunk, Now));
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t StandbyPerPlan = 256;
 constexpr Duration StandbyInterval = std::chrono::seconds(1);
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
-constexpr Duration GuestTime = std::chrono::seconds(30);
+constexpr Duration RequesterTime = std::chrono::seconds(30);
 /// Unused upload time that may be caught up on.
 constexpr Duration UploadBurst = std::chrono::milliseconds(50);
 
@@ -361,11 +361,11 @@
 
 std::vector<std::string> mapReceivers(TransferState &State,
                                       VersionSlot &Version, TimePoint Now) {
-  std::erase_if(State.Guests, [&](const detail::Guest &One) {
-    return Now - One.AskedAt > GuestTime;
+  std::erase_if(State.Requesters, [&](const detail::Requester &One) {
+    return Now - One.AskedAt > RequesterTime;
   });
   std::vector<PeerIndex> All = State.Neighbours;
-  for (const detail::Guest &One : State.Guests)
+  for (const detail::Requester &One : State.Requesters)
     if (std::find(All.begin(), All.end(), One.Peer) == All.end())
       All.push_back(One.Peer);
   // Peers that claim to be complete are told rarely; the claim may be wrong.
--- a/tests/process/test_configuration.py
+++ b/tests/process/test_configuration.py
@@ -207,7 +207,7 @@
 
 
 def flapping(fleet):
-    """a service that alternates between old and new values moves nobody down, and the newest gets in force"""
+    """a service that alternates between old and new values lowers no revision, and the newest comes into force"""
     service_faults(fleet, flap=True)
     try:
         with Watch(fleet) as watch:
--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -163,7 +163,7 @@
 
 
 def entry_frozen(fleet):
-    """an entry frozen before a departure and woken after it places no work on the leaving endpoint"""
+    """an entry frozen before a departure and resumed after it places no work on the leaving endpoint"""
     entry, victim = fleet.entries()[2], fleet.agents("models")[2]
     entry.daemon.send(signal.SIGSTOP)
     late = Load([entry], 50, 6)
--- a/tests/process/test_operations.py
+++ b/tests/process/test_operations.py
@@ -64,7 +64,7 @@
 
 
 def agent_frozen(fleet):
-    """an agent frozen during the run and woken late does not run it again"""
+    """an agent frozen during the run and resumed late does not run it again"""
     operation, results = opened(fleet), []
     fleet.faults(registry(fleet).endpoint_address, delay_ms=300)
     thread = run_in_background(fleet, 0, operation, results)
@@ -85,7 +85,7 @@
 
 
 def entry_frozen(fleet):
-    """an entry frozen with a run in its hands and woken late does not run it again"""
+    """an entry frozen with a run in its hands and resumed late does not run it again"""
     operation, results = opened(fleet), []
     fleet.entries()[1].daemon.send(signal.SIGSTOP)
     thread = run_in_background(fleet, 1, operation, results)
--- a/tests/process/test_rollouts.py
+++ b/tests/process/test_rollouts.py
@@ -220,7 +220,7 @@
 
 
 def frozen_before_order(fleet):
-    """an agent frozen before its order and woken after a newer revision ends on the newest version"""
+    """an agent frozen before its order and resumed after a newer revision ends on the newest version"""
     vm = fleet.agents("models")[0]
     fleet.faults(vm.endpoint_address, ignore_fence=True)
     try:
--- a/tests/process/test_streams.py
+++ b/tests/process/test_streams.py
@@ -99,7 +99,7 @@
 
 
 def agent_frozen(fleet):
-    """an agent frozen in a stream and woken late does not complete an answer twice or mix it"""
+    """an agent frozen in a stream and resumed late does not complete an answer twice or mix it"""
     text = reference(fleet, "frozen")
     victim = fleet.agents("models")[0]
     victim.daemon.send(signal.SIGSTOP)
--- a/tests/src/request_world.hpp
+++ b/tests/src/request_world.hpp
@@ -16,11 +16,11 @@
 namespace marigoldyard::test {
 
 /// The first three are in the order of RequestKind.
-enum class LetterKind { Work, Open, Run, Cancel };
+enum class RequestMessageKind { Work, Open, Run, Cancel };
 
 /// @brief Message of an entry to an agent.
-struct Letter {
-  LetterKind Kind = LetterKind::Work;
+struct RequestMessage {
+  RequestMessageKind Kind = RequestMessageKind::Work;
   std::string Request;
   std::uint32_t Attempt = 0;
   std::string Operation;
@@ -40,7 +40,7 @@
 /// @brief Work or an operation at a fake agent.
 struct Job {
   std::size_t Entry = 0;
-  Letter Asked;
+  RequestMessage Asked;
   StreamState Sent; ///< progress of a completion
   bool Started = false;
 };
@@ -111,10 +111,10 @@
     Link &Used = link(Entry, Agent);
     if (Used.Outbox.empty() || !EntryAlive[Entry])
       return false;
-    Letter Message = Used.Outbox.front();
+    RequestMessage Message = Used.Outbox.front();
     Used.Outbox.pop_front();
-    Used.Letters.push_back(Message);
-    if (Message.Kind != LetterKind::Cancel)
+    Used.Messages.push_back(Message);
+    if (Message.Kind != RequestMessageKind::Cancel)
       feed(Message.Request, request_event::WorkLeft{Message.Attempt});
     return true;
   }
@@ -122,10 +122,10 @@
   /// The oldest letter on the link arrives at the agent.
   bool arrive(std::size_t Entry, std::size_t Agent) {
     Link &Used = link(Entry, Agent);
-    if (Used.Letters.empty() || Agents[Agent].Frozen)
+    if (Used.Messages.empty() || Agents[Agent].Frozen)
       return false;
-    Letter Message = Used.Letters.front();
-    Used.Letters.pop_front();
+    RequestMessage Message = Used.Messages.front();
+    Used.Messages.pop_front();
     receive(Entry, Agent, Message);
     return true;
   }
@@ -139,11 +139,11 @@
     if (!Next.Started) {
       Next.Started = true;
       ++Requests.at(Next.Asked.Request).Starts;
-      if (Next.Asked.Kind == LetterKind::Run)
+      if (Next.Asked.Kind == RequestMessageKind::Run)
         ++Runs[Next.Asked.Operation];
       return true;
     }
-    if (Next.Asked.Kind == LetterKind::Work)
+    if (Next.Asked.Kind == RequestMessageKind::Work)
       return stepCompletion(Agent);
     Job Done = std::move(Next);
     Target.Jobs.pop_front();
@@ -194,11 +194,12 @@
 
   /// The connection closes; letters and replies on it are lost.
   void cut(std::size_t Entry, std::size_t Agent) {
-    link(Entry, Agent).Letters.clear();
+    link(Entry, Agent).Messages.clear();
     link(Entry, Agent).Replies.clear();
     // The agent cancels what it queued for the entry; what runs is stopped.
     std::erase_if(Agents[Agent].Jobs, [&](const Job &Waiting) {
-      return Waiting.Entry == Entry && Waiting.Asked.Kind == LetterKind::Work;
+      return Waiting.Entry == Entry &&
+             Waiting.Asked.Kind == RequestMessageKind::Work;
     });
     suspect(Entry, Agent);
   }
@@ -291,8 +292,8 @@
 
 private:
   struct Link {
-    std::deque<Letter> Outbox;
-    std::deque<Letter> Letters;
+    std::deque<RequestMessage> Outbox;
+    std::deque<RequestMessage> Messages;
     std::deque<Reply> Replies;
   };
 
@@ -321,24 +322,25 @@
   void perform(const std::string &Id, const RequestAction &Action) {
     namespace action = request_action;
     FakeRequest &Request = Requests.at(Id);
-    auto Outbox = [&](const std::string &Peer) -> std::deque<Letter> & {
+    auto Outbox = [&](const std::string &Peer) -> std::deque<RequestMessage> & {
       return link(Request.Entry, agentIndex(Peer)).Outbox;
     };
     if (const auto *Choice = std::get_if<action::ChooseEndpoint>(&Action)) {
       choose(Id, *Choice);
     } else if (const auto *Send = std::get_if<action::SendWork>(&Action)) {
       Outbox(Send->Peer)
-          .push_back({static_cast<LetterKind>(Request.State.Kind), Id,
+          .push_back({static_cast<RequestMessageKind>(Request.State.Kind), Id,
                       Send->Attempt, Request.State.Operation, Request.Caller,
                       Send->Weights});
     } else if (const auto *Back = std::get_if<action::WithdrawWork>(&Action)) {
-      if (std::erase_if(Outbox(Back->Peer), [&](const Letter &Waiting) {
+      if (std::erase_if(Outbox(Back->Peer), [&](const RequestMessage &Waiting) {
             return Waiting.Request == Id && Waiting.Attempt == Back->Attempt;
           }) > 0)
         feed(Id, request_event::WorkWithdrawn{Back->Attempt});
     } else if (const auto *Stop = std::get_if<action::CancelTry>(&Action)) {
       Outbox(Stop->Peer)
-          .push_back({LetterKind::Cancel, Id, Stop->Attempt, "", "", ""});
+          .push_back(
+              {RequestMessageKind::Cancel, Id, Stop->Attempt, "", "", ""});
     } else if (const auto *Piece = std::get_if<action::DeliverPiece>(&Action)) {
       Request.Delivered += Piece->Text;
     } else {
@@ -375,17 +377,18 @@
     feed(Id, request_event::EndpointUnavailable{});
   }
 
-  void receive(std::size_t Entry, std::size_t Agent, const Letter &Message) {
+  void receive(std::size_t Entry, std::size_t Agent,
+               const RequestMessage &Message) {
     FakeAgent &Target = Agents[Agent];
     auto Answer = [&](const RequestEvent &Event) {
       reply(Entry, Agent, Message.Request, Event);
     };
-    if (Message.Kind == LetterKind::Cancel) {
+    if (Message.Kind == RequestMessageKind::Cancel) {
       cancel(Entry, Agent, Message);
-    } else if (Message.Kind == LetterKind::Open) {
+    } else if (Message.Kind == RequestMessageKind::Open) {
       auto Id = openOperation(Target.Table, Message.Caller, "ledger");
       Answer(request_event::Opened{Target.Name, Id ? *Id : ""});
-    } else if (Message.Kind == LetterKind::Run) {
+    } else if (Message.Kind == RequestMessageKind::Run) {
       RunDecision Decision = runOperation(
           Target.Table, Message.Operation, Message.Caller,
           {std::to_string(Entry), Message.Request},
@@ -414,7 +417,8 @@
     link(Entry, Agent).Replies.push_back({Request, "", "", Event});
   }
 
-  void cancel(std::size_t Entry, std::size_t Agent, const Letter &Message) {
+  void cancel(std::size_t Entry, std::size_t Agent,
+              const RequestMessage &Message) {
     std::deque<Job> &Jobs = Agents[Agent].Jobs;
     auto Found =
         std::find_if(Jobs.begin(), Jobs.end(), [&](const Job &Waiting) {
@@ -446,7 +450,7 @@
   bool stepCompletion(std::size_t Agent) {
     FakeAgent &Target = Agents[Agent];
     Job &Next = Target.Jobs.front();
-    const Letter &Asked = Next.Asked;
+    const RequestMessage &Asked = Next.Asked;
     Reply Back{Asked.Request, Target.Weights, "", request_event::Begun{}};
     bool Last = Next.Sent.Next == PiecesPerAnswer;
     if (Last) {
--- a/tests/src/unit-coordination-routing.cpp
+++ b/tests/src/unit-coordination-routing.cpp
@@ -141,7 +141,8 @@
 }
 
 TEST_CASE("equal endpoints share the requests") {
-  // Guards against herds on the first or the least loaded endpoint.
+  // Guards against many entries choosing the first or the least loaded endpoint
+  // at once.
   Random Generator(1);
   std::vector<EndpointView> Views;
   Views.reserve(20);
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -135,7 +135,7 @@
     uploadAsked(State, "stranger-" + std::to_string(Step), "a", Start);
   }
   CHECK(plan<RefuseChunk>(State, Start).size() <= 64);
-  CHECK(State.Guests.size() <= 8);
+  CHECK(State.Requesters.size() <= 8);
 }
 
 TEST_CASE("a map that does not fit the descriptor is an error with its peer") {
