Do not wait for a refused revision before serving

Cause: a process that started within the last 12 s waited for the highest revision it had heard of, also when it had refused that revision as invalid, and answered 503 meanwhile. Change: a refused revision is not awaited; a higher one is. Conclusion: an invalid manifest no longer takes restarted processes out of service.

--- a/src/coordination/configuration.cpp
+++ b/src/coordination/configuration.cpp
@@ -245,8 +245,11 @@
                        Waited >= State.Timeouts.Service;
   const bool Peers =
       !State.PeersHeard.empty() || Waited >= State.Timeouts.Peers;
+  // A refused revision will never be in force, so it is not awaited.
+  const bool HighestRefused =
+      State.LastRefused && State.LastRefused->Number >= State.HighestHeard;
   const bool Current = revisionInForce(State) >= State.HighestHeard ||
-                       Waited >= State.Timeouts.CatchUp;
+                       HighestRefused || Waited >= State.Timeouts.CatchUp;
   return Service && Peers && Current;
 }
 
--- a/tests/src/unit-coordination-configuration.cpp
+++ b/tests/src/unit-coordination-configuration.cpp
@@ -141,6 +141,22 @@
   CHECK(configurationReady(State, Start + State.Timeouts.CatchUp));
 }
 
+TEST_CASE("a refused revision does not keep a starting process from serving") {
+  ConfigurationState State = startConfiguration(Start);
+  acceptAll(State, makeIndex(4, 2));
+  notePeerRevision(State, "peer-1", 4);
+  const ConfigurationIndex Next = makeIndex(6, 2);
+  receiveIndex(State, Next, ServiceSource);
+  CHECK_FALSE(configurationReady(State, Start));
+  auto Values = valuesFor(Next);
+  Values.back() = invalidValue(Values.back().Key, Values.back().Id);
+  receiveValues(State, Values, ServiceSource);
+  CHECK(configurationReady(State, Start));
+  // A higher one that may still come into force is awaited again.
+  notePeerRevision(State, "peer-1", 7);
+  CHECK_FALSE(configurationReady(State, Start));
+}
+
 TEST_CASE("several peers stand for the service at the start") {
   ConfigurationState State = startConfiguration(Start);
   acceptAll(State, makeIndex(4, 2), "peer-1");
