--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -52,8 +52,10 @@
     except subprocess.TimeoutExpired as error:
         return [(f"{name} / (script)", False, f"{error}")]
     output = (run.stdout + run.stderr)[-6000:]
-    results = [(f"{name} / {case.strip()}", verdict == "passed", output if verdict == "failed" else "")
-               for verdict, case in re.findall(r"^case (passed|failed): (.*)$", run.stdout, re.M)]
+    # The trace follows the line of its case; logs of the processes after it may be long.
+    results = [(f"{name} / {found.group(2).strip()}", found.group(1) == "passed",
+                "" if found.group(1) == "passed" else run.stdout[found.end():found.end() + 4000])
+               for found in re.finditer(r"^case (passed|failed): (.*)$", run.stdout, re.M)]
     if not results or (run.returncode != 0 and all(passed for _, passed, _ in results)):
         results.append((f"{name} / (script)", run.returncode == 0, output))
     return results
