Give up a lost try in one place, and remove two unused members

Cause: the read-through found the withdrawal of a lost try written twice, for unanswered work and for a lost peer, and Node::connected and ActiveRequest::FirstText unused. Change: Entry::loseTry serves both; the unused members are gone.

--- a/programs/entry/entry.hpp
+++ b/programs/entry/entry.hpp
@@ -31,7 +31,6 @@
   std::string RunBody;          ///< valid for OperationRun
   std::uint32_t EstimatedTokens = 1;
   bool Started = false; ///< the head of a streamed answer was sent
-  bool FirstText = false;
   TimePoint ArrivedAt;
   TimePoint TimerAt;
   std::string SentTo; ///< endpoint that holds the current try, or empty
@@ -100,6 +99,7 @@
   void answerOutcome(ActiveRequest &Active, Outcome Result, const Error &Reason,
                      std::chrono::milliseconds RetryAfter);
   void finished(RequestIterator Found);
+  void loseTry(const std::string &Id, const std::string &Peer);
   void armTimer(const std::string &Id, ActiveRequest &Active);
   void watchAcknowledgement(const std::string &Id, std::uint32_t Attempt);
   void countOutcome(const ActiveRequest &Active, Outcome Result);
--- a/programs/entry/entry_requests.cpp
+++ b/programs/entry/entry_requests.cpp
@@ -166,14 +166,22 @@
     const std::string Peer = Found->second.SentTo;
     workUnanswered(Base.Members, Peer, now());
     Base.record("work_unanswered", Id, Peer);
-    std::vector<RequestEvent> Proof;
-    withdrawTry(Found->second, {Peer, Attempt}, Proof);
-    for (RequestEvent &Event : Proof)
-      feed(Id, std::move(Event));
-    feed(Id, request_event::PeerLost{Peer});
+    loseTry(Id, Peer);
   });
 }
 
+// Withdraws the current try first, because only work that left may have run.
+void Entry::loseTry(const std::string &Id, const std::string &Peer) {
+  const auto Found = Requests.find(Id);
+  if (Found == Requests.end())
+    return;
+  std::vector<RequestEvent> Proof;
+  withdrawTry(Found->second, {Peer, Found->second.SentAttempt}, Proof);
+  for (RequestEvent &Event : Proof)
+    feed(Id, std::move(Event));
+  feed(Id, request_event::PeerLost{Peer});
+}
+
 void Entry::withdrawTry(ActiveRequest &Active,
                         const request_action::WithdrawWork &Try,
                         std::vector<RequestEvent> &Next) {
--- a/programs/entry/entry_routing.cpp
+++ b/programs/entry/entry_routing.cpp
@@ -213,16 +213,8 @@
   for (const auto &[Id, Active] : Requests)
     if (Active.SentTo == Peer)
       Affected.push_back(Id);
-  for (const std::string &Id : Affected) {
-    const auto Found = Requests.find(Id);
-    if (Found == Requests.end())
-      continue;
-    std::vector<RequestEvent> Proof;
-    withdrawTry(Found->second, {Peer, Found->second.SentAttempt}, Proof);
-    for (RequestEvent &Event : Proof)
-      feed(Id, std::move(Event));
-    feed(Id, request_event::PeerLost{Peer});
-  }
+  for (const std::string &Id : Affected)
+    loseTry(Id, Peer);
 }
 
 void Entry::configurationChanged() {
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -196,11 +196,6 @@
   Messages->addPeer(Address);
 }
 
-bool Node::connected(const std::string &Peer) const {
-  const std::string Address = peerAddress(Peer, Settings.PeerPort);
-  return !Address.empty() && Messages->connected(Address);
-}
-
 std::size_t Node::waitingMessages() const {
   std::size_t Waiting = 0;
   for (const auto &[Address, Peer] : NamesByAddress)
--- a/programs/node/node.hpp
+++ b/programs/node/node.hpp
@@ -93,9 +93,6 @@
   /// @brief Opens a connection to a peer before the first message.
   /// @param Peer name of the peer
   void connect(const std::string &Peer);
-  /// @brief Whether a connection to a peer is open.
-  /// @param Peer name of the peer
-  bool connected(const std::string &Peer) const;
 
   /// @return messages that wait in the outboxes of current peers
   std::size_t waitingMessages() const;
