Add the gateway and the stager for the users' platform

Cause: the platform has no slot on the request path, so requests go straight to servers and weights are staged beside them. Change: marigold-gateway (routing, admission, retries, streams, directory) and marigold-stager (weights, orders), with the decisions in coordination/ and the shared duties in programs/fleet/.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -47,3 +47,10 @@
   target_include_directories(${Name} PRIVATE ${PROJECT_SOURCE_DIR})
   target_link_libraries(${Name} PRIVATE marigoldyard_node marigoldyard_options)
 endfunction()
+
+# Adds a program that runs on the users' platform, placed at the root of the build folder.
+function(marigoldyard_fleet_program Name Folder)
+  file(GLOB Sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${Folder}/*.cpp)
+  add_executable(${Name} ${Sources})
+  target_link_libraries(${Name} PRIVATE marigoldyard_fleet marigoldyard_options)
+endfunction()
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -41,6 +41,14 @@
   Duration FullRefreshInterval =
       std::chrono::seconds(60); ///< of maps to peers that claim to be complete
   Duration BanTime = std::chrono::seconds(60); ///< doubles with each ban
+  /// Answer to a request for a chunk that is on its way.
+  Duration NotYetRetry = std::chrono::seconds(1);
+  /// First pause after a failed draw; it doubles up to StoreBackoffMax.
+  Duration StoreBackoff = std::chrono::seconds(1);
+  Duration StoreBackoffMax = std::chrono::seconds(30);
+  /// Interval of the checks of later owners and importers, and of questions
+  /// for another source after a stall.
+  Duration StandbyInterval = std::chrono::seconds(1);
   std::size_t MaxInFlight = 8; ///< requests to peers of the own region
   std::size_t MaxImports = 8;  ///< requests to peers of one other region
   std::size_t MaxPerPeer = 4;
--- /dev/null
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "marigoldyard/state/fleet.hpp"
+#include "marigoldyard/state/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace marigoldyard {
+
+/// @brief Times of the loading of versions on one server.
+struct LoadPlanSettings {
+  /// Time from a declaration until no request may begin on an older version.
+  Duration VersionLimit = std::chrono::seconds(8);
+  /// Part of the limit in which servers load in turns; after it each loads as
+  /// soon as it can, because a server that is late serves nothing.
+  double TurnShare = 0.5;
+  /// Part of a region's servers that may be out of service at once.
+  double UnavailableShare = 0.34;
+  /// Time between the announcement and the order, in which gateways stop
+  /// sending, so that fewer requests are refused by the server.
+  Duration AnnounceLead = std::chrono::milliseconds(40);
+  /// Longest wait for an order to take effect before it is given again. A
+  /// server ends its running streams first.
+  Duration OrderLimit = std::chrono::seconds(5);
+};
+
+/// @brief Stage of the loading of one version.
+enum class LoadStage : std::uint8_t {
+  Serving,   ///< nothing to load
+  Fetching,  ///< pieces are missing
+  Staging,   ///< pieces are written to the server and read back
+  Waiting,   ///< staged; others have their turn
+  Announced, ///< gateways are told; the order follows
+  Loading,   ///< the order was given
+};
+
+/// @brief Name of a stage for logs.
+/// @param Value the stage
+/// @return a lower-case name
+std::string_view loadStageName(LoadStage Value);
+
+/// @brief What is known when the next step is decided.
+struct LoadFacts {
+  bool Complete = false; ///< all pieces are held and verified
+  bool Staged = false;   ///< all pieces were read back from the server
+  bool Loaded = false;   ///< the server reports the version
+  bool Busy = false;     ///< the server carries out an order
+  bool Empty = false;    ///< the server serves no version of the model
+  bool MayBeUnready = false; ///< it is the server's turn
+};
+
+/// @brief Loading of one version on one server.
+struct LoadState {
+  LoadPlanSettings Settings;
+  DeclaredVersion Target;
+  TimePoint DeclaredAt{};
+  LoadStage Stage = LoadStage::Fetching;
+  TimePoint Since{}; ///< of the stage
+};
+
+/// @brief Begins the loading of a version.
+/// @param Settings the times
+/// @param Target the version
+/// @param Now the time
+LoadState beginLoad(LoadPlanSettings Settings, DeclaredVersion Target,
+                    TimePoint Now);
+
+/// @brief Moves on to the stage that the facts call for. On entry to Staging
+/// the pieces are to be written and read back, on entry to Announced the
+/// gateways are to be told, on entry to Loading the order is to be given.
+/// @param State the loading
+/// @param Facts what is known
+/// @param Now the time
+/// @return true when the stage changed
+bool stepLoad(LoadState &State, const LoadFacts &Facts, TimePoint Now);
+
+/// @brief An order was refused or staged pieces were spoilt: they are staged
+/// again.
+/// @param State the loading
+/// @param Now the time
+void restage(LoadState &State, TimePoint Now);
+
+/// @brief How many servers of a region may be out of service at once.
+/// @param State the loading
+/// @param Servers servers of the region
+/// @param Now the time
+std::uint32_t unavailableLimit(const LoadState &State, std::size_t Servers,
+                               TimePoint Now);
+
+} // namespace marigoldyard
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -52,6 +52,17 @@
 MARIGOLDYARD_FIELDS(Member, M.Name, M.Address, M.Kind, M.Region,
                     M.FailureDomain, M.Pool, M.Leaving)
 MARIGOLDYARD_FIELDS(Hello, M.Sender)
+MARIGOLDYARD_FIELDS(LoadedWeights, M.Model, M.Version)
+MARIGOLDYARD_FIELDS(StoreItem, M.Key, M.Value, M.ChangedAt, M.Deleted)
+MARIGOLDYARD_FIELDS(GatewayStatus, M.Sender, M.CallerAddress, M.Ready,
+                    M.Leaving, M.KnownUpto, M.Gateways)
+MARIGOLDYARD_FIELDS(EngineStatus, M.Sender, M.Server, M.StartedAtMs,
+                    M.Accepting, M.Weights)
+MARIGOLDYARD_FIELDS(StoreRelayRequest, M.After, M.Prefix)
+MARIGOLDYARD_FIELDS(StoreRelay, M.Items, M.Upto)
+MARIGOLDYARD_FIELDS(DescriptorRequest, M.Model, M.Version)
+MARIGOLDYARD_FIELDS(DescriptorReply, M.Model, M.Version, M.ChunkBytes,
+                    asDigest(M.Chunks))
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/include/marigoldyard/protocol/digest.hpp
+++ b/include/marigoldyard/protocol/digest.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/state/manifest.hpp"
 #include "marigoldyard/state/types.hpp"
 
 #include <cstdint>
@@ -26,4 +27,11 @@
 /// @complexity constant
 bool isDigest(std::string_view Text);
 
+/// @brief Digest that identifies a version by its model, name and chunks, for
+/// platforms that name none.
+/// @param Descriptor the version; its Id is not used
+/// @return SHA-256 of the content
+/// @complexity linear in the number of chunks
+Digest descriptorDigest(const VersionDescriptor &Descriptor);
+
 } // namespace marigoldyard
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "marigoldyard/state/error.hpp"
+#include "marigoldyard/state/fleet.hpp"
 #include "marigoldyard/state/manifest.hpp"
+#include "marigoldyard/state/store_item.hpp"
 #include "marigoldyard/state/types.hpp"
 
 #include <chrono>
@@ -193,6 +195,53 @@
   Member Sender;
 };
 
+/// @brief Gateway to gateways and stagers: who serves callers. Addresses of
+/// gateways name them, because the platform lists none.
+struct GatewayStatus {
+  Member Sender;
+  std::string CallerAddress; ///< "host:port" for callers
+  bool Ready = false;
+  bool Leaving = false;
+  StoreRevision KnownUpto = 0; ///< of the store
+  std::vector<std::string> Gateways; ///< live ones that the sender knows
+};
+
+/// @brief Stager to gateways and stagers: state of the server on its machine.
+struct EngineStatus {
+  Member Sender;
+  std::string Server; ///< its address
+  std::int64_t StartedAtMs = 0;
+  bool Accepting = true; ///< false while it is about to load or loads
+  std::vector<LoadedWeights> Weights;
+};
+
+/// @brief Asks a gateway for what the platform's store holds.
+struct StoreRelayRequest {
+  StoreRevision After = 0; ///< everything up to here is known
+  std::string Prefix;      ///< of the keys
+};
+
+/// @brief Items of the platform's store that the asking process lacks.
+struct StoreRelay {
+  std::vector<StoreItem> Items;
+  StoreRevision Upto = 0; ///< the items are complete up to here
+};
+
+/// @brief Stager to stager: asks for the chunks of a version, because the
+/// origin does not answer.
+struct DescriptorRequest {
+  std::string Model;
+  std::uint64_t Version = 0;
+};
+
+/// @brief The chunks of a version in order.
+struct DescriptorReply {
+  std::string Model;
+  std::uint64_t Version = 0;
+  std::uint64_t ChunkBytes = 0;
+  std::vector<Digest> Chunks;
+};
+
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
 using Body =
@@ -200,7 +249,9 @@
                  CancelWork, OperationOpen, OperationOpened, OperationRun,
                  OperationResult, Report, ConfigurationOffer,
                  ConfigurationRequest, ConfigurationValues, ChunkMap,
-                 ChunkRequest, ChunkData, ChunkRefused, Hello>;
+                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
+                 EngineStatus, StoreRelayRequest, StoreRelay,
+                 DescriptorRequest, DescriptorReply>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- /dev/null
+++ b/programs/gateway/gateway.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "marigoldyard/coordination/dispatch_queue.hpp"
+#include "marigoldyard/coordination/drain.hpp"
+#include "marigoldyard/coordination/retry.hpp"
+#include "marigoldyard/coordination/route_table.hpp"
+#include "marigoldyard/coordination/server_table.hpp"
+#include "programs/fleet/fleet_main.hpp"
+#include "programs/fleet/fleet_node.hpp"
+#include "programs/gateway/caller_session.hpp"
+#include "programs/gateway/server_connections.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marigoldyard {
+
+/// @brief Serves callers: directory, readiness, admission, routing, forwarding.
+///
+/// One thread carries a request from socket to socket, because each hand-over
+/// between threads costs a wake-up on the platform; log output, messages and
+/// the operator's pages have threads of their own.
+class Gateway {
+public:
+  /// @param Settings checked settings
+  /// @param File the settings file, read again while the process runs
+  Gateway(GatewaySettings Settings, SettingsFile<GatewaySettings> File);
+
+  /// @brief Opens the sockets and starts the duties.
+  /// @return an error when a socket cannot be opened
+  std::optional<Error> start();
+
+  /// @return the shared duties
+  FleetNode &node() { return Base; }
+  /// @return the configuration in force, or null
+  std::shared_ptr<const RouteTable> routes() const { return Routes; }
+  /// @return servers as this process sees them
+  ServerTable &servers() { return Servers; }
+  /// @return idle connections to servers
+  ServerConnections &connections() { return Connections; }
+  /// @return departure of this process
+  DrainState &departure() { return Departure; }
+  /// @return whether callers may be sent here
+  bool ready() const;
+
+  /// @brief Waits for a server with room.
+  /// @param Question what it is needed for
+  /// @param Request position and limits in the queue
+  /// @param Left called with a handler that ends the wait early
+  /// @return the server, counted as begun, or why there is none
+  boost::asio::awaitable<ServerChoice>
+  acquireServer(ServerQuestion Question, WaitingRequest Request,
+                const std::function<void(std::function<void()>)> &Left);
+  /// @brief Counts the end of a request at a server and begins waiting ones.
+  /// @param Id the server
+  void releaseServer(const std::string &Id);
+
+  /// @brief Retry budget of a pool.
+  /// @param Pool name of the pool
+  RetryBudget &retryBudget(const std::string &Pool);
+
+  /// @brief Counts an answer to a caller and its latency.
+  /// @param Kind kind of route
+  /// @param Result outcome for logs and metrics
+  /// @param Latency since the request was read
+  void countAnswer(std::string_view Kind, std::string_view Result,
+                   Duration Latency);
+
+private:
+  struct Waiter {
+    ServerQuestion Question;
+    std::optional<ServerChoice> Grant;
+    boost::asio::steady_timer *Wake = nullptr;
+  };
+
+  std::optional<Error>
+  listen(const ServerAddress &Address, SessionHandlers Handlers);
+  boost::asio::awaitable<void>
+  acceptLoop(std::shared_ptr<boost::asio::ip::tcp::acceptor> Acceptor,
+             SessionHandlers Handlers);
+  SessionHandlers callerHandlers();
+  SessionHandlers ownHandlers();
+  boost::asio::awaitable<bool>
+  answerOwn(CallerSession &Session, const platform::RequestMessage &Request);
+  std::string directoryBody(const std::string &Region) const;
+
+  void storeChanged(const ChangedKeys &Keys);
+  void configurationChanged(const StoreItem &Item);
+  void serverChanged(const std::string &Key);
+  void versionChanged(const StoreItem &Item);
+  void received(const Message &Incoming);
+  void tick();
+  void sendStatus();
+  void enforceVersions();
+  void beginWaiting();
+  void beginWaiting(const std::string &Pool);
+  void wake(std::uint64_t Ticket, ServerChoice Grant);
+  void terminate();
+  void rereadSettings();
+
+  GatewaySettings Settings;
+  SettingsFile<GatewaySettings> File;
+  FleetNode Base;
+  std::shared_ptr<const RouteTable> Routes;
+  ServerTable Servers;
+  DispatchQueue Queue;
+  std::map<std::uint64_t, Waiter> Waiters; ///< by ticket
+  ServerConnections Connections;
+  std::map<std::string, RetryBudget> Budgets;
+  DrainState Departure;
+  std::set<std::weak_ptr<CallerSession>, std::owner_less<>> Sessions;
+  std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
+  /// Declared versions that are not required yet, and when they will be.
+  std::vector<std::pair<TimePoint, DeclaredVersion>> Declared;
+  TimePoint StatusAt{};
+  TimePoint StagerStatusAt{};
+  TimePoint MaintenanceAt{};
+};
+
+} // namespace marigoldyard
--- /dev/null
+++ b/programs/stager/stager.cpp
@@ -0,0 +1,266 @@
+// Members, configuration and messages of a stager.
+#include "programs/stager/stager.hpp"
+
+#include "marigoldyard/protocol/digest.hpp"
+#include "marigoldyard/transport/clock.hpp"
+#include "platform/store_format.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Keys that a gateway relays: versions and the configuration.
+constexpr std::string_view RelayPrefix = "op/";
+/// Interval of status messages without a change.
+constexpr std::chrono::seconds StatusInterval{2};
+/// Interval of listings of the pool's servers; changes are also told by status
+/// messages of the servers' stagers.
+constexpr std::chrono::seconds PeersInterval{5};
+/// Interval of tries to read the configuration until it is known.
+constexpr std::chrono::milliseconds ConfigurationInterval{500};
+/// Interval of checks of the settings file.
+constexpr std::chrono::seconds MaintenanceInterval{2};
+/// A stager that is silent for this long is no source of pieces.
+constexpr std::chrono::seconds PeerForgetAfter{10};
+constexpr unsigned StatusOk = 200;
+
+std::string hostOf(const std::string &Address) {
+  return Address.substr(0, Address.rfind(':'));
+}
+
+} // namespace
+
+Stager::Stager(StagerSettings Given, SettingsFile<StagerSettings> Source)
+    : Settings(std::move(Given)), File(std::move(Source)),
+      Base(Settings.Process, MemberKind::Endpoint,
+           std::string(platform::versionKeys()), std::string(RelayPrefix)),
+      EngineClient(Base.Context) {}
+
+std::optional<Error> Stager::start() {
+  FleetHandlers Handlers;
+  Handlers.StoreChanged = [this](const ChangedKeys &Keys) {
+    storeChanged(Keys);
+  };
+  Handlers.Received = [this](const Message &Incoming) { received(Incoming); };
+  Handlers.PeerLost = [this](const std::string &Peer) {
+    if (Transfer)
+      transferPeerLost(*Transfer, Peer, now());
+  };
+  Handlers.Tick = [this] { tick(); };
+  Handlers.Terminate = [this] {
+    // The server serves on without its stager, so there is nothing to wait for.
+    Base.Log.write({.Event = "stopped", .At = Step::Drain});
+    Base.stop();
+  };
+  Handlers.SettingsChanged = [this] { rereadSettings(); };
+  return Base.start(std::move(Handlers));
+}
+
+void Stager::storeChanged(const ChangedKeys &Keys) {
+  const auto &Items = Base.Store.mirror().Items;
+  for (const std::string &Key : Keys) {
+    const auto Found = Items.find(Key);
+    if (Found == Items.end())
+      continue;
+    const platform::ItemKind Kind = platform::itemKind(Key);
+    if (Kind == platform::ItemKind::Configuration) {
+      configurationRead(Found->second.Value);
+    } else if (Kind == platform::ItemKind::ModelVersion) {
+      if (auto Version = platform::parseDeclaredVersion(Found->second.Value))
+        versionDeclared(*Version);
+      else
+        Base.Log.write("version_refused", Version.error());
+    }
+  }
+}
+
+void Stager::versionDeclared(const DeclaredVersion &Version) {
+  const auto Known = Models.find(Version.Model);
+  if (Known != Models.end() &&
+      Known->second.Load.Target.Version >= Version.Version)
+    return;
+  Base.Log.write({.Event = "version_declared",
+                  .At = Step::ConfigurationAccept,
+                  .Fields = {{"model", Version.Model},
+                             {"version", std::to_string(Version.Version)}}});
+  ModelState Model;
+  LoadPlanSettings Times;
+  Times.VersionLimit = Settings.Process.VersionLimit;
+  Model.Load = beginLoad(Times, Version, now());
+  Model.Rollout = makeRollout(
+      Settings.Process.Address,
+      {.DeadAfter = std::chrono::seconds(3),
+       .TurnTimeout = std::chrono::milliseconds(2500)});
+  // The pieces of an earlier version are in memory already.
+  Model.SeededFromStage =
+      Known != Models.end() && Known->second.SeededFromStage;
+  Models.insert_or_assign(Version.Model, std::move(Model));
+  readPeers();
+  if (Origin)
+    readManifest(Models.at(Version.Model));
+}
+
+void Stager::readConfiguration() {
+  ConfigurationAt = now() + ConfigurationInterval;
+  Base.Client.call(
+      platform::listCall(addressText(Base.Settings.Store),
+                         platform::configurationKey(), {}, true),
+      [this](const HttpResult &Result) {
+        const auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response == nullptr || Response->Status != StatusOk)
+          return;
+        const auto Answer = platform::parseStoreAnswer(Response->Body);
+        if (Answer && !Answer->Items.empty())
+          configurationRead(Answer->Items.front().Value);
+      });
+}
+
+void Stager::configurationRead(const std::string &Text) {
+  auto Parsed = platform::parseFleetConfiguration(Text);
+  if (!Parsed) {
+    Base.Log.write("configuration_refused", Parsed.error());
+    return;
+  }
+  if (!Parsed->Origin)
+    return;
+  Origin = std::move(Parsed->Origin);
+  const auto Region = Settings.Process.RegionOf.find(Origin->FailureDomain);
+  if (!Transfer)
+    makeTransferState(
+        Region == Settings.Process.RegionOf.end() ? "" : Region->second);
+  for (auto &[Name, Model] : Models)
+    if (!Model.Descriptor)
+      readManifest(Model);
+}
+
+void Stager::readPeers() {
+  PeersAt = now() + PeersInterval;
+  Base.Client.call(
+      platform::listCall(addressText(Base.Settings.Store),
+                         platform::serverKeys(), {}, true),
+      [this](const HttpResult &Result) {
+        const auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response == nullptr || Response->Status != StatusOk)
+          return;
+        const auto Answer = platform::parseStoreAnswer(Response->Body);
+        if (!Answer)
+          return Base.Log.write("store_answer_invalid", Answer.error());
+        for (const StoreItem &Item : Answer->Items) {
+          const auto Record = platform::parseServerRecord(Item.Key, Item.Value);
+          if (!Record || !Record->Weights ||
+              hostOf(Record->Address) == Settings.Process.Address)
+            continue;
+          const auto Region =
+              Settings.Process.RegionOf.find(Record->FailureDomain);
+          PeerState &Peer = Peers[hostOf(Record->Address)];
+          Peer.Heard = now();
+          if (Region != Settings.Process.RegionOf.end())
+            Peer.Region = Region->second;
+        }
+        updateTransferMembers();
+      });
+}
+
+void Stager::updateTransferMembers() {
+  std::erase_if(Peers, [](const auto &Each) {
+    return now() - Each.second.Heard > PeerForgetAfter;
+  });
+  if (!Transfer)
+    return;
+  std::vector<TransferPeer> Members{
+      {Settings.Process.Address, Settings.Process.Region, false}};
+  for (const auto &[Address, Peer] : Peers)
+    Members.push_back({Address, Peer.Region, false});
+  transferMembers(*Transfer, Members, now());
+  PlanDue = true;
+}
+
+void Stager::received(const Message &Incoming) {
+  const std::string &Peer = Incoming.Head.Sender;
+  const Body &Content = Incoming.Content;
+  if (const auto *Status = std::get_if<EngineStatus>(&Content))
+    return engineStatus(Peer, *Status);
+  if (std::holds_alternative<DescriptorRequest>(Content) ||
+      std::holds_alternative<DescriptorReply>(Content))
+    return descriptorMessage(Peer, Content);
+  if (!Transfer)
+    return;
+  PlanDue = true;
+  if (const auto *Map = std::get_if<ChunkMap>(&Content)) {
+    if (!Map->HasDescriptor)
+      peerHoldsNothing(*Transfer, Peer, Map->Version);
+    else if (auto Failure = chunkMapReceived(*Transfer, Peer, Map->Version,
+                                             Map->Held, now()))
+      Base.Log.write("chunk_map_refused", *Failure);
+    if (Map->Asks)
+      mapAsked(*Transfer, Peer, Map->Version);
+  } else if (const auto *Asked = std::get_if<ChunkRequest>(&Content)) {
+    uploadAsked(*Transfer, Peer, Asked->Chunk, now());
+  } else if (const auto *Denied = std::get_if<ChunkRefused>(&Content)) {
+    chunkRefused(*Transfer, Denied->Chunk, Peer, Denied->RetryAfter, now());
+  } else if (const auto *Data = std::get_if<ChunkData>(&Content)) {
+    chunkArrived(Data->Chunk, Peer,
+                 std::string(Data->Bytes.begin(), Data->Bytes.end()));
+  }
+}
+
+void Stager::engineStatus(const std::string &Peer, const EngineStatus &Status) {
+  const bool New = !Peers.contains(Peer);
+  PeerState &Known = Peers[Peer];
+  Known = {Status.Sender.Region, now(), Status.Weights, Status.Accepting};
+  if (New)
+    updateTransferMembers();
+}
+
+void Stager::announceStatus() {
+  if (!Report)
+    return;
+  StatusAt = now() + StatusInterval;
+  EngineStatus Status;
+  Status.Sender = Base.self();
+  Status.Server = addressText(Settings.Engine);
+  Status.StartedAtMs = Report->StartedAtMs;
+  Status.Accepting = Accepting;
+  Status.Weights = Report->Weights;
+  for (const std::string &Gateway : Base.gatewayAddresses())
+    Base.send(Gateway, Status);
+  for (const auto &[Address, Peer] : Peers)
+    Base.send(Address, Status);
+}
+
+Stager::ModelState *Stager::findModel(const std::string &Model) {
+  const auto Found = Models.find(Model);
+  return Found == Models.end() ? nullptr : &Found->second;
+}
+
+void Stager::tick() {
+  const TimePoint Now = now();
+  readReport();
+  if (!Origin && Now >= ConfigurationAt)
+    readConfiguration();
+  if (Now >= PeersAt)
+    readPeers();
+  if (Now >= StatusAt)
+    announceStatus();
+  for (auto &[Name, Model] : Models)
+    if (Origin && !Model.Descriptor && Now >= Model.ManifestAt)
+      readManifest(Model);
+  plan();
+  stepModels();
+  if (Now >= MaintenanceAt) {
+    MaintenanceAt = Now + MaintenanceInterval;
+    rereadSettings();
+  }
+}
+
+void Stager::rereadSettings() {
+  if (auto Fresh = File.readIfChanged()) {
+    Settings.Process.Seeds = Fresh->Process.Seeds;
+    Base.useSettings(Fresh->Process);
+    Base.Log.write({.Event = "settings_reloaded", .At = Step::Settings});
+  }
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/programs/stager/stager_transfer.cpp
@@ -0,0 +1,251 @@
+// Pieces of versions: performs the actions of the transfer decision.
+#include "programs/stager/stager.hpp"
+
+#include "marigoldyard/protocol/digest.hpp"
+#include "marigoldyard/transport/clock.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+/// First pause after a failed read of a manifest; it grows with each failure.
+constexpr std::chrono::milliseconds ManifestRetry{200};
+constexpr std::size_t MaxManifestPauses = 5;
+constexpr std::uint64_t BitsPerByte = 8;
+
+/// A version has seconds to reach all machines, so stalls are noticed within a
+/// fraction of that.
+TransferSettings transferSettings(const FleetProcessSettings &Process,
+                                  const std::string &StoreRegion) {
+  TransferSettings Result;
+  Result.Self = Process.Address;
+  Result.Region = Process.Region;
+  Result.StoreRegion = StoreRegion;
+  Result.UploadBytesPerSecond =
+      static_cast<std::uint64_t>(Process.LinkBitsPerSecond) / BitsPerByte;
+  Result.StallTimeout = std::chrono::milliseconds(800);
+  Result.StoreTimeout = std::chrono::seconds(3);
+  Result.MapWait = std::chrono::milliseconds(150);
+  Result.AnnounceInterval = std::chrono::milliseconds(60);
+  Result.RefreshInterval = std::chrono::seconds(1);
+  Result.FullRefreshInterval = std::chrono::seconds(5);
+  Result.BanTime = std::chrono::seconds(5);
+  Result.NotYetRetry = std::chrono::milliseconds(150);
+  Result.StoreBackoff = std::chrono::milliseconds(150);
+  Result.StoreBackoffMax = std::chrono::milliseconds(1500);
+  Result.StandbyInterval = std::chrono::milliseconds(150);
+  return Result;
+}
+
+} // namespace
+
+void Stager::makeTransferState(const std::string &StoreRegion) {
+  Transfer = makeTransfer(transferSettings(Settings.Process, StoreRegion));
+  updateTransferMembers();
+}
+
+void Stager::readManifest(ModelState &Model) {
+  if (Model.ManifestAsked)
+    return;
+  Model.ManifestAsked = true;
+  const DeclaredVersion Target = Model.Load.Target;
+  // A peer may know what the origin does not tell now.
+  if (Model.ManifestFailures > 0 && !Peers.empty()) {
+    auto Peer = Peers.begin();
+    std::advance(Peer, static_cast<std::ptrdiff_t>(Base.Source() % Peers.size()));
+    Base.send(Peer->first, DescriptorRequest{Target.Model, Target.Version});
+  }
+  Base.Client.call(
+      platform::manifestCall(Origin->Address, Target),
+      [this, Target](const HttpResult &Result) {
+        const auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response == nullptr)
+          return manifestFailed(Target.Model,
+                                std::get<HttpFailure>(Result).Cause.message());
+        if (Response->Status != StatusOk)
+          return manifestFailed(Target.Model,
+                                "status " + std::to_string(Response->Status));
+        auto Descriptor = platform::parseManifest(Response->Body, Target);
+        if (!Descriptor)
+          return manifestFailed(Target.Model, Descriptor.error().message());
+        manifestKnown(Target.Model, std::move(*Descriptor));
+      });
+}
+
+void Stager::manifestFailed(const std::string &Name, const std::string &Cause) {
+  ModelState *Model = findModel(Name);
+  if (Model == nullptr)
+    return;
+  ++Model->ManifestFailures;
+  Model->ManifestAsked = false;
+  Model->ManifestAt =
+      now() + ManifestRetry * std::min(Model->ManifestFailures,
+                                       MaxManifestPauses);
+  Base.Log.write({.Level = LogLevel::Warning,
+                  .Event = "manifest_failed",
+                  .At = Step::DescriptorFetch,
+                  .Peer = "origin",
+                  .Fields = {{"model", Name}, {"cause", Cause}}});
+}
+
+void Stager::manifestKnown(const std::string &Name,
+                           VersionDescriptor Descriptor) {
+  ModelState *Model = findModel(Name);
+  if (Model == nullptr)
+    return;
+  Model->ManifestAsked = false;
+  const DeclaredVersion &Target = Model->Load.Target;
+  if (Model->Descriptor ||
+      Descriptor.Version != std::to_string(Target.Version))
+    return;
+  for (std::size_t Index = 0; Index < Descriptor.Chunks.size(); ++Index)
+    Places[Descriptor.Chunks[Index].Id] = {Target, Index};
+  Model->Descriptor = std::move(Descriptor);
+  Base.Log.write(
+      {.Event = "manifest_known",
+       .At = Step::DescriptorFetch,
+       .Fields = {{"model", Name},
+                  {"version", Model->Descriptor->Version},
+                  {"pieces",
+                   std::to_string(Model->Descriptor->Chunks.size())}}});
+  readStaged(*Model);
+}
+
+void Stager::wantVersion(ModelState &Model) {
+  std::vector<Digest> Wanted;
+  for (const auto &[Other, Each] : Models)
+    if (Each.Descriptor)
+      Wanted.push_back(Each.Descriptor->Id);
+  const TimePoint Now = now();
+  wantVersions(*Transfer, Wanted, Now);
+  chunkReceived(*Transfer, Model.Descriptor->Id, {}, true, Now);
+  if (auto Failure = descriptorKnown(*Transfer, *Model.Descriptor, Now))
+    Base.Log.write("descriptor_refused", *Failure);
+  // Pieces that were read from the staging area need no transfer.
+  std::size_t Held = 0;
+  for (const Chunk &Each : Model.Descriptor->Chunks)
+    if (Chunks.contains(Each.Id)) {
+      chunkReceived(*Transfer, Each.Id, {}, true, Now);
+      ++Held;
+    }
+  for (const Digest &Id : droppableChunks(*Transfer))
+    Chunks.erase(Id);
+  Base.Log.write({.Event = "version_wanted",
+                  .At = Step::ChunkRequest,
+                  .Fields = {{"version", Model.Descriptor->Version},
+                             {"held", std::to_string(Held)}}});
+  PlanDue = true;
+}
+
+void Stager::descriptorMessage(const std::string &Peer, const Body &Content) {
+  if (const auto *Asked = std::get_if<DescriptorRequest>(&Content)) {
+    const ModelState *Model = findModel(Asked->Model);
+    if (Model == nullptr || !Model->Descriptor ||
+        Model->Load.Target.Version != Asked->Version)
+      return;
+    DescriptorReply Reply{Asked->Model, Asked->Version, 0, {}};
+    for (const Chunk &Each : Model->Descriptor->Chunks) {
+      Reply.ChunkBytes = Each.Size;
+      Reply.Chunks.push_back(Each.Id);
+    }
+    Base.send(Peer, std::move(Reply));
+    return;
+  }
+  const auto &Reply = std::get<DescriptorReply>(Content);
+  VersionDescriptor Descriptor;
+  Descriptor.Model = Reply.Model;
+  Descriptor.Version = std::to_string(Reply.Version);
+  for (const Digest &Id : Reply.Chunks)
+    Descriptor.Chunks.push_back({Id, Reply.ChunkBytes});
+  Descriptor.Id = descriptorDigest(Descriptor);
+  if (Transfer && !Descriptor.Chunks.empty())
+    manifestKnown(Reply.Model, std::move(Descriptor));
+}
+
+void Stager::plan() {
+  if (!Transfer)
+    return;
+  const TimePoint Now = now();
+  if (!PlanDue && Now < nextTransferPlan(*Transfer, Now))
+    return;
+  PlanDue = false;
+  for (const TransferAction &Action :
+       planTransfer(*Transfer, Now, Base.Source))
+    perform(Action);
+}
+
+void Stager::perform(const TransferAction &Action) {
+  if (const auto *Draw = std::get_if<FetchFromStore>(&Action)) {
+    drawChunk(Draw->Chunk);
+  } else if (const auto *Ask = std::get_if<RequestFromPeer>(&Action)) {
+    if (!Base.send(Ask->Peer, ChunkRequest{Ask->Chunk}))
+      chunkRefused(*Transfer, Ask->Chunk, Ask->Peer, Duration::zero(), now());
+  } else if (const auto *Give = std::get_if<SendChunk>(&Action)) {
+    if (const auto Found = Chunks.find(Give->Chunk); Found != Chunks.end())
+      Base.sendBulk(Give->Peer,
+                    ChunkData{Give->Chunk, {Found->second->begin(),
+                                            Found->second->end()}});
+  } else if (const auto *Deny = std::get_if<RefuseChunk>(&Action)) {
+    Base.send(Deny->Peer,
+              ChunkRefused{Deny->Chunk,
+                           std::chrono::ceil<std::chrono::milliseconds>(
+                               Deny->RetryAfter)});
+  } else if (const auto *Map = std::get_if<AnnounceMap>(&Action)) {
+    for (const std::string &Peer : Map->Peers)
+      Base.send(Peer, ChunkMap{Map->Version, Map->Held, Map->HasDescriptor,
+                               Map->Asks});
+  } else if (const auto *Old = std::get_if<DropChunk>(&Action)) {
+    Chunks.erase(Old->Chunk);
+  }
+}
+
+void Stager::drawChunk(const Digest &Chunk) {
+  const auto Place = Places.find(Chunk);
+  if (Place == Places.end() || !Origin) {
+    storeFailed(*Transfer, Chunk, Duration::zero(), now());
+    return;
+  }
+  const auto &[Version, Index] = Place->second;
+  Base.Client.call(
+      platform::pieceCall(Origin->Address, Version, Index),
+      [this, Chunk](HttpResult Result) {
+        PlanDue = true;
+        auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response != nullptr && Response->Status == StatusOk) {
+          Base.Numbers
+              .counter("marigoldyard_origin_bytes_total",
+                       "Bytes drawn from the origin of weights")
+              .add(Response->Body.size());
+          return chunkArrived(Chunk, {}, std::move(Response->Body));
+        }
+        Base.Log.write(
+            {.Level = LogLevel::Warning,
+             .Event = "draw_failed",
+             .At = Step::ChunkRequest,
+             .Peer = "origin",
+             .Fields = {
+                 {"cause",
+                  Response != nullptr
+                      ? "status " + std::to_string(Response->Status)
+                      : std::get<HttpFailure>(Result).Cause.message()}}});
+        storeFailed(*Transfer, Chunk, Duration::zero(), now());
+      });
+}
+
+void Stager::chunkArrived(const Digest &Chunk, const std::string &From,
+                          std::string Bytes) {
+  PlanDue = true;
+  const bool Verified = sha256Hex(Bytes) == Chunk;
+  if (!Verified)
+    Base.Log.write("chunk_corrupt",
+                   Error{ErrorCode::ChunkCorrupt, Step::ChunkVerify,
+                         From.empty() ? "origin" : From, Chunk});
+  if (!chunkReceived(*Transfer, Chunk, From, Verified, now()))
+    return;
+  Chunks[Chunk] = std::make_shared<const std::string>(std::move(Bytes));
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/src/coordination/dispatch_queue.cpp
@@ -0,0 +1,95 @@
+#include "marigoldyard/coordination/dispatch_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Customers that are remembered; the least active ones are forgotten.
+constexpr std::size_t MaxUsages = 4096;
+
+double usageAt(const DispatchQueue &Queue, std::string_view Customer,
+               TimePoint Now) {
+  const auto Found = Queue.Usages.find(Customer);
+  if (Found == Queue.Usages.end())
+    return 0;
+  const std::chrono::duration<double> Passed = Now - Found->second.At;
+  return Found->second.Cost *
+         std::exp(-Passed /
+                  std::chrono::duration<double>(Queue.Settings.UsageTime));
+}
+
+void forgetLeastActive(DispatchQueue &Queue, TimePoint Now) {
+  const auto Least = std::min_element(
+      Queue.Usages.begin(), Queue.Usages.end(),
+      [&](const auto &Left, const auto &Right) {
+        return usageAt(Queue, Left.first, Now) <
+               usageAt(Queue, Right.first, Now);
+      });
+  if (Least != Queue.Usages.end())
+    Queue.Usages.erase(Least);
+}
+
+} // namespace
+
+std::optional<std::uint64_t> enqueue(DispatchQueue &Queue,
+                                     WaitingRequest Request) {
+  if (Queue.Waiting.size() >= Queue.Settings.MaxWaiting)
+    return std::nullopt;
+  Request.Ticket = ++Queue.LastTicket;
+  const std::uint64_t Ticket = Request.Ticket;
+  Queue.Waiting.emplace(Ticket, std::move(Request));
+  return Ticket;
+}
+
+const WaitingRequest *nextRequest(const DispatchQueue &Queue,
+                                  std::string_view Pool, TimePoint Now) {
+  const WaitingRequest *Best = nullptr;
+  auto Order = [&](const WaitingRequest &Each) {
+    return std::make_tuple(Now > Each.OnTimeUntil, Each.Priority,
+                           usageAt(Queue, Each.Customer, Now), Each.Ticket);
+  };
+  for (const auto &[Ticket, Request] : Queue.Waiting)
+    if (Request.Pool == Pool &&
+        (Best == nullptr || Order(Request) < Order(*Best)))
+      Best = &Request;
+  return Best;
+}
+
+void dequeue(DispatchQueue &Queue, std::uint64_t Ticket) {
+  Queue.Waiting.erase(Ticket);
+}
+
+void noteUsage(DispatchQueue &Queue, const std::string &Customer,
+               std::uint64_t Cost, TimePoint Now) {
+  const double Known = usageAt(Queue, Customer, Now);
+  if (!Queue.Usages.contains(Customer) && Queue.Usages.size() >= MaxUsages)
+    forgetLeastActive(Queue, Now);
+  Queue.Usages[Customer] = {Known + static_cast<double>(Cost), Now};
+}
+
+std::vector<std::uint64_t> expireRequests(DispatchQueue &Queue,
+                                          TimePoint Now) {
+  std::vector<std::uint64_t> Expired;
+  std::erase_if(Queue.Waiting, [&](const auto &Each) {
+    if (Now < Each.second.HoldUntil)
+      return false;
+    Expired.push_back(Each.first);
+    return true;
+  });
+  return Expired;
+}
+
+bool mustWait(const DispatchQueue &Queue, std::string_view Pool,
+              std::uint32_t Priority) {
+  return std::any_of(Queue.Waiting.begin(), Queue.Waiting.end(),
+                     [&](const auto &Each) {
+                       return Each.second.Pool == Pool &&
+                              Each.second.Priority <= Priority;
+                     });
+}
+
+} // namespace marigoldyard
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -13,7 +13,7 @@
 void expireEarned(RetryBudget &Budget, TimePoint Now) {
   if (Now <= Budget.UpdatedAt)
     return;
-  double Earned = std::max(Budget.Tokens - RetryReserve, 0.0);
+  double Earned = std::max(Budget.Tokens - Budget.Reserve, 0.0);
   std::chrono::duration<double> Passed = Now - Budget.UpdatedAt;
   double Left =
       std::exp(-Passed / std::chrono::duration<double>(RetryEarningTime));
@@ -45,15 +45,16 @@
 /// reached no endpoint, or a change of configuration or a departure refused it.
 /// Such a change refuses many requests at once and each soon finds its place.
 /// Refusals of full or failed endpoints are charged, since they last.
-bool isFree(const RetryQuestion &Question) {
+bool isFree(const RetryBudget &Budget, const RetryQuestion &Question) {
   switch (Question.LastTry) {
   case TryFate::NeverSent:
   case TryFate::Withdrawn:
     return true;
   case TryFate::Refused:
-    return Question.Reason == ErrorCode::StaleRevision ||
-           Question.Reason == ErrorCode::EndpointLeaving ||
-           Question.Reason == ErrorCode::WrongWeights;
+    return !Budget.ChargeRefusals &&
+           (Question.Reason == ErrorCode::StaleRevision ||
+            Question.Reason == ErrorCode::EndpointLeaving ||
+            Question.Reason == ErrorCode::WrongWeights);
   default:
     return false;
   }
@@ -143,7 +144,7 @@
   if (Verdict != RetryVerdict::Retry)
     return Verdict;
   expireEarned(Budget, Now);
-  if (!isFree(Question)) {
+  if (!isFree(Budget, Question)) {
     if (Budget.Tokens < 1.0) {
       ++Budget.Denied;
       return RetryVerdict::NoBudget;
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -20,10 +20,6 @@
 constexpr std::size_t MaxRequesters = 8;
 constexpr std::size_t MaxRefusals = 64;
 constexpr std::size_t MaxMapQuestions = 64;
-constexpr Duration StoreBackoffBase = std::chrono::seconds(1);
-constexpr Duration StoreBackoffMax = std::chrono::seconds(30);
-/// Answer to a request for a chunk that is on its way.
-constexpr Duration NotYetRetry = std::chrono::seconds(1);
 /// Answer of a sender whose queue is full.
 constexpr Duration BusyRetry = std::chrono::milliseconds(50);
 
@@ -35,8 +31,9 @@
 void backOffStore(TransferState &State, Duration Least, TimePoint Now) {
   constexpr std::uint32_t MaxDoublings = 5;
   const Duration Backoff = std::min(
-      StoreBackoffBase * (1 << std::min(State.StoreFailures, MaxDoublings)),
-      StoreBackoffMax);
+      State.Settings.StoreBackoff *
+          (1 << std::min(State.StoreFailures, MaxDoublings)),
+      State.Settings.StoreBackoffMax);
   ++State.StoreFailures;
   State.StoreRetryAt = Now + std::max(Backoff, Least);
 }
@@ -91,7 +88,7 @@
     return Duration{};
   if (Slot.Responsible[0] == 0 && failsToObtain(State, Slot, Now))
     return Duration{};
-  return NotYetRetry;
+  return State.Settings.NotYetRetry;
 }
 
 void refuse(TransferState &State, const std::string &Peer, const Digest &Chunk,
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -27,8 +27,6 @@
 constexpr std::size_t RaritySample = 32;
 constexpr std::size_t DrawsPerPlan = 64;
 constexpr std::size_t StandbyPerPlan = 256;
-constexpr Duration StandbyInterval = std::chrono::seconds(1);
-constexpr Duration ProbeInterval = std::chrono::seconds(1);
 constexpr Duration RequesterTime = std::chrono::seconds(30);
 /// Unused upload time that may be caught up on.
 constexpr Duration UploadBurst = std::chrono::milliseconds(50);
@@ -290,7 +288,7 @@
     Region.Progress = Now;
     return;
   }
-  Region.ProbeAt = Now + ProbeInterval;
+  Region.ProbeAt = Now + State.Settings.StandbyInterval;
   RegionIndex From = Number;
   if (Stalled >= 2 * State.Settings.StallTimeout)
     From = static_cast<RegionIndex>(Source() % State.Regions.size());
@@ -351,7 +349,7 @@
 void checkStandbys(TransferState &State, TimePoint Now, Actions &Result) {
   if (State.Standby.empty() || Now < State.StandbyAt)
     return;
-  State.StandbyAt = Now + StandbyInterval;
+  State.StandbyAt = Now + State.Settings.StandbyInterval;
   const std::size_t Count = std::min(StandbyPerPlan, State.Standby.size());
   for (std::size_t Step = 0; Step < Count; ++Step) {
     State.StandbyCursor = (State.StandbyCursor + 1) % State.Standby.size();
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -101,6 +101,16 @@
   template <typename T>
   requires requires { sizeof(detail::Fields<T>); }
   void field(const T &V) { detail::Fields<T>::visit(*this, V); }
+  /// The members of all elements follow each other in one array.
+  template <typename T>
+  requires requires { sizeof(detail::Fields<T>); }
+  void field(const std::vector<T> &V) {
+    Json::array_t Flat;
+    Writer Elements(Flat);
+    for (const T &Each : V)
+      Elements.field(Each);
+    Target.emplace_back(std::move(Flat));
+  }
 
   Json::array_t &Target;
 };
@@ -273,6 +283,17 @@
   template <typename T>
   requires requires { sizeof(detail::Fields<T>); }
   void field(T &V) { detail::Fields<T>::visit(*this, V); }
+  template <typename T>
+  requires requires { sizeof(detail::Fields<T>); }
+  void field(std::vector<T> &V) {
+    Json *E = takeIf(&Json::is_array);
+    if (!E)
+      return;
+    Reader Elements(E->get_ref<Json::array_t &>());
+    while (Elements.Valid && !Elements.atEnd())
+      Elements.field(V.emplace_back());
+    Valid = Elements.Valid;
+  }
 
   Json::array_t &Source;
   std::size_t Next = 0;
--- a/src/protocol/digest.cpp
+++ b/src/protocol/digest.cpp
@@ -33,4 +33,11 @@
          });
 }
 
+Digest descriptorDigest(const VersionDescriptor &Descriptor) {
+  std::string Content = Descriptor.Model + "\n" + Descriptor.Version;
+  for (const Chunk &Each : Descriptor.Chunks)
+    Content += "\n" + Each.Id;
+  return sha256Hex(Content);
+}
+
 } // namespace marigoldyard
--- /dev/null
+++ b/src/transport/line_writer.cpp
@@ -0,0 +1,69 @@
+#include "marigoldyard/transport/line_writer.hpp"
+
+#include <cerrno>
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Longest wait at the end of the process for a reader that does not read.
+constexpr std::chrono::milliseconds FinalWait{200};
+
+bool writable(int Descriptor, std::chrono::milliseconds Wait) {
+  pollfd Question{Descriptor, POLLOUT, 0};
+  return ::poll(&Question, 1, static_cast<int>(Wait.count())) > 0;
+}
+
+} // namespace
+
+LineWriter::LineWriter(int Target)
+    : Descriptor(Target), Lines(Capacity), Writer([this] { run(); }) {}
+
+LineWriter::~LineWriter() {
+  Ending = true;
+  Lines.close();
+  Writer.join();
+}
+
+void LineWriter::write(std::string_view Line) {
+  std::string Text(Line);
+  Text += '\n';
+  if (!Lines.tryPush(std::move(Text)))
+    ++Dropped;
+}
+
+void LineWriter::run() {
+  while (!Ending) {
+    std::this_thread::sleep_for(BatchInterval);
+    writeBatch();
+  }
+  writeBatch();
+}
+
+void LineWriter::writeBatch() {
+  std::string Batch;
+  if (const std::uint64_t Now = Dropped; Now != DroppedTold) {
+    Batch = fmt::format("{{\"event\":\"log_dropped\",\"lines\":{}}}\n",
+                        Now - DroppedTold);
+    DroppedTold = Now;
+  }
+  while (auto Line = Lines.pop(Duration::zero()))
+    Batch += *Line;
+  std::string_view Rest = Batch;
+  while (!Rest.empty()) {
+    if (Ending && !writable(Descriptor, FinalWait))
+      return;
+    const ssize_t Count = ::write(Descriptor, Rest.data(), Rest.size());
+    if (Count < 0 && errno != EINTR && errno != EAGAIN)
+      return; // there is nowhere left to report this
+    if (Count < 0)
+      writable(Descriptor, BatchInterval);
+    else
+      Rest.remove_prefix(static_cast<std::size_t>(Count));
+  }
+}
+
+} // namespace marigoldyard
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -31,6 +31,7 @@
   Application
       .add_option("--settings", Target.SettingsPath,
                   "File with the settings (JSON with comments)")
+      ->envname("MARIGOLDYARD_CONFIG")
       ->required();
   Application.add_flag("--check", Target.CheckOnly,
                        "Check the settings and exit");
