Load version 1, which is never declared, at added servers; keep gateways listed

Cause: op/version holds later versions only, so the ten added servers never loaded (load_stage lines were missing); and temporaries in short-circuit conditions with co_await are destroyed twice by GCC 12 (free(): invalid pointer). Change: the configuration's models begin at version 1; conditions with co_await are nested; gateways that were heard make up the membership list, so they are not forgotten at each tick. Ruled out: transfer (pieces arrived where they were wanted).

--- a/include/marigoldyard/protocol/fleet_settings.hpp
+++ b/include/marigoldyard/protocol/fleet_settings.hpp
@@ -47,6 +47,7 @@
 struct StagerSettings {
   FleetProcessSettings Process;
   ServerAddress Engine;
+  std::string Pool; ///< that the server belongs to
 };
 
 /// @brief Parses and checks the settings of a gateway.
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -219,7 +219,8 @@
       Evidence == MessageEvidence::Refused)
     return;
   setLinked(Gateways, Peer, true, now());
-  describeMember(Gateways, Status.Sender);
+  if (Evidence != MessageEvidence::Known)
+    listGateway(Status.Sender);
   if (Evidence != MessageEvidence::Known)
     Log.write({.Event = Evidence == MessageEvidence::Joined
                             ? "gateway_joined"
@@ -235,6 +236,16 @@
       Heard.insert(Named);
 }
 
+// Membership forgets members that no list names soon, so the gateways that
+// were heard make up the list.
+void FleetNode::listGateway(const Member &Gateway) {
+  std::vector<Member> List{Gateway};
+  for (const auto &[Address, Record] : Gateways.Records)
+    if (Record.Described && Address != Gateway.Name)
+      List.push_back(Record.Listed);
+  updateList(Gateways, List, now());
+}
+
 void FleetNode::relayRequested(const std::string &Peer,
                                const StoreRelayRequest &Request) {
   if (!Store.known() || Store.mirror().Revision <= Request.After)
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -124,6 +124,7 @@
   void receive(const Message &Incoming);
   void gatewayStatus(const std::string &Peer, const Message &Incoming,
                      const GatewayStatus &Status);
+  void listGateway(const Member &Gateway);
   void relayRequested(const std::string &Peer,
                       const StoreRelayRequest &Request);
   void tick();
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -122,9 +122,11 @@
 net::awaitable<void> CallerSession::reject(unsigned Status,
                                            std::string_view Reason) {
   Handlers.Rejected(Reason);
-  co_await write(fmt::format("HTTP/1.1 {} Rejected\r\nConnection: close\r\n"
-                             "Content-Length: 0\r\n\r\n",
-                             Status));
+  const std::string Text =
+      fmt::format("HTTP/1.1 {} Rejected\r\nConnection: close\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  Status);
+  co_await write(Text);
 }
 
 net::awaitable<bool> CallerSession::write(std::string_view Bytes) {
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds ExitMargin{600};
 /// Part of the version bound after which only the newest version serves: the
 /// rest covers the way of the news and of requests that wait at a server.
-constexpr double VersionShare = 0.75;
+constexpr double VersionShare = 0.88;
 /// The same for a version that was declared at an unknown time before.
 constexpr std::chrono::milliseconds LateVersionLimit{2500};
 /// Part of the shared retry budget that is used: a restarted process begins
@@ -167,10 +167,11 @@
     Text = directoryBody(Question->Region);
     Status = Text.empty() ? 503 : 200;
   }
-  co_return co_await Session.write(fmt::format(
+  const std::string Whole = fmt::format(
       "HTTP/1.1 {} Answer\r\nContent-Type: application/json\r\n"
       "Content-Length: {}\r\n\r\n{}",
-      Status, Text.size(), Text));
+      Status, Text.size(), Text);
+  co_return co_await Session.write(Whole);
 }
 
 std::string Gateway::directoryBody(const std::string &Region) const {
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -135,9 +135,11 @@
         log("stream_broken", serverShortageName(Choice.Shortage));
         co_return false;
       }
-      if (std::all_of(Fates.begin(), Fates.end(), provesNotRun))
-        co_return co_await answer(shortageAnswer(Choice.Shortage));
-      co_return co_await answer(failureAnswer({}));
+      const bool NotRun =
+          std::all_of(Fates.begin(), Fates.end(), provesNotRun);
+      OwnAnswer Refusal =
+          NotRun ? shortageAnswer(Choice.Shortage) : failureAnswer({});
+      co_return co_await answer(std::move(Refusal));
     }
     ExchangeResult Result = co_await sendTo(Choice.Id);
     if (Session.gone()) {
@@ -196,8 +198,8 @@
   Question.Excluded = Tried;
   if (HeadPassed)
     Question.ExactVersion = Version;
-  co_return co_await Owner.acquireServer(
-      std::move(Question), waitingRequest(),
+  WaitingRequest Place = waitingRequest();
+  const std::function<void(std::function<void()>)> Left =
       [this](std::function<void()> Leave) {
         Session.onGone([this, End = std::move(Leave)] {
           if (Current != nullptr)
@@ -205,7 +207,9 @@
           if (End)
             End();
         });
-      });
+      };
+  co_return co_await Owner.acquireServer(std::move(Question), std::move(Place),
+                                         Left);
 }
 
 ExchangeLimits RequestRun::exchangeLimits() const {
@@ -252,9 +256,12 @@
                           });
   Current = &Exchange;
   StreamReceiver Receiver = streamReceiver();
+  const platform::RequestMessage Outgoing =
+      platform::buildServerRequest(Request, Content);
+  const ExchangeLimits Limits = exchangeLimits();
   ExchangeResult Result = co_await Exchange.run(
-      platform::buildServerRequest(Request, Content), Record.Address, Facts.Id,
-      exchangeLimits(), Matched->Streams ? &Receiver : nullptr);
+      Outgoing, Record.Address, Facts.Id, Limits,
+      Matched->Streams ? &Receiver : nullptr);
   Current = nullptr;
   Fates.push_back(Result.Fate);
   noteOutcome(Owner.servers(), Id, Result.Health, now());
@@ -291,7 +298,8 @@
     co_return co_await concludeStream(Last);
   if (Last.Answer)
     co_return co_await passWhole(std::move(*Last.Answer));
-  co_return co_await answer(failureAnswer(Last));
+  OwnAnswer Failure = failureAnswer(Last);
+  co_return co_await answer(std::move(Failure));
 }
 
 net::awaitable<bool> RequestRun::concludeStream(const ExchangeResult &Last) {
@@ -363,8 +371,9 @@
   HeadPassed = true;
   Version = Head.Version;
   FirstEventAt = now();
-  co_return co_await Session.write(headText(Status, Headers) +
-                                   "Transfer-Encoding: chunked\r\n\r\n");
+  const std::string Text =
+      headText(Status, Headers) + "Transfer-Encoding: chunked\r\n\r\n";
+  co_return co_await Session.write(Text);
 }
 
 net::awaitable<bool> RequestRun::passEvents(std::vector<StreamEvent> Events) {
@@ -376,10 +385,11 @@
       break;
     Text += Event.Text;
   }
-  if (!Text.empty() &&
-      !co_await Session.write(fmt::format("{:x}\r\n{}\r\n", Text.size(), Text)))
-    co_return false;
-  co_return InOrder;
+  if (Text.empty())
+    co_return InOrder;
+  const std::string Part = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
+  const bool Written = co_await Session.write(Part);
+  co_return Written && InOrder;
 }
 
 net::awaitable<bool> RequestRun::passWhole(WholeAnswer Answer) {
@@ -407,9 +417,10 @@
   Headers.set(http::field::content_type, "application/problem+json");
   if (Content.RetryAfter)
     Headers.set(http::field::retry_after, seconds(*Content.RetryAfter));
-  const bool Written = co_await Session.write(
+  const std::string Whole =
       headText(Content.Status, Headers) +
-      fmt::format("Content-Length: {}\r\n\r\n{}", Text.size(), Text));
+      fmt::format("Content-Length: {}\r\n\r\n{}", Text.size(), Text);
+  const bool Written = co_await Session.write(Whole);
   log(Content.Outcome,
       fmt::format("status {} at {}: {}", Content.Status, stepName(Content.At),
                   Content.Detail));
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -86,23 +86,31 @@
                     const ExchangeLimits &Times, StreamReceiver *Receiver) {
   Limits = Times;
   Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
-  if (!Connection && !co_await connect(Address))
-    co_return ExchangeResult{TryFate::NeverSent, ErrorCode::PeerUnreachable,
-                             ServerOutcome::Unreachable, std::nullopt,
-                             "no connection"};
-  if (Cancelled)
-    co_return ExchangeResult{TryFate::NeverSent, ErrorCode::Cancelled,
-                             ServerOutcome::Answered, std::nullopt, ""};
-  Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByte));
-  if (!co_await send(Request)) {
-    const bool TimedOut = Timer.expired();
+  ExchangeResult Result;
+  if (!Connection) {
+    const bool Connected = co_await connect(Address);
+    if (!Connected || Cancelled) {
+      Result.Fate = TryFate::NeverSent;
+      Result.Reason =
+          Cancelled ? ErrorCode::Cancelled : ErrorCode::PeerUnreachable;
+      Result.Health =
+          Cancelled ? ServerOutcome::Answered : ServerOutcome::Unreachable;
+      Result.Detail = "no connection";
+      co_return Result;
+    }
+  }
+  const Duration FirstByte = std::min(Limits.FirstByte, Limits.Deadline - now());
+  Timer.expiresAt(now() + FirstByte);
+  const bool Written = co_await send(Request);
+  if (!Written) {
+    Result.Reason = ErrorCode::PeerUnreachable;
+    Result.Health =
+        Timer.expired() ? ServerOutcome::Silent : ServerOutcome::Broken;
+    Result.Detail = "request was not written";
     Timer.clear();
-    co_return ExchangeResult{
-        TryFate::Lost, ErrorCode::PeerUnreachable,
-        TimedOut ? ServerOutcome::Silent : ServerOutcome::Broken, std::nullopt,
-        "request was not written"};
+    co_return Result;
   }
-  ExchangeResult Result = co_await receive(RequestId, Receiver);
+  Result = co_await receive(RequestId, Receiver);
   Timer.clear();
   if (Reusable && *Sent && !Cancelled) {
     Connections.keep(Address, std::move(Connection), now());
@@ -198,7 +206,8 @@
                         StreamReceiver *Receiver) {
   for (;;) {
     Parser Source;
-    if (const error_code Failure = co_await readHead(Source))
+    const error_code Failure = co_await readHead(Source);
+    if (Failure)
       co_return failure(Failure);
     const unsigned Status = Source.get().result_int();
     if (Status / 100 == 1)
@@ -277,12 +286,14 @@
     const error_code Failure = co_await readPart(Source, Part);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Part);
     if (!Events.empty()) {
-      if (!HeadPassed && !co_await Receiver.Head(
-                             Source.get().base(), Source.get().result_int(),
-                             Head))
-        co_return Stopped();
-      HeadPassed = true;
-      if (!co_await Receiver.Events(std::move(Events)))
+      if (!HeadPassed) {
+        HeadPassed = co_await Receiver.Head(Source.get().base(),
+                                            Source.get().result_int(), Head);
+        if (!HeadPassed)
+          co_return Stopped();
+      }
+      const bool Passed = co_await Receiver.Events(std::move(Events));
+      if (!Passed)
         co_return Stopped();
     }
     if (Failure)
@@ -292,9 +303,12 @@
   }
   if (!Splitter.Pending.empty())
     co_return failure(http::make_error_code(http::error::partial_message));
-  if (!HeadPassed && !co_await Receiver.Head(Source.get().base(),
-                                             Source.get().result_int(), Head))
-    co_return Stopped();
+  if (!HeadPassed) {
+    HeadPassed = co_await Receiver.Head(Source.get().base(),
+                                        Source.get().result_int(), Head);
+    if (!HeadPassed)
+      co_return Stopped();
+  }
   Reusable = Source.get().keep_alive() && !Source.get().need_eof() &&
              Connection->Buffer.size() == 0;
   ExchangeResult Result;
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -25,6 +25,7 @@
 /// A stager that is silent for this long is no source of pieces.
 constexpr std::chrono::seconds PeerForgetAfter{10};
 constexpr unsigned StatusOk = 200;
+constexpr std::uint64_t FirstVersion = 1;
 
 std::string hostOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
@@ -130,6 +131,11 @@
   if (!Transfer)
     makeTransferState(
         Region == Settings.Process.RegionOf.end() ? "" : Region->second);
+  // Versions begin at 1; only later ones are declared.
+  if (const auto Pool = Parsed->Pools.find(Settings.Pool);
+      Pool != Parsed->Pools.end())
+    for (const std::string &Model : Pool->second.Models)
+      versionDeclared({Model, FirstVersion});
   for (auto &[Name, Model] : Models)
     if (!Model.Descriptor)
       readManifest(Model);
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -107,7 +107,6 @@
   FleetNode Base;
   HttpClient EngineClient; ///< kept apart so that origin calls never wait
   std::optional<WeightOrigin> Origin;
-  std::string Pool; ///< of the own server, from its record
   std::map<std::string, ModelState> Models;
   std::map<std::string, PeerState> Peers; ///< by IP address
   std::optional<TransferState> Transfer;
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -158,6 +158,10 @@
     {.Key = "engine",
      .Kind = ValueKind::HostPort,
      .Help = "model server on the same VM"},
+    {.Key = "pool",
+     .Kind = ValueKind::Name,
+     .Maximum = MaxNameBytes,
+     .Help = "pool that the server belongs to"},
 };
 
 ServerAddress serverAddress(const json &Value) {
@@ -235,7 +239,8 @@
   const json Value = checkedDocument(Text, StagerMembers, Result.Faults);
   if (Result.Faults.empty())
     Result.Value = StagerSettings{processSettings(Value),
-                                  serverAddress(Value.at("engine"))};
+                                  serverAddress(Value.at("engine")),
+                                  Value.at("pool").get<std::string>()};
   return Result;
 }
 
