Spread pieces over all side machines, and load in turns with a short drain

Change: SpreadLinks (each member owns, imports and exports a part), a greeting at the start, turns of a third of a region with the end of running streams after 0.5 s where they continue elsewhere. Ruled out: the origin (64 pieces drawn within 2.2 s).

--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -25,6 +25,10 @@
   /// Every region imports from the store's region, so that its links carry a
   /// whole copy each; kept for comparison.
   bool DirectImport = false;
+  /// Every member owns and carries a part of the chunks over the links between
+  /// regions, for fleets whose VM links are narrower than those; otherwise one
+  /// agent at each end of a link keeps the link's rate.
+  bool SpreadLinks = false;
   std::uint64_t BufferBytes = 0; ///< for chunks; 0 means no limit
   /// Time without progress after which the next owner, importer or source is
   /// used.
--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -15,12 +15,15 @@
   Duration VersionLimit = std::chrono::seconds(8);
   /// Part of the limit in which servers load in turns; after it each loads as
   /// soon as it can, because a server that is late serves nothing.
-  double TurnShare = 0.5;
+  double TurnShare = 0.85;
   /// Part of a region's servers that may be out of service at once.
   double UnavailableShare = 0.34;
   /// Time between the announcement and the order, in which gateways stop
   /// sending, so that fewer requests are refused by the server.
   Duration AnnounceLead = std::chrono::milliseconds(40);
+  /// Time in which many of the running streams end; those that are left continue
+  /// at other servers, at the cost of reading their prompts once more.
+  Duration DrainLimit = std::chrono::milliseconds(500);
   /// Longest wait for an order to take effect before it is given again. A
   /// server ends its running streams first.
   Duration OrderLimit = std::chrono::seconds(5);
@@ -32,7 +35,7 @@
   Fetching,  ///< pieces are missing
   Staging,   ///< pieces are written to the server and read back
   Waiting,   ///< staged; others have their turn
-  Announced, ///< gateways are told; the order follows
+  Announced, ///< gateways are told; running streams end
   Loading,   ///< the order was given
 };
 
@@ -49,6 +52,8 @@
   bool Busy = false;     ///< the server carries out an order
   bool Empty = false;    ///< the server serves no version of the model
   bool MayBeUnready = false; ///< it is the server's turn
+  bool Idle = false;         ///< the server runs no request
+  bool MayCut = false; ///< cut streams can continue at other servers
 };
 
 /// @brief Loading of one version on one server.
@@ -58,6 +63,9 @@
   TimePoint DeclaredAt{};
   LoadStage Stage = LoadStage::Fetching;
   TimePoint Since{}; ///< of the stage
+  /// Valid at Loading: the order ends what still runs; otherwise the server
+  /// waits for it.
+  bool CutRunning = false;
 };
 
 /// @brief Begins the loading of a version.
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -64,8 +64,10 @@
   /// @param StorePrefix keys that are read from the store
   /// @param RelayPrefix keys that are asked of gateways while the store is out
   /// of reach
+  /// @param StorePace pause between two watches
   FleetNode(FleetProcessSettings Settings, MemberKind Kind,
-            std::string StorePrefix, std::string RelayPrefix);
+            std::string StorePrefix, std::string RelayPrefix,
+            std::chrono::milliseconds StorePace);
   ~FleetNode();
   FleetNode(const FleetNode &) = delete;
   FleetNode &operator=(const FleetNode &) = delete;
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -20,7 +20,7 @@
   /// Pause between two watches, so that one call carries many changes. With the
   /// time of a call it stays far below the bounds of seconds in which changes
   /// must be in force.
-  std::chrono::milliseconds Pace{300};
+  std::chrono::milliseconds Pace{};
   /// Longest wait of one watch. A connection may fall silent without a reset,
   /// which only this limit shows.
   std::chrono::milliseconds Wait{1500};
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+/// Pause between two watches of all keys: servers change theirs all the time.
+constexpr std::chrono::milliseconds StorePace{300};
 /// Status messages to stagers: they need the list of gateways only.
 constexpr std::chrono::seconds StagerStatusInterval{2};
 /// A stager that is silent for this long gets no more status messages.
@@ -43,7 +45,8 @@
 
 Gateway::Gateway(GatewaySettings Given, SettingsFile<GatewaySettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
-      Base(Settings.Process, MemberKind::Entry, "", "") {
+      Base(Settings.Process, MemberKind::Entry, "", "",
+           StorePace) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
   Departure.Process = Settings.Process.Name;
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -13,6 +13,8 @@
 
 /// Keys that a gateway relays: versions and the configuration.
 constexpr std::string_view RelayPrefix = "op/";
+/// Pause between two watches: versions change rarely and are wanted at once.
+constexpr std::chrono::milliseconds StorePace{20};
 /// Interval of status messages without a change.
 constexpr std::chrono::seconds StatusInterval{2};
 /// Interval of listings of the pool's servers; changes are also told by status
@@ -36,7 +38,8 @@
 Stager::Stager(StagerSettings Given, SettingsFile<StagerSettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
       Base(Settings.Process, MemberKind::Endpoint,
-           std::string(platform::versionKeys()), std::string(RelayPrefix)),
+           std::string(platform::versionKeys()), std::string(RelayPrefix),
+           StorePace),
       EngineClient(Base.Context) {}
 
 std::optional<Error> Stager::start() {
@@ -56,6 +59,7 @@
     Base.stop();
   };
   Handlers.SettingsChanged = [this] { rereadSettings(); };
+  StartedAt = now();
   return Base.start(std::move(Handlers));
 }
 
@@ -131,6 +135,13 @@
   if (!Transfer)
     makeTransferState(
         Region == Settings.Process.RegionOf.end() ? "" : Region->second);
+  StreamsResume = std::all_of(
+      Parsed->Routes.begin(), Parsed->Routes.end(), [this](const Route &Each) {
+        const bool Here = std::any_of(
+            Each.Pools.begin(), Each.Pools.end(),
+            [this](const PoolShare &To) { return To.Pool == Settings.Pool; });
+        return !Here || Each.Repeats == RepeatRule::Resumable;
+      });
   // Versions begin at 1; only later ones are declared.
   if (const auto Pool = Parsed->Pools.find(Settings.Pool);
       Pool != Parsed->Pools.end())
@@ -160,7 +171,11 @@
             continue;
           const auto Region =
               Settings.Process.RegionOf.find(Record->FailureDomain);
-          PeerState &Peer = Peers[hostOf(Record->Address)];
+          const std::string Host = hostOf(Record->Address);
+          // A peer refuses requests of processes that it does not know.
+          if (!Peers.contains(Host))
+            Base.send(Host, Hello{Base.self()});
+          PeerState &Peer = Peers[Host];
           Peer.Heard = now();
           if (Region != Settings.Process.RegionOf.end())
             Peer.Region = Region->second;
@@ -191,6 +206,8 @@
   if (std::holds_alternative<DescriptorRequest>(Content) ||
       std::holds_alternative<DescriptorReply>(Content))
     return descriptorMessage(Peer, Content);
+  if (const auto *Greeting = std::get_if<Hello>(&Content))
+    return peerHeard(Peer, Greeting->Sender.Region);
   if (!Transfer)
     return;
   PlanDue = true;
@@ -213,9 +230,17 @@
 }
 
 void Stager::engineStatus(const std::string &Peer, const EngineStatus &Status) {
+  peerHeard(Peer, Status.Sender.Region);
+  PeerState &Known = Peers[Peer];
+  Known.Weights = Status.Weights;
+  Known.Accepting = Status.Accepting;
+}
+
+void Stager::peerHeard(const std::string &Peer, const std::string &Region) {
   const bool New = !Peers.contains(Peer);
   PeerState &Known = Peers[Peer];
-  Known = {Status.Sender.Region, now(), Status.Weights, Status.Accepting};
+  Known.Region = Region;
+  Known.Heard = now();
   if (New)
     updateTransferMembers();
 }
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -66,6 +66,7 @@
   void readPeers();
   void updateTransferMembers();
   void received(const Message &Incoming);
+  void peerHeard(const std::string &Peer, const std::string &Region);
   void engineStatus(const std::string &Peer, const EngineStatus &Status);
 
   // Transfer.
@@ -95,6 +96,7 @@
   void stepModel(ModelState &Model);
   LoadFacts loadFacts(ModelState &Model);
   bool mayBeUnready(ModelState &Model);
+  bool othersContinue(const DeclaredVersion &Target) const;
   void giveOrder(ModelState &Model);
   void announceStatus();
   ModelState *findModel(const std::string &Model);
@@ -115,8 +117,10 @@
   std::unordered_map<Digest, std::pair<DeclaredVersion, std::size_t>> Places;
   std::optional<platform::EngineReport> Report;
   bool Accepting = true;
+  bool StreamsResume = false; ///< on all routes to the own pool
   bool PlanDue = false;
   bool ReportOut = false;
+  TimePoint StartedAt{};
   TimePoint ReportAt{};
   TimePoint StatusAt{};
   TimePoint PeersAt{};
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -17,6 +17,10 @@
 /// The same while the server loads, so that it serves again soon.
 constexpr std::chrono::milliseconds LoadingReportInterval{40};
 
+/// At least one in this many servers of the region must still serve the older
+/// version, so that there is room for the streams that are cut.
+constexpr std::size_t ContinueShare = 4;
+
 /// Name of a version for the rollout decision, which compares digests.
 Digest versionMark(const std::string &Model, std::uint64_t Version) {
   return sha256Hex(Model + "\n" + std::to_string(Version));
@@ -34,7 +38,7 @@
 void Stager::readReport() {
   const bool Loading =
       std::any_of(Models.begin(), Models.end(), [](const auto &Each) {
-        return Each.second.Load.Stage == LoadStage::Loading;
+        return Each.second.Load.Stage >= LoadStage::Announced;
       });
   const Duration Interval = Loading ? LoadingReportInterval : ReportInterval;
   if (ReportOut || now() - ReportAt < Interval)
@@ -208,7 +212,10 @@
                    Held->Version >= Target.Version;
     Facts.Empty = Held == Report->Weights.end();
     Facts.Busy = Report->Loading;
+    Facts.Idle = Report->Running + Report->Waiting == 0;
   }
+  if (Model.Load.Stage == LoadStage::Announced)
+    Facts.MayCut = StreamsResume && othersContinue(Target);
   if (Model.Load.Stage == LoadStage::Waiting)
     Facts.MayBeUnready = mayBeUnready(Model);
   return Facts;
@@ -236,6 +243,24 @@
       .MayBeUnready;
 }
 
+// Streams continue only on the weights that they began with.
+bool Stager::othersContinue(const DeclaredVersion &Target) const {
+  std::size_t Region = 1;
+  std::size_t Serving = 0;
+  for (const auto &[Address, Peer] : Peers) {
+    if (Peer.Region != Settings.Process.Region)
+      continue;
+    ++Region;
+    const bool Older = std::any_of(
+        Peer.Weights.begin(), Peer.Weights.end(),
+        [&](const LoadedWeights &Each) {
+          return Each.Model == Target.Model && Each.Version < Target.Version;
+        });
+    Serving += Older && Peer.Accepting ? 1 : 0;
+  }
+  return Serving >= 1 && Serving * ContinueShare >= Region;
+}
+
 void Stager::stepModels() {
   for (auto &[Name, Model] : Models)
     stepModel(Model);
@@ -286,7 +311,8 @@
 void Stager::giveOrder(ModelState &Model) {
   const DeclaredVersion Target = Model.Load.Target;
   EngineClient.call(
-      platform::loadCall(addressText(Settings.Engine), Target),
+      platform::loadCall(addressText(Settings.Engine), Target,
+                         Model.Load.CutRunning),
       [this, Target](const HttpResult &Result) {
         ModelState *Ordered = findModel(Target.Model);
         if (Ordered == nullptr || Ordered->Load.Target.Version != Target.Version)
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -15,6 +15,10 @@
 constexpr std::chrono::milliseconds ManifestRetry{200};
 constexpr std::size_t MaxManifestPauses = 5;
 constexpr std::uint64_t BitsPerByte = 8;
+/// Wait for the maps of peers: some round trips, and longer after the start.
+constexpr Duration MapWait = std::chrono::milliseconds(80);
+constexpr Duration StartMapWait = std::chrono::milliseconds(350);
+constexpr Duration StartTime = std::chrono::seconds(3);
 
 /// A version has seconds to reach all machines, so stalls are noticed within a
 /// fraction of that.
@@ -26,9 +30,12 @@
   Result.StoreRegion = StoreRegion;
   Result.UploadBytesPerSecond =
       static_cast<std::uint64_t>(Process.LinkBitsPerSecond) / BitsPerByte;
+  // The links of side machines are narrower than those between regions.
+  Result.SpreadLinks = true;
+  Result.DirectImport = true;
   Result.StallTimeout = std::chrono::milliseconds(800);
   Result.StoreTimeout = std::chrono::seconds(3);
-  Result.MapWait = std::chrono::milliseconds(150);
+  Result.MapWait = MapWait;
   Result.AnnounceInterval = std::chrono::milliseconds(60);
   Result.RefreshInterval = std::chrono::seconds(1);
   Result.FullRefreshInterval = std::chrono::seconds(5);
@@ -120,6 +127,10 @@
     if (Each.Descriptor)
       Wanted.push_back(Each.Descriptor->Id);
   const TimePoint Now = now();
+  // The links to peers of a process that has just started take a while to open;
+  // without their maps it would draw from the origin what they hold.
+  Transfer->Settings.MapWait =
+      Now - StartedAt < StartTime ? StartMapWait : MapWait;
   wantVersions(*Transfer, Wanted, Now);
   chunkReceived(*Transfer, Model.Descriptor->Id, {}, true, Now);
   if (auto Failure = descriptorKnown(*Transfer, *Model.Descriptor, Now))
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -23,10 +23,13 @@
     if (Facts.Empty) // no gateway sends anything that could be disturbed
       return LoadStage::Loading;
     return Facts.MayBeUnready ? LoadStage::Announced : LoadStage::Waiting;
-  case LoadStage::Announced:
-    return Now - State.Since >= State.Settings.AnnounceLead
-               ? LoadStage::Loading
-               : LoadStage::Announced;
+  case LoadStage::Announced: {
+    const Duration Passed = Now - State.Since;
+    if (Passed < State.Settings.AnnounceLead)
+      return LoadStage::Announced;
+    const bool Drained = Facts.Idle || Passed >= State.Settings.DrainLimit;
+    return Drained || !Facts.MayCut ? LoadStage::Loading : LoadStage::Announced;
+  }
   case LoadStage::Loading:
     // The server may have restarted and forgotten the order.
     return !Facts.Busy && Now - State.Since >= State.Settings.OrderLimit
@@ -60,6 +63,7 @@
     return false;
   State.Stage = Next;
   State.Since = Now;
+  State.CutRunning = Next == LoadStage::Loading && Facts.MayCut && !Facts.Idle;
   return true;
 }
 
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -68,6 +68,22 @@
   return NoRegion;
 }
 
+/// Position of the member among Count that carries a chunk. Neighbouring parts
+/// of the hash range fall to the same pairs of members in all regions, so that
+/// a member exchanges chunks with few members of other regions.
+std::size_t carrierPosition(std::uint64_t Chunk, std::size_t Count) {
+  return static_cast<std::size_t>(((Chunk >> 32U) * Count) >> 32U);
+}
+
+PeerIndex carrier(const TransferState &State, RegionIndex Region,
+                  std::uint64_t Chunk, std::size_t Place) {
+  const auto &Members = State.Regions[Region].Members;
+  if (Place >= Members.size())
+    return NoPeer;
+  return Members[(carrierPosition(Chunk, Members.size()) + Place) %
+                 Members.size()];
+}
+
 /// Member of Region that receives from Other. One agent at each end of a link
 /// keeps the link's rate without messages between agents.
 PeerIndex importer(const TransferState &State, RegionIndex Region,
@@ -111,7 +127,10 @@
   const Path Chunk = pathOf(State, Slot.Hash, State.StoreRegion);
   Slot.Mine = false;
   Slot.Source = sourceOf(Chunk, State.Home);
-  if (Slot.Source == NoRegion)
+  if (State.Settings.SpreadLinks)
+    for (std::size_t Place = 0; Place < ResponsibleCount; ++Place)
+      Slot.Responsible[Place] = carrier(State, State.Home, Slot.Hash, Place);
+  else if (Slot.Source == NoRegion)
     assignOwners(State, Slot);
   else
     for (std::size_t Place = 0; Place < ResponsibleCount; ++Place)
@@ -134,6 +153,17 @@
     All.push_back(Peer);
 }
 
+/// Members of other regions that carry the same chunks as the agent.
+void addCarriers(TransferState &State, RegionIndex Other,
+                 std::size_t Position) {
+  const std::size_t Home = State.Regions[State.Home].Members.size();
+  const auto &Members = State.Regions[Other].Members;
+  const std::size_t First = Position * Members.size() / Home;
+  const std::size_t Last = ((Position + 1) * Members.size() - 1) / Home;
+  for (std::size_t Index = First; Index <= Last; ++Index)
+    addNeighbour(State, Members[Index]);
+}
+
 } // namespace
 
 bool reachable(const PeerSlot &Peer, TimePoint Now) {
@@ -164,7 +194,9 @@
   for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other)
     if (Other != State.Home && !State.Regions[Other].Members.empty() &&
         sourceOf(Chunk, Other) == State.Home &&
-        exporter(State, State.Home, Other) == Peer)
+        (State.Settings.SpreadLinks
+             ? carrier(State, State.Home, State.Chunks[Index].Hash, 0)
+             : exporter(State, State.Home, Other)) == Peer)
       return true;
   return false;
 }
@@ -230,6 +262,11 @@
   for (RegionIndex Other = 0; Other < State.Regions.size(); ++Other) {
     if (Other == State.Home || State.Regions[Other].Members.empty())
       continue;
+    if (State.Settings.SpreadLinks) {
+      if (Position < Count)
+        addCarriers(State, Other, Position);
+      continue;
+    }
     addNeighbour(State, importer(State, State.Home, Other, 0));
     const PeerIndex Sender = exporter(State, State.Home, Other);
     addNeighbour(State, Sender);
