--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -33,6 +33,10 @@
   // The links of side machines are narrower than those between regions.
   Result.SpreadLinks = true;
   Result.DirectImport = true;
+  // Requests and tokens of the server share the link, so few pieces may queue.
+  Result.MaxInFlight = 2;
+  Result.MaxImports = 1;
+  Result.MaxPerPeer = 2;
   Result.StallTimeout = std::chrono::milliseconds(800);
   Result.StoreTimeout = std::chrono::seconds(3);
   Result.MapWait = MapWait;
