Load an older version while a newer one is not complete

Cause: a version named two seconds after another one replaced it, and with the origin down neither was loaded. Change: the stager keeps each declared version until a newer one is complete; requests for pieces prefer the version that is wanted for longest. Ruled out: the gateways' bound (version 2 was required in time, no server had it).

--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -105,6 +105,7 @@
   std::vector<ChunkIndex> Chunks;
   ChunkBits Content;       ///< the same chunks
   std::size_t Missing = 0; ///< distinct chunks not held
+  TimePoint WantedAt;
   TimePoint AnnouncedAt;
   TimePoint ToAllAt; ///< newest announcement to complete peers too
   TimePoint UnwantedSince;
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -111,10 +111,15 @@
   friend bool operator==(const ServerRecord &, const ServerRecord &) = default;
 };
 
-/// @brief The newest declared version of a model.
+/// @brief A declared version of a model; versions of one model increase.
 struct DeclaredVersion {
   std::string Model;
   std::uint64_t Version = 0;
+
+  // clang-tidy 14 reports names in the code that the compiler generates here.
+  // NOLINTNEXTLINE(modernize-use-nullptr, readability-identifier-naming)
+  friend auto operator<=>(const DeclaredVersion &,
+                          const DeclaredVersion &) = default;
 };
 
 } // namespace marigoldyard
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -24,6 +24,11 @@
 constexpr std::chrono::milliseconds ConfigurationInterval{500};
 /// Interval of checks of the settings file.
 constexpr std::chrono::seconds MaintenanceInterval{2};
+/// A member of a rollout without a report for this long is not counted: a few
+/// status intervals, and well below the bound of a version.
+constexpr std::chrono::seconds RolloutDeadAfter{3};
+/// A member whose turn lasts this long is passed over: a drain and a load.
+constexpr std::chrono::milliseconds TurnTimeout{2500};
 /// A stager that is silent for this long is no source of pieces.
 constexpr std::chrono::seconds PeerForgetAfter{10};
 constexpr unsigned StatusOk = 200;
@@ -82,44 +87,45 @@
 }
 
 void Stager::versionDeclared(const DeclaredVersion &Version) {
-  const auto Known = Models.find(Version.Model);
-  if (Known != Models.end() &&
-      Known->second.Load.Target.Version >= Version.Version)
+  const auto Newest =
+      std::find_if(Versions.rbegin(), Versions.rend(), [&](const auto &Each) {
+        return Each.first.Model == Version.Model;
+      });
+  const bool First = Newest == Versions.rend();
+  if (!First && Newest->first.Version >= Version.Version)
     return;
   Base.Log.write({.Event = "version_declared",
                   .At = Step::ConfigurationAccept,
                   .Fields = {{"model", Version.Model},
                              {"version", std::to_string(Version.Version)}}});
-  ModelState Model;
+  VersionState State;
   LoadPlanSettings Times;
   Times.VersionLimit = Settings.Process.VersionLimit;
-  Model.Load = beginLoad(Times, Version, now());
-  Model.Rollout = makeRollout(
-      Settings.Process.Address,
-      {.DeadAfter = std::chrono::seconds(3),
-       .TurnTimeout = std::chrono::milliseconds(2500)});
+  State.Load = beginLoad(Times, Version, now());
+  State.Rollout =
+      makeRollout(Settings.Process.Address,
+                  {.DeadAfter = RolloutDeadAfter, .TurnTimeout = TurnTimeout});
   // The pieces of an earlier version are in memory already.
-  Model.SeededFromStage =
-      Known != Models.end() && Known->second.SeededFromStage;
-  Models.insert_or_assign(Version.Model, std::move(Model));
+  State.SeededFromStage = !First && Newest->second.SeededFromStage;
+  Versions.insert_or_assign(Version, std::move(State));
   readPeers();
   if (Origin)
-    readManifest(Models.at(Version.Model));
+    readManifest(Versions.at(Version));
 }
 
 void Stager::readConfiguration() {
   ConfigurationAt = now() + ConfigurationInterval;
-  Base.Client.call(
-      platform::listCall(addressText(Base.Settings.Store),
-                         platform::configurationKey(), {}, true),
-      [this](const HttpResult &Result) {
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Response == nullptr || Response->Status != StatusOk)
-          return;
-        const auto Answer = platform::parseStoreAnswer(Response->Body);
-        if (Answer && !Answer->Items.empty())
-          configurationRead(Answer->Items.front().Value);
-      });
+  Base.Client.call(platform::listCall(addressText(Base.Settings.Store),
+                                      platform::configurationKey(), {}, true),
+                   [this](const HttpResult &Result) {
+                     const auto *Response = std::get_if<HttpResponse>(&Result);
+                     if (Response == nullptr || Response->Status != StatusOk)
+                       return;
+                     const auto Answer =
+                         platform::parseStoreAnswer(Response->Body);
+                     if (Answer && !Answer->Items.empty())
+                       configurationRead(Answer->Items.front().Value);
+                   });
 }
 
 void Stager::configurationRead(const std::string &Text) {
@@ -147,9 +153,9 @@
       Pool != Parsed->Pools.end())
     for (const std::string &Model : Pool->second.Models)
       versionDeclared({Model, FirstVersion});
-  for (auto &[Name, Model] : Models)
-    if (!Model.Descriptor)
-      readManifest(Model);
+  for (auto &[Version, State] : Versions)
+    if (!State.Descriptor)
+      readManifest(State);
 }
 
 void Stager::readPeers() {
@@ -261,9 +267,9 @@
     Base.send(Address, Status);
 }
 
-Stager::ModelState *Stager::findModel(const std::string &Model) {
-  const auto Found = Models.find(Model);
-  return Found == Models.end() ? nullptr : &Found->second;
+Stager::VersionState *Stager::findVersion(const DeclaredVersion &Target) {
+  const auto Found = Versions.find(Target);
+  return Found == Versions.end() ? nullptr : &Found->second;
 }
 
 void Stager::tick() {
@@ -275,11 +281,12 @@
     readPeers();
   if (Now >= StatusAt)
     announceStatus();
-  for (auto &[Name, Model] : Models)
-    if (Origin && !Model.Descriptor && Now >= Model.ManifestAt)
-      readManifest(Model);
+  dropSuperseded();
+  for (auto &[Version, State] : Versions)
+    if (Origin && !State.Descriptor && Now >= State.ManifestAt)
+      readManifest(State);
   plan();
-  stepModels();
+  stepVersions();
   if (Now >= MaintenanceAt) {
     MaintenanceAt = Now + MaintenanceInterval;
     rereadSettings();
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -35,8 +35,9 @@
 private:
   using ChunkBytes = std::shared_ptr<const std::string>;
 
-  /// One model: the newest version and how far it is.
-  struct ModelState {
+  /// One declared version and how far it is. An older version is still loaded
+  /// while a newer one is not complete, since it may serve until then.
+  struct VersionState {
     LoadState Load;
     std::optional<VersionDescriptor> Descriptor;
     bool ManifestAsked = false; ///< a call or a question is out
@@ -71,10 +72,11 @@
 
   // Transfer.
   void makeTransferState(const std::string &StoreRegion);
-  void readManifest(ModelState &Model);
-  void manifestKnown(const std::string &Model, VersionDescriptor Descriptor);
-  void wantVersion(ModelState &Model);
-  void manifestFailed(const std::string &Model, const std::string &Cause);
+  void readManifest(VersionState &State);
+  void manifestKnown(const DeclaredVersion &Target,
+                     VersionDescriptor Descriptor);
+  void wantVersion(VersionState &State);
+  void manifestFailed(const DeclaredVersion &Target, const std::string &Cause);
   void descriptorMessage(const std::string &Peer, const Body &Content);
   void plan();
   void perform(const TransferAction &Action);
@@ -85,21 +87,23 @@
   // Server on the own machine.
   void readReport();
   void reportRead(const platform::EngineReport &Report);
-  void readStaged(ModelState &Model);
-  void readNextStaged(const std::string &Model);
-  void stagePieces(ModelState &Model);
-  void pieceStaged(const std::string &Model, std::size_t Index,
+  void readStaged(VersionState &State);
+  void readNextStaged(const DeclaredVersion &Target);
+  void stagePieces(VersionState &State);
+  void pieceStaged(const DeclaredVersion &Target, std::size_t Index,
                    const HttpResult &Result);
-  void pieceChecked(const std::string &Model, std::size_t Index,
+  void pieceChecked(const DeclaredVersion &Target, std::size_t Index,
                     const HttpResult &Result);
-  void stepModels();
-  void stepModel(ModelState &Model);
-  LoadFacts loadFacts(ModelState &Model);
-  bool mayBeUnready(ModelState &Model);
+  void stepVersions();
+  void stepVersion(VersionState &State);
+  LoadFacts loadFacts(VersionState &State);
+  bool mayBeUnready(VersionState &State);
+  bool mayStage(const DeclaredVersion &Target) const;
+  void dropSuperseded();
   bool othersContinue(const DeclaredVersion &Target) const;
-  void giveOrder(ModelState &Model);
+  void giveOrder(VersionState &State);
   void announceStatus();
-  ModelState *findModel(const std::string &Model);
+  VersionState *findVersion(const DeclaredVersion &Target);
 
   void tick();
   void rereadSettings();
@@ -109,8 +113,8 @@
   FleetNode Base;
   HttpClient EngineClient; ///< kept apart so that origin calls never wait
   std::optional<WeightOrigin> Origin;
-  std::map<std::string, ModelState> Models;
-  std::map<std::string, PeerState> Peers; ///< by IP address
+  std::map<DeclaredVersion, VersionState> Versions; ///< older ones first
+  std::map<std::string, PeerState> Peers;           ///< by IP address
   std::optional<TransferState> Transfer;
   std::unordered_map<Digest, ChunkBytes> Chunks;
   /// Where a chunk is found at the origin.
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -37,7 +37,7 @@
 
 void Stager::readReport() {
   const bool Loading =
-      std::any_of(Models.begin(), Models.end(), [](const auto &Each) {
+      std::any_of(Versions.begin(), Versions.end(), [](const auto &Each) {
         return Each.second.Load.Stage >= LoadStage::Announced;
       });
   const Duration Interval = Loading ? LoadingReportInterval : ReportInterval;
@@ -45,31 +45,28 @@
     return;
   ReportOut = true;
   ReportAt = now();
-  EngineClient.call(
-      platform::reportCall(addressText(Settings.Engine)),
-      [this](const HttpResult &Result) {
-        ReportOut = false;
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Response == nullptr || Response->Status != StatusOk)
-          return;
-        auto Parsed = platform::parseEngineReport(Response->Body);
-        if (!Parsed)
-          return Base.Log.write("report_invalid", Parsed.error());
-        reportRead(*Parsed);
-      });
+  EngineClient.call(platform::reportCall(addressText(Settings.Engine)),
+                    [this](const HttpResult &Result) {
+                      ReportOut = false;
+                      const auto *Response = std::get_if<HttpResponse>(&Result);
+                      if (Response == nullptr || Response->Status != StatusOk)
+                        return;
+                      auto Parsed = platform::parseEngineReport(Response->Body);
+                      if (!Parsed)
+                        return Base.Log.write("report_invalid", Parsed.error());
+                      reportRead(*Parsed);
+                    });
 }
 
 void Stager::reportRead(const platform::EngineReport &Fresh) {
-  const bool Restarted =
-      Report && Fresh.StartedAtMs > Report->StartedAtMs;
-  const bool Changed =
-      !Report || Restarted || Report->Weights != Fresh.Weights;
+  const bool Restarted = Report && Fresh.StartedAtMs > Report->StartedAtMs;
+  const bool Changed = !Report || Restarted || Report->Weights != Fresh.Weights;
   Report = Fresh;
   if (Restarted)
-    for (auto &[Name, Model] : Models) {
+    for (auto &[Version, State] : Versions) {
       // A server that lost power lost the staged pieces too.
-      restage(Model.Load, now());
-      Model.SeededFromStage = true;
+      restage(State.Load, now());
+      State.SeededFromStage = true;
     }
   if (Changed) {
     std::string Held;
@@ -81,21 +78,21 @@
                     .Fields = {{"weights", Held},
                                {"restarted", Restarted ? "yes" : "no"}}});
   }
-  stepModels();
+  stepVersions();
   if (Changed)
     announceStatus();
 }
 
-void Stager::readStaged(ModelState &Model) {
-  const std::string Name = Model.Load.Target.Model;
-  if (Model.SeededFromStage)
-    return wantVersion(Model);
-  Model.SeededFromStage = true;
+void Stager::readStaged(VersionState &State) {
+  const DeclaredVersion Target = State.Load.Target;
+  if (State.SeededFromStage)
+    return wantVersion(State);
+  State.SeededFromStage = true;
   EngineClient.call(
-      platform::stagedListCall(addressText(Settings.Engine), Name),
-      [this, Name](const HttpResult &Result) {
+      platform::stagedListCall(addressText(Settings.Engine), Target.Model),
+      [this, Target](const HttpResult &Result) {
         const auto *Response = std::get_if<HttpResponse>(&Result);
-        ModelState *Known = findModel(Name);
+        VersionState *Known = findVersion(Target);
         if (Known == nullptr || !Known->Descriptor)
           return;
         // Any other status says that nothing is staged.
@@ -105,124 +102,157 @@
           else
             Base.Log.write("staged_list_invalid", Held.error());
         }
-        readNextStaged(Name);
+        readNextStaged(Target);
       });
 }
 
-void Stager::readNextStaged(const std::string &Name) {
-  ModelState *Model = findModel(Name);
-  if (Model == nullptr || !Model->Descriptor)
+void Stager::readNextStaged(const DeclaredVersion &Target) {
+  VersionState *State = findVersion(Target);
+  if (State == nullptr || !State->Descriptor)
     return;
-  if (Model->ToSeed.empty())
-    return wantVersion(*Model);
-  const std::size_t Index = Model->ToSeed.back();
-  Model->ToSeed.pop_back();
-  EngineClient.call(
-      platform::stagedPieceCall(addressText(Settings.Engine), Name, Index),
-      [this, Name, Index](HttpResult Result) {
-        const ModelState *Known = findModel(Name);
-        auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Known != nullptr && Known->Descriptor && Response != nullptr &&
-            Response->Status == StatusOk &&
-            Index < Known->Descriptor->Chunks.size()) {
-          // Pieces of another version and spoilt ones are as good as missing.
-          const Digest &Chunk = Known->Descriptor->Chunks[Index].Id;
-          if (sha256Hex(Response->Body) == Chunk)
-            Chunks[Chunk] =
-                std::make_shared<const std::string>(std::move(Response->Body));
-        }
-        readNextStaged(Name);
-      });
+  if (State->ToSeed.empty())
+    return wantVersion(*State);
+  const std::size_t Index = State->ToSeed.back();
+  State->ToSeed.pop_back();
+  EngineClient.call(platform::stagedPieceCall(addressText(Settings.Engine),
+                                              Target.Model, Index),
+                    [this, Target, Index](HttpResult Result) {
+                      const VersionState *Known = findVersion(Target);
+                      auto *Response = std::get_if<HttpResponse>(&Result);
+                      if (Known != nullptr && Known->Descriptor &&
+                          Response != nullptr && Response->Status == StatusOk &&
+                          Index < Known->Descriptor->Chunks.size()) {
+                        // Pieces of another version and spoilt ones are as good
+                        // as missing.
+                        const Digest &Chunk =
+                            Known->Descriptor->Chunks[Index].Id;
+                        if (sha256Hex(Response->Body) == Chunk)
+                          Chunks[Chunk] = std::make_shared<const std::string>(
+                              std::move(Response->Body));
+                      }
+                      readNextStaged(Target);
+                    });
 }
 
-void Stager::stagePieces(ModelState &Model) {
-  if (Model.StageCallOut)
+void Stager::stagePieces(VersionState &State) {
+  if (State.StageCallOut)
     return;
-  const std::string Name = Model.Load.Target.Model;
+  const DeclaredVersion Target = State.Load.Target;
   const std::string Server = addressText(Settings.Engine);
-  if (!Model.ToStage.empty()) {
-    const std::size_t Index = *Model.ToStage.begin();
-    const auto Bytes = Chunks.find(Model.Descriptor->Chunks[Index].Id);
+  if (!State.ToStage.empty()) {
+    const std::size_t Index = *State.ToStage.begin();
+    const auto Bytes = Chunks.find(State.Descriptor->Chunks[Index].Id);
     if (Bytes == Chunks.end())
-      return restage(Model.Load, now());
-    Model.StageCallOut = true;
+      return restage(State.Load, now());
+    State.StageCallOut = true;
     EngineClient.call(
-        platform::stagePieceCall(Server, Name, Index, *Bytes->second),
-        [this, Name, Index](const HttpResult &Result) {
-          pieceStaged(Name, Index, Result);
+        platform::stagePieceCall(Server, Target.Model, Index, *Bytes->second),
+        [this, Target, Index](const HttpResult &Result) {
+          pieceStaged(Target, Index, Result);
         });
-  } else if (!Model.ToCheck.empty()) {
-    const std::size_t Index = *Model.ToCheck.begin();
-    Model.StageCallOut = true;
-    EngineClient.call(platform::stagedPieceCall(Server, Name, Index),
-                      [this, Name, Index](const HttpResult &Result) {
-                        pieceChecked(Name, Index, Result);
+  } else if (!State.ToCheck.empty()) {
+    const std::size_t Index = *State.ToCheck.begin();
+    State.StageCallOut = true;
+    EngineClient.call(platform::stagedPieceCall(Server, Target.Model, Index),
+                      [this, Target, Index](const HttpResult &Result) {
+                        pieceChecked(Target, Index, Result);
                       });
   }
 }
 
-void Stager::pieceStaged(const std::string &Name, std::size_t Index,
+void Stager::pieceStaged(const DeclaredVersion &Target, std::size_t Index,
                          const HttpResult &Result) {
-  ModelState *Model = findModel(Name);
-  if (Model == nullptr)
+  VersionState *State = findVersion(Target);
+  if (State == nullptr)
     return;
-  Model->StageCallOut = false;
+  State->StageCallOut = false;
   const auto *Response = std::get_if<HttpResponse>(&Result);
   if (Response != nullptr && Response->Status / 100 == 2)
-    Model->ToStage.erase(Index);
-  stepModel(*Model);
+    State->ToStage.erase(Index);
+  stepVersion(*State);
 }
 
-void Stager::pieceChecked(const std::string &Name, std::size_t Index,
+void Stager::pieceChecked(const DeclaredVersion &Target, std::size_t Index,
                           const HttpResult &Result) {
-  ModelState *Model = findModel(Name);
-  if (Model == nullptr || !Model->Descriptor)
+  VersionState *State = findVersion(Target);
+  if (State == nullptr || !State->Descriptor)
     return;
-  Model->StageCallOut = false;
+  State->StageCallOut = false;
   const auto *Response = std::get_if<HttpResponse>(&Result);
   if (Response == nullptr)
-    return stepModel(*Model);
+    return stepVersion(*State);
   const bool Good =
       Response->Status == StatusOk &&
-      sha256Hex(Response->Body) == Model->Descriptor->Chunks[Index].Id;
+      sha256Hex(Response->Body) == State->Descriptor->Chunks[Index].Id;
   if (Good) {
-    Model->ToCheck.erase(Index);
+    State->ToCheck.erase(Index);
   } else {
     Base.Log.write({.Level = LogLevel::Warning,
                     .Event = "staged_piece_bad",
                     .At = Step::ReadBack,
                     .Peer = addressText(Settings.Engine),
                     .Fields = {{"piece", std::to_string(Index)}}});
-    Model->ToStage.insert(Index);
+    State->ToStage.insert(Index);
   }
-  stepModel(*Model);
+  stepVersion(*State);
 }
 
-LoadFacts Stager::loadFacts(ModelState &Model) {
+LoadFacts Stager::loadFacts(VersionState &State) {
   LoadFacts Facts;
-  const DeclaredVersion &Target = Model.Load.Target;
-  Facts.Complete = Model.Descriptor && Transfer &&
-                   versionComplete(*Transfer, Model.Descriptor->Id);
-  Facts.Staged = Model.ToStage.empty() && Model.ToCheck.empty();
+  const DeclaredVersion &Target = State.Load.Target;
+  Facts.Complete = State.Descriptor && Transfer &&
+                   versionComplete(*Transfer, State.Descriptor->Id);
+  Facts.Complete = Facts.Complete && (State.Load.Stage != LoadStage::Fetching ||
+                                      mayStage(Target));
+  Facts.Staged = State.ToStage.empty() && State.ToCheck.empty();
   if (Report) {
     const auto Held = std::find_if(
         Report->Weights.begin(), Report->Weights.end(),
         [&](const LoadedWeights &Each) { return Each.Model == Target.Model; });
-    Facts.Loaded = Held != Report->Weights.end() &&
-                   Held->Version >= Target.Version;
+    Facts.Loaded =
+        Held != Report->Weights.end() && Held->Version >= Target.Version;
     Facts.Empty = Held == Report->Weights.end();
     Facts.Busy = Report->Loading;
     Facts.Idle = Report->Running + Report->Waiting == 0;
   }
-  if (Model.Load.Stage == LoadStage::Announced)
+  if (State.Load.Stage == LoadStage::Announced)
     Facts.MayCut = StreamsResume && othersContinue(Target);
-  if (Model.Load.Stage == LoadStage::Waiting)
-    Facts.MayBeUnready = mayBeUnready(Model);
+  if (State.Load.Stage == LoadStage::Waiting)
+    Facts.MayBeUnready = mayBeUnready(State);
   return Facts;
 }
 
-bool Stager::mayBeUnready(ModelState &Model) {
-  const DeclaredVersion &Target = Model.Load.Target;
+// The staging area holds one version of a model, and a load takes the server
+// out of service, so one version at a time is staged.
+bool Stager::mayStage(const DeclaredVersion &Target) const {
+  return std::none_of(Versions.begin(), Versions.end(), [&](const auto &Each) {
+    const LoadStage Stage = Each.second.Load.Stage;
+    return Each.first.Model == Target.Model && Each.first != Target &&
+           Stage != LoadStage::Serving && Stage != LoadStage::Fetching;
+  });
+}
+
+// A version is not loaded any more when a newer one is loaded, or complete
+// while the server is not yet taken out of service for the older one.
+void Stager::dropSuperseded() {
+  for (auto Older = Versions.begin(); Older != Versions.end();) {
+    const bool Superseded =
+        std::any_of(std::next(Older), Versions.end(), [&](const auto &Newer) {
+          if (Newer.first.Model != Older->first.Model)
+            return false;
+          const VersionState &State = Newer.second;
+          const bool Complete =
+              State.Descriptor && Transfer &&
+              versionComplete(*Transfer, State.Descriptor->Id);
+          return State.Load.Stage == LoadStage::Serving ||
+                 (Complete && Older->second.Load.Stage < LoadStage::Announced);
+        });
+    Older = Superseded ? Versions.erase(Older) : std::next(Older);
+  }
+}
+
+bool Stager::mayBeUnready(VersionState &State) {
+  const DeclaredVersion &Target = State.Load.Target;
   std::vector<RolloutMember> Members;
   std::set<Digest> Usable;
   auto Add = [&](const std::string &Name, TimePoint Heard,
@@ -237,9 +267,10 @@
   for (const auto &[Address, Peer] : Peers)
     if (Peer.Region == Settings.Process.Region)
       Add(Address, Peer.Heard, Peer.Weights, Peer.Accepting);
-  return decideRollout(Model.Rollout, versionMark(Target.Model, Target.Version),
+  return decideRollout(State.Rollout, versionMark(Target.Model, Target.Version),
                        {Usable.begin(), Usable.end()}, Members,
-                       unavailableLimit(Model.Load, Members.size(), now()), now())
+                       unavailableLimit(State.Load, Members.size(), now()),
+                       now())
       .MayBeUnready;
 }
 
@@ -251,41 +282,40 @@
     if (Peer.Region != Settings.Process.Region)
       continue;
     ++Region;
-    const bool Older = std::any_of(
-        Peer.Weights.begin(), Peer.Weights.end(),
-        [&](const LoadedWeights &Each) {
-          return Each.Model == Target.Model && Each.Version < Target.Version;
-        });
+    const bool Older = std::any_of(Peer.Weights.begin(), Peer.Weights.end(),
+                                   [&](const LoadedWeights &Each) {
+                                     return Each.Model == Target.Model &&
+                                            Each.Version < Target.Version;
+                                   });
     Serving += Older && Peer.Accepting ? 1 : 0;
   }
   return Serving >= 1 && Serving * ContinueShare >= Region;
 }
 
-void Stager::stepModels() {
-  for (auto &[Name, Model] : Models)
-    stepModel(Model);
+void Stager::stepVersions() {
+  for (auto &[Version, State] : Versions)
+    stepVersion(State);
 }
 
-void Stager::stepModel(ModelState &Model) {
+void Stager::stepVersion(VersionState &State) {
   if (!Report)
     return;
-  while (stepLoad(Model.Load, loadFacts(Model), now())) {
+  while (stepLoad(State.Load, loadFacts(State), now())) {
     Base.Log.write(
         {.Event = "load_stage",
          .At = Step::Order,
-         .Fields = {
-             {"stage", std::string(loadStageName(Model.Load.Stage))},
-             {"model", Model.Load.Target.Model},
-             {"version", std::to_string(Model.Load.Target.Version)},
-             {"since_declared_s",
-              std::to_string(std::chrono::duration<double>(
-                                 now() - Model.Load.DeclaredAt)
-                                 .count())}}});
-    switch (Model.Load.Stage) {
+         .Fields = {{"stage", std::string(loadStageName(State.Load.Stage))},
+                    {"model", State.Load.Target.Model},
+                    {"version", std::to_string(State.Load.Target.Version)},
+                    {"since_declared_s",
+                     std::to_string(std::chrono::duration<double>(
+                                        now() - State.Load.DeclaredAt)
+                                        .count())}}});
+    switch (State.Load.Stage) {
     case LoadStage::Staging:
-      for (std::size_t I = 0; I < Model.Descriptor->Chunks.size(); ++I) {
-        Model.ToStage.insert(I);
-        Model.ToCheck.insert(I);
+      for (std::size_t I = 0; I < State.Descriptor->Chunks.size(); ++I) {
+        State.ToStage.insert(I);
+        State.ToCheck.insert(I);
       }
       break;
     case LoadStage::Announced:
@@ -293,7 +323,7 @@
       announceStatus();
       break;
     case LoadStage::Loading:
-      giveOrder(Model);
+      giveOrder(State);
       break;
     case LoadStage::Serving:
       Accepting = true;
@@ -304,18 +334,18 @@
       break;
     }
   }
-  if (Model.Load.Stage == LoadStage::Staging)
-    stagePieces(Model);
+  if (State.Load.Stage == LoadStage::Staging)
+    stagePieces(State);
 }
 
-void Stager::giveOrder(ModelState &Model) {
-  const DeclaredVersion Target = Model.Load.Target;
+void Stager::giveOrder(VersionState &State) {
+  const DeclaredVersion Target = State.Load.Target;
   EngineClient.call(
       platform::loadCall(addressText(Settings.Engine), Target,
-                         Model.Load.CutRunning),
+                         State.Load.CutRunning),
       [this, Target](const HttpResult &Result) {
-        ModelState *Ordered = findModel(Target.Model);
-        if (Ordered == nullptr || Ordered->Load.Target.Version != Target.Version)
+        VersionState *Ordered = findVersion(Target);
+        if (Ordered == nullptr)
           return;
         const auto *Response = std::get_if<HttpResponse>(&Result);
         const bool Refused =
@@ -327,9 +357,9 @@
              .At = Step::Order,
              .Peer = addressText(Settings.Engine),
              .Fields = {{"version", std::to_string(Target.Version)},
-                        {"status",
-                         Response != nullptr ? std::to_string(Response->Status)
-                                             : "none"}}});
+                        {"status", Response != nullptr
+                                       ? std::to_string(Response->Status)
+                                       : "none"}}});
         // Without an answer the order may have been accepted; the reports show
         // it.
         if (Response != nullptr && Refused)
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -58,15 +58,16 @@
   updateTransferMembers();
 }
 
-void Stager::readManifest(ModelState &Model) {
-  if (Model.ManifestAsked)
+void Stager::readManifest(VersionState &State) {
+  if (State.ManifestAsked)
     return;
-  Model.ManifestAsked = true;
-  const DeclaredVersion Target = Model.Load.Target;
+  State.ManifestAsked = true;
+  const DeclaredVersion Target = State.Load.Target;
   // A peer may know what the origin does not tell now.
-  if (Model.ManifestFailures > 0 && !Peers.empty()) {
+  if (State.ManifestFailures > 0 && !Peers.empty()) {
     auto Peer = Peers.begin();
-    std::advance(Peer, static_cast<std::ptrdiff_t>(Base.Source() % Peers.size()));
+    std::advance(Peer,
+                 static_cast<std::ptrdiff_t>(Base.Source() % Peers.size()));
     Base.send(Peer->first, DescriptorRequest{Target.Model, Target.Version});
   }
   Base.Client.call(
@@ -74,60 +75,60 @@
       [this, Target](const HttpResult &Result) {
         const auto *Response = std::get_if<HttpResponse>(&Result);
         if (Response == nullptr)
-          return manifestFailed(Target.Model,
+          return manifestFailed(Target,
                                 std::get<HttpFailure>(Result).Cause.message());
         if (Response->Status != StatusOk)
-          return manifestFailed(Target.Model,
+          return manifestFailed(Target,
                                 "status " + std::to_string(Response->Status));
         auto Descriptor = platform::parseManifest(Response->Body, Target);
         if (!Descriptor)
-          return manifestFailed(Target.Model, Descriptor.error().message());
-        manifestKnown(Target.Model, std::move(*Descriptor));
+          return manifestFailed(Target, Descriptor.error().message());
+        manifestKnown(Target, std::move(*Descriptor));
       });
 }
 
-void Stager::manifestFailed(const std::string &Name, const std::string &Cause) {
-  ModelState *Model = findModel(Name);
-  if (Model == nullptr)
+void Stager::manifestFailed(const DeclaredVersion &Target,
+                            const std::string &Cause) {
+  VersionState *State = findVersion(Target);
+  if (State == nullptr)
     return;
-  ++Model->ManifestFailures;
-  Model->ManifestAsked = false;
-  Model->ManifestAt =
-      now() + ManifestRetry * std::min(Model->ManifestFailures,
-                                       MaxManifestPauses);
+  ++State->ManifestFailures;
+  State->ManifestAsked = false;
+  State->ManifestAt = now() + ManifestRetry * std::min(State->ManifestFailures,
+                                                       MaxManifestPauses);
   Base.Log.write({.Level = LogLevel::Warning,
                   .Event = "manifest_failed",
                   .At = Step::DescriptorFetch,
                   .Peer = "origin",
-                  .Fields = {{"model", Name}, {"cause", Cause}}});
+                  .Fields = {{"model", Target.Model},
+                             {"version", std::to_string(Target.Version)},
+                             {"cause", Cause}}});
 }
 
-void Stager::manifestKnown(const std::string &Name,
+void Stager::manifestKnown(const DeclaredVersion &Target,
                            VersionDescriptor Descriptor) {
-  ModelState *Model = findModel(Name);
-  if (Model == nullptr)
+  VersionState *State = findVersion(Target);
+  if (State == nullptr)
     return;
-  Model->ManifestAsked = false;
-  const DeclaredVersion &Target = Model->Load.Target;
-  if (Model->Descriptor ||
-      Descriptor.Version != std::to_string(Target.Version))
+  State->ManifestAsked = false;
+  if (State->Descriptor)
     return;
   for (std::size_t Index = 0; Index < Descriptor.Chunks.size(); ++Index)
     Places[Descriptor.Chunks[Index].Id] = {Target, Index};
-  Model->Descriptor = std::move(Descriptor);
+  State->Descriptor = std::move(Descriptor);
   Base.Log.write(
       {.Event = "manifest_known",
        .At = Step::DescriptorFetch,
-       .Fields = {{"model", Name},
-                  {"version", Model->Descriptor->Version},
-                  {"pieces",
-                   std::to_string(Model->Descriptor->Chunks.size())}}});
-  readStaged(*Model);
+       .Fields = {
+           {"model", Target.Model},
+           {"version", State->Descriptor->Version},
+           {"pieces", std::to_string(State->Descriptor->Chunks.size())}}});
+  readStaged(*State);
 }
 
-void Stager::wantVersion(ModelState &Model) {
+void Stager::wantVersion(VersionState &State) {
   std::vector<Digest> Wanted;
-  for (const auto &[Other, Each] : Models)
+  for (const auto &[Other, Each] : Versions)
     if (Each.Descriptor)
       Wanted.push_back(Each.Descriptor->Id);
   const TimePoint Now = now();
@@ -136,12 +137,12 @@
   Transfer->Settings.MapWait =
       Now - StartedAt < StartTime ? StartMapWait : MapWait;
   wantVersions(*Transfer, Wanted, Now);
-  chunkReceived(*Transfer, Model.Descriptor->Id, {}, true, Now);
-  if (auto Failure = descriptorKnown(*Transfer, *Model.Descriptor, Now))
+  chunkReceived(*Transfer, State.Descriptor->Id, {}, true, Now);
+  if (auto Failure = descriptorKnown(*Transfer, *State.Descriptor, Now))
     Base.Log.write("descriptor_refused", *Failure);
   // Pieces that were read from the staging area need no transfer.
   std::size_t Held = 0;
-  for (const Chunk &Each : Model.Descriptor->Chunks)
+  for (const Chunk &Each : State.Descriptor->Chunks)
     if (Chunks.contains(Each.Id)) {
       chunkReceived(*Transfer, Each.Id, {}, true, Now);
       ++Held;
@@ -150,19 +151,18 @@
     Chunks.erase(Id);
   Base.Log.write({.Event = "version_wanted",
                   .At = Step::ChunkRequest,
-                  .Fields = {{"version", Model.Descriptor->Version},
+                  .Fields = {{"version", State.Descriptor->Version},
                              {"held", std::to_string(Held)}}});
   PlanDue = true;
 }
 
 void Stager::descriptorMessage(const std::string &Peer, const Body &Content) {
   if (const auto *Asked = std::get_if<DescriptorRequest>(&Content)) {
-    const ModelState *Model = findModel(Asked->Model);
-    if (Model == nullptr || !Model->Descriptor ||
-        Model->Load.Target.Version != Asked->Version)
+    const VersionState *State = findVersion({Asked->Model, Asked->Version});
+    if (State == nullptr || !State->Descriptor)
       return;
     DescriptorReply Reply{Asked->Model, Asked->Version, 0, {}};
-    for (const Chunk &Each : Model->Descriptor->Chunks) {
+    for (const Chunk &Each : State->Descriptor->Chunks) {
       Reply.ChunkBytes = Each.Size;
       Reply.Chunks.push_back(Each.Id);
     }
@@ -177,7 +177,7 @@
     Descriptor.Chunks.push_back({Id, Reply.ChunkBytes});
   Descriptor.Id = descriptorDigest(Descriptor);
   if (Transfer && !Descriptor.Chunks.empty())
-    manifestKnown(Reply.Model, std::move(Descriptor));
+    manifestKnown({Reply.Model, Reply.Version}, std::move(Descriptor));
 }
 
 void Stager::plan() {
@@ -187,8 +187,7 @@
   if (!PlanDue && Now < nextTransferPlan(*Transfer, Now))
     return;
   PlanDue = false;
-  for (const TransferAction &Action :
-       planTransfer(*Transfer, Now, Base.Source))
+  for (const TransferAction &Action : planTransfer(*Transfer, Now, Base.Source))
     perform(Action);
 }
 
@@ -201,13 +200,13 @@
   } else if (const auto *Give = std::get_if<SendChunk>(&Action)) {
     if (const auto Found = Chunks.find(Give->Chunk); Found != Chunks.end())
       Base.sendBulk(Give->Peer,
-                    ChunkData{Give->Chunk, {Found->second->begin(),
-                                            Found->second->end()}});
+                    ChunkData{Give->Chunk,
+                              {Found->second->begin(), Found->second->end()}});
   } else if (const auto *Deny = std::get_if<RefuseChunk>(&Action)) {
-    Base.send(Deny->Peer,
-              ChunkRefused{Deny->Chunk,
-                           std::chrono::ceil<std::chrono::milliseconds>(
-                               Deny->RetryAfter)});
+    Base.send(
+        Deny->Peer,
+        ChunkRefused{Deny->Chunk, std::chrono::ceil<std::chrono::milliseconds>(
+                                      Deny->RetryAfter)});
   } else if (const auto *Map = std::get_if<AnnounceMap>(&Action)) {
     for (const std::string &Peer : Map->Peers)
       Base.send(Peer, ChunkMap{Map->Version, Map->Held, Map->HasDescriptor,
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -59,8 +59,10 @@
     return;
   Version.Wanted = Wanted;
   Version.Changed = true;
-  if (Wanted)
+  if (Wanted) {
+    Version.WantedAt = Now;
     detail::startAsking(State, Version, Now);
+  }
   std::vector<ChunkIndex> All = Version.Chunks;
   All.push_back(Version.Descriptor);
   for (const ChunkIndex Index : All) {
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -193,12 +193,31 @@
   }
 }
 
+/// Wanted versions that lack chunks, the one that is wanted for longest first.
+std::vector<const VersionSlot *> incompleteVersions(const TransferState &State) {
+  std::vector<const VersionSlot *> Result;
+  for (const auto &[Id, Version] : State.Versions)
+    if (Version.Wanted && Version.Described && Version.Missing > 0)
+      Result.push_back(&Version);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const VersionSlot *Left, const VersionSlot *Right) {
+                     return Left->WantedAt < Right->WantedAt;
+                   });
+  return Result;
+}
+
 void requestAtHome(TransferState &State, TimePoint Now, Random &Source,
                    Actions &Result) {
+  const auto Versions = incompleteVersions(State);
   requestFrom(State, State.Home, State.Settings.MaxInFlight, Now, Source,
               Result, [&](const PeerSlot &Peer) {
                 std::optional<ChunkIndex> Chunk = rarest(
                     State, Source, Peer.Has, State.Missing, State.Exported);
+                // A version that came later must not delay an earlier one.
+                for (const VersionSlot *Version : Versions)
+                  if (!Chunk)
+                    Chunk = rarest(State, Source, Peer.Has, State.Missing,
+                                   Version->Content);
                 if (!Chunk)
                   Chunk = rarest(State, Source, Peer.Has, State.Missing);
                 return Chunk;
