Recover faster: newest server at an address, states to gateways that join, no late begin

Cause: after a power loss two records stood at each address and the fresh state went to the older one; gateways that are no seeds learned of loaded servers after two seconds; a request waited 0.9 s at a server and began on an outdated version. Change: the later start holds the address; stagers tell gateways that join; a request that has not begun is withdrawn before the bound; first tries are held only while they can be on time, and refused callers come back after a third of their time. Ruled out: start-up and loading (0.6 s after the machines).

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -56,6 +56,8 @@
   double FailureRate = 0;
   TimePoint PausedUntil{};
   TimePoint LoadingUntil{};
+  /// A later server has the address; the record has not lapsed yet.
+  bool Replaced = false;
   std::vector<LoadedWeights> Weights;
 };
 
@@ -164,6 +166,12 @@
 void noteOutcome(ServerTable &Table, const std::string &Id,
                  ServerOutcome Outcome, TimePoint Now);
 
+/// @brief Newest version of a model that a server is known to have.
+/// @param Server the server
+/// @param Model the model
+/// @return the version; 0 when it has none
+std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model);
+
 /// @brief Estimated requests at a server, of all callers.
 /// @param Server the server
 /// @return the estimate
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -228,6 +228,8 @@
                             : "gateway_restarted",
                .At = Step::MemberList,
                .Peer = Peer});
+  if (Evidence != MessageEvidence::Known && Handlers.GatewayJoined)
+    Handlers.GatewayJoined(Peer);
   Known[Peer] = {Status.CallerAddress, Status.Ready, Status.Leaving,
                  Status.KnownUpto};
   Heard.erase(Peer);
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -28,6 +28,8 @@
   std::function<void(const ChangedKeys &)> StoreChanged;
   /// Messages other than those about gateways and the store.
   std::function<void(const Message &)> Received;
+  /// A gateway was heard for the first time or restarted; gets its IP address.
+  std::function<void(const std::string &)> GatewayJoined;
   /// A connection to a peer closed; gets its IP address.
   std::function<void(const std::string &)> PeerLost;
   /// Adds to the status page.
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -34,7 +34,10 @@
 constexpr std::chrono::milliseconds ExitMargin{600};
 /// Part of the version bound after which only the newest version serves: the
 /// rest covers the way of the news and of requests that wait at a server.
-constexpr double VersionShare = 0.88;
+constexpr double VersionShare = 0.85;
+/// Time kept before the bound in which a request that has not begun is
+/// withdrawn from its server.
+constexpr std::chrono::milliseconds VersionMargin{150};
 /// The same for a version that was declared at an unknown time before.
 constexpr std::chrono::milliseconds LateVersionLimit{2500};
 /// Part of the shared retry budget that is used: a restarted process begins
@@ -288,12 +291,15 @@
     Base.Log.write("version_refused", Version.error());
     return;
   }
-  const auto Limit =
-      Base.Store.catchingUp(now())
-          ? Duration(LateVersionLimit)
-          : std::chrono::duration_cast<Duration>(Settings.Process.VersionLimit *
-                                                 VersionShare);
-  Declared.emplace_back(now() + Limit, *Version);
+  const TimePoint Now = now();
+  const Duration Limit = Settings.Process.VersionLimit;
+  if (Base.Store.catchingUp(Now))
+    Pending.push_back({*Version, Now + LateVersionLimit, TimePoint::max()});
+  else
+    Pending.push_back(
+        {*Version,
+         Now + std::chrono::duration_cast<Duration>(Limit * VersionShare),
+         Now + Limit - VersionMargin});
   Base.Log.write({.Event = "version_declared",
                   .At = Step::ConfigurationAccept,
                   .Fields = {{"model", Version->Model},
@@ -302,19 +308,32 @@
 
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
-  std::erase_if(Declared, [&](const auto &Each) {
-    if (Now < Each.first)
+  std::erase_if(Pending, [&](const PendingVersion &Each) {
+    if (Now < Each.RequiredAt)
       return false;
-    requireVersion(Servers, Each.second);
+    requireVersion(Servers, Each.Declared);
     Base.Log.write(
         {.Event = "version_required",
          .At = Step::Routing,
-         .Fields = {{"model", Each.second.Model},
-                    {"version", std::to_string(Each.second.Version)}}});
+         .Fields = {{"model", Each.Declared.Model},
+                    {"version", std::to_string(Each.Declared.Version)}}});
     return true;
   });
 }
 
+std::optional<TimePoint>
+Gateway::beginUntil(const std::string &Id, const std::string &Model) const {
+  const auto Server = Servers.Servers.find(Id);
+  if (Server == Servers.Servers.end())
+    return std::nullopt;
+  const std::uint64_t Loaded = loadedVersion(Server->second, Model);
+  std::optional<TimePoint> Result;
+  for (const PendingVersion &Each : Pending)
+    if (Each.Declared.Model == Model && Each.Declared.Version > Loaded)
+      Result = std::min(Result.value_or(Each.BeginUntil), Each.BeginUntil);
+  return Result;
+}
+
 void Gateway::received(const Message &Incoming) {
   const auto *Status = std::get_if<EngineStatus>(&Incoming.Content);
   if (Status == nullptr)
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -66,6 +66,13 @@
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
 
+  /// @brief Until when a request may begin at a server on its version.
+  /// @param Id the server
+  /// @param Model the model
+  /// @return the time; nothing while no newer version is declared
+  std::optional<TimePoint> beginUntil(const std::string &Id,
+                                      const std::string &Model) const;
+
   /// @brief Counts an answer to a caller and its latency.
   /// @param Kind kind of route
   /// @param Result outcome for logs and metrics
@@ -117,8 +124,13 @@
   DrainState Departure;
   std::set<std::weak_ptr<CallerSession>, std::owner_less<>> Sessions;
   std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
-  /// Declared versions that are not required yet, and when they will be.
-  std::vector<std::pair<TimePoint, DeclaredVersion>> Declared;
+  /// A declared version that servers need not have yet.
+  struct PendingVersion {
+    DeclaredVersion Declared;
+    TimePoint RequiredAt; ///< older ones get no request from then on
+    TimePoint BeginUntil; ///< no request begins on older ones from then on
+  };
+  std::vector<PendingVersion> Pending;
   TimePoint StatusAt{};
   TimePoint StagerStatusAt{};
   TimePoint MaintenanceAt{};
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -33,16 +33,23 @@
 constexpr int PatienceTargets = 4;
 constexpr int PatienceGaps = 8;
 /// Part of a caller's patience for which its request waits for a server.
-constexpr double HoldShare = 0.6;
+constexpr double HoldShare = 0.75;
+/// Requests wait at least this long: a slot becomes free every few milliseconds.
+constexpr milliseconds ShortestHold{50};
+/// Time already spent by a caller above which its request is a second try.
+constexpr milliseconds ComeBackThreshold{100};
 /// Time that a server needs from the start of a request to the first event,
 /// besides reading its prompt.
-constexpr milliseconds FirstEventTime{40};
+constexpr milliseconds FirstEventTime{120};
 /// Work of an output token compared with a prompt token, as in the users'
 /// measure of size.
 constexpr std::uint64_t OutputTokenCost = 10;
-/// Callers that are refused come back after this time, in which about a tenth
-/// of the running requests end.
+/// Callers that are refused for another reason than load come back after this
+/// time.
 constexpr milliseconds ComeBackAfter{200};
+/// Part of the time left after which callers that are refused for load come
+/// back: a burst may be over then, and callers wait no longer than a third.
+constexpr double ComeBackShare = 0.3;
 
 std::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
@@ -182,10 +189,14 @@
                       PatienceTargets * Matched->TargetLatency,
                       PatienceGaps * Matched->TargetGap})
           : Deadline - Arrived;
-  Result.HoldUntil =
-      std::min(Arrived + std::chrono::duration_cast<Duration>(Patience *
-                                                              HoldShare),
-               Deadline - AnswerMargin);
+  // A first try is worth its wait only while it can be on time; a caller that
+  // came back is late anyway and waits as long as it has patience.
+  const bool CameBack = Earlier > ComeBackThreshold;
+  const Duration Hold =
+      Matched->Streams && !CameBack
+          ? std::max<Duration>(ShortestHold, Result.OnTimeUntil - Arrived)
+          : std::chrono::duration_cast<Duration>(Patience * HoldShare);
+  Result.HoldUntil = std::min(Arrived + Hold, Deadline - AnswerMargin);
   if (HeadPassed)
     Result.HoldUntil = std::min(now() + ShortestGap, Deadline - AnswerMargin);
   return Result;
@@ -258,7 +269,11 @@
   StreamReceiver Receiver = streamReceiver();
   const platform::RequestMessage Outgoing =
       platform::buildServerRequest(Request, Content);
-  const ExchangeLimits Limits = exchangeLimits();
+  ExchangeLimits Limits = exchangeLimits();
+  // A request that waits at a server must not begin on an outdated version.
+  if (auto Until = Owner.beginUntil(Id, Facts.Model); Until && !HeadPassed)
+    Limits.FirstByte = std::min(
+        Limits.FirstByte, std::max(Duration::zero(), *Until - now()));
   ExchangeResult Result = co_await Exchange.run(
       Outgoing, Record.Address, Facts.Id, Limits,
       Matched->Streams ? &Receiver : nullptr);
@@ -332,7 +347,8 @@
           Step::Admission,
           Pool->Name,
           std::string(serverShortageName(Shortage)),
-          ComeBackAfter};
+          std::chrono::duration_cast<Duration>(
+              std::max(Duration::zero(), timeLeft()) * ComeBackShare)};
 }
 
 StreamReceiver RequestRun::streamReceiver() {
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -57,6 +57,10 @@
     if (Transfer)
       transferPeerLost(*Transfer, Peer, now());
   };
+  Handlers.GatewayJoined = [this](const std::string &Gateway) {
+    if (Report)
+      Base.send(Gateway, ownStatus());
+  };
   Handlers.Tick = [this] { tick(); };
   Handlers.Terminate = [this] {
     // The server serves on without its stager, so there is nothing to wait for.
@@ -251,16 +255,21 @@
     updateTransferMembers();
 }
 
-void Stager::announceStatus() {
-  if (!Report)
-    return;
-  StatusAt = now() + StatusInterval;
+EngineStatus Stager::ownStatus() const {
   EngineStatus Status;
   Status.Sender = Base.self();
   Status.Server = addressText(Settings.Engine);
   Status.StartedAtMs = Report->StartedAtMs;
   Status.Accepting = Accepting;
   Status.Weights = Report->Weights;
+  return Status;
+}
+
+void Stager::announceStatus() {
+  if (!Report)
+    return;
+  StatusAt = now() + StatusInterval;
+  const EngineStatus Status = ownStatus();
   for (const std::string &Gateway : Base.gatewayAddresses())
     Base.send(Gateway, Status);
   for (const auto &[Address, Peer] : Peers)
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -102,6 +102,7 @@
   void dropSuperseded();
   bool othersContinue(const DeclaredVersion &Target) const;
   void giveOrder(VersionState &State);
+  EngineStatus ownStatus() const;
   void announceStatus();
   VersionState *findVersion(const DeclaredVersion &Target);
 
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -35,13 +35,6 @@
   }
 }
 
-std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model) {
-  for (const LoadedWeights &Each : Server.Weights)
-    if (Each.Model == Model)
-      return Each.Version;
-  return 0;
-}
-
 std::uint64_t requiredVersion(const ServerTable &Table,
                               std::string_view Model) {
   const auto Found = Table.RequiredVersions.find(Model);
@@ -85,6 +78,23 @@
   return Score;
 }
 
+/// Of two servers at one address the one that started later is there now; the
+/// record of the other one lapses after some heartbeats.
+void claimAddress(ServerTable &Table, ServerState &Server) {
+  const auto [Named, New] =
+      Table.IdByAddress.emplace(Server.Record.Address, Server.Record.Id);
+  Server.Replaced = false;
+  if (New || Named->second == Server.Record.Id)
+    return;
+  ServerState &Other = Table.Servers.at(Named->second);
+  if (Other.Record.StartedAtMs > Server.Record.StartedAtMs) {
+    Server.Replaced = true;
+    return;
+  }
+  Other.Replaced = true;
+  Named->second = Server.Record.Id;
+}
+
 void pause(const ServerTableSettings &Settings, ServerState &Server,
            TimePoint Now) {
   const std::uint32_t Doublings =
@@ -123,7 +133,7 @@
   Server.Region =
       Region == Table.Settings.RegionOf.end() ? "" : Region->second;
   Table.ByPool[Record.Pool].insert(Record.Id);
-  Table.IdByAddress[Record.Address] = Record.Id;
+  claimAddress(Table, Server);
 }
 
 void removeServer(ServerTable &Table, const std::string &Id) {
@@ -190,8 +200,8 @@
   };
   for (const std::string &Id : Pool->second) {
     const ServerState &Server = Table.Servers.at(Id);
-    if (Server.Record.Draining || Question.Excluded.contains(Id) ||
-        Now < Server.PausedUntil)
+    if (Server.Record.Draining || Server.Replaced ||
+        Question.Excluded.contains(Id) || Now < Server.PausedUntil)
       continue;
     if (!hasWeights(Table, Server, Question, Now)) {
       Report(ServerShortage::Loading);
@@ -260,6 +270,13 @@
   pause(Table.Settings, *Server, Now);
 }
 
+std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model) {
+  for (const LoadedWeights &Each : Server.Weights)
+    if (Each.Model == Model)
+      return Each.Version;
+  return 0;
+}
+
 std::uint32_t estimatedLoad(const ServerState &Server) {
   if (!Server.ToldLoad)
     return Server.InFlight;
