--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -34,6 +34,12 @@
   /// Requests that may wait at a model server besides those that run, so that
   /// a freed slot is filled without a round trip.
   std::uint32_t WaitingAtEngine = 1;
+  /// Part of a model server's slots that requests may take that miss their
+  /// target anyway; the rest lets others begin in time.
+  double LateShare = 0.7;
+  /// Passes of reading whose prompts may be at a model server at once. More
+  /// would only wait there, where a more urgent request cannot overtake them.
+  double ReadingPasses = 1.5;
 };
 
 /// @brief What a stager says about the server on its machine.
@@ -52,6 +58,7 @@
   // Load as an answer told it, and own requests begun and ended since.
   std::optional<std::uint32_t> ToldLoad;
   std::int64_t BegunSince = 0;
+  std::uint64_t ReadingTokens = 0; ///< own prompts without a first event
   std::uint32_t FailuresInRow = 0;
   double FailureRate = 0;
   TimePoint PausedUntil{};
@@ -101,6 +108,9 @@
   std::string_view Model;                   ///< empty: any
   std::optional<std::uint64_t> ExactVersion; ///< of a stream in progress
   std::set<std::string> Excluded;           ///< ids that were tried
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t TokensAtOnce = 0; ///< read by a server in one pass; 0: any
+  bool Late = false;              ///< it misses its target anyway
 };
 
 /// @brief Why there is no server.
@@ -136,7 +146,16 @@
 /// @brief Counts a request that is sent to a server.
 /// @param Table the servers
 /// @param Id the server
-void noteBegun(ServerTable &Table, const std::string &Id);
+/// @param PromptTokens tokens that the server reads before the first event
+void noteBegun(ServerTable &Table, const std::string &Id,
+               std::uint64_t PromptTokens);
+
+/// @brief Counts the end of the reading of a prompt.
+/// @param Table the servers
+/// @param Id the server
+/// @param PromptTokens the same as for noteBegun
+void noteRead(ServerTable &Table, const std::string &Id,
+              std::uint64_t PromptTokens);
 
 /// @brief Counts the end of a request.
 /// @param Table the servers
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -54,7 +54,8 @@
   bool Engines = false;             ///< model servers
   std::uint32_t Slots = 0;          ///< of one model server; 0: not told
   double PromptTokensPerSecond = 0; ///< reading speed of one model server
-  std::vector<std::string> Models;  ///< that its model servers load
+  std::uint64_t PromptTokensAtOnce = 0; ///< read by a model server in one pass
+  std::vector<std::string> Models;      ///< that its model servers load
 };
 
 /// @brief Where weights are drawn from.
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -368,10 +368,11 @@
   const std::string Customer = Request.Customer;
   const std::uint64_t Cost = Request.Cost;
   ServerChoice Choice{{}, ServerShortage::Full};
+  Question.Late = now() > Request.OnTimeUntil;
   if (!mustWait(Queue, Question.Pool, Request.Priority))
     Choice = chooseServer(Servers, Question, now(), Base.Source);
   if (Choice.Shortage == ServerShortage::None) {
-    noteBegun(Servers, Choice.Id);
+    noteBegun(Servers, Choice.Id, Question.PromptTokens);
     noteUsage(Queue, Customer, Cost, now());
     co_return Choice;
   }
@@ -395,6 +396,13 @@
   co_return Grant;
 }
 
+void Gateway::promptRead(const std::string &Id, std::uint64_t PromptTokens) {
+  noteRead(Servers, Id, PromptTokens);
+  const auto Found = Servers.Servers.find(Id);
+  if (Found != Servers.Servers.end())
+    beginWaiting(Found->second.Record.Pool);
+}
+
 void Gateway::releaseServer(const std::string &Id) {
   noteEnded(Servers, Id);
   const auto Found = Servers.Servers.find(Id);
@@ -422,12 +430,13 @@
   const TimePoint Now = now();
   while (const WaitingRequest *Next = nextRequest(Queue, Pool, Now)) {
     const std::uint64_t Ticket = Next->Ticket;
-    ServerChoice Choice = chooseServer(Servers, Waiters.at(Ticket).Question,
-                                       Now, Base.Source);
+    ServerQuestion &Question = Waiters.at(Ticket).Question;
+    Question.Late = Now > Next->OnTimeUntil;
+    ServerChoice Choice = chooseServer(Servers, Question, Now, Base.Source);
     if (Choice.Shortage != ServerShortage::None)
       return;
     dequeue(Queue, Ticket);
-    noteBegun(Servers, Choice.Id);
+    noteBegun(Servers, Choice.Id, Question.PromptTokens);
     wake(Ticket, std::move(Choice));
   }
 }
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -58,6 +58,11 @@
   boost::asio::awaitable<ServerChoice>
   acquireServer(ServerQuestion Question, WaitingRequest Request,
                 const std::function<void(std::function<void()>)> &Left);
+  /// @brief Counts the end of the reading of a prompt and begins waiting
+  /// requests.
+  /// @param Id the server
+  /// @param PromptTokens tokens of the prompt
+  void promptRead(const std::string &Id, std::uint64_t PromptTokens);
   /// @brief Counts the end of a request at a server and begins waiting ones.
   /// @param Id the server
   void releaseServer(const std::string &Id);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -132,8 +132,10 @@
   for (;;) {
     const ServerChoice Choice = co_await acquire();
     if (Session.gone()) {
-      if (Choice.Shortage == ServerShortage::None)
+      if (Choice.Shortage == ServerShortage::None) {
+        Owner.promptRead(Choice.Id, Facts.PromptTokens);
         Owner.releaseServer(Choice.Id);
+      }
       log("caller_left", serverShortageName(Choice.Shortage));
       co_return false;
     }
@@ -176,13 +178,13 @@
   const Duration Earlier =
       std::max(Duration::zero(),
                Matched->Timeout - Facts.TimeLeft.value_or(Matched->Timeout));
-  Duration Reading{};
+  Duration ReadingTime{};
   if (Pool->PromptTokensPerSecond > 0)
-    Reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+    ReadingTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
                   static_cast<double>(Facts.PromptTokens) /
                   Pool->PromptTokensPerSecond)) +
               FirstEventTime;
-  Result.OnTimeUntil = Arrived + Matched->TargetLatency - Earlier - Reading;
+  Result.OnTimeUntil = Arrived + Matched->TargetLatency - Earlier - ReadingTime;
   const Duration Patience =
       Matched->Streams
           ? std::max({Duration(ShortestPatience),
@@ -206,6 +208,8 @@
   ServerQuestion Question;
   Question.Pool = Pool->Name;
   Question.Model = Facts.Model;
+  Question.PromptTokens = Facts.PromptTokens;
+  Question.TokensAtOnce = Pool->PromptTokensAtOnce;
   Question.Excluded = Tried;
   if (HeadPassed)
     Question.ExactVersion = Version;
@@ -258,6 +262,7 @@
     Content.RequiredVersion = Version;
   Tried.insert(Id);
   LastServer = Id;
+  Reading = true;
   ++Sends;
   ServerExchange Exchange(Owner.node().Context, Owner.node().Timeouts,
                           Owner.connections(),
@@ -281,10 +286,16 @@
   Fates.push_back(Result.Fate);
   noteOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
+  endReading();
   Owner.releaseServer(Id);
   co_return Result;
 }
 
+void RequestRun::endReading() {
+  if (std::exchange(Reading, false))
+    Owner.promptRead(LastServer, Facts.PromptTokens);
+}
+
 bool RequestRun::mayRepeat(const ExchangeResult &Last) {
   if (Last.Fate == TryFate::Completed || Sends >= Matched->MaxSends)
     return false;
@@ -393,6 +404,7 @@
 }
 
 net::awaitable<bool> RequestRun::passEvents(std::vector<StreamEvent> Events) {
+  endReading();
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -43,6 +43,7 @@
   boost::asio::awaitable<bool> serve();
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   boost::asio::awaitable<ServerChoice> acquire();
+  void endReading();
   bool mayRepeat(const ExchangeResult &Last);
   boost::asio::awaitable<bool> conclude(ExchangeResult Last);
   boost::asio::awaitable<bool> concludeStream(const ExchangeResult &Last);
@@ -81,6 +82,7 @@
   std::set<std::string> Tried;
   std::vector<TryFate> Fates;
   ServerExchange *Current = nullptr;
+  bool Reading = false; ///< the prompt is being read at LastServer
   bool HeadPassed = false;
   EventOrder Order;
   std::optional<std::uint64_t> Version;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -64,6 +64,25 @@
   return Ids.empty() ? 0 : Sum / static_cast<double>(Ids.size());
 }
 
+/// Whether the prompts at a server fill its next passes of reading.
+bool readsEnough(const ServerTable &Table, const ServerState &Server,
+                 const ServerQuestion &Question) {
+  if (Question.TokensAtOnce == 0 || Server.ReadingTokens == 0)
+    return false;
+  const double Limit = Table.Settings.ReadingPasses *
+                       static_cast<double>(Question.TokensAtOnce);
+  return static_cast<double>(Server.ReadingTokens + Question.PromptTokens) >
+         Limit;
+}
+
+std::uint32_t requestLimit(const ServerTable &Table, const ServerState &Server,
+                           const ServerQuestion &Question) {
+  const std::uint32_t Limit = loadLimit(Table, Server);
+  if (!Question.Late || !Server.Record.Weights)
+    return Limit;
+  return static_cast<std::uint32_t>(Limit * Table.Settings.LateShare);
+}
+
 /// Preference of a candidate; the lowest wins.
 double loadScore(const ServerTable &Table, const ServerState &Server,
                  double MeanFailures) {
@@ -208,11 +227,12 @@
       continue;
     }
     // After a pause one request at a time tests the server.
-    const std::uint32_t Limit =
-        Server.FailuresInRow > 0 ? 1 : loadLimit(Table, Server);
+    const std::uint32_t Limit = Server.FailuresInRow > 0
+                                    ? 1
+                                    : requestLimit(Table, Server, Question);
     const std::uint32_t Load =
         Server.FailuresInRow > 0 ? Server.InFlight : estimatedLoad(Server);
-    if (Load >= Limit) {
+    if (Load >= Limit || readsEnough(Table, Server, Question)) {
       Report(ServerShortage::Full);
       continue;
     }
@@ -228,13 +248,21 @@
   return Choice;
 }
 
-void noteBegun(ServerTable &Table, const std::string &Id) {
+void noteBegun(ServerTable &Table, const std::string &Id,
+               std::uint64_t PromptTokens) {
   if (ServerState *Server = find(Table, Id)) {
+    Server->ReadingTokens += PromptTokens;
     ++Server->InFlight;
     ++Server->BegunSince;
   }
 }
 
+void noteRead(ServerTable &Table, const std::string &Id,
+              std::uint64_t PromptTokens) {
+  if (ServerState *Server = find(Table, Id))
+    Server->ReadingTokens -= std::min(Server->ReadingTokens, PromptTokens);
+}
+
 void noteEnded(ServerTable &Table, const std::string &Id) {
   ServerState *Server = find(Table, Id);
   if (Server == nullptr || Server->InFlight == 0)
