--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -21,8 +21,8 @@
   /// Time between the announcement and the order, in which gateways stop
   /// sending, so that fewer requests are refused by the server.
   Duration AnnounceLead = std::chrono::milliseconds(40);
-  /// Time in which many of the running streams end; those that are left continue
-  /// at other servers, at the cost of reading their prompts once more.
+  /// Time in which many of the running streams end; those that are left
+  /// continue at other servers, at the cost of reading their prompts once more.
   Duration DrainLimit = std::chrono::milliseconds(500);
   /// Longest wait for an order to take effect before it is given again. A
   /// server ends its running streams first.
@@ -46,14 +46,14 @@
 
 /// @brief What is known when the next step is decided.
 struct LoadFacts {
-  bool Complete = false; ///< all pieces are held and verified
-  bool Staged = false;   ///< all pieces were read back from the server
-  bool Loaded = false;   ///< the server reports the version
-  bool Busy = false;     ///< the server carries out an order
-  bool Empty = false;    ///< the server serves no version of the model
+  bool Complete = false;     ///< all pieces are held and verified
+  bool Staged = false;       ///< all pieces were read back from the server
+  bool Loaded = false;       ///< the server reports the version
+  bool Busy = false;         ///< the server carries out an order
+  bool Empty = false;        ///< the server serves no version of the model
   bool MayBeUnready = false; ///< it is the server's turn
   bool Idle = false;         ///< the server runs no request
-  bool MayCut = false; ///< cut streams can continue at other servers
+  bool MayCut = false;       ///< cut streams can continue at other servers
 };
 
 /// @brief Loading of one version on one server.
--- a/include/marigoldyard/coordination/retry.hpp
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -64,7 +64,7 @@
 
 /// @brief Retry allowance per product: each first try earns a share of a retry.
 struct RetryBudget {
-  double Share = 0.1; ///< retries as a share of first tries
+  double Share = 0.1;            ///< retries as a share of first tries
   double Reserve = RetryReserve; ///< unspent part that does not expire
   double Tokens = RetryReserve;
   /// Every refusal that reached an endpoint is taken from the budget; false
--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -36,10 +36,10 @@
   std::uint32_t WaitingAtEngine = 1;
   /// Part of a model server's slots that requests may take that miss their
   /// target anyway; the rest lets others begin in time.
-  double LateShare = 0.7;
+  double LateShare = 0.95;
   /// Passes of reading whose prompts may be at a model server at once. More
   /// would only wait there, where a more urgent request cannot overtake them.
-  double ReadingPasses = 1.5;
+  double ReadingPasses = 1.3;
 };
 
 /// @brief What a stager says about the server on its machine.
@@ -105,9 +105,9 @@
 /// @brief What a server is needed for.
 struct ServerQuestion {
   std::string_view Pool;
-  std::string_view Model;                   ///< empty: any
+  std::string_view Model;                    ///< empty: any
   std::optional<std::uint64_t> ExactVersion; ///< of a stream in progress
-  std::set<std::string> Excluded;           ///< ids that were tried
+  std::set<std::string> Excluded;            ///< ids that were tried
   std::uint64_t PromptTokens = 0;
   std::uint64_t TokensAtOnce = 0; ///< read by a server in one pass; 0: any
   bool Late = false;              ///< it misses its target anyway
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -202,7 +202,7 @@
   std::string CallerAddress; ///< "host:port" for callers
   bool Ready = false;
   bool Leaving = false;
-  StoreRevision KnownUpto = 0; ///< of the store
+  StoreRevision KnownUpto = 0;       ///< of the store
   std::vector<std::string> Gateways; ///< live ones that the sender knows
 };
 
@@ -244,14 +244,12 @@
 
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body =
-    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
-                 CancelWork, OperationOpen, OperationOpened, OperationRun,
-                 OperationResult, Report, ConfigurationOffer,
-                 ConfigurationRequest, ConfigurationValues, ChunkMap,
-                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
-                 EngineStatus, StoreRelayRequest, StoreRelay,
-                 DescriptorRequest, DescriptorReply>;
+using Body = std::variant<
+    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
+    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
+    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
+    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
+    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -50,10 +50,10 @@
 /// @brief Servers that are interchangeable for a route.
 struct ServerPool {
   std::string Name;
-  std::uint32_t MaxConnections = 0; ///< of one server, from all processes
-  bool Engines = false;             ///< model servers
-  std::uint32_t Slots = 0;          ///< of one model server; 0: not told
-  double PromptTokensPerSecond = 0; ///< reading speed of one model server
+  std::uint32_t MaxConnections = 0;     ///< of one server, from all processes
+  bool Engines = false;                 ///< model servers
+  std::uint32_t Slots = 0;              ///< of one model server; 0: not told
+  double PromptTokensPerSecond = 0;     ///< reading speed of one model server
   std::uint64_t PromptTokensAtOnce = 0; ///< read by a model server in one pass
   std::vector<std::string> Models;      ///< that its model servers load
 };
@@ -103,8 +103,8 @@
   std::string FailureDomain;
   std::uint32_t Slots = 0;
   bool Draining = false;
-  std::int64_t StartedAtMs = 0;   ///< wall time of its start; compared only with
-                                  ///< other records of the same server
+  std::int64_t StartedAtMs = 0; ///< wall time of its start; compared only with
+                                ///< other records of the same server
   std::optional<std::vector<LoadedWeights>> Weights; ///< of a model server
 
   // clang-tidy 14 reports names in the code that the compiler generates here.
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -68,10 +68,11 @@
       Log(logOptions(Settings, 0),
           [this](std::string_view Line) { Output.write(Line); }),
       Source(makeRandom()), Timeouts(Context), Client(Context),
-      Store({addressText(Settings.Store), std::move(StorePrefix), StorePace}, Context, Client, Log,
+      Store({addressText(Settings.Store), std::move(StorePrefix), StorePace},
+            Context, Client, Log,
             [this](const ChangedKeys &Keys) { Handlers.StoreChanged(Keys); }),
-      Number(makeIncarnation(wallTime(), Source)),
-      Self(selfOf(Settings, Kind)), RelayPrefix(std::move(Relayed)) {
+      Number(makeIncarnation(wallTime(), Source)), Self(selfOf(Settings, Kind)),
+      RelayPrefix(std::move(Relayed)) {
   Gateways.Settings = gatewayMembership();
 }
 
@@ -111,10 +112,9 @@
   Options.MaxMessageBytes = MaxMessageBytes;
   MailboxHandlers Callbacks;
   Callbacks.Received = [this](Message &&Incoming) {
-    boost::asio::post(Context, [this, Shared = std::make_shared<Message>(
-                                          std::move(Incoming))] {
-      receive(*Shared);
-    });
+    boost::asio::post(Context,
+                      [this, Shared = std::make_shared<Message>(
+                                 std::move(Incoming))] { receive(*Shared); });
   };
   Callbacks.ConnectionLost = [this](const std::string &Peer) {
     boost::asio::post(Context, [this, Host = hostOf(Peer)] {
@@ -125,8 +125,8 @@
   Callbacks.Dropped = [this](const Error &Cause) {
     Log.write("message_dropped", Cause);
   };
-  auto Box = Mailbox::open(std::move(Options), keysOf(Settings),
-                           std::move(Callbacks));
+  auto Box =
+      Mailbox::open(std::move(Options), keysOf(Settings), std::move(Callbacks));
   if (!Box)
     return Box.error();
   Target = std::move(*Box);
@@ -213,9 +213,8 @@
 
 void FleetNode::gatewayStatus(const std::string &Peer, const Message &Incoming,
                               const GatewayStatus &Status) {
-  const MessageEvidence Evidence =
-      reportReceived(Gateways, Peer, Incoming.Head.SenderIncarnation,
-                     Status.Leaving, now());
+  const MessageEvidence Evidence = reportReceived(
+      Gateways, Peer, Incoming.Head.SenderIncarnation, Status.Leaving, now());
   if (Evidence == MessageEvidence::Outdated ||
       Evidence == MessageEvidence::Refused)
     return;
@@ -288,9 +287,8 @@
   askForRelay();
   for (const std::string &Gone : removeDeadMembers(Gateways, now())) {
     Known.erase(Gone);
-    Log.write({.Event = "gateway_forgotten",
-               .At = Step::MemberList,
-               .Peer = Gone});
+    Log.write(
+        {.Event = "gateway_forgotten", .At = Step::MemberList, .Peer = Gone});
     Messages->removePeer(Gone + ":" + std::to_string(Settings.PeerPort));
   }
   if (Handlers.Tick)
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -77,10 +77,9 @@
 
 void StoreReader::list() {
   ++Calls;
-  Client.call(platform::listCall(Options.Address, Options.Prefix,
-                                 Pages.empty() ? std::string()
-                                               : Pages.back().Key,
-                                 false),
+  Client.call(platform::listCall(
+                  Options.Address, Options.Prefix,
+                  Pages.empty() ? std::string() : Pages.back().Key, false),
               [this](const HttpResult &Result) { listed(Result); });
 }
 
@@ -162,9 +161,9 @@
                .Number = Mirror.Revision});
     return again({}, &StoreReader::list);
   }
-  const std::string Cause =
-      Response != nullptr ? "status " + std::to_string(Response->Status)
-                          : std::get<HttpFailure>(Result).Cause.message();
+  const std::string Cause = Response != nullptr
+                                ? "status " + std::to_string(Response->Status)
+                                : std::get<HttpFailure>(Result).Cause.message();
   if (!Lost && now() - AnsweredAt > CutOffAfter) {
     Lost = true;
     Log.write({.Level = LogLevel::Warning,
@@ -177,8 +176,8 @@
   Backoff = std::clamp(Backoff * 2, FirstBackoff, LongestBackoff);
   // After an outage a listing shows which servers lapsed.
   const bool MayHaveLapsed = now() - AnsweredAt > LapsePossibleAfter;
-  again(Backoff, !Known || MayHaveLapsed ? &StoreReader::list
-                                         : &StoreReader::watch);
+  again(Backoff,
+        !Known || MayHaveLapsed ? &StoreReader::list : &StoreReader::watch);
 }
 
 } // namespace marigoldyard
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -44,10 +44,11 @@
 
 CallerSession::CallerSession(net::ip::tcp::socket Connection,
                              TimeoutList &Timeouts, SessionHandlers Callbacks)
-    : Socket(std::move(Connection)), Limit(Timeouts, [this] {
-        error_code Ignored;
-        Socket.cancel(Ignored);
-      }),
+    : Socket(std::move(Connection)), Limit(Timeouts,
+                                           [this] {
+                                             error_code Ignored;
+                                             Socket.cancel(Ignored);
+                                           }),
       Handlers(std::move(Callbacks)) {
   error_code Ignored; // a connection without the option still works
   Socket.set_option(net::ip::tcp::no_delay(true), Ignored);
@@ -112,7 +113,7 @@
   if (TimedOut)
     co_await reject(RequestTimeout, "request was not received in time");
   else if (Failure.category() ==
-           http::make_error_code(http::error::bad_method).category() &&
+               http::make_error_code(http::error::bad_method).category() &&
            Failure != http::error::end_of_stream &&
            Failure != http::error::partial_message)
     co_await reject(rejectionStatus(Failure), Failure.message());
@@ -157,8 +158,8 @@
 
 void CallerSession::watched() {
   char Byte = 0;
-  const auto Count = ::recv(Socket.native_handle(), &Byte, 1,
-                            MSG_PEEK | MSG_DONTWAIT);
+  const auto Count =
+      ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (Count > 0)
     return; // the next request of a caller that does not wait for answers
   if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
--- a/programs/gateway/caller_session.hpp
+++ b/programs/gateway/caller_session.hpp
@@ -56,8 +56,7 @@
   enum class ReadEnd { Request, Closed, Rejected };
   boost::asio::awaitable<ReadEnd> waitForRequest(const ClientLimits &Limits);
   boost::asio::awaitable<ReadEnd> readRequest(const ClientLimits &Limits);
-  boost::asio::awaitable<void> reject(unsigned Status,
-                                      std::string_view Reason);
+  boost::asio::awaitable<void> reject(unsigned Status, std::string_view Reason);
   boost::asio::awaitable<void> closeGently();
   void watch();
   void watched();
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -36,8 +36,10 @@
 /// rest covers the way of the news and of requests that wait at a server.
 constexpr double VersionShare = 0.85;
 /// Time kept before the bound in which a request that has not begun is
-/// withdrawn from its server.
-constexpr std::chrono::milliseconds VersionMargin{150};
+/// withdrawn from its server: the pause between watches and the way of the news
+/// pass before the declaration is known.
+constexpr std::chrono::milliseconds VersionMargin =
+    StorePace + std::chrono::milliseconds(250);
 /// The same for a version that was declared at an unknown time before.
 constexpr std::chrono::milliseconds LateVersionLimit{2500};
 /// Part of the shared retry budget that is used: a restarted process begins
@@ -48,8 +50,7 @@
 
 Gateway::Gateway(GatewaySettings Given, SettingsFile<GatewaySettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
-      Base(Settings.Process, MemberKind::Entry, "", "",
-           StorePace) {
+      Base(Settings.Process, MemberKind::Entry, "", "", StorePace) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
   Departure.Process = Settings.Process.Name;
@@ -113,8 +114,8 @@
           net::redirect_error(net::use_awaitable, Failure));
       continue;
     }
-    auto Session = std::make_shared<CallerSession>(
-        std::move(Socket), Base.Timeouts, Handlers);
+    auto Session = std::make_shared<CallerSession>(std::move(Socket),
+                                                   Base.Timeouts, Handlers);
     Sessions.insert(Session);
     net::co_spawn(
         Base.Context, [Session] { return Session->run(); },
@@ -134,9 +135,9 @@
 
 SessionHandlers Gateway::callerHandlers() {
   SessionHandlers Handlers = ownHandlers();
-  Handlers.Answer = [this](CallerSession &Session,
-                           const platform::RequestMessage &Request)
-      -> net::awaitable<bool> {
+  Handlers.Answer =
+      [this](CallerSession &Session,
+             const platform::RequestMessage &Request) -> net::awaitable<bool> {
     RequestRun Run(*this, Session, Request);
     co_return co_await Run.run();
   };
@@ -173,10 +174,10 @@
     Text = directoryBody(Question->Region);
     Status = Text.empty() ? 503 : 200;
   }
-  const std::string Whole = fmt::format(
-      "HTTP/1.1 {} Answer\r\nContent-Type: application/json\r\n"
-      "Content-Length: {}\r\n\r\n{}",
-      Status, Text.size(), Text);
+  const std::string Whole =
+      fmt::format("HTTP/1.1 {} Answer\r\nContent-Type: application/json\r\n"
+                  "Content-Length: {}\r\n\r\n{}",
+                  Status, Text.size(), Text);
   co_return co_await Session.write(Whole);
 }
 
@@ -190,8 +191,7 @@
     Add(addressText(Settings.Callers), Settings.Process.Region);
   for (const auto &[Address, Other] : Base.liveGateways())
     if (Other.Ready && !Other.Leaving)
-      Add(Other.CallerAddress,
-          Base.Gateways.Records.at(Address).Listed.Region);
+      Add(Other.CallerAddress, Base.Gateways.Records.at(Address).Listed.Region);
   const std::vector<std::string> &Chosen = Near.empty() ? Far : Near;
   return Chosen.empty()
              ? std::string()
@@ -199,8 +199,7 @@
 }
 
 bool Gateway::ready() const {
-  return Base.Store.known() && Routes &&
-         Departure.Stage == DrainStage::Serving;
+  return Base.Store.known() && Routes && Departure.Stage == DrainStage::Serving;
 }
 
 void Gateway::storeChanged(const ChangedKeys &Keys) {
@@ -266,8 +265,7 @@
     }
     return removeServer(Servers, Id);
   }
-  const auto Record =
-      platform::parseServerRecord(Key, Found->second.Value);
+  const auto Record = platform::parseServerRecord(Key, Found->second.Value);
   if (!Record) {
     // Another writer's item names no server to use; a known server keeps its
     // last valid record.
@@ -277,11 +275,11 @@
   const auto Known = Servers.Servers.find(Id);
   if (Known == Servers.Servers.end() ||
       Known->second.Record.Draining != Record->Draining)
-    Base.Log.write({.Event = Record->Draining ? "server_draining"
-                                              : "server_joined",
-                    .At = Step::MemberList,
-                    .Peer = Record->Address,
-                    .Fields = {{"server", Id}, {"pool", Record->Pool}}});
+    Base.Log.write(
+        {.Event = Record->Draining ? "server_draining" : "server_joined",
+         .At = Step::MemberList,
+         .Peer = Record->Address,
+         .Fields = {{"server", Id}, {"pool", Record->Pool}}});
   putServer(Servers, *Record);
 }
 
@@ -321,8 +319,8 @@
   });
 }
 
-std::optional<TimePoint>
-Gateway::beginUntil(const std::string &Id, const std::string &Model) const {
+std::optional<TimePoint> Gateway::beginUntil(const std::string &Id,
+                                             const std::string &Model) const {
   const auto Server = Servers.Servers.find(Id);
   if (Server == Servers.Servers.end())
     return std::nullopt;
@@ -338,8 +336,7 @@
   const auto *Status = std::get_if<EngineStatus>(&Incoming.Content);
   if (Status == nullptr)
     return;
-  const bool New =
-      Stagers.insert_or_assign(Incoming.Head.Sender, now()).second;
+  const bool New = Stagers.insert_or_assign(Incoming.Head.Sender, now()).second;
   if (New)
     StagerStatusAt = {}; // it learns the list of gateways at once
   const EngineNews News{Status->Server, Status->StartedAtMs, Status->Accepting,
@@ -491,8 +488,8 @@
     return;
   const Duration Limit = Settings.Process.DrainLimit - ExitMargin;
   beginDrain(Departure,
-             std::chrono::duration_cast<Duration>(
-                 Settings.Process.DrainLimit * LingerShare),
+             std::chrono::duration_cast<Duration>(Settings.Process.DrainLimit *
+                                                  LingerShare),
              Limit, now());
   sendStatus();
 }
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -92,8 +92,8 @@
     boost::asio::steady_timer *Wake = nullptr;
   };
 
-  std::optional<Error>
-  listen(const ServerAddress &Address, SessionHandlers Handlers);
+  std::optional<Error> listen(const ServerAddress &Address,
+                              SessionHandlers Handlers);
   boost::asio::awaitable<void>
   acceptLoop(std::shared_ptr<boost::asio::ip::tcp::acceptor> Acceptor,
              SessionHandlers Handlers);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -33,8 +33,9 @@
 constexpr int PatienceTargets = 4;
 constexpr int PatienceGaps = 8;
 /// Part of a caller's patience for which its request waits for a server.
-constexpr double HoldShare = 0.75;
-/// Requests wait at least this long: a slot becomes free every few milliseconds.
+constexpr double HoldShare = 0.4;
+/// Requests wait at least this long: a slot becomes free every few
+/// milliseconds.
 constexpr milliseconds ShortestHold{50};
 /// Time already spent by a caller above which its request is a second try.
 constexpr milliseconds ComeBackThreshold{100};
@@ -49,7 +50,7 @@
 constexpr milliseconds ComeBackAfter{200};
 /// Part of the time left after which callers that are refused for load come
 /// back: a burst may be over then, and callers wait no longer than a third.
-constexpr double ComeBackShare = 0.3;
+constexpr double ComeBackShare = 0.15;
 
 std::string_view view(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
@@ -89,7 +90,7 @@
   });
   const bool Keep = co_await serve();
   Session.onGone(nullptr);
-  co_return Keep && Owner.departure().Stage == DrainStage::Serving;
+  co_return Keep &&Owner.departure().Stage == DrainStage::Serving;
 }
 
 std::optional<RequestRun::OwnAnswer> RequestRun::admit() {
@@ -110,8 +111,8 @@
   if (Keyed && Sender == nullptr && !Matched->Anonymous)
     return OwnAnswer{401, "not_run", Step::Authenticate, "", "unknown key", {}};
   if (admitWork(Owner.departure(), Arrived))
-    return OwnAnswer{503,           "not_run",         Step::Drain, "",
-                     "leaving", milliseconds(0)};
+    return OwnAnswer{503, "not_run", Step::Drain,
+                     "",  "leaving", milliseconds(0)};
   Admitted = true;
   Pool = choosePool(*Table, *Matched, Owner.node().Source);
   if (Pool == nullptr)
@@ -144,8 +145,7 @@
         log("stream_broken", serverShortageName(Choice.Shortage));
         co_return false;
       }
-      const bool NotRun =
-          std::all_of(Fates.begin(), Fates.end(), provesNotRun);
+      const bool NotRun = std::all_of(Fates.begin(), Fates.end(), provesNotRun);
       OwnAnswer Refusal =
           NotRun ? shortageAnswer(Choice.Shortage) : failureAnswer({});
       co_return co_await answer(std::move(Refusal));
@@ -171,8 +171,7 @@
   Result.Pool = Pool->Name;
   Result.Customer = Sender != nullptr ? Sender->Name : std::string();
   Result.Priority = HeadPassed ? 0 : requestPriority(*Matched, Sender);
-  Result.Cost =
-      1 + Facts.PromptTokens + OutputTokenCost * Facts.OutputTokens;
+  Result.Cost = 1 + Facts.PromptTokens + OutputTokenCost * Facts.OutputTokens;
   Result.Arrived = Arrived;
   // A caller that comes back has less time left than the route gives.
   const Duration Earlier =
@@ -180,17 +179,17 @@
                Matched->Timeout - Facts.TimeLeft.value_or(Matched->Timeout));
   Duration ReadingTime{};
   if (Pool->PromptTokensPerSecond > 0)
-    ReadingTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-                  static_cast<double>(Facts.PromptTokens) /
-                  Pool->PromptTokensPerSecond)) +
-              FirstEventTime;
+    ReadingTime =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(Facts.PromptTokens) /
+            Pool->PromptTokensPerSecond)) +
+        FirstEventTime;
   Result.OnTimeUntil = Arrived + Matched->TargetLatency - Earlier - ReadingTime;
   const Duration Patience =
-      Matched->Streams
-          ? std::max({Duration(ShortestPatience),
-                      PatienceTargets * Matched->TargetLatency,
-                      PatienceGaps * Matched->TargetGap})
-          : Deadline - Arrived;
+      Matched->Streams ? std::max({Duration(ShortestPatience),
+                                   PatienceTargets * Matched->TargetLatency,
+                                   PatienceGaps * Matched->TargetGap})
+                       : Deadline - Arrived;
   // A first try is worth its wait only while it can be on time; a caller that
   // came back is late anyway and waits as long as it has patience.
   const bool CameBack = Earlier > ComeBackThreshold;
@@ -231,7 +230,8 @@
   ExchangeLimits Limits;
   Limits.Deadline = Deadline - AnswerMargin;
   Limits.MaxIdleAge = Duration::max();
-  Limits.Gap = std::max(Duration(ShortestGap), SilentTargets * Matched->TargetGap);
+  Limits.Gap =
+      std::max(Duration(ShortestGap), SilentTargets * Matched->TargetGap);
   switch (Matched->Repeats) {
   case RepeatRule::AtMostOnce:
     Limits.FirstByte = Duration(std::chrono::hours(1));
@@ -264,12 +264,11 @@
   LastServer = Id;
   Reading = true;
   ++Sends;
-  ServerExchange Exchange(Owner.node().Context, Owner.node().Timeouts,
-                          Owner.connections(),
-                          [this, &Id](const platform::AnswerLoad &Load) {
-                            noteLoad(Owner.servers(), Id,
-                                     Load.Running + Load.Waiting);
-                          });
+  ServerExchange Exchange(
+      Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
+      [this, &Id](const platform::AnswerLoad &Load) {
+        noteLoad(Owner.servers(), Id, Load.Running + Load.Waiting);
+      });
   Current = &Exchange;
   StreamReceiver Receiver = streamReceiver();
   const platform::RequestMessage Outgoing =
@@ -277,11 +276,11 @@
   ExchangeLimits Limits = exchangeLimits();
   // A request that waits at a server must not begin on an outdated version.
   if (auto Until = Owner.beginUntil(Id, Facts.Model); Until && !HeadPassed)
-    Limits.FirstByte = std::min(
-        Limits.FirstByte, std::max(Duration::zero(), *Until - now()));
-  ExchangeResult Result = co_await Exchange.run(
-      Outgoing, Record.Address, Facts.Id, Limits,
-      Matched->Streams ? &Receiver : nullptr);
+    Limits.FirstByte =
+        std::min(Limits.FirstByte, std::max(Duration::zero(), *Until - now()));
+  ExchangeResult Result =
+      co_await Exchange.run(Outgoing, Record.Address, Facts.Id, Limits,
+                            Matched->Streams ? &Receiver : nullptr);
   Current = nullptr;
   Fates.push_back(Result.Fate);
   noteOutcome(Owner.servers(), Id, Result.Health, now());
@@ -342,9 +341,8 @@
 RequestRun::OwnAnswer
 RequestRun::failureAnswer(const ExchangeResult &Last) const {
   const bool NotRun = std::all_of(Fates.begin(), Fates.end(), provesNotRun);
-  const std::string Detail =
-      fmt::format("{} ({})", make_error_code(Last.Reason).message(),
-                  Last.Detail);
+  const std::string Detail = fmt::format(
+      "{} ({})", make_error_code(Last.Reason).message(), Last.Detail);
   if (NotRun)
     return {503, "not_run", Step::Send, LastServer, Detail, ComeBackAfter};
   const bool Late = timeLeft() <= 2 * AnswerMargin;
@@ -417,7 +415,7 @@
     co_return InOrder;
   const std::string Part = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
   const bool Written = co_await Session.write(Part);
-  co_return Written && InOrder;
+  co_return Written &&InOrder;
 }
 
 net::awaitable<bool> RequestRun::passWhole(WholeAnswer Answer) {
@@ -432,14 +430,12 @@
 }
 
 net::awaitable<bool> RequestRun::answer(OwnAnswer Content) {
-  const nlohmann::json Problem = {{"type", "about:blank"},
-                                  {"status", Content.Status},
-                                  {"outcome", Content.Outcome},
-                                  {"step", stepName(Content.At)},
-                                  {"peer", Content.Peer},
-                                  {"detail", Content.Detail}};
-  const std::string Text = Problem.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const nlohmann::json Problem = {
+      {"type", "about:blank"},      {"status", Content.Status},
+      {"outcome", Content.Outcome}, {"step", stepName(Content.At)},
+      {"peer", Content.Peer},       {"detail", Content.Detail}};
+  const std::string Text =
+      Problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   platform::Fields Headers;
   platform::setRequestId(Headers, Facts.Id);
   Headers.set(http::field::content_type, "application/problem+json");
@@ -449,9 +445,8 @@
       headText(Content.Status, Headers) +
       fmt::format("Content-Length: {}\r\n\r\n{}", Text.size(), Text);
   const bool Written = co_await Session.write(Whole);
-  log(Content.Outcome,
-      fmt::format("status {} at {}: {}", Content.Status, stepName(Content.At),
-                  Content.Detail));
+  log(Content.Outcome, fmt::format("status {} at {}: {}", Content.Status,
+                                   stepName(Content.At), Content.Detail));
   co_return Written;
 }
 
@@ -469,8 +464,7 @@
                  {"sends", std::to_string(Sends)},
                  {"seconds", seconds(Total)}};
   if (FirstEventAt)
-    Line.Fields.emplace_back("first_event_s",
-                             seconds(*FirstEventAt - Arrived));
+    Line.Fields.emplace_back("first_event_s", seconds(*FirstEventAt - Arrived));
   if (Version)
     Line.Fields.emplace_back("weights", std::to_string(*Version));
   Owner.node().Log.write(Line);
@@ -486,16 +480,15 @@
       {.Event = "send_failed",
        .At = Step::Send,
        .Request = Facts.Id,
-       .Fields = {
-           {"server", Id},
-           {"fate", std::string(tryFateName(Result.Fate))},
-           {"reason", make_error_code(Result.Reason).message()},
-           {"detail", Result.Detail},
-           {"estimated_load",
-            Found == Owner.servers().Servers.end()
-                ? "gone"
-                : std::to_string(estimatedLoad(Found->second))},
-           {"waited_s", seconds(now() - Arrived)}}});
+       .Fields = {{"server", Id},
+                  {"fate", std::string(tryFateName(Result.Fate))},
+                  {"reason", make_error_code(Result.Reason).message()},
+                  {"detail", Result.Detail},
+                  {"estimated_load",
+                   Found == Owner.servers().Servers.end()
+                       ? "gone"
+                       : std::to_string(estimatedLoad(Found->second))},
+                  {"waited_s", seconds(now() - Arrived)}}});
 }
 
 } // namespace marigoldyard
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -99,7 +99,8 @@
       co_return Result;
     }
   }
-  const Duration FirstByte = std::min(Limits.FirstByte, Limits.Deadline - now());
+  const Duration FirstByte =
+      std::min(Limits.FirstByte, Limits.Deadline - now());
   Timer.expiresAt(now() + FirstByte);
   const bool Written = co_await send(Request);
   if (!Written) {
@@ -216,8 +217,8 @@
         platform::decodeServerAnswer(Status, Source.get().base());
     if (Head.Load)
       LoadTold(*Head.Load);
-    const bool Ours = Head.RequestId == RequestId ||
-                      (Head.RequestId.empty() && Head.NotRun);
+    const bool Ours =
+        Head.RequestId == RequestId || (Head.RequestId.empty() && Head.NotRun);
     if (!Ours) {
       // A late second answer to an earlier request precedes the own one.
       const ExchangeResult Stray = co_await readWhole(Source, Head);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -37,8 +37,8 @@
 /// @brief Receives the parts of an event stream.
 struct StreamReceiver {
   /// Head of a stream that succeeds; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(
-      const platform::Fields &, unsigned, const platform::ServerAnswer &)>
+  std::function<boost::asio::awaitable<bool>(const platform::Fields &, unsigned,
+                                             const platform::ServerAnswer &)>
       Head;
   /// Whole events; false ends the exchange.
   std::function<boost::asio::awaitable<bool>(std::vector<StreamEvent>)> Events;
@@ -46,10 +46,10 @@
 
 /// @brief Times of one send.
 struct ExchangeLimits {
-  TimePoint Deadline;     ///< of the whole exchange
-  Duration FirstByte{};   ///< until the answer begins
-  Duration Gap{};         ///< between two parts of a stream
-  Duration MaxIdleAge{};  ///< of a kept connection that may be used
+  TimePoint Deadline;    ///< of the whole exchange
+  Duration FirstByte{};  ///< until the answer begins
+  Duration Gap{};        ///< between two parts of a stream
+  Duration MaxIdleAge{}; ///< of a kept connection that may be used
 };
 
 /// @brief Sends one request to one server and reads its answer.
@@ -78,8 +78,8 @@
   void cancel();
 
 private:
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::buffer_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   boost::asio::awaitable<bool> connect(const std::string &Address);
   boost::asio::awaitable<bool> send(const platform::RequestMessage &Request);
@@ -88,12 +88,11 @@
   boost::asio::awaitable<boost::system::error_code> readHead(Parser &Source);
   boost::asio::awaitable<boost::system::error_code> readPart(Parser &Source,
                                                              std::string &Part);
-  boost::asio::awaitable<ExchangeResult> readWhole(Parser &Source,
-                                                   const platform::ServerAnswer
-                                                       &Head);
-  boost::asio::awaitable<ExchangeResult> readStream(
-      Parser &Source, const platform::ServerAnswer &Head,
-      StreamReceiver &Receiver);
+  boost::asio::awaitable<ExchangeResult>
+  readWhole(Parser &Source, const platform::ServerAnswer &Head);
+  boost::asio::awaitable<ExchangeResult>
+  readStream(Parser &Source, const platform::ServerAnswer &Head,
+             StreamReceiver &Receiver);
   ExchangeResult failure(const boost::system::error_code &Cause) const;
   void finish(const std::string &Address, const Parser &Source);
 
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -17,18 +17,16 @@
   if (Found == Queue.Usages.end())
     return 0;
   const std::chrono::duration<double> Passed = Now - Found->second.At;
-  return Found->second.Cost *
-         std::exp(-Passed /
-                  std::chrono::duration<double>(Queue.Settings.UsageTime));
+  return Found->second.Cost * std::exp(-Passed / std::chrono::duration<double>(
+                                                     Queue.Settings.UsageTime));
 }
 
 void forgetLeastActive(DispatchQueue &Queue, TimePoint Now) {
-  const auto Least = std::min_element(
-      Queue.Usages.begin(), Queue.Usages.end(),
-      [&](const auto &Left, const auto &Right) {
-        return usageAt(Queue, Left.first, Now) <
-               usageAt(Queue, Right.first, Now);
-      });
+  const auto Least = std::min_element(Queue.Usages.begin(), Queue.Usages.end(),
+                                      [&](const auto &Left, const auto &Right) {
+                                        return usageAt(Queue, Left.first, Now) <
+                                               usageAt(Queue, Right.first, Now);
+                                      });
   if (Least != Queue.Usages.end())
     Queue.Usages.erase(Least);
 }
@@ -71,8 +69,7 @@
   Queue.Usages[Customer] = {Known + static_cast<double>(Cost), Now};
 }
 
-std::vector<std::uint64_t> expireRequests(DispatchQueue &Queue,
-                                          TimePoint Now) {
+std::vector<std::uint64_t> expireRequests(DispatchQueue &Queue, TimePoint Now) {
   std::vector<std::uint64_t> Expired;
   std::erase_if(Queue.Waiting, [&](const auto &Each) {
     if (Now < Each.second.HoldUntil)
@@ -85,11 +82,10 @@
 
 bool mustWait(const DispatchQueue &Queue, std::string_view Pool,
               std::uint32_t Priority) {
-  return std::any_of(Queue.Waiting.begin(), Queue.Waiting.end(),
-                     [&](const auto &Each) {
-                       return Each.second.Pool == Pool &&
-                              Each.second.Priority <= Priority;
-                     });
+  return std::any_of(
+      Queue.Waiting.begin(), Queue.Waiting.end(), [&](const auto &Each) {
+        return Each.second.Pool == Pool && Each.second.Priority <= Priority;
+      });
 }
 
 } // namespace marigoldyard
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -25,9 +25,10 @@
 void mergeWeights(std::vector<LoadedWeights> &Known,
                   const std::vector<LoadedWeights> &Told) {
   for (const LoadedWeights &Each : Told) {
-    const auto Found = std::find_if(
-        Known.begin(), Known.end(),
-        [&](const LoadedWeights &Old) { return Old.Model == Each.Model; });
+    const auto Found =
+        std::find_if(Known.begin(), Known.end(), [&](const LoadedWeights &Old) {
+          return Old.Model == Each.Model;
+        });
     if (Found == Known.end())
       Known.push_back(Each);
     else
@@ -69,8 +70,8 @@
                  const ServerQuestion &Question) {
   if (Question.TokensAtOnce == 0 || Server.ReadingTokens == 0)
     return false;
-  const double Limit = Table.Settings.ReadingPasses *
-                       static_cast<double>(Question.TokensAtOnce);
+  const double Limit =
+      Table.Settings.ReadingPasses * static_cast<double>(Question.TokensAtOnce);
   return static_cast<double>(Server.ReadingTokens + Question.PromptTokens) >
          Limit;
 }
@@ -149,8 +150,7 @@
   if (Record.Weights && !Outdated)
     mergeWeights(Server.Weights, *Record.Weights);
   const auto Region = Table.Settings.RegionOf.find(Record.FailureDomain);
-  Server.Region =
-      Region == Table.Settings.RegionOf.end() ? "" : Region->second;
+  Server.Region = Region == Table.Settings.RegionOf.end() ? "" : Region->second;
   Table.ByPool[Record.Pool].insert(Record.Id);
   claimAddress(Table, Server);
 }
@@ -167,8 +167,7 @@
   Table.Servers.erase(Found);
 }
 
-bool noteEngineNews(ServerTable &Table, const EngineNews &News,
-                    TimePoint Now) {
+bool noteEngineNews(ServerTable &Table, const EngineNews &News, TimePoint Now) {
   const auto Id = Table.IdByAddress.find(News.Address);
   ServerState *Server =
       Id == Table.IdByAddress.end() ? nullptr : find(Table, Id->second);
@@ -227,9 +226,8 @@
       continue;
     }
     // After a pause one request at a time tests the server.
-    const std::uint32_t Limit = Server.FailuresInRow > 0
-                                    ? 1
-                                    : requestLimit(Table, Server, Question);
+    const std::uint32_t Limit =
+        Server.FailuresInRow > 0 ? 1 : requestLimit(Table, Server, Question);
     const std::uint32_t Load =
         Server.FailuresInRow > 0 ? Server.InFlight : estimatedLoad(Server);
     if (Load >= Limit || readsEnough(Table, Server, Question)) {
@@ -309,8 +307,8 @@
   if (!Server.ToldLoad)
     return Server.InFlight;
   const std::int64_t Estimate = *Server.ToldLoad + Server.BegunSince;
-  return std::max(Server.InFlight, static_cast<std::uint32_t>(std::max<
-                                       std::int64_t>(0, Estimate)));
+  return std::max(Server.InFlight, static_cast<std::uint32_t>(
+                                       std::max<std::int64_t>(0, Estimate)));
 }
 
 std::uint32_t loadLimit(const ServerTable &Table, const ServerState &Server) {
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -30,10 +30,10 @@
 
 void backOffStore(TransferState &State, Duration Least, TimePoint Now) {
   constexpr std::uint32_t MaxDoublings = 5;
-  const Duration Backoff = std::min(
-      State.Settings.StoreBackoff *
-          (1 << std::min(State.StoreFailures, MaxDoublings)),
-      State.Settings.StoreBackoffMax);
+  const Duration Backoff =
+      std::min(State.Settings.StoreBackoff *
+                   (1 << std::min(State.StoreFailures, MaxDoublings)),
+               State.Settings.StoreBackoffMax);
   ++State.StoreFailures;
   State.StoreRetryAt = Now + std::max(Backoff, Least);
 }
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -194,7 +194,8 @@
 }
 
 /// Wanted versions that lack chunks, the one that is wanted for longest first.
-std::vector<const VersionSlot *> incompleteVersions(const TransferState &State) {
+std::vector<const VersionSlot *>
+incompleteVersions(const TransferState &State) {
   std::vector<const VersionSlot *> Result;
   for (const auto &[Id, Version] : State.Versions)
     if (Version.Wanted && Version.Described && Version.Missing > 0)
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -196,13 +196,13 @@
   Result.VersionLimit = milliseconds(Value.at("version_limit_ms"));
   Result.DrainLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::duration<double>(Value.at("drain_limit_s").get<double>()));
-  Result.LinkBitsPerSecond = Value.at("link_mbps").get<double>() * BitsPerMegabit;
+  Result.LinkBitsPerSecond =
+      Value.at("link_mbps").get<double>() * BitsPerMegabit;
   return Result;
 }
 
 /// Parses and checks a document; the value is discarded when there are faults.
-json checkedDocument(std::string_view Text,
-                     std::span<const KeyDescription> Own,
+json checkedDocument(std::string_view Text, std::span<const KeyDescription> Own,
                      std::vector<DocumentFault> &Faults) {
   json Value = detail::parseDocument(Text, Faults);
   if (Value.is_discarded())
