Test the decisions and formats of the platform, and end with a reader that does not read

Cause: the log writer waited in a blocked write at the end of the process; the new test hung (unit-transport-line_writer). Change: a pipe is asked before each write of at most PIPE_BUF bytes; unit tests for routes, the store's copy, servers, the queue, loading, event streams, settings and the platform's formats. Ruled out: the ring (tryPush never waits).

--- a/src/transport/line_writer.cpp
+++ b/src/transport/line_writer.cpp
@@ -1,6 +1,7 @@
 #include "marigoldyard/transport/line_writer.hpp"
 
 #include <cerrno>
+#include <climits>
 #include <fmt/format.h>
 #include <poll.h>
 #include <unistd.h>
@@ -54,15 +55,18 @@
     Batch += *Line;
   std::string_view Rest = Batch;
   while (!Rest.empty()) {
-    if (Ending && !writable(Descriptor, FinalWait))
-      return;
-    const ssize_t Count = ::write(Descriptor, Rest.data(), Rest.size());
-    if (Count < 0 && errno != EINTR && errno != EAGAIN)
-      return; // there is nowhere left to report this
-    if (Count < 0)
-      writable(Descriptor, BatchInterval);
-    else
+    if (!writable(Descriptor, Ending ? FinalWait : BatchInterval)) {
+      if (Ending)
+        return;
+      continue;
+    }
+    // A pipe that is writable takes this much without blocking.
+    const std::string_view Part = Rest.substr(0, PIPE_BUF);
+    const ssize_t Count = ::write(Descriptor, Part.data(), Part.size());
+    if (Count > 0)
       Rest.remove_prefix(static_cast<std::size_t>(Count));
+    else if (errno != EINTR && errno != EAGAIN)
+      return; // there is nowhere left to report this
   }
 }
 
--- a/tests/src/unit-coordination-retry.cpp
+++ b/tests/src/unit-coordination-retry.cpp
@@ -58,3 +58,23 @@
   noteFirstTry(Budget, TimePoint{} + std::chrono::minutes(1));
   CHECK(Budget.Tokens < RetryReserve + 1.0);
 }
+
+TEST_CASE("a larger reserve does not expire, and refusals may be charged") {
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  RetryBudget Budget;
+  Budget.Reserve = Budget.Tokens = 20;
+  Budget.ChargeRefusals = true;
+  Budget.UpdatedAt = Start;
+  RetryQuestion Question{.LastTry = TryFate::Refused,
+                         .Reason = ErrorCode::WrongWeights,
+                         .Tries = 1,
+                         .TimeLeft = std::chrono::seconds(1)};
+  int Allowed = 0;
+  while (decideRetry(Budget, Question, Start + std::chrono::minutes(1)) ==
+         RetryVerdict::Retry)
+    ++Allowed;
+  CHECK(Allowed == 20);
+  Budget.ChargeRefusals = false;
+  CHECK(decideRetry(Budget, Question, Start + std::chrono::minutes(1)) ==
+        RetryVerdict::Retry);
+}
--- /dev/null
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -0,0 +1,192 @@
+#include "marigoldyard/coordination/server_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start = TimePoint{} + 1h;
+
+ServerRecord record(const std::string &Id, const std::string &Domain = "d1") {
+  ServerRecord Result;
+  Result.Id = Id;
+  Result.Address = "10.0.0." + Id + ":80";
+  Result.Pool = "engines";
+  Result.FailureDomain = Domain;
+  Result.Slots = 4;
+  Result.Weights = {{"m", 1}};
+  return Result;
+}
+
+ServerTable tableWith(const std::vector<ServerRecord> &Records) {
+  ServerTable Table;
+  Table.Settings.Region = "r1";
+  Table.Settings.RegionOf = {{"d1", "r1"}, {"d2", "r2"}};
+  for (const ServerRecord &Each : Records)
+    putServer(Table, Each);
+  return Table;
+}
+
+ServerChoice choose(const ServerTable &Table, ServerQuestion Question = {},
+                    TimePoint Now = Start) {
+  Random Source(1);
+  Question.Pool = "engines";
+  Question.Model = "m";
+  return chooseServer(Table, Question, Now, Source);
+}
+
+void fill(ServerTable &Table, const std::string &Id, int Count) {
+  for (int I = 0; I < Count; ++I)
+    noteBegun(Table, Id, 0);
+}
+
+} // namespace
+
+TEST_CASE("the least loaded server of the own region is chosen") {
+  ServerTable Table = tableWith({record("1"), record("2"), record("3", "d2")});
+  fill(Table, "1", 2);
+  CHECK(choose(Table).Id == "2");
+  fill(Table, "2", 4);
+  CHECK(choose(Table).Id == "3"); // the load is worth the link
+}
+
+TEST_CASE("full servers get nothing, and the reason is told") {
+  ServerTable Table = tableWith({record("1")});
+  fill(Table, "1", 5);
+  CHECK(choose(Table).Shortage == ServerShortage::Full);
+  noteEnded(Table, "1");
+  CHECK(choose(Table).Shortage == ServerShortage::None);
+  CHECK(choose(tableWith({})).Shortage == ServerShortage::Absent);
+}
+
+TEST_CASE("load that others cause is learned from answers") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  noteLoad(Table, "1", 4);
+  CHECK(choose(Table).Id == "2");
+  noteBegun(Table, "1", 0);
+  CHECK(estimatedLoad(Table.Servers.at("1")) == 5);
+  noteEnded(Table, "1");
+  noteEnded(Table, "1");
+  CHECK(estimatedLoad(Table.Servers.at("1")) == 4);
+}
+
+TEST_CASE("a draining server and one that left get no request") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  ServerRecord Leaving = record("1");
+  Leaving.Draining = true;
+  putServer(Table, Leaving);
+  for (int I = 0; I < 4; ++I)
+    CHECK(choose(Table).Id == "2");
+  removeServer(Table, "2");
+  CHECK(choose(Table).Shortage == ServerShortage::Absent);
+}
+
+TEST_CASE("a server is used only with weights that are allowed") {
+  ServerTable Table = tableWith({record("1")});
+  requireVersion(Table, {"m", 2});
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  CHECK(noteEngineNews(Table, {"10.0.0.1:80", 0, true, {{"m", 2}}}, Start));
+  CHECK(choose(Table).Id == "1");
+  // A record that was written before the load does not hide it.
+  putServer(Table, record("1"));
+  CHECK(choose(Table).Id == "1");
+  requireVersion(Table, {"m", 1}); // a requirement never falls
+  CHECK(Table.RequiredVersions.at("m") == 2);
+}
+
+TEST_CASE("a stream continues only on the version that it began with") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  noteEngineNews(Table, {"10.0.0.1:80", 0, true, {{"m", 2}}}, Start);
+  ServerQuestion Question;
+  Question.ExactVersion = 1;
+  CHECK(choose(Table, Question).Id == "2");
+  Question.Excluded = {"2"};
+  CHECK(choose(Table, Question).Shortage == ServerShortage::Loading);
+}
+
+TEST_CASE("a server that is about to load gets nothing for a bounded time") {
+  ServerTable Table = tableWith({record("1")});
+  noteEngineNews(Table, {"10.0.0.1:80", 0, false, {{"m", 1}}}, Start);
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  CHECK(choose(Table, {}, Start + Table.Settings.LoadingHold).Id == "1");
+}
+
+TEST_CASE("a restart under the same id forgets what was loaded") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 1000;
+  ServerTable Table = tableWith({First});
+  ServerRecord Second = First;
+  Second.StartedAtMs = 2000;
+  Second.Weights = std::vector<LoadedWeights>{};
+  putServer(Table, Second);
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  putServer(Table, First); // a late record of the first start
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  CHECK_FALSE(
+      noteEngineNews(Table, {"10.0.0.1:80", 1000, true, {{"m", 1}}}, Start));
+}
+
+TEST_CASE("of two servers at one address the later start is used") {
+  ServerRecord Old = record("1");
+  Old.StartedAtMs = 1000;
+  ServerRecord New = record("2");
+  New.Address = Old.Address;
+  New.StartedAtMs = 2000;
+  New.Weights = std::vector<LoadedWeights>{};
+  for (const auto &Order : {std::vector{Old, New}, std::vector{New, Old}}) {
+    ServerTable Table = tableWith(Order);
+    CHECK(choose(Table).Shortage == ServerShortage::Loading);
+    CHECK(noteEngineNews(Table, {Old.Address, 2000, true, {{"m", 1}}}, Start));
+    CHECK(choose(Table).Id == "2");
+    removeServer(Table, "1");
+    CHECK(noteEngineNews(Table, {Old.Address, 2000, true, {{"m", 1}}}, Start));
+  }
+}
+
+TEST_CASE("an unreachable server is paused for longer each time") {
+  ServerTable Table = tableWith({record("1")});
+  noteOutcome(Table, "1", ServerOutcome::Unreachable, Start);
+  CHECK(choose(Table, {}, Start + 499ms).Shortage == ServerShortage::Absent);
+  CHECK(choose(Table, {}, Start + 500ms).Id == "1");
+  noteOutcome(Table, "1", ServerOutcome::Silent, Start + 500ms);
+  CHECK(choose(Table, {}, Start + 1400ms).Shortage == ServerShortage::Absent);
+  // One request tests it; an answer ends the pauses.
+  noteBegun(Table, "1", 0);
+  CHECK(choose(Table, {}, Start + 1500ms).Shortage == ServerShortage::Full);
+  noteOutcome(Table, "1", ServerOutcome::Answered, Start + 1600ms);
+  CHECK(choose(Table, {}, Start + 1600ms).Id == "1");
+}
+
+TEST_CASE("a server that fails part of its requests is used last") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  for (int I = 0; I < 6; ++I)
+    noteOutcome(Table, "1", ServerOutcome::Erred, Start);
+  fill(Table, "2", 4);
+  CHECK(choose(Table).Id == "2");
+  fill(Table, "2", 1);
+  CHECK(choose(Table).Id == "1");
+}
+
+TEST_CASE("late requests leave room, and prompts at a server are bounded") {
+  ServerTable Table = tableWith({record("1")});
+  fill(Table, "1", 4);
+  ServerQuestion Question;
+  Question.Late = true;
+  CHECK(choose(Table, Question).Shortage == ServerShortage::Full);
+  Question.Late = false;
+  CHECK(choose(Table, Question).Id == "1");
+  ServerTable Reading = tableWith({record("1")});
+  Question.TokensAtOnce = 1000;
+  Question.PromptTokens = 5000;
+  CHECK(choose(Reading, Question).Id == "1"); // alone, any prompt may go
+  noteBegun(Reading, "1", 1000);
+  Question.PromptTokens = 301;
+  CHECK(choose(Reading, Question).Shortage == ServerShortage::Full);
+  Question.PromptTokens = 300;
+  CHECK(choose(Reading, Question).Id == "1");
+  noteRead(Reading, "1", 1000);
+  Question.PromptTokens = 5000;
+  CHECK(choose(Reading, Question).Id == "1");
+}
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -233,3 +233,63 @@
   peerHoldsNothing(State, "near", "v1");
   CHECK(State.Peers[1].LostUntil <= Start);
 }
+
+TEST_CASE("with spread links every member carries a part of the chunks") {
+  VersionDescriptor Large{"v1", "m", "1", {}};
+  for (int I = 0; I < 64; ++I)
+    Large.Chunks.push_back({"chunk-" + std::to_string(I), 100});
+  std::vector<TransferPeer> Peers;
+  for (const char *Region : {"r0", "r1"})
+    for (int I = 0; I < 6; ++I)
+      Peers.push_back({std::string(Region) + "-" + std::to_string(I), Region});
+  std::size_t Drawn = 0;
+  std::size_t Most = 0;
+  for (int Self = 0; Self < 6; ++Self) {
+    TransferSettings Settings;
+    Settings.Self = "r0-" + std::to_string(Self);
+    Settings.Region = Settings.StoreRegion = "r0";
+    Settings.SpreadLinks = Settings.DirectImport = true;
+    Settings.MaxStoreFetches = 64;
+    Settings.MapWait = Duration::zero();
+    TransferState State = makeTransfer(Settings);
+    transferMembers(State, Peers, Start);
+    wantVersions(State, {"v1"}, Start);
+    chunkReceived(State, "v1", "", true, Start);
+    REQUIRE_FALSE(descriptorKnown(State, Large, Start).has_value());
+    const std::size_t Own =
+        plan<FetchFromStore>(State, Start + std::chrono::seconds(1)).size();
+    Drawn += Own;
+    Most = std::max(Most, Own);
+  }
+  CHECK(Drawn == 64); // each chunk has one owner
+  CHECK(Most <= 64 / 6 * 2);
+}
+
+TEST_CASE("pieces of an earlier version are asked for first") {
+  TransferSettings Settings;
+  Settings.Self = "self";
+  Settings.Region = Settings.StoreRegion = "r0";
+  Settings.MaxInFlight = 1;
+  TransferState State = makeTransfer(Settings);
+  transferMembers(State, {{"peer", "r0"}}, Start);
+  const VersionDescriptor Early{"v1", "m", "1", {{"a", 100}, {"b", 100}}};
+  const VersionDescriptor Late{"v2", "m", "2", {{"c", 100}, {"d", 100}}};
+  TimePoint Now = Start;
+  for (const VersionDescriptor &Each : {Early, Late}) {
+    wantVersions(State,
+                 Each.Id == "v1" ? std::vector<Digest>{"v1"}
+                                 : std::vector<Digest>{"v1", "v2"},
+                 Now);
+    chunkReceived(State, Each.Id, "", true, Now);
+    REQUIRE_FALSE(descriptorKnown(State, Each, Now).has_value());
+    Now += std::chrono::milliseconds(1);
+  }
+  chunkMapReceived(State, "peer", "v2", {true, true}, Now);
+  chunkMapReceived(State, "peer", "v1", {true, true}, Now);
+  for (int I = 0; I < 2; ++I) {
+    const auto Asked = plan<RequestFromPeer>(State, Now);
+    REQUIRE(Asked.size() == 1);
+    CHECK((Asked[0].Chunk == "a" || Asked[0].Chunk == "b"));
+    chunkReceived(State, Asked[0].Chunk, "peer", true, Now);
+  }
+}
--- /dev/null
+++ b/tests/src/unit-platform-engine_format.cpp
@@ -0,0 +1,86 @@
+#include "marigoldyard/protocol/digest.hpp"
+#include "platform/engine_format.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace marigoldyard;
+
+namespace {
+
+const Digest One = sha256Hex(std::string_view("one"));
+const Digest Two = sha256Hex(std::string_view("two"));
+
+std::string manifest(int Version) {
+  return nlohmann::json{{"model", "m"},
+                        {"version", Version},
+                        {"chunk_bytes", 32768},
+                        {"layers", 16},
+                        {"digests", {One, Two}}}
+      .dump();
+}
+
+} // namespace
+
+TEST_CASE("a server's report is decoded") {
+  const auto Report = platform::parseEngineReport(
+      R"({"stage":"mixed","models":[{"name":"m","version":1,"adapters":[]}],
+          "busy":true,"sequence":2,"waiting":1,"running":12,"kv_used":41000,
+          "kv_total":90000,"handles":0,"born":1790000000000})");
+  REQUIRE(Report);
+  CHECK(Report->Weights == std::vector<LoadedWeights>{{"m", 1}});
+  CHECK(Report->Loading);
+  CHECK(Report->Running == 12);
+  CHECK(Report->Waiting == 1);
+  CHECK(Report->StartedAtMs == 1'790'000'000'000);
+  CHECK_FALSE(platform::parseEngineReport(R"({"busy":false})"));
+  CHECK_FALSE(platform::parseEngineReport("<html>"));
+}
+
+TEST_CASE("a manifest gives the digests, and versions differ in theirs") {
+  const auto First = platform::parseManifest(manifest(1), {"m", 1});
+  REQUIRE(First);
+  REQUIRE(First->Chunks.size() == 2);
+  CHECK(First->Chunks[1] == Chunk{Two, 32768});
+  const auto Second = platform::parseManifest(manifest(2), {"m", 2});
+  REQUIRE(Second);
+  CHECK(First->Id != Second->Id);
+  CHECK(Second->Id == descriptorDigest(*Second));
+}
+
+TEST_CASE("a manifest of another version or with bad digests is refused") {
+  CHECK_FALSE(platform::parseManifest(manifest(1), {"m", 2}));
+  CHECK_FALSE(platform::parseManifest(manifest(1), {"n", 1}));
+  CHECK_FALSE(platform::parseManifest(
+      R"({"model":"m","version":1,"chunk_bytes":9,"digests":["12"]})",
+      {"m", 1}));
+}
+
+TEST_CASE("orders say whether running requests are ended") {
+  const auto Wait = platform::loadCall("s:1", {"m", 2}, false);
+  CHECK(Wait.Method == "POST");
+  CHECK(Wait.Target == "/marigoldyard/order");
+  const auto Text = nlohmann::json::parse(Wait.Body);
+  CHECK(Text["operation"] == "start");
+  CHECK(Text["version"] == 2);
+  CHECK(Text["start_mode"] == "queue");
+  CHECK(nlohmann::json::parse(
+            platform::loadCall("s:1", {"m", 2}, true).Body)["start_mode"] ==
+        "truncate");
+  CHECK(platform::orderAnswer(202) == platform::OrderAnswer::Begun);
+  CHECK(platform::orderAnswer(200) == platform::OrderAnswer::Done);
+  CHECK(platform::orderAnswer(409) == platform::OrderAnswer::Refused);
+}
+
+TEST_CASE("pieces are drawn, staged and read back by number") {
+  CHECK(platform::pieceCall("o:1", {"m", 2}, 5).Target ==
+        "/marigoldyard/piece/m?item_count=5&version=2");
+  CHECK(platform::manifestCall("o:1", {"m", 2}).Target ==
+        "/marigoldyard/manifest/m?version=2");
+  CHECK(platform::stagePieceCall("s:1", "m", 5, "bytes").Method == "PUT");
+  CHECK(platform::stagedPieceCall("s:1", "m", 5).Target ==
+        "/marigoldyard/stage-get/m?item_count=5");
+  const auto Held = platform::parseStagedList(R"({"held":[0,3]})");
+  REQUIRE(Held);
+  CHECK(*Held == std::vector<std::size_t>{0, 3});
+}
--- /dev/null
+++ b/tests/src/unit-platform-request_format.cpp
@@ -0,0 +1,128 @@
+#include "platform/request_format.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+namespace {
+
+platform::RequestMessage callersRequest() {
+  platform::RequestMessage Request(http::verb::post, "/x/1?q=2", 11);
+  Request.set(http::field::host, "a.example");
+  Request.set("Attempt-Id", "id-1");
+  Request.set("Model", "m");
+  Request.set("Token-Counts", "1460, 80");
+  Request.set("Prompt-Prefix", "5c:800,91:410");
+  Request.set("Deadline-Ms", "6000");
+  Request.set("Authorization", "Bearer key-1");
+  Request.set("Tenant", "somebody else");
+  Request.set("Expect-Instance", "i-0");
+  Request.set("Request-Priority", "0");
+  Request.set("Connection", "keep-alive, X-Hop");
+  Request.set("X-Hop", "1");
+  Request.set("X-End", "2");
+  Request.body() = "body";
+  Request.prepare_payload();
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("a caller's request is decoded") {
+  const auto Facts = platform::decodeCallerRequest(callersRequest().base());
+  CHECK(Facts.Id == "id-1");
+  CHECK(Facts.Key == "key-1");
+  CHECK(Facts.Model == "m");
+  CHECK(Facts.TimeLeft == Duration(6s));
+  CHECK(Facts.PromptTokens == 1460);
+  CHECK(Facts.OutputTokens == 80);
+  CHECK_FALSE(Facts.ResumeAfter);
+  platform::Fields Odd;
+  Odd.set("Deadline-Ms", "soon");
+  Odd.set("Token-Counts", "x,");
+  Odd.set("Last-Event-Id", "12");
+  const auto Fallback = platform::decodeCallerRequest(Odd);
+  CHECK_FALSE(Fallback.TimeLeft);
+  CHECK(Fallback.PromptTokens == 0);
+  CHECK(Fallback.ResumeAfter == 12U);
+}
+
+TEST_CASE("a server gets the request unchanged, and no key") {
+  platform::ServerRequest Content;
+  Content.ServerId = "i-7";
+  Content.Customer = "north";
+  Content.TimeLeft = 1234567us;
+  Content.Priority = 12;
+  const auto Sent = platform::buildServerRequest(callersRequest(), Content);
+  CHECK(Sent.method() == http::verb::post);
+  CHECK(Sent.target() == "/x/1?q=2");
+  CHECK(Sent.body() == "body");
+  CHECK(Sent["Attempt-Id"] == "id-1");
+  CHECK(Sent["Prompt-Prefix"] == "5c:800,91:410");
+  CHECK(Sent["Deadline-Ms"] == "1234");
+  CHECK(Sent["Expect-Instance"] == "i-7");
+  CHECK(Sent["Tenant"] == "north");
+  CHECK(Sent["Request-Priority"] == "9");
+  CHECK(Sent["X-End"] == "2");
+  CHECK(Sent["Content-Length"] == "4");
+  CHECK(Sent.count("Authorization") == 0);
+  CHECK(Sent.count("X-Hop") == 0);
+  CHECK(Sent.count("Connection") == 0);
+  CHECK(Sent.count("Expect-Version") == 0);
+}
+
+TEST_CASE("an anonymous request carries no customer that its sender chose") {
+  const auto Sent = platform::buildServerRequest(callersRequest(), {});
+  CHECK(Sent.count("Tenant") == 0);
+}
+
+TEST_CASE("a chunked body is sent with its length") {
+  auto Received = callersRequest();
+  Received.erase(http::field::content_length);
+  Received.set(http::field::transfer_encoding, "chunked");
+  const auto Sent = platform::buildServerRequest(Received, {});
+  CHECK(Sent.count("Transfer-Encoding") == 0);
+  CHECK(Sent["Content-Length"] == "4");
+}
+
+TEST_CASE("a server's answer is decoded") {
+  platform::Fields Headers;
+  Headers.set("Attempt-Id", "id-1");
+  Headers.set("Response-Signature", "s");
+  Headers.set("Server-Load", "3,1,8");
+  Headers.set("Weight-Versions", "2");
+  const auto Good = platform::decodeServerAnswer(200, Headers);
+  CHECK(Good.RequestId == "id-1");
+  CHECK(Good.Signed);
+  CHECK_FALSE(Good.NotRun);
+  CHECK(Good.Load->Running == 3);
+  CHECK(Good.Load->Waiting == 1);
+  CHECK(Good.Version == 2U);
+  CHECK_FALSE(platform::decodeServerAnswer(503, {}).NotRun);
+  CHECK(platform::decodeServerAnswer(421, {}).NotRun);
+  CHECK(platform::decodeServerAnswer(421, {}).WrongServer);
+  platform::Fields Shed;
+  Shed.set("Not-Executed", "1");
+  CHECK(platform::decodeServerAnswer(503, Shed).NotRun);
+}
+
+TEST_CASE("headers of the connection and of the load stay inside") {
+  CHECK(platform::passesToCaller("Response-Signature"));
+  CHECK(platform::passesToCaller("Weight-Versions"));
+  CHECK_FALSE(platform::passesToCaller("transfer-encoding"));
+  CHECK_FALSE(platform::passesToCaller("Server-Load"));
+}
+
+TEST_CASE("the directory speaks the platform's format") {
+  const auto Question = platform::parseDirectoryQuestion(
+      "/marigoldyard/resolve?name=a.example&region=r%201&zone=z");
+  REQUIRE(Question);
+  CHECK(Question->Region == "r 1");
+  CHECK_FALSE(platform::parseDirectoryQuestion("/marigoldyard/ready"));
+  CHECK(platform::directoryAnswer({"10.0.0.1:80"}, 2s) ==
+        R"({"addresses":["10.0.0.1:80"],"ttl_s":2})");
+  CHECK(platform::isReadinessCheck("/marigoldyard/ready"));
+  CHECK_FALSE(platform::isReadinessCheck("/marigoldyard/resolve"));
+}
--- /dev/null
+++ b/tests/src/unit-platform-store_format.cpp
@@ -0,0 +1,156 @@
+#include "platform/store_format.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view Configuration = R"({"version":7,"routes":[
+ {"name":"r-1","host":"A.example","path_prefix":"/x/","kind":"streaming",
+  "timeout_ms":6000,"target_latency_ms":800,"priority":2,"service":"engines",
+  "max_attempts":2,"resume_streams":true,"target_gap_ms":300},
+ {"name":"r-2","host":"b.example","path_prefix":"/y/","kind":"streaming",
+  "timeout_ms":6000,"service":"engines","max_attempts":2},
+ {"name":"r-3","host":"c.example","path_prefix":"/z/","kind":"non_idempotent",
+  "timeout_ms":600,"allow_anonymous":true,
+  "traffic_split":[{"service":"engines","weight":90},
+                   {"service":"plain","weight":10}]}],
+ "services":[
+ {"name":"engines","max_connections":434,"engine":{"slots":16,"chunk":2048,
+  "read_per_s":31900.0,"models":[{"name":"m","pace":1.0}]}},
+ {"name":"store","origin":"172.20.0.3:8006","zone":"z1","link_mbps":9.9,
+  "max_connections":48},
+ {"name":"plain","max_connections":110}],
+ "limits":{"max_header_bytes":100,"max_body_bytes":200,
+  "header_timeout_ms":300,"idle_timeout_ms":400},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}],
+ "a field of later":[1]})";
+
+constexpr std::string_view Server =
+    R"({"service":"engines","address":"10.0.0.9:80","zone":"z1",
+ "version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,
+ "stage":"mixed","models":[{"name":"m","version":3,"adapters":[]}],
+ "sequence":4,"born":1790000000000})";
+
+} // namespace
+
+TEST_CASE("a configuration is translated into the product's own types") {
+  const auto Parsed = platform::parseFleetConfiguration(Configuration);
+  REQUIRE(Parsed);
+  CHECK(Parsed->Number == 7);
+  REQUIRE(Parsed->Routes.size() == 3);
+  const Route &Stream = Parsed->Routes[0];
+  CHECK(Stream.Host == "a.example");
+  CHECK(Stream.Repeats == RepeatRule::Resumable);
+  CHECK(Stream.Streams);
+  CHECK(Stream.Timeout == 6s);
+  CHECK(Stream.TargetLatency == 800ms);
+  CHECK(Stream.TargetGap == 300ms);
+  CHECK(Stream.MaxSends == 2);
+  CHECK(Parsed->Routes[1].Repeats == RepeatRule::AtMostOnce);
+  CHECK(Parsed->Routes[2].Repeats == RepeatRule::AtMostOnce);
+  CHECK_FALSE(Parsed->Routes[2].Streams);
+  CHECK(Parsed->Routes[2].MaxSends == 1);
+  CHECK(Parsed->Routes[2].Anonymous);
+  CHECK(Parsed->Routes[2].Pools[1].Weight == 10);
+  const ServerPool &Engines = Parsed->Pools.at("engines");
+  CHECK(Engines.Engines);
+  CHECK(Engines.Slots == 16);
+  CHECK(Engines.PromptTokensAtOnce == 2048);
+  CHECK(Engines.Models == std::vector<std::string>{"m"});
+  CHECK_FALSE(Parsed->Pools.at("plain").Engines);
+  REQUIRE(Parsed->Origin);
+  CHECK(Parsed->Origin->Address == "172.20.0.3:8006");
+  CHECK_FALSE(Parsed->Pools.contains("store"));
+  CHECK(Parsed->Limits.MaxHeaderBytes == 100);
+  CHECK(Parsed->Limits.IdleTimeout == 400ms);
+  CHECK(Parsed->Customers[0].Keys.size() == 2);
+  CHECK(Parsed->Customers[0].Priority == 1U);
+}
+
+TEST_CASE("a faulty configuration is refused whole, with the place") {
+  for (std::string_view Text :
+       {R"([])", R"({"version":0,"routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"host":"a"}],"services":[]})",
+        R"({"version":1,"routes":[{"host":"a","path_prefix":"/",
+            "kind":"magic","service":"s"}],"services":[]})",
+        R"({"version":1,"routes":"none","services":[]})", R"({"version":1)"}) {
+    CAPTURE(Text);
+    const auto Parsed = platform::parseFleetConfiguration(Text);
+    REQUIRE_FALSE(Parsed);
+    CHECK_FALSE(Parsed.error().Detail.empty());
+  }
+}
+
+TEST_CASE("a server's record is translated") {
+  const auto Record = platform::parseServerRecord("servers/i-1", Server);
+  REQUIRE(Record);
+  CHECK(Record->Id == "i-1");
+  CHECK(Record->Slots == 16);
+  CHECK_FALSE(Record->Draining);
+  CHECK(Record->StartedAtMs == 1'790'000'000'000);
+  REQUIRE(Record->Weights);
+  CHECK(Record->Weights->at(0) == LoadedWeights{"m", 3});
+}
+
+TEST_CASE("records of another writer name no server") {
+  std::string Text(Server);
+  auto With = [&](std::string_view From, std::string_view To) {
+    std::string Changed = Text;
+    Changed.replace(Changed.find(From), From.size(), To);
+    return platform::parseServerRecord("servers/i-1", Changed);
+  };
+  CHECK_FALSE(With("\"ready\"", "\"asleep\""));
+  CHECK_FALSE(With("\"10.0.0.9:80\"", "17"));
+  CHECK_FALSE(With("\"10.0.0.9:80\"", "\"10.0.0.9\""));
+  CHECK_FALSE(With("\"service\"", "\"servant\""));
+  CHECK_FALSE(With("\"slots\":16", "\"slots\":\"16\""));
+  CHECK_FALSE(With("\"sequence\":4", "\"sequence\":-4"));
+  CHECK_FALSE(platform::parseServerRecord("servers/i-1", "\xFF\xFE"));
+  CHECK_FALSE(platform::parseServerRecord("servers/", Server));
+  CHECK(With("\"ready\"", "\"draining\"")->Draining);
+}
+
+TEST_CASE("listings and watches are parsed, removals included") {
+  const auto Listed = platform::parseStoreAnswer(
+      R"({"items":[{"key":"a","value":"aGk=","revision":4,"created":1,
+          "lease":0}],"truncated":true,"store_revision":9})");
+  REQUIRE(Listed);
+  CHECK(Listed->Items[0] == StoreItem{"a", "hi", 4, false});
+  CHECK(Listed->Truncated);
+  CHECK(Listed->Revision == 9);
+  const auto Watched = platform::parseStoreAnswer(
+      R"({"events":[{"key":"a","revision":5,"deleted":true}],
+          "store_revision":10})");
+  REQUIRE(Watched);
+  CHECK(Watched->Items[0].Deleted);
+  CHECK_FALSE(platform::parseStoreAnswer(
+      R"({"items":[{"key":"a","value":"?","revision":4}],
+          "store_revision":9})"));
+  CHECK_FALSE(platform::parseStoreAnswer(R"({"items":[]})"));
+  CHECK_FALSE(platform::parseStoreAnswer(""));
+}
+
+TEST_CASE("calls to the store carry escaped keys") {
+  CHECK(platform::listCall("s:1", "op/", "op/a b&c", true).Target ==
+        "/marigoldyard/kv-range?path_prefix=op/&after=op/a%20b%26c"
+        "&allow_stale=1");
+  CHECK(platform::watchCall("s:1", "", 12, 1500ms).Target ==
+        "/marigoldyard/kv-watch?path_prefix=&after=12&wait_ms=1500");
+  CHECK(platform::historyLost(410));
+  CHECK_FALSE(platform::historyLost(200));
+}
+
+TEST_CASE("keys are classified, and versions are parsed") {
+  CHECK(platform::itemKind("op/config") == platform::ItemKind::Configuration);
+  CHECK(platform::itemKind("op/version/m") == platform::ItemKind::ModelVersion);
+  CHECK(platform::itemKind("servers/i") == platform::ItemKind::Server);
+  CHECK(platform::itemKind("my/leader") == platform::ItemKind::Other);
+  CHECK(
+      platform::parseDeclaredVersion(R"({"model":"m","version":2})")->Version ==
+      2);
+  CHECK_FALSE(platform::parseDeclaredVersion(R"({"model":"m"})"));
+  CHECK_FALSE(platform::parseDeclaredVersion("2"));
+}
