Test gateways and stagers as processes against stand-ins of the platform

Change: stand-ins of the store, servers, engines and the origin in tests/process/platform_fleet.py and 18 cases; members that nothing used are removed.

--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -32,8 +32,6 @@
   std::function<void(const std::string &)> GatewayJoined;
   /// A connection to a peer closed; gets its IP address.
   std::function<void(const std::string &)> PeerLost;
-  /// Adds to the status page.
-  std::function<void(std::string &)> Metrics;
   std::function<void()> Tick;      ///< at each tick of Timeouts
   std::function<void()> Terminate; ///< SIGTERM or SIGINT
   std::function<void()> SettingsChanged;
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -169,13 +169,6 @@
     std::exchange(GoneHandler, nullptr)();
 }
 
-void CallerSession::closeIfIdle() {
-  if (Serving || Buffer.size() > 0)
-    return;
-  error_code Ignored;
-  Socket.cancel(Ignored);
-}
-
 // A close with unread bytes resets the connection, and the caller would lose
 // the last answer.
 net::awaitable<void> CallerSession::closeGently() {
--- a/programs/gateway/caller_session.hpp
+++ b/programs/gateway/caller_session.hpp
@@ -49,9 +49,6 @@
   /// @return whether the caller closed or reset the connection
   bool gone() const { return Gone; }
 
-  /// @brief Closes the connection when it is idle.
-  void closeIfIdle();
-
 private:
   enum class ReadEnd { Request, Closed, Rejected };
   boost::asio::awaitable<ReadEnd> waitForRequest(const ClientLimits &Limits);
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -116,11 +116,9 @@
     }
     auto Session = std::make_shared<CallerSession>(std::move(Socket),
                                                    Base.Timeouts, Handlers);
-    Sessions.insert(Session);
     net::co_spawn(
         Base.Context, [Session] { return Session->run(); },
-        [this, Session](const std::exception_ptr &Thrown) {
-          Sessions.erase(Session);
+        [this](const std::exception_ptr &Thrown) {
           try {
             if (Thrown)
               std::rethrow_exception(Thrown);
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -127,7 +127,6 @@
   ServerConnections Connections;
   std::map<std::string, RetryBudget> Budgets;
   DrainState Departure;
-  std::set<std::weak_ptr<CallerSession>, std::owner_less<>> Sessions;
   std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
   /// A declared version that servers need not have yet.
   struct PendingVersion {
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -252,7 +252,6 @@
 net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
   const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
   platform::ServerRequest Content;
-  Content.Address = Record.Address;
   Content.ServerId = Id;
   Content.Customer = Sender != nullptr ? Sender->Name : std::string();
   Content.TimeLeft = std::max(Duration::zero(), timeLeft());
--- /dev/null
+++ b/tests/process/platform_fleet.py
@@ -0,0 +1,421 @@
+"""Stand-ins that speak the platform's protocol, and gateways and stagers in front of them, on loopback addresses."""
+import base64
+import hashlib
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts"))
+from fleet import BUILD, NET, FleetError, wait_for  # noqa: E402  the path is set above
+
+PEER_PORT, BULK_PORT, OPERATOR_PORT, CALLER_PORT, READY_PORT, DIRECTORY_PORT = 7700, 7715, 9464, 8005, 8002, 8009
+SERVER_PORT, STORE_PORT, ORIGIN_PORT = 8001, 8007, 8006
+PIECES, PIECE_BYTES = 16, 4096
+
+
+def address(host, port):
+    return f"{NET}.20.{host}:{port}"
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Passes each request to the stand-in that owns the server."""
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def handle_any(self):
+        length = int(self.headers.get("Content-Length", 0))
+        self.body = self.rfile.read(length)
+        self.server.owner.handle(self)
+
+    do_GET = do_POST = do_PUT = handle_any
+
+    def answer(self, status, body=b"", headers=None):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def cut(self):
+        """Ends the connection without a further byte."""
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def handle_error(self, *_):
+        pass  # a peer that closes its connection is part of the tests
+
+
+class Standin:
+    def __init__(self, host, port):
+        self.address = address(host, port)
+        self.server = Server((f"{NET}.20.{host}", port), Handler)
+        self.server.owner = self
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store(Standin):
+    """The platform's store: listings and watches. Each client has a port of its own, so that it can be turned away:
+    all connections on loopback come from one address."""
+
+    def __init__(self, host):
+        self.lock = threading.Condition()
+        self.items, self.removed, self.revision = {}, {}, 10
+        self.host, self.turned_away, self.doors = host, set(), {}
+        super().__init__(host, STORE_PORT)
+
+    def address_for(self, client):
+        port = STORE_PORT + client
+        if client not in self.doors:
+            self.doors[client] = Server((f"{NET}.20.{self.host}", port), Handler)
+            self.doors[client].owner = self
+            threading.Thread(target=self.doors[client].serve_forever, args=(0.02,), daemon=True).start()
+        return address(self.host, port)
+
+    def close(self):
+        for door in self.doors.values():
+            door.shutdown()
+            door.server_close()
+        super().close()
+
+    def put(self, key, value):
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.lock:
+            self.revision += 1
+            self.items[key] = {"key": key, "value": base64.b64encode(data).decode(), "revision": self.revision,
+                               "created": self.revision, "lease": 0}
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            self.revision += 1
+            self.items.pop(key)
+            self.removed[key] = {"key": key, "revision": self.revision, "deleted": True}
+            self.lock.notify_all()
+
+    def handle(self, request):
+        if request.server.server_address[1] - STORE_PORT in self.turned_away:
+            return request.answer(503, {})
+        path, _, query = request.path.partition("?")
+        fields = dict(part.partition("=")[::2] for part in query.split("&"))
+        prefix = fields.get("path_prefix", "")
+        with self.lock:
+            if path.endswith("kv-range"):
+                found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+                return request.answer(200, {"items": found, "truncated": False, "store_revision": self.revision})
+            after = int(fields["after"])
+
+            def events():
+                changed = list(self.items.values()) + list(self.removed.values())
+                return [e for e in changed if e["revision"] > after and e["key"].startswith(prefix)]
+            self.lock.wait_for(events, int(fields["wait_ms"]) / 1000)
+            return request.answer(200, {"events": events(), "store_revision": self.revision})
+
+
+class Backend(Standin):
+    """A server of a pool. `behave` maps a request number to a behaviour; requests are recorded."""
+
+    def __init__(self, store, name, host, pool, models=None):
+        self.store, self.id, self.pool, self.models = store, name, pool, models
+        self.seen, self.behaviours, self.gone = [], [], []
+        self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
+        self.loading_until, self.pending = 0, None
+        super().__init__(host, SERVER_PORT)
+        self.register()
+
+    def register(self, state="ready"):
+        record = {"service": self.pool, "address": self.address, "zone": "z1", "version": "v1", "slots": 4,
+                  "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": self.born}
+        if self.models is not None:
+            record["models"] = [{"name": name, "version": version, "adapters": []}
+                                for name, version in self.models.items()]
+        self.store.put("servers/" + self.id, record)
+
+    def finish_load(self):
+        if self.pending and time.monotonic() > self.loading_until:
+            (name, version), self.pending = self.pending, None
+            self.models = {name: version}
+            self.register()
+
+    def handle(self, request):
+        path = request.path.partition("?")[0]
+        if path.startswith("/marigoldyard/"):
+            return self.handle_engine(request, path)
+        if request.headers.get("Expect-Instance", self.id) != self.id:
+            return request.answer(421, b"", {"Instance-Id": self.id})
+        self.seen.append((request.command, request.path, dict(request.headers), request.body))
+        usual = self.plain if self.models is None else self.stream(3)
+        behaviour = self.behaviours.pop(0) if self.behaviours else usual
+        return behaviour(request)
+
+    def headers(self, request):
+        head = {"Attempt-Id": request.headers["Attempt-Id"], "Response-Signature": "sig." + self.id,
+                "Server-Load": "1,0,4", "Keep-Alive": "timeout=5"}
+        if self.models:
+            head["Weight-Versions"] = str(next(iter(self.models.values())))
+        return head
+
+    # Behaviours of one request.
+    def plain(self, request):
+        request.answer(200, b"answer of " + self.id.encode(), self.headers(request))
+
+    def error(self, request):
+        request.answer(500, b"broken", self.headers(request))
+
+    def shed(self, request):
+        request.answer(503, b"", {"Not-Executed": "1"})
+
+    def lose(self, request):
+        request.cut()
+
+    def truncate(self, request):
+        request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nAttempt-Id: "
+                            + request.headers["Attempt-Id"].encode() + b"\r\nResponse-Signature: s\r\n\r\nhalf")
+        request.cut()
+
+    def unsigned(self, request):
+        request.answer(200, b"answer", {"Attempt-Id": request.headers["Attempt-Id"]})
+
+    def twice(self, request):
+        """Answers, and a late second answer to the same request follows."""
+        head = self.headers(request)
+        self.plain(request)
+        text = f"HTTP/1.1 200 OK\r\nAttempt-Id: {head['Attempt-Id']}\r\nResponse-Signature: s\r\n" \
+               "Content-Length: 4\r\n\r\nlate"
+        time.sleep(0.05)
+        request.wfile.write(text.encode())
+
+    def slow(self, request):
+        time.sleep(0.8)
+        self.plain(request)
+
+    def hang(self, request):
+        request.connection.settimeout(10)
+        try:
+            request.connection.recv(1)
+        except OSError:
+            pass
+        self.gone.append(time.monotonic())
+        request.close_connection = True
+
+    def stream(self, count, stop_after=None, pause=0.0):
+        """A stream of `count` events; stops in the middle of an event after `stop_after` of them."""
+        def run(request):
+            first = int(request.headers.get("Last-Event-Id", 0)) + 1
+            request.send_response(200)
+            for name, value in self.headers(request).items():
+                request.send_header(name, value)
+            request.send_header("Content-Type", "text/event-stream")
+            request.send_header("Transfer-Encoding", "chunked")
+            request.end_headers()
+            for number in range(first, count + 1):
+                text = f"id: {number}\ndata: {self.id}-{number}\n\n"
+                if stop_after is not None and number > stop_after:
+                    request.wfile.write(f"{len(text):x}\r\n{text[:7]}".encode())
+                    return request.cut()
+                request.wfile.write(f"{len(text):x}\r\n{text}\r\n".encode())
+                time.sleep(pause)
+            return request.wfile.write(b"0\r\n\r\n")
+        return run
+
+    def handle_engine(self, request, path):
+        self.finish_load()
+        query = dict(part.partition("=")[::2] for part in request.path.partition("?")[2].split("&"))
+        if path.endswith("/report"):
+            return request.answer(200, {
+                "stage": "mixed", "busy": self.pending is not None, "sequence": len(self.orders), "waiting": 0,
+                "running": 0, "kv_used": 0, "kv_total": 9, "handles": 0, "born": self.born,
+                "models": [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]})
+        if path.endswith("/order"):
+            order = json.loads(request.body)
+            self.orders.append((time.monotonic(), order, dict(self.staged)))
+            self.pending, self.loading_until = (order["model"], order["version"]), time.monotonic() + 0.3
+            return request.answer(202)
+        if "item_count" not in query:
+            return request.answer(200, {"held": sorted(self.staged)})
+        index = int(query["item_count"])
+        if request.command == "PUT":
+            self.staged[index] = request.body
+            if self.behaviours and self.behaviours[0] == "spoil":
+                self.behaviours.pop(0)
+                self.staged[index] = b"spoilt"
+            return request.answer(200)
+        if index not in self.staged:
+            return request.answer(404)
+        return request.answer(200, self.staged[index])
+
+
+def piece(model, version, index):
+    return hashlib.sha256(f"{model}/{version}/{index}".encode()).digest() * (PIECE_BYTES // 32)
+
+
+class Origin(Standin):
+    """The origin of weights; counts the pieces that it sends."""
+
+    def __init__(self, host):
+        self.sent, self.down, self.corrupt = 0, False, 0
+        super().__init__(host, ORIGIN_PORT)
+
+    def handle(self, request):
+        if self.down:
+            return request.cut()
+        path, _, query = request.path.partition("?")
+        fields = dict(part.partition("=")[::2] for part in query.split("&"))
+        model, version = path.rpartition("/")[2], int(fields["version"])
+        if "/manifest/" in path:
+            digests = [hashlib.sha256(piece(model, version, i)).hexdigest() for i in range(PIECES)]
+            return request.answer(200, {"model": model, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 4,
+                                        "digests": digests})
+        self.sent += 1
+        if self.corrupt > 0:
+            self.corrupt -= 1
+            return request.answer(200, b"x" * PIECE_BYTES)
+        return request.answer(200, piece(model, version, int(fields["item_count"])))
+
+
+def route(name, host, prefix, kind, pool, **changes):
+    return {"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 3000,
+            "target_latency_ms": 200, "priority": 1, "service": pool, "max_attempts": 2, "allow_anonymous": False,
+            "session_affinity": False, "resume_streams": False, **changes}
+
+
+def configuration(version, origin=None, routes=None, keys=("key-1",)):
+    services = [{"name": "plain", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False},
+                {"name": "engines", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False,
+                 "engine": {"slots": 4, "chunk": 2048, "read_per_s": 31900.0, "models": [{"name": "m"}]}}]
+    if origin is not None:
+        services.append({"name": "weights", "origin": origin.address, "zone": "z1", "link_mbps": 9.9,
+                         "max_connections": 48})
+    if routes is None:
+        routes = [route("r-read", "a.example", "/read/", "idempotent", "plain"),
+                  route("r-once", "a.example", "/once/", "non_idempotent", "plain", max_attempts=1),
+                  route("r-stream", "a.example", "/stream/", "streaming", "engines", resume_streams=True,
+                        target_gap_ms=300),
+                  route("r-open", "a.example", "/open/", "idempotent", "plain", allow_anonymous=True)]
+    return {"version": version, "routes": routes, "services": services,
+            "limits": {"max_header_bytes": 4096, "max_body_bytes": 100000, "header_timeout_ms": 1000,
+                       "idle_timeout_ms": 5000},
+            "tenants": [{"name": "north", "api_keys": list(keys), "priority": 1}]}
+
+
+class Daemon:
+    """A gateway or stager as a process of its own."""
+
+    def __init__(self, program, host, store, folder, seeds, more, stdout=None):
+        self.host, self.ip = host, f"{NET}.20.{host}"
+        settings = {"name": f"{program}-{host}", "address": self.ip, "region": "r1", "failure_domain": "z1",
+                    "peer_port": PEER_PORT, "bulk_port": BULK_PORT, "operator_port": OPERATOR_PORT,
+                    "store": store.address_for(host), "seeds": [{"address": address(s, 1)} for s in seeds],
+                    "domains": [{"failure_domain": "z1", "region": "r1"}],
+                    "keys": [{"id": "k1", "secret": "0123456789abcdef"}], "version_limit_ms": 8000,
+                    "drain_limit_s": 6, "link_mbps": 100, **more}
+        path = os.path.join(folder, f"{program}-{host}.json")
+        with open(path, "w", encoding="utf-8") as target:
+            json.dump(settings, target)
+        self.log_path = os.path.join(folder, f"{program}-{host}.log")
+        self.log = open(self.log_path, "w", encoding="utf-8")
+        self.process = subprocess.Popen([os.path.join(BUILD, program), "--settings", path],
+                                        stdout=stdout or self.log, stderr=self.log)
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+    def log_text(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as source:
+            return source.read()
+
+
+class PlatformFleet:
+    """Store, servers, origin and two gateways; stagers on demand."""
+
+    def __init__(self):
+        self.folder = tempfile.mkdtemp(prefix="marigoldyard-")
+        self.store, self.origin = Store(2), Origin(3)
+        self.plain = [Backend(self.store, f"i-plain-{n}", 10 + n, "plain") for n in range(2)]
+        self.engines = [Backend(self.store, f"i-engine-{n}", 20 + n, "engines", {"m": 1}) for n in range(2)]
+        self.daemons, self.version = [], 1
+        self.store.put("op/config", configuration(1, self.origin))
+        self.gateways = [self.gateway(40), self.gateway(41)]
+        for gateway in self.gateways:
+            wait_for(lambda g=gateway: call(g, "/marigoldyard/ready", port=READY_PORT).status == 200, "ready")
+
+    def gateway(self, host, stdout=None):
+        ip = f"{NET}.20.{host}"
+        daemon = Daemon("marigold-gateway", host, self.store, self.folder, [40, 41],
+                        {"callers": f"{ip}:{CALLER_PORT}", "readiness": f"{ip}:{READY_PORT}",
+                         "directory": f"{ip}:{DIRECTORY_PORT}", "retry_share": 0.2, "retry_reserve": 100}, stdout)
+        self.daemons.append(daemon)
+        return daemon
+
+    def stager(self, backend):
+        host = int(backend.address.split(":")[0].rpartition(".")[2])
+        daemon = Daemon("marigold-stager", host, self.store, self.folder, [40, 41],
+                        {"engine": backend.address, "pool": backend.pool})
+        self.daemons.append(daemon)
+        return daemon
+
+    def configure(self, **changes):
+        self.version += 1
+        self.store.put("op/config", configuration(self.version, self.origin, **changes))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for daemon in self.daemons:
+            daemon.stop()
+        for standin in [self.store, self.origin, *self.plain, *self.engines]:
+            standin.close()
+
+
+class Answer:
+    def __init__(self, status, headers, body, whole):
+        self.status, self.headers, self.body, self.whole = status, headers, body, whole
+
+
+NUMBER = iter(range(1, 1_000_000))
+
+
+def call(gateway, path, method="GET", body=None, key="key-1", port=CALLER_PORT, headers=None, timeout=10):
+    """One request on a new connection; `whole` is false when the answer breaks off."""
+    connection = http.client.HTTPConnection(gateway.ip, port, timeout=timeout)
+    head = {"Host": "a.example", "Attempt-Id": f"id-{next(NUMBER)}", "Deadline-Ms": "3000", "Model": "m",
+            "Token-Counts": "100,10", **(headers or {})}
+    if key:
+        head["Authorization"] = "Bearer " + key
+    try:
+        connection.request(method, path, body, head)
+        response = connection.getresponse()
+        try:
+            return Answer(response.status, dict(response.getheaders()), response.read(), True)
+        except http.client.IncompleteRead as error:
+            return Answer(response.status, dict(response.getheaders()), error.partial, False)
+    finally:
+        connection.close()
+
+
+def check(condition, what):
+    if not condition:
+        raise FleetError("check failed: " + what)
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,312 @@
+"""Gateways and stagers as processes, against stand-ins that speak the platform's protocol."""
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+import traceback
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+
+def forget(fleet):
+    """Drops what the servers recorded and were told to do."""
+    for server in fleet.plain + fleet.engines:
+        server.seen.clear()
+        server.behaviours.clear()
+
+
+def arrivals(servers):
+    return sum(len(server.seen) for server in servers)
+
+
+def either(fleet, behaviour):
+    """Makes the next request fail at whichever plain server it reaches first."""
+    used = threading.Event()
+
+    def once(server):
+        def run(request):
+            if used.is_set():
+                return server.plain(request)
+            used.set()
+            return getattr(server, behaviour)(request)
+        return run
+    for server in fleet.plain:
+        server.behaviours = [once(server)]
+
+
+def case_route(fleet):
+    """a request reaches its pool unchanged, with the customer in place of the key"""
+    answer = call(fleet.gateways[0], "/once/x?q=1", "POST", b"body", headers={"Tenant": "south", "X-More": "1"})
+    check(answer.status == 200 and answer.body.startswith(b"answer of i-plain"), "the server's answer is passed on")
+    check(answer.headers["Response-Signature"].startswith("sig."), "the signature is passed on")
+    seen = [entry for server in fleet.plain for entry in server.seen]
+    check(len(seen) == 1, "it arrived once")
+    method, path, headers, body = seen[0]
+    check((method, path, body) == ("POST", "/once/x?q=1", b"body"), "method, path and body are unchanged")
+    check(headers["Tenant"] == "north" and "Authorization" not in headers, "the key stays inside")
+    check(headers["X-More"] == "1" and 2500 < int(headers["Deadline-Ms"]) <= 3000, "the time left is passed on")
+
+
+def case_refusals(fleet):
+    """requests that the configuration does not allow are refused plainly"""
+    check(call(fleet.gateways[0], "/nowhere/1").status == 404, "no route")
+    check(call(fleet.gateways[0], "/read/1", key="wrong").status == 401, "wrong key")
+    check(call(fleet.gateways[0], "/read/1", key=None).status == 401, "no key")
+    check(call(fleet.gateways[0], "/open/1", key=None).status == 200, "an anonymous route")
+    check(call(fleet.gateways[0], "/read/1", headers={"X-Long": "x" * 5000}).status == 431, "too long a header")
+    check(call(fleet.gateways[0], "/read/1", "POST", b"x" * 200000).status == 413, "too long a body")
+    check(arrivals(fleet.plain) == 1, "only the allowed one arrived")
+
+
+def case_repeats(fleet):
+    """an idempotent request is sent to a second server after each kind of failure"""
+    for behaviour in ("shed", "lose", "truncate", "unsigned", "error", "hang"):
+        forget(fleet)
+        either(fleet, behaviour)
+        answer = call(fleet.gateways[0], "/read/1")
+        check(answer.status == 200 and answer.whole, f"after {behaviour} another server answers")
+        check(arrivals(fleet.plain) == 2, f"after {behaviour} it was sent twice")
+
+
+def case_at_most_once(fleet):
+    """a request that must run at most once is never repeated, and its refusal tells the truth"""
+    for behaviour, status in (("lose", 502), ("truncate", 502), ("unsigned", 502), ("shed", 503), ("error", 500)):
+        forget(fleet)
+        either(fleet, behaviour)
+        answer = call(fleet.gateways[0], "/once/1", "POST", b"b")
+        check(answer.status == status, f"status {answer.status} after {behaviour}, expected {status}")
+        check(arrivals(fleet.plain) == 1, f"after {behaviour} it was sent once")
+        if status == 503:
+            check(float(answer.headers["Retry-After"]) >= 0, "it says when to come back")
+
+
+def case_late_answer(fleet):
+    """a late second answer is never given to the next request"""
+    for server in fleet.plain:
+        server.behaviours = [server.twice]
+    for _ in range(8):
+        answer = call(fleet.gateways[0], "/read/1")
+        check(answer.status == 200 and answer.body.startswith(b"answer of"), f"got {answer.body!r}")
+        time.sleep(0.03)
+
+
+def case_stream(fleet):
+    """a stream that breaks off in the middle of an event continues at another server, in order and once"""
+    def breaking(server):
+        return server.stream(8, stop_after=3)
+    for server, other in (fleet.engines, fleet.engines[::-1]):
+        server.behaviours = [lambda r, s=server: breaking(s)(r) if not r.headers.get("Last-Event-Id")
+                             else s.stream(8)(r)]
+    answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    ids = [int(line[4:]) for line in answer.body.decode().splitlines() if line.startswith("id: ")]
+    check(answer.whole and ids == list(range(1, 9)), f"events {ids}")
+    check({entry[2].get("Expect-Version") for s in fleet.engines for entry in s.seen} == {None, "1"},
+          "it continued on the same weights")
+
+
+def case_stream_broken(fleet):
+    """a stream that cannot continue never looks complete"""
+    for server in fleet.engines:
+        server.behaviours = [server.stream(8, stop_after=2), server.stream(8, stop_after=4)]
+    answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    check(not answer.whole, "the caller sees that the answer is not whole")
+
+
+def case_caller_leaves(fleet):
+    """the server's work ends when its caller leaves"""
+    for server in fleet.engines:
+        server.gone.clear()
+        server.behaviours = [server.hang]
+    connection = http.client.HTTPConnection(fleet.gateways[0].ip, pf.CALLER_PORT)
+    connection.request("POST", "/stream/1", b"p", {"Host": "a.example", "Attempt-Id": "leaves", "Model": "m",
+                                                   "Authorization": "Bearer key-1", "Deadline-Ms": "3000"})
+    wait_for(lambda: arrivals(fleet.engines) == 1, "it reached a server")
+    left = time.monotonic()
+    connection.close()
+    wait_for(lambda: any(s.gone for s in fleet.engines), "the connection to the server is closed", timeout=3)
+    check(min(t for s in fleet.engines for t in s.gone) - left < 0.5, "within half a second")
+
+
+def case_draining(fleet):
+    """a draining server gets no request"""
+    fleet.plain[0].register("draining")
+    time.sleep(1)
+    forget(fleet)
+    for _ in range(6):
+        check(call(fleet.gateways[0], "/read/1").status == 200, "served")
+    check(not fleet.plain[0].seen, "the draining server got nothing")
+    fleet.plain[0].register()
+    time.sleep(1)
+
+
+def case_foreign_record(fleet):
+    """records of another writer change nothing"""
+    fleet.store.put("servers/i-odd", b"\xff\xfe")
+    fleet.store.put("servers/i-odder", {"service": "plain", "state": "asleep"})
+    fleet.store.put("servers/" + fleet.plain[0].id, {"address": 5})
+    time.sleep(1)
+    for gateway in fleet.gateways:
+        check(call(gateway, "/read/1").status == 200, "served")
+    fleet.plain[0].register()
+
+
+def case_configuration(fleet):
+    """a new configuration is in force within two seconds, and an older one never again"""
+    routes = [pf.route("r-new", "a.example", "/new/", "idempotent", "plain")]
+    fleet.configure(routes=routes, keys=("key-2",))
+    for gateway in fleet.gateways:
+        wait_for(lambda g=gateway: call(g, "/new/1", key="key-2").status == 200, "the new route serves", timeout=2)
+        check(call(gateway, "/read/1", key="key-2").status == 404, "the old route is gone")
+        check(call(gateway, "/new/1").status == 401, "the old key is revoked")
+    fleet.store.put("op/config", pf.configuration(1, fleet.origin))
+    time.sleep(1)
+    check(call(fleet.gateways[0], "/new/1", key="key-2").status == 200, "an older one is refused")
+    fleet.configure()
+    for gateway in fleet.gateways:
+        wait_for(lambda g=gateway: call(g, "/read/1").status == 200, "the first routes serve again", timeout=2)
+
+
+def case_turned_away(fleet):
+    """a gateway that the store turns away learns keys and servers from the other one"""
+    away = fleet.gateways[1]
+    fleet.store.turned_away.add(away.host)
+    time.sleep(1)
+    fleet.configure(keys=("key-3",))
+    wait_for(lambda: call(away, "/read/1", key="key-3").status == 200, "the new key is known", timeout=6)
+    check(call(away, "/read/1").status == 401, "the old key is revoked")
+    fleet.store.turned_away.clear()
+    fleet.configure()
+    wait_for(lambda: call(away, "/read/1").status == 200, "contact is regained", timeout=4)
+
+
+def case_directory(fleet):
+    """the directory names the gateways that are ready, and leaves out one that is gone"""
+    def listed(gateway):
+        answer = call(gateway, "/marigoldyard/resolve?name=a.example&region=r1&zone=z1", port=pf.DIRECTORY_PORT)
+        return sorted(json.loads(answer.body)["addresses"]) if answer.status == 200 else []
+    both = sorted(f"{g.ip}:{pf.CALLER_PORT}" for g in fleet.gateways)
+    wait_for(lambda: listed(fleet.gateways[0]) == both, "both are listed")
+    third = fleet.gateway(42)
+    wait_for(lambda: len(listed(fleet.gateways[0])) == 3, "a gateway that is no seed is found")
+    third.stop()
+    wait_for(lambda: listed(fleet.gateways[0]) == both, "it is left out after its end", timeout=4)
+
+
+def case_no_configuration(fleet):
+    """a gateway that knows no configuration answers 503 and is not ready"""
+    alone = f"{pf.NET}.20.43"
+    fleet.store.turned_away.add(43)
+    daemon = pf.Daemon("marigold-gateway", 43, fleet.store, fleet.folder, [99],
+                       {"callers": f"{alone}:{pf.CALLER_PORT}", "readiness": f"{alone}:{pf.READY_PORT}",
+                        "directory": f"{alone}:{pf.DIRECTORY_PORT}"})
+    fleet.daemons.append(daemon)
+
+    def status(path, port):
+        try:
+            return call(daemon, path, port=port).status
+        except OSError:
+            return 0
+    wait_for(lambda: status("/read/1", pf.CALLER_PORT) == 503, "it answers 503")
+    check(status("/marigoldyard/ready", pf.READY_PORT) == 503, "it is not ready")
+    fleet.store.turned_away.clear()
+    wait_for(lambda: status("/read/1", pf.CALLER_PORT) == 200, "it serves when the store answers")
+    daemon.stop()
+
+
+def case_terminate(fleet):
+    """SIGTERM ends no request, and the gateway leaves the directory at once"""
+    gateway = fleet.gateway(44)
+    wait_for(lambda: ready(gateway), "ready")
+    for server in fleet.engines:
+        server.behaviours = [server.stream(10, pause=0.15)]
+    answers = []
+    thread = threading.Thread(target=lambda: answers.append(call(gateway, "/stream/1", "POST", b"p")))
+    thread.start()
+    wait_for(lambda: arrivals(fleet.engines) == 1, "the stream runs")
+    gateway.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 503, "not ready", timeout=1)
+    thread.join()
+    check(answers[0].whole and answers[0].body.count(b"id: ") == 10, "the stream is whole")
+    check(gateway.process.wait(8) == 0, "it exits by itself")
+
+
+def ready(gateway):
+    try:
+        return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
+    except OSError:
+        return False
+
+
+def case_log_reader(fleet):
+    """a reader of the log that does not read stops no request"""
+    gateway = fleet.gateway(45, stdout=subprocess.PIPE)
+    wait_for(lambda: ready(gateway), "ready")
+    for _ in range(600):
+        check(call(gateway, "/open/1", key=None).status == 200, "served")
+    gateway.process.stdout.close()
+
+
+def case_versions(fleet):
+    """a version is drawn about once, checked, and loaded in turns, also where a staged piece turns bad"""
+    stagers = [fleet.stager(engine) for engine in fleet.engines]
+    wait_for(lambda: all(s.log_text().count("version_wanted") == 1 for s in stagers), "stagers know version 1")
+
+    def idle():
+        before = fleet.origin.sent
+        time.sleep(0.7)
+        return fleet.origin.sent == before
+    wait_for(idle, "version 1 is drawn")
+    fleet.origin.sent = 0
+    fleet.origin.corrupt = 1
+    fleet.engines[0].behaviours = ["spoil"]
+    fleet.store.put("op/version/m", {"model": "m", "version": 2})
+    wait_for(lambda: all(e.models == {"m": 2} for e in fleet.engines), "version 2 is loaded everywhere", timeout=8)
+    for engine in fleet.engines:
+        staged = engine.orders[-1][2]
+        check(all(staged[i] == pf.piece("m", 2, i) for i in range(pf.PIECES)), "only good pieces were loaded")
+    times = sorted(e.orders[-1][0] for e in fleet.engines)
+    check(times[1] - times[0] >= 0.3, "one server was loaded after the other")
+    check(fleet.origin.sent <= 1.5 * pf.PIECES, f"{fleet.origin.sent} pieces drawn for two servers")
+    wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p").headers.get("Weight-Versions") == "2",
+             "requests run on version 2")
+
+
+def case_lost_weights(fleet):
+    """a server that lost its weights is loaded again while the origin is away"""
+    fleet.origin.down = True
+    engine = fleet.engines[0]
+    engine.models, engine.staged, engine.born = {}, {}, engine.born + 5000
+    engine.register()
+    wait_for(lambda: engine.models == {"m": 2}, "version 2 is loaded from the stager's memory", timeout=8)
+    fleet.origin.down = False
+
+
+CASES = [case_route, case_refusals, case_repeats, case_at_most_once, case_late_answer, case_stream, case_stream_broken,
+         case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_directory,
+         case_no_configuration, case_terminate, case_log_reader, case_versions, case_lost_weights]
+
+
+def main():
+    failed = 0
+    with pf.PlatformFleet() as fleet:
+        for case in CASES:
+            forget(fleet)
+            try:
+                case(fleet)
+                print(f"case passed: {case.__doc__}", flush=True)
+            except Exception:
+                failed += 1
+                print(f"case failed: {case.__doc__}\n{traceback.format_exc()}", flush=True)
+                for daemon in fleet.daemons[-3:]:
+                    print(f"--- {daemon.ip}\n{daemon.log_text()[-800:]}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
