--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -118,9 +118,10 @@
   std::uint64_t Version = 0;
 
   // clang-tidy 14 reports names in the code that the compiler generates here.
-  // NOLINTNEXTLINE(modernize-use-nullptr, readability-identifier-naming)
+  // NOLINTBEGIN(modernize-use-nullptr, readability-identifier-naming)
   friend auto operator<=>(const DeclaredVersion &,
                           const DeclaredVersion &) = default;
+  // NOLINTEND(modernize-use-nullptr, readability-identifier-naming)
 };
 
 } // namespace marigoldyard
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -64,15 +64,15 @@
 FleetNode::FleetNode(FleetProcessSettings Given, MemberKind Kind,
                      std::string StorePrefix, std::string Relayed,
                      std::chrono::milliseconds StorePace)
-    : Settings(std::move(Given)), Output(STDOUT_FILENO),
-      Log(logOptions(Settings, 0),
+    : Settings(std::move(Given)), Source(makeRandom()),
+      Number(makeIncarnation(wallTime(), Source)), Output(STDOUT_FILENO),
+      Log(logOptions(Settings, Number),
           [this](std::string_view Line) { Output.write(Line); }),
-      Source(makeRandom()), Timeouts(Context), Client(Context),
+      Timeouts(Context), Client(Context),
       Store({addressText(Settings.Store), std::move(StorePrefix), StorePace},
             Context, Client, Log,
             [this](const ChangedKeys &Keys) { Handlers.StoreChanged(Keys); }),
-      Number(makeIncarnation(wallTime(), Source)), Self(selfOf(Settings, Kind)),
-      RelayPrefix(std::move(Relayed)) {
+      Self(selfOf(Settings, Kind)), RelayPrefix(std::move(Relayed)) {
   Gateways.Settings = gatewayMembership();
 }
 
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -106,16 +106,16 @@
   const Member &self() const { return Self; }
 
   FleetProcessSettings Settings;
+  Random Source;
+  const Incarnation Number;
   boost::asio::io_context Context{1};
   LineWriter Output;
   Logger Log;
   Metrics Numbers;
-  Random Source;
   TimeoutList Timeouts;
   HttpClient Client;
   StoreReader Store;
   MembershipState Gateways;
-  const Incarnation Number;
 
 private:
   std::optional<Error> openMailbox(std::unique_ptr<Mailbox> &Target,
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -344,16 +344,20 @@
   beginWaiting();
 }
 
+double Gateway::retryReserve() const {
+  return BudgetShare * Settings.RetryReserve /
+         static_cast<double>(1 + OtherGateways);
+}
+
 RetryBudget &Gateway::retryBudget(const std::string &Pool) {
   const auto [Found, New] = Budgets.try_emplace(Pool);
   RetryBudget &Budget = Found->second;
-  const double Gateways = 1.0 + static_cast<double>(Base.liveGateways().size());
   if (New) {
     Budget.Share = BudgetShare * Settings.RetryShare;
     Budget.ChargeRefusals = true;
-    Budget.Tokens = BudgetShare * Settings.RetryReserve / Gateways;
+    Budget.Tokens = retryReserve();
   }
-  Budget.Reserve = BudgetShare * Settings.RetryReserve / Gateways;
+  Budget.Reserve = retryReserve();
   return Budget;
 }
 
@@ -469,6 +473,7 @@
   Status.KnownUpto = Base.Store.known() ? Base.Store.mirror().Revision : 0;
   for (const auto &[Address, Other] : Base.liveGateways())
     Status.Gateways.push_back(Address);
+  OtherGateways = Status.Gateways.size();
   for (const std::string &Address : Base.gatewayAddresses())
     Base.send(Address, Status);
   if (Now - StagerStatusAt < StagerStatusInterval)
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -116,6 +116,7 @@
   void wake(std::uint64_t Ticket, ServerChoice Grant);
   void terminate();
   void rereadSettings();
+  double retryReserve() const;
 
   GatewaySettings Settings;
   SettingsFile<GatewaySettings> File;
@@ -125,7 +126,8 @@
   DispatchQueue Queue;
   std::map<std::uint64_t, Waiter> Waiters; ///< by ticket
   ServerConnections Connections;
-  std::map<std::string, RetryBudget> Budgets;
+  std::map<std::string, RetryBudget> Budgets; ///< by pool
+  std::size_t OtherGateways = 0;              ///< live ones, for the budgets
   DrainState Departure;
   std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
   /// A declared version that servers need not have yet.
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -28,6 +28,7 @@
 
 std::vector<Digest> versionMarks(const std::vector<LoadedWeights> &Weights) {
   std::vector<Digest> Result;
+  Result.reserve(Weights.size());
   for (const LoadedWeights &Each : Weights)
     Result.push_back(versionMark(Each.Model, Each.Version));
   return Result;
