--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -1,4 +1,5 @@
 #include "marigoldyard/protocol/manifest_json.hpp"
+#include "marigoldyard/protocol/fleet_settings.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/program.hpp"
 #include "programs/ctl/reports.hpp"
@@ -60,7 +61,8 @@
 }
 
 int printReference(const Options &) {
-  fmt::print("{}\n{}", settingsReference(), manifestReference());
+  fmt::print("{}\n{}\n{}", settingsReference(), fleetSettingsReference(),
+             manifestReference());
   return 0;
 }
 
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -245,7 +245,8 @@
 }
 
 std::string fleetSettingsReference() {
-  return detail::referenceTable("Gateways and stagers", ProcessMembers) + "\n" +
+  return "## Settings on the platform\n\n" +
+         detail::referenceTable("Gateways and stagers", ProcessMembers) + "\n" +
          detail::referenceTable("Gateways", GatewayMembers) + "\n" +
          detail::referenceTable("Stagers", StagerMembers);
 }
--- a/tests/process/test_reference.py
+++ b/tests/process/test_reference.py
@@ -1,4 +1,4 @@
-"""docs/operations.md names what the programs accept and report. With --write, refreshes its reference tables."""
+"""docs/OPERATIONS.md names what the programs accept and report. With --write, refreshes its reference tables."""
 import glob
 import os
 import re
@@ -8,7 +8,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.path.join(ROOT, os.environ.get("MARIGOLDYARD_BUILD_DIR", "build"))
-PAGE = os.path.join(ROOT, "docs", "operations.md")
+PAGE = os.path.join(ROOT, "docs", "OPERATIONS.md")
 BEGIN, END = "<!-- reference begin: output of `marigoldctl reference` -->\n", "<!-- reference end -->"
 OUTCOMES = ("complete", "not_run", "failed", "unknown")
 
