--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -48,10 +48,6 @@
   return Settings;
 }
 
-std::string hostOf(const std::string &Address) {
-  return Address.substr(0, Address.rfind(':'));
-}
-
 KeyRing keysOf(const FleetProcessSettings &Settings) {
   KeyRing Ring;
   for (const MessageKey &Key : Settings.Keys)
@@ -61,6 +57,10 @@
 
 } // namespace
 
+std::string hostOf(const std::string &Address) {
+  return Address.substr(0, Address.rfind(':'));
+}
+
 FleetNode::FleetNode(FleetProcessSettings Given, MemberKind Kind,
                      std::string StorePrefix, std::string Relayed,
                      std::chrono::milliseconds StorePace)
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -22,6 +22,10 @@
 
 namespace marigoldyard {
 
+/// @brief Host of "host:port".
+/// @param Address the address
+std::string hostOf(const std::string &Address);
+
 /// @brief What a program adds to a FleetNode. All are called on the thread of
 /// the io_context.
 struct FleetHandlers {
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -34,10 +34,6 @@
 constexpr unsigned StatusOk = 200;
 constexpr std::uint64_t FirstVersion = 1;
 
-std::string hostOf(const std::string &Address) {
-  return Address.substr(0, Address.rfind(':'));
-}
-
 } // namespace
 
 Stager::Stager(StagerSettings Given, SettingsFile<StagerSettings> Source)
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -1,37 +1,24 @@
 #include "marigoldyard/protocol/fleet_settings.hpp"
 
-#include "marigoldyard/protocol/detail/schema.hpp"
+#include "marigoldyard/protocol/detail/settings_parts.hpp"
 
 namespace marigoldyard {
 namespace {
 
 using detail::KeyDescription;
+using detail::MaxNameBytes;
+using detail::MaxPort;
+using detail::MessageKeyMembers;
+using detail::serverAddress;
 using detail::ValueKind;
 using nlohmann::json;
 
-constexpr double MaxNameBytes = 128;
-constexpr double MaxPort = 65535;
 constexpr double MaxTimeMs = 3'600'000;
 constexpr double MaxDrainSeconds = 3600;
 constexpr double MaxRepeats = 1e6;
 constexpr double MaxLinkMbps = 1e6;
-constexpr double MinSecretBytes = 16;
-constexpr double MaxSecretBytes = 1024;
 constexpr double BitsPerMegabit = 1e6;
 
-constexpr KeyDescription KeyMembers[] = {
-    {.Key = "id",
-     .Kind = ValueKind::Name,
-     .Maximum = MaxNameBytes,
-     .Help = "id that messages carry"},
-    {.Key = "secret",
-     .Kind = ValueKind::Text,
-     .Unit = "at least 16 bytes",
-     .Minimum = MinSecretBytes,
-     .Maximum = MaxSecretBytes,
-     .Help = "key of HMAC-SHA-256"},
-};
-
 constexpr KeyDescription SeedMembers[] = {
     {.Key = "address",
      .Kind = ValueKind::HostPort,
@@ -97,7 +84,7 @@
      .Kind = ValueKind::ObjectList,
      .Minimum = 1,
      .Help = "keys of messages; the first signs, all verify",
-     .Members = KeyMembers,
+     .Members = MessageKeyMembers,
      .UniqueKey = "id"},
     {.Key = "version_limit_ms",
      .Kind = ValueKind::Integer,
@@ -164,13 +151,6 @@
      .Help = "pool that the server belongs to"},
 };
 
-ServerAddress serverAddress(const json &Value) {
-  const auto Text = Value.get<std::string>();
-  const std::size_t Colon = Text.rfind(':');
-  return {Text.substr(0, Colon),
-          static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))};
-}
-
 std::chrono::milliseconds milliseconds(const json &Value) {
   return std::chrono::milliseconds(Value.get<std::int64_t>());
 }
@@ -190,9 +170,7 @@
   for (const json &Domain : Value.at("domains"))
     Result.RegionOf[Domain.at("failure_domain").get<std::string>()] =
         Domain.at("region").get<std::string>();
-  for (const json &Key : Value.at("keys"))
-    Result.Keys.push_back(
-        {Key.at("id").get<std::string>(), Key.at("secret").get<std::string>()});
+  Result.Keys = detail::messageKeys(Value.at("keys"));
   Result.VersionLimit = milliseconds(Value.at("version_limit_ms"));
   Result.DrainLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::duration<double>(Value.at("drain_limit_s").get<double>()));
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,6 +1,6 @@
 #include "marigoldyard/protocol/settings.hpp"
 
-#include "marigoldyard/protocol/detail/schema.hpp"
+#include "marigoldyard/protocol/detail/settings_parts.hpp"
 
 #include <array>
 #include <map>
@@ -9,33 +9,19 @@
 namespace {
 
 using detail::KeyDescription;
+using detail::MaxNameBytes;
+using detail::MaxPort;
+using detail::MessageKeyMembers;
+using detail::serverAddress;
 using detail::ValueKind;
 using nlohmann::json;
 
-constexpr double MaxNameBytes = 128;
-constexpr double MaxPort = 65535;
 constexpr double MaxDrainMs = 3'600'000;
 constexpr double MaxSlots = 4096;
 constexpr double MaxBytes = 1e12;
-// HMAC-SHA-256 keys below half of the hash length weaken the code.
-constexpr double MinSecretBytes = 16;
-constexpr double MaxSecretBytes = 1024;
 
 constexpr std::string_view EndpointKinds[] = {"engine", "service"};
 
-constexpr KeyDescription MessageKeyMembers[] = {
-    {.Key = "id",
-     .Kind = ValueKind::Name,
-     .Maximum = MaxNameBytes,
-     .Help = "id that messages carry"},
-    {.Key = "secret",
-     .Kind = ValueKind::Text,
-     .Unit = "at least 16 bytes",
-     .Minimum = MinSecretBytes,
-     .Maximum = MaxSecretBytes,
-     .Help = "key of HMAC-SHA-256"},
-};
-
 constexpr KeyDescription ProcessMembers[] = {
     {.Key = "name",
      .Kind = ValueKind::Name,
@@ -184,15 +170,6 @@
   return Members;
 }
 
-ServerAddress serverAddress(const json &Value) {
-  const std::string Text = Value.get<std::string>();
-  const std::size_t Colon = Text.rfind(':');
-  std::string Host = Text.substr(0, Colon);
-  if (Host.front() == '[')
-    Host = Host.substr(1, Host.size() - 2);
-  return {Host, static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))};
-}
-
 /// Reports ports that are used twice on the address of one process.
 void checkPorts(const json &Value, std::vector<DocumentFault> &Faults) {
   std::map<json, std::string> Seen;
@@ -233,9 +210,7 @@
   Result.ConfigurationService =
       serverAddress(Value.at("configuration_service"));
   Result.VmList = serverAddress(Value.at("vm_list"));
-  for (const json &Key : Value.at("keys"))
-    Result.Keys.push_back(
-        {Key.at("id").get<std::string>(), Key.at("secret").get<std::string>()});
+  Result.Keys = detail::messageKeys(Value.at("keys"));
   Result.DrainDeadline = std::chrono::milliseconds(
       Value.at("drain_deadline_ms").get<std::int64_t>());
   Result.ListLag =
@@ -245,6 +220,23 @@
 
 } // namespace
 
+ServerAddress detail::serverAddress(const json &Value) {
+  const std::string Text = Value.get<std::string>();
+  const std::size_t Colon = Text.rfind(':');
+  std::string Host = Text.substr(0, Colon);
+  if (Host.front() == '[')
+    Host = Host.substr(1, Host.size() - 2);
+  return {Host, static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))};
+}
+
+std::vector<MessageKey> detail::messageKeys(const json &Value) {
+  std::vector<MessageKey> Keys;
+  for (const json &Key : Value)
+    Keys.push_back(
+        {Key.at("id").get<std::string>(), Key.at("secret").get<std::string>()});
+  return Keys;
+}
+
 Checked<EntrySettings> parseEntrySettings(std::string_view Text) {
   Checked<EntrySettings> Result;
   const json Value =
