Require a version by its possible age, and ask a gateway at once after a start

A version that was named while the store was silent for all was required after 2.5 s at gateways that learned it by their own listing, before any server could have it; a gateway that started in the silence knew nothing for two seconds; news by relay counted as fresh although they may be 2.8 s old. Change: version_bound.hpp takes how the news came; a process that knows nothing asks gateways at once. Ruled out: the stagers (first load 12 s after the name, 5.4 s after the store's return).

--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -1,5 +1,5 @@
-#include "marigoldyard/protocol/manifest_json.hpp"
 #include "marigoldyard/protocol/fleet_settings.hpp"
+#include "marigoldyard/protocol/manifest_json.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/program.hpp"
 #include "programs/ctl/reports.hpp"
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -268,7 +268,9 @@
 
 void FleetNode::askForRelay() {
   const TimePoint Now = now();
-  if (!Store.cutOff(Now) || Now - RelayAskedAt < RelayInterval)
+  // A process that has just started does not wait for the store's time-out.
+  const bool Needed = !Store.known() || Store.cutOff(Now);
+  if (!Needed || Now - RelayAskedAt < RelayInterval)
     return;
   RelayAskedAt = Now;
   std::string Best;
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -47,7 +47,7 @@
                           StoreRevision Upto) {
   const ChangedKeys Keys = applyEvents(Mirror, Items, Upto);
   if (!Known) {
-    ContactSince = now();
+    KnownSince = now();
     Log.write({.Event = "store_known_by_relay",
                .At = Step::ConfigurationRelay,
                .Number = Upto});
@@ -144,8 +144,10 @@
                .At = Step::ConfigurationRead,
                .Peer = "store",
                .Number = Mirror.Revision});
-  if (Lost || !Known)
+  if (Lost)
     ContactSince = now();
+  if (!Known)
+    KnownSince = now();
   Lost = false;
   Backoff = {};
   AnsweredAt = now();
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -59,8 +59,11 @@
   bool known() const { return Known; }
   /// @return whether the store has not answered for a while
   bool cutOff(TimePoint Now) const;
-  /// @return whether changes are learned now that are older than a moment: at
-  /// the start and after contact was regained
+  /// @return whether the content became known a moment ago
+  bool justKnown(TimePoint Now) const {
+    return !Known || Now - KnownSince < CatchUp;
+  }
+  /// @return whether contact was regained a moment ago
   bool catchingUp(TimePoint Now) const { return Now - ContactSince < CatchUp; }
   /// @return the copy
   const StoreMirror &mirror() const { return Mirror; }
@@ -92,6 +95,7 @@
   StoreRevision PagesRevision = 0;
   TimePoint AnsweredAt{};
   TimePoint ContactSince{}; ///< end of the last outage
+  TimePoint KnownSince{};   ///< first complete content
   std::chrono::milliseconds Backoff{};
   bool Lost = false; ///< the loss of contact was logged
   std::uint64_t Calls = 0;
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -32,16 +32,11 @@
 constexpr double LingerShare = 0.3;
 /// Time kept between the last end of a request and the platform's SIGKILL.
 constexpr std::chrono::milliseconds ExitMargin{600};
-/// Part of the version bound after which only the newest version serves: the
-/// rest covers the way of the news and of requests that wait at a server.
-constexpr double VersionShare = 0.85;
 /// Time kept before the bound in which a request that has not begun is
 /// withdrawn from its server: the pause between watches and the way of the news
 /// pass before the declaration is known.
 constexpr std::chrono::milliseconds VersionMargin =
     StorePace + std::chrono::milliseconds(250);
-/// The same for a version that was declared at an unknown time before.
-constexpr std::chrono::milliseconds LateVersionLimit{2500};
 /// Part of the shared retry budget that is used: a restarted process begins
 /// with a full reserve again.
 constexpr double BudgetShare = 0.7;
@@ -289,19 +284,30 @@
   }
   const TimePoint Now = now();
   const Duration Limit = Settings.Process.VersionLimit;
-  if (Base.Store.catchingUp(Now))
-    Pending.push_back({*Version, Now + LateVersionLimit, TimePoint::max()});
-  else
-    Pending.push_back(
-        {*Version,
-         Now + std::chrono::duration_cast<Duration>(Limit * VersionShare),
-         Now + Limit - VersionMargin});
+  VersionBoundSettings Bound;
+  Bound.Limit = Limit;
+  const VersionNews News = versionNews();
+  Pending.push_back({*Version, Now + requireVersionAfter(Bound, News),
+                     News == VersionNews::Watched ? Now + Limit - VersionMargin
+                                                  : TimePoint::max()});
   Base.Log.write({.Event = "version_declared",
                   .At = Step::ConfigurationAccept,
                   .Fields = {{"model", Version->Model},
                              {"version", std::to_string(Version->Version)}}});
 }
 
+VersionNews Gateway::versionNews() const {
+  const TimePoint Now = now();
+  if (Base.Store.justKnown(Now))
+    return VersionNews::Unknown;
+  if (Base.Store.cutOff(Now))
+    return VersionNews::Relayed;
+  if (!Base.Store.catchingUp(Now))
+    return VersionNews::Watched;
+  return Base.liveGateways().empty() ? VersionNews::Unknown
+                                     : VersionNews::Returned;
+}
+
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
   std::erase_if(Pending, [&](const PendingVersion &Each) {
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "marigoldyard/coordination/retry.hpp"
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
+#include "marigoldyard/coordination/version_bound.hpp"
 #include "programs/fleet/fleet_main.hpp"
 #include "programs/fleet/fleet_node.hpp"
 #include "programs/gateway/caller_session.hpp"
@@ -110,6 +111,7 @@
   void received(const Message &Incoming);
   void tick();
   void sendStatus();
+  VersionNews versionNews() const;
   void enforceVersions();
   void beginWaiting();
   void beginWaiting(const std::string &Pool);
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -80,7 +80,7 @@
     def __init__(self, host):
         self.lock = threading.Condition()
         self.items, self.removed, self.revision = {}, {}, 10
-        self.host, self.turned_away, self.doors = host, set(), {}
+        self.host, self.turned_away, self.silent, self.doors = host, set(), set(), {}
         super().__init__(host, STORE_PORT)
 
     def address_for(self, client):
@@ -113,7 +113,11 @@
             self.lock.notify_all()
 
     def handle(self, request):
-        if request.server.server_address[1] - STORE_PORT in self.turned_away:
+        client = request.server.server_address[1] - STORE_PORT
+        if client in self.silent:
+            time.sleep(10)
+            return request.cut()
+        if client in self.turned_away:
             return request.answer(503, {})
         path, _, query = request.path.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&"))
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -219,6 +219,18 @@
     daemon.stop()
 
 
+def case_start_in_silence(fleet):
+    """a gateway that starts while the store is silent learns everything from another one at once"""
+    fleet.store.silent.add(46)
+    started = time.monotonic()
+    gateway = fleet.gateway(46)
+    wait_for(lambda: ready(gateway), "ready", timeout=5)
+    check(time.monotonic() - started < 1.5, f"ready after {time.monotonic() - started:.2f} s")
+    check(call(gateway, "/read/1").status == 200, "served")
+    gateway.stop()
+    fleet.store.silent.clear()
+
+
 def case_terminate(fleet):
     """SIGTERM ends no request, and the gateway leaves the directory at once"""
     gateway = fleet.gateway(44)
@@ -289,7 +301,7 @@
 
 CASES = [case_route, case_refusals, case_repeats, case_at_most_once, case_late_answer, case_stream, case_stream_broken,
          case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_directory,
-         case_no_configuration, case_terminate, case_log_reader, case_versions, case_lost_weights]
+         case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights]
 
 
 def main():
