Keep the order among versions only where several are incomplete

The preference for the older version draws a random number more for each peer also with a single version, which changed the requests of that run. Change: with one incomplete version the choice is as before.

--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -209,7 +209,9 @@
 
 void requestAtHome(TransferState &State, TimePoint Now, Random &Source,
                    Actions &Result) {
-  const auto Versions = incompleteVersions(State);
+  auto Versions = incompleteVersions(State);
+  if (Versions.size() == 1)
+    Versions.clear(); // there is no order to keep
   requestFrom(State, State.Home, State.Settings.MaxInFlight, Now, Source,
               Result, [&](const PeerSlot &Peer) {
                 std::optional<ChunkIndex> Chunk = rarest(
