Remove members of the gateway that nothing uses

ServerExchange declared finish() without a definition and counted bytes nobody read; StoreReader counted calls nobody asked for. Change: they are removed; no behaviour changes.

--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -76,7 +76,6 @@
 }
 
 void StoreReader::list() {
-  ++Calls;
   Client.call(platform::listCall(
                   Options.Address, Options.Prefix,
                   Pages.empty() ? std::string() : Pages.back().Key, false),
@@ -118,7 +117,6 @@
 }
 
 void StoreReader::watch() {
-  ++Calls;
   Client.call(platform::watchCall(Options.Address, Options.Prefix,
                                   Mirror.Revision, Options.Wait),
               [this](const HttpResult &Result) { watched(Result); });
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -67,8 +67,6 @@
   bool catchingUp(TimePoint Now) const { return Now - ContactSince < CatchUp; }
   /// @return the copy
   const StoreMirror &mirror() const { return Mirror; }
-  /// @return calls to the store since the start
-  std::uint64_t calls() const { return Calls; }
 
 private:
   /// Time in which a listing after an outage is applied.
@@ -98,7 +96,6 @@
   TimePoint KnownSince{};   ///< first complete content
   std::chrono::milliseconds Backoff{};
   bool Lost = false; ///< the loss of contact was logged
-  std::uint64_t Calls = 0;
 };
 
 } // namespace marigoldyard
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -165,7 +165,7 @@
 net::awaitable<error_code> ServerExchange::readHead(Parser &Source) {
   error_code Failure;
   Source.body_limit(MaxAnswerBytes);
-  BytesRead += co_await http::async_read_header(
+  co_await http::async_read_header(
       Connection->Socket, Connection->Buffer, Source,
       net::redirect_error(net::use_awaitable, Failure));
   co_return Failure;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -94,7 +94,6 @@
   readStream(Parser &Source, const platform::ServerAnswer &Head,
              StreamReceiver &Receiver);
   ExchangeResult failure(const boost::system::error_code &Cause) const;
-  void finish(const std::string &Address, const Parser &Source);
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
@@ -107,7 +106,6 @@
   /// body, which may outlive the exchange.
   std::shared_ptr<bool> Sent = std::make_shared<bool>(false);
   bool Reusable = false;
-  std::size_t BytesRead = 0;
 };
 
 } // namespace marigoldyard
