Explain requests from collected logs; log to standard output everywhere

Cause: on-call engineers have logs and no operator ports; entry and agent wrote theirs to standard error, and nothing said when a gateway became ready. 'check --as KIND' names every fault of a settings file. Gateways log 'ready' and 'not_ready' with the configuration and the servers known. Node writes through LineWriter to standard output, so that a reader that does not read stops nothing. Ruled out: a separate program for logs; the time line's merge and output serve both sources.

--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -2,11 +2,13 @@
 #include "marigoldyard/protocol/manifest_json.hpp"
 #include "marigoldyard/protocol/settings.hpp"
 #include "marigoldyard/transport/program.hpp"
+#include "programs/ctl/log_files.hpp"
 #include "programs/ctl/reports.hpp"
 
 #include <CLI/CLI.hpp>
 #include <fmt/core.h>
 #include <functional>
+#include <map>
 
 using namespace marigoldyard;
 
@@ -27,6 +29,8 @@
   bool AsJson = false;
   TimelineFilter Filter;
   std::string Target;
+  std::string Document = "manifest"; ///< what FILE of `check` holds
+  std::vector<std::string> Logs;     ///< collected logs
 };
 
 int checkManifest(const Options &Given) {
@@ -45,6 +49,53 @@
   return 0;
 }
 
+/// Names every fault of a settings file.
+template <typename T>
+int checkSettings(const std::string &Path,
+                  Checked<T> (*Parse)(std::string_view)) {
+  auto Text = readFile(Path, MaxSettingsBytes);
+  if (!Text) {
+    fmt::print(stderr, "{}\n", Text.error().message());
+    return 1;
+  }
+  const Checked<T> Result = Parse(*Text);
+  for (const DocumentFault &Fault : Result.Faults)
+    fmt::print("{}\n", describeFault(Fault));
+  if (!Result.Value)
+    return 1;
+  fmt::print("{}: no faults\n", Path);
+  return 0;
+}
+
+using CheckFunction = int (*)(const Options &);
+
+/// Documents that `check` knows.
+const std::map<std::string, CheckFunction> Checks = {
+    {"manifest", checkManifest},
+    {"entry",
+     [](const Options &Given) {
+       return checkSettings(Given.File, parseEntrySettings);
+     }},
+    {"agent",
+     [](const Options &Given) {
+       return checkSettings(Given.File, parseAgentSettings);
+     }},
+    {"gateway",
+     [](const Options &Given) {
+       return checkSettings(Given.File, parseGatewaySettings);
+     }},
+    {"stager",
+     [](const Options &Given) {
+       return checkSettings(Given.File, parseStagerSettings);
+     }},
+    {"ctl", [](const Options &Given) {
+       return checkSettings(Given.File, parseCtlSettings);
+     }}};
+
+int checkDocument(const Options &Given) {
+  return Checks.at(Given.Document)(Given);
+}
+
 int planManifest(const Options &Given) {
   auto Text = readFile(Given.File, MaxManifestBytes);
   const Checked<Manifest> Result =
@@ -134,17 +185,53 @@
   return 0;
 }
 
+/// Logs of the command line; prints why they cannot be read, and how many lines
+/// were skipped.
+std::optional<CollectedLogs> logsOf(const Options &Given) {
+  auto Logs = readLogs(Given.Logs);
+  if (!Logs) {
+    fmt::print(stderr, "{}\n", Logs.error().message());
+    return std::nullopt;
+  }
+  if (Logs->Skipped > 0)
+    fmt::print(stderr, "{} lines are no log lines\n", Logs->Skipped);
+  return std::move(*Logs);
+}
+
+void printTimeline(const std::vector<OperatorPage> &Pages,
+                   const Options &Given) {
+  for (const nlohmann::json &Event : mergeTimeline(Pages, Given.Filter))
+    fmt::print("{}\n", Given.AsJson ? Event.dump() : timelineLine(Event));
+}
+
 int showTimeline(const Options &Given) {
+  if (!Given.Logs.empty()) {
+    const auto Logs = logsOf(Given);
+    if (Logs)
+      printTimeline(Logs->Pages, Given);
+    return Logs ? 0 : 1;
+  }
   const auto Daemons = daemonsOf(Given);
   if (!Daemons)
     return 1;
-  for (const nlohmann::json &Event :
-       mergeTimeline(readPages(*Daemons, "/timeline"), Given.Filter))
-    fmt::print("{}\n", Given.AsJson ? Event.dump() : timelineLine(Event));
+  printTimeline(readPages(*Daemons, "/timeline"), Given);
   return 0;
 }
 
+int explainLogged(const Options &Given) {
+  const auto Logs = logsOf(Given);
+  if (!Logs)
+    return 1;
+  const std::string Text = explainFromLogs(*Logs, Given.Target);
+  if (Text.empty())
+    fmt::print("no log line names this request\n");
+  fmt::print("{}", Text);
+  return Text.empty() ? 1 : 0;
+}
+
 int explain(const Options &Given) {
+  if (!Given.Logs.empty())
+    return explainLogged(Given);
   const auto Daemons = daemonsOf(Given);
   if (!Daemons)
     return 1;
@@ -163,6 +250,8 @@
   Command.add_option("--vm-list", Given.VmList, "host:port of the VM list");
   Command.add_option("--operator-port", Given.OperatorPort,
                      "operator port of the daemons (default 8081)");
+  Command.add_option("--logs", Given.Logs,
+                     "collected logs to read instead of the daemons");
 }
 
 using CommandFunction = int (*)(const Options &);
@@ -171,9 +260,13 @@
     const std::function<CLI::App *(const char *, const char *, CommandFunction)>
         &Add,
     Options &Given) {
-  Add("check", "name every fault of a manifest", checkManifest)
-      ->add_option("FILE", Given.File, "manifest")
-      ->required();
+  CLI::App *Check =
+      Add("check", "name every fault of a manifest or settings file",
+          checkDocument);
+  Check->add_option("FILE", Given.File, "manifest or settings")->required();
+  Check->add_option("--as", Given.Document, "what FILE holds")
+      ->check(CLI::IsMember(Checks))
+      ->capture_default_str();
   Add("plan", "print the keys to publish for a manifest, in order",
       planManifest)
       ->add_option("FILE", Given.File, "manifest")
--- a/programs/ctl/reports.cpp
+++ b/programs/ctl/reports.cpp
@@ -15,13 +15,6 @@
   return Weights.substr(0, ShownDigestDigits);
 }
 
-std::string text(const Json &Source, const char *Key) {
-  const auto Found = Source.find(Key);
-  if (Found == Source.end() || Found->is_null())
-    return {};
-  return Found->is_string() ? Found->get<std::string>() : Found->dump();
-}
-
 /// Array member of an object; empty when it is absent.
 const Json &list(const Json &Source, const char *Key) {
   static const Json Empty = Json::array();
@@ -34,9 +27,10 @@
   std::string Result;
   std::vector<std::string> Shown;
   for (const Json &Model : list(Page, "models")) {
-    std::string Line = fmt::format(
-        "{} {} {} {}/{}", text(Model, "model"), text(Model, "version"),
-        text(Model, "phase"), Model.value("held", 0), Model.value("chunks", 0));
+    std::string Line =
+        fmt::format("{} {} {} {}/{}", memberText(Model, "model"),
+                    memberText(Model, "version"), memberText(Model, "phase"),
+                    Model.value("held", 0), Model.value("chunks", 0));
     if (std::find(Shown.begin(), Shown.end(), Line) != Shown.end())
       continue;
     Result += (Result.empty() ? "" : "; ") + Line;
@@ -61,8 +55,9 @@
   for (const OperatorPage &Page : Pages) {
     Widths.Name = std::max(Widths.Name, Page.From.Name.size());
     if (Page.Failure.empty())
-      Widths.FailureDomain = std::max(
-          Widths.FailureDomain, text(Page.Content, "failure_domain").size());
+      Widths.FailureDomain =
+          std::max(Widths.FailureDomain,
+                   memberText(Page.Content, "failure_domain").size());
   }
   return Widths;
 }
@@ -72,24 +67,32 @@
     return fmt::format("{:<{}} {:<22} unreachable: {}\n", Page.From.Name,
                        Widths.Name, Page.From.Address, Page.Failure);
   const Json &Status = Page.Content;
-  return fmt::format(
-      "{:<{}} {:<6} {:<{}} {:<5} {:>8} {:>7} {}\n", Page.From.Name, Widths.Name,
-      text(Status, "kind"), text(Status, "failure_domain"),
-      Widths.FailureDomain, Status.value("ready", false) ? "yes" : "no",
-      text(Status, "revision"), text(Status, "running"), modelProgress(Status));
+  return fmt::format("{:<{}} {:<6} {:<{}} {:<5} {:>8} {:>7} {}\n",
+                     Page.From.Name, Widths.Name, memberText(Status, "kind"),
+                     memberText(Status, "failure_domain"), Widths.FailureDomain,
+                     Status.value("ready", false) ? "yes" : "no",
+                     memberText(Status, "revision"),
+                     memberText(Status, "running"), modelProgress(Status));
 }
 
 bool matches(const Json &Event, const TimelineFilter &Filter) {
   return (Filter.Request.empty() ||
-          text(Event, "request_id") == Filter.Request) &&
+          memberText(Event, "request_id") == Filter.Request) &&
          (Filter.Endpoint.empty() ||
-          text(Event, "endpoint") == Filter.Endpoint) &&
+          memberText(Event, "endpoint") == Filter.Endpoint) &&
          (Filter.Version.empty() ||
-          text(Event, "version").starts_with(Filter.Version));
+          memberText(Event, "version").starts_with(Filter.Version));
 }
 
 } // namespace
 
+std::string memberText(const Json &Source, const char *Key) {
+  const auto Found = Source.find(Key);
+  if (Found == Source.end() || Found->is_null())
+    return {};
+  return Found->is_string() ? Found->get<std::string>() : Found->dump();
+}
+
 std::string statusTable(const std::vector<OperatorPage> &Pages) {
   const ColumnWidths Widths = widthsOf(Pages);
   std::string Result =
@@ -110,7 +113,7 @@
     for (Json Event : list(Page.Content, "events")) {
       if (!matches(Event, Filter))
         continue;
-      Event["process"] = text(Page.Content, "process");
+      Event["process"] = memberText(Page.Content, "process");
       Events.push_back(std::move(Event));
     }
   }
@@ -123,12 +126,14 @@
 
 std::string timelineLine(const Json &Event) {
   const auto [Wall, Logical] = timeOf(Event);
-  std::string Line = fmt::format("{}.{:<3} {:<12} {:<24}", Wall, Logical,
-                                 text(Event, "process"), text(Event, "event"));
+  std::string Line =
+      fmt::format("{}.{:<3} {:<12} {:<24}", Wall, Logical,
+                  memberText(Event, "process"), memberText(Event, "event"));
   for (const char *Key : {"request_id", "endpoint"})
-    if (const std::string Value = text(Event, Key); !Value.empty())
+    if (const std::string Value = memberText(Event, Key); !Value.empty())
       Line += fmt::format(" {}={}", Key, Value);
-  if (const std::string Version = text(Event, "version"); !Version.empty())
+  if (const std::string Version = memberText(Event, "version");
+      !Version.empty())
     Line += " version=" + shortDigest(Version);
   const auto Fields = Event.find("fields");
   if (Fields == Event.end())
@@ -153,16 +158,16 @@
   if (!Page.Failure.empty())
     return fmt::format("{} cannot be read: {}\n", Page.From.Name, Page.Failure);
   const Json &Status = Page.Content;
-  std::string Result =
-      fmt::format("{} serves pool {} under revision {}\n", text(Status, "name"),
-                  text(Status, "pool"), text(Status, "revision"));
+  std::string Result = fmt::format(
+      "{} serves pool {} under revision {}\n", memberText(Status, "name"),
+      memberText(Status, "pool"), memberText(Status, "revision"));
   for (const Json &Model : list(Status, "models"))
     Result += fmt::format(
         "  product {} wants {} {} ({}): {}, {} of {} chunks, {} failures\n",
-        text(Model, "product"), text(Model, "model"), text(Model, "version"),
-        shortDigest(text(Model, "weights")), text(Model, "phase"),
-        Model.value("held", 0), Model.value("chunks", 0),
-        Model.value("failures", 0));
+        memberText(Model, "product"), memberText(Model, "model"),
+        memberText(Model, "version"), shortDigest(memberText(Model, "weights")),
+        memberText(Model, "phase"), Model.value("held", 0),
+        Model.value("chunks", 0), Model.value("failures", 0));
   for (const Json &Weights : list(Status, "ready_weights"))
     Result += fmt::format("  announces {}\n",
                           shortDigest(Weights.get<std::string>()));
--- a/programs/ctl/reports.hpp
+++ b/programs/ctl/reports.hpp
@@ -14,6 +14,12 @@
   std::string Version; ///< start of a weight digest
 };
 
+/// @brief Member of a page or event as text.
+/// @param Source an object
+/// @param Key name of the member
+/// @return its text, other values as JSON; empty when it is absent or null
+std::string memberText(const nlohmann::json &Source, const char *Key);
+
 /// @brief Table of the fleet, one line a daemon, with the progress of rollouts.
 /// @param Pages status pages
 /// @return the text
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -215,9 +216,25 @@
       break;
     }
   }
+  noteReadiness();
   beginWaiting();
 }
 
+void Gateway::noteReadiness() {
+  if (std::exchange(WasReady, ready()) == ready())
+    return;
+  Base.Log.write(
+      {.Event = ready() ? "ready" : "not_ready",
+       .At = Step::Admission,
+       .Number = Routes ? std::optional(Routes->Content.Number) : std::nullopt,
+       .Fields = {{"store_revision",
+                   std::to_string(Base.Store.mirror().Revision)},
+                  {"servers", std::to_string(Servers.Servers.size())},
+                  {"leaving", Departure.Stage == DrainStage::Serving
+                                  ? "false"
+                                  : "true"}}});
+}
+
 void Gateway::configurationChanged(const StoreItem &Item) {
   auto Parsed = platform::parseFleetConfiguration(Item.Value);
   if (!Parsed) {
@@ -500,6 +517,7 @@
              std::chrono::duration_cast<Duration>(Settings.Process.DrainLimit *
                                                   LingerShare),
              Limit, now());
+  noteReadiness();
   sendStatus();
 }
 
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -108,6 +108,7 @@
   void configurationChanged(const StoreItem &Item);
   void serverChanged(const std::string &Key);
   void versionChanged(const StoreItem &Item);
+  void noteReadiness();
   void received(const Message &Incoming);
   void tick();
   void sendStatus();
@@ -131,6 +132,7 @@
   std::map<std::string, RetryBudget> Budgets; ///< by pool
   std::size_t OtherGateways = 0;              ///< live ones, for the budgets
   DrainState Departure;
+  bool WasReady = false; ///< as last logged
   std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
   /// A declared version that servers need not have yet.
   struct PendingVersion {
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/transport/random_source.hpp"
 
 #include <csignal>
+#include <unistd.h>
 
 namespace marigoldyard {
 
@@ -44,7 +45,9 @@
 Node::Node(ProcessSettings ProcessPart, Member SelfMember)
     : Settings(std::move(ProcessPart)), Self(std::move(SelfMember)),
       Number(newIncarnation()), Loop(Lease),
-      Log(LogOptions{.Process = Settings.Name, .Number = Number}),
+      Output(STDOUT_FILENO),
+      Log(LogOptions{.Process = Settings.Name, .Number = Number},
+          [this](std::string_view Line) { Output.write(Line); }),
       Events(Settings.Name, MaxTimelineEvents), Source(makeRandom()),
       Configuration(startConfiguration(now())),
       Watch(startWatch(Settings.Name, Settings.Region, now(), Source)),
--- a/programs/node/node.hpp
+++ b/programs/node/node.hpp
@@ -8,6 +8,7 @@
 #include "marigoldyard/transport/event_log.hpp"
 #include "marigoldyard/transport/http_client.hpp"
 #include "marigoldyard/transport/http_server.hpp"
+#include "marigoldyard/transport/line_writer.hpp"
 #include "marigoldyard/transport/log.hpp"
 #include "marigoldyard/transport/mailbox.hpp"
 #include "marigoldyard/transport/metrics.hpp"
@@ -120,6 +121,7 @@
   const Member Self;
   const Incarnation Number;
   CoreLoop Loop;
+  LineWriter Output;
   Logger Log;
   Metrics Numbers;
   EventLog Events;
--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -136,6 +136,47 @@
     check(status == 1 and "no process remembers" in output, f"an unknown target fails, got {status} {output}")
 
 
+def logged(process, time_us, event, **more):
+    return json.dumps({"time_us": time_us, "level": "info", "event": event, "process": process, "incarnation": 1, **more})
+
+
+def explained_from_logs(_):
+    """explain and timeline read collected logs: the request, what its process learned before, its server's news"""
+    second = 1_000_000
+    front = [logged("front-1", 5 * second, "server_gone", server="i-9"),
+             logged("front-1", 12 * second, "version_required", model="m", version="3"),
+             logged("front-1", 13 * second, "send_failed", request_id="r-1", server="i-1", fate="lost"),
+             logged("front-1", 14 * second, "request", request_id="r-1", server="i-1", outcome="stream_broken"),
+             logged("front-1", 15 * second, "request", request_id="r-2", server="i-2", outcome="complete"),
+             logged("front-1", 16 * second, "server_draining", server="i-1"), "cut off: {"]
+    others = ["front-2: " + logged("front-2", 13 * second + 1, "server_gone", server="i-1"),
+              "front-2: " + logged("front-2", 13 * second + 2, "server_gone", server="i-5")]
+    with tempfile.TemporaryDirectory() as folder:
+        paths = [written(folder, "a.log", "\n".join(front)), written(folder, "b.log", "\n".join(others))]
+        status, output, errors = call("explain", "r-1", "--logs", *paths)
+        check(status == 0, f"explained, got {status} {errors}")
+        own, _, before = output.partition("\nlearned")
+        check([line.split()[2] for line in own.splitlines()] == ["send_failed", "request"], f"its own lines, got {own}")
+        check("version_required" in before and "front-2" in before and "endpoint=i-1" in before, before)
+        check(not any(word in output for word in ("i-9", "i-5", "r-2", "server_draining")), f"nothing else, got {output}")
+        check("1 lines are no log lines" in errors, f"the skipped line is told, got {errors}")
+        check(call("explain", "r-3", "--logs", *paths)[0] == 1, "an unknown request fails")
+        status, output, _ = call("timeline", "--logs", *paths)
+        events = [line.split()[2] for line in output.splitlines()]
+        check(status == 0 and events == ["server_gone", "version_required", "send_failed", "server_gone", "server_gone",
+                                         "request", "request", "server_draining"], f"merged by time, got {events}")
+        check(call("timeline", "--logs", os.path.join(folder, "absent"))[0] == 1, "an absent file fails")
+
+
+def checked_settings(_):
+    """check --as names every fault of a settings file"""
+    with tempfile.TemporaryDirectory() as folder:
+        path = written(folder, "gateway.json", {"name": "g", "peer_port": 99999, "colour": "red"})
+        status, output, _ = call("check", "--as", "gateway", path)
+        check(status == 1 and all(f"{p}:" in output for p in ("/peer_port", "/colour", "/store")), output)
+        check(call("check", "--as", "nothing", path)[0] != 0, "an unknown kind is refused")
+
+
 class MadeUpPages(http.server.BaseHTTPRequestHandler):
     """VM list and status pages of a fleet that does not exist; the name is that of the address asked."""
     members = []
@@ -190,4 +231,5 @@
 
 
 if __name__ == "__main__":
-    cases.run([broken_manifest, plan_order, command_lines, live_status, request_timeline, explained, large_table])
+    cases.run([broken_manifest, plan_order, command_lines, live_status, request_timeline, explained, explained_from_logs,
+               checked_settings, large_table])
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -246,6 +246,11 @@
     thread.join()
     check(answers[0].whole and answers[0].body.count(b"id: ") == 10, "the stream is whole")
     check(gateway.process.wait(8) == 0, "it exits by itself")
+    lines = [json.loads(line) for line in gateway.log_text().splitlines()]
+    changes = [line for line in lines if line["event"] in ("ready", "not_ready")]
+    check([line["event"] for line in changes] == ["ready", "not_ready"], f"both changes are logged, got {changes}")
+    check(changes[0]["revision"] >= 1 and int(changes[0]["servers"]) == 4 and changes[1]["leaving"] == "true",
+          f"with what decided them, got {changes}")
 
 
 def ready(gateway):
