Bring versions to large fleets in time, and know the store's return sooner

Change: a stager skips an older version whose pieces are far when a newer one is declared, within part of the bound; the bound of a version learned after an outage of the store for all counts once the store has settled (a setting); the margin of the bound is 0.9 s instead of 15 in 100; gateways that know nothing try every 100 ms; six members draw from the origin and give others the manifest; a lost peer is asked again after 1.6 s at most.

--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -44,6 +44,9 @@
   Duration RefreshInterval = std::chrono::seconds(5); ///< of unchanged maps
   Duration FullRefreshInterval =
       std::chrono::seconds(60); ///< of maps to peers that claim to be complete
+  /// Longest time for which a peer that did not answer is not asked; it doubles
+  /// with each time-out in a row, from StallTimeout on.
+  Duration MaxLostTime = std::chrono::minutes(10);
   Duration BanTime = std::chrono::seconds(60); ///< doubles with each ban
   /// Answer to a request for a chunk that is on its way.
   Duration NotYetRetry = std::chrono::seconds(1);
@@ -57,6 +60,10 @@
   std::size_t MaxImports = 8;  ///< requests to peers of one other region
   std::size_t MaxPerPeer = 4;
   std::size_t MaxStoreFetches = 2;
+  /// Members of the store's region that draw from it, with SpreadLinks; 0 means
+  /// all. A store that serves many at once serves each too slowly, and limits
+  /// their connections.
+  std::size_t MaxStoreReaders = 0;
   std::size_t MaxUploadQueue = 6;
   std::size_t MaxNeighbours = 16; ///< that receive the own map
   std::size_t MaxVersions = 8;
--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/transfer.hpp"
 #include "marigoldyard/state/fleet.hpp"
 #include "marigoldyard/state/time.hpp"
 
@@ -24,6 +25,14 @@
   /// Time in which many of the running streams end; those that are left
   /// continue at other servers, at the cost of reading their prompts once more.
   Duration DrainLimit = std::chrono::milliseconds(500);
+  /// Share of its pieces near from which a version is completed although a
+  /// newer one is declared: it is drawn from the origin, and the rest of the
+  /// way is the shorter one.
+  double FinishShare = 0.8;
+  /// Part of the limit after which a version is completed in any case:
+  /// otherwise declarations in quick succession would leave servers with none
+  /// that may serve.
+  double SkipShare = 0.35;
   /// Longest wait for an order to take effect before it is given again. A
   /// server ends its running streams first.
   Duration OrderLimit = std::chrono::seconds(5);
@@ -62,6 +71,9 @@
   DeclaredVersion Target;
   TimePoint DeclaredAt{};
   LoadStage Stage = LoadStage::Fetching;
+  /// Since when servers lack the newest version: the first declaration of
+  /// those that were skipped or are not loaded yet.
+  TimePoint NewestSince{};
   TimePoint Since{}; ///< of the stage
   /// Valid at Loading: the order ends what still runs; otherwise the server
   /// waits for it.
@@ -90,6 +102,14 @@
 /// @param Now the time
 void restage(LoadState &State, TimePoint Now);
 
+/// @brief Whether an incomplete version is worth completing when a newer one is
+/// declared. Both share the links, so that the newer one would come later.
+/// @param State the loading of the older version
+/// @param Progress of its pieces
+/// @param Now the time
+bool worthFinishing(const LoadState &State, const TransferProgress &Progress,
+                    TimePoint Now);
+
 /// @brief How many servers of a region may be out of service at once.
 /// @param State the loading
 /// @param Servers servers of the region
--- a/include/marigoldyard/coordination/transfer.hpp
+++ b/include/marigoldyard/coordination/transfer.hpp
@@ -211,6 +211,26 @@
 /// @complexity constant on average
 bool versionComplete(const TransferState &State, const Digest &Version);
 
+/// @brief Members that draw from the store.
+/// @param State the transfers
+/// @return their names; empty while no member of the store's region is known
+/// @complexity linear in the members of the store's region
+std::vector<std::string> storeReaders(const TransferState &State);
+
+/// @brief How far a version is.
+struct TransferProgress {
+  std::size_t Held = 0;   ///< chunks held and verified
+  std::size_t Chunks = 0; ///< of the version; 0 while it isn't described
+  std::size_t Near = 0;   ///< chunks held here or at a peer whose map is known
+};
+
+/// @brief How far a version is.
+/// @param State the transfers
+/// @param Version digest of the version
+/// @complexity linear in the chunks
+TransferProgress transferProgress(const TransferState &State,
+                                  const Digest &Version);
+
 /// @brief Chunks of a version in descriptor order.
 /// @param State the transfers
 /// @param Version digest of the version
--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -19,9 +19,17 @@
 struct VersionBoundSettings {
   /// Time from a declaration until no request may begin on an older version.
   Duration Limit = std::chrono::seconds(8);
-  /// Part of the limit after which only the new version serves: the rest covers
-  /// the way of the news and of requests that wait at a server.
-  double Share = 0.85;
+  /// Time before the limit from which on only the new version serves: the way
+  /// of the news, a pause between watches and a call, and requests that wait at
+  /// a server.
+  Duration Margin = std::chrono::milliseconds(900);
+  /// Part of a short limit that the margin takes at most.
+  double MarginShare = 0.15;
+  /// Time after an outage of the store until the bound counts again.
+  Duration StoreSettle{};
+  /// Longest time between the return of the store and the news of it: a pause
+  /// between two tries and a call.
+  Duration ReturnNoticed = std::chrono::milliseconds(900);
   /// Longest time after which a gateway out of contact asks others.
   Duration RelayDelay = std::chrono::milliseconds(2800);
   /// A gateway that has just started or returned is not held to the bound for
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -61,18 +61,17 @@
   return Address.substr(0, Address.rfind(':'));
 }
 
-FleetNode::FleetNode(FleetProcessSettings Given, MemberKind Kind,
-                     std::string StorePrefix, std::string Relayed,
-                     std::chrono::milliseconds StorePace)
+FleetNode::FleetNode(FleetProcessSettings Given, MemberKind Kind, StoreUse Use)
     : Settings(std::move(Given)), Source(makeRandom()),
       Number(makeIncarnation(wallTime(), Source)), Output(STDOUT_FILENO),
       Log(logOptions(Settings, Number),
           [this](std::string_view Line) { Output.write(Line); }),
       Timeouts(Context), Client(Context),
-      Store({addressText(Settings.Store), std::move(StorePrefix), StorePace},
+      Store({addressText(Settings.Store), std::move(Use.Prefix), Use.Pace,
+             Use.FirstReadPause},
             Context, Client, Log,
             [this](const ChangedKeys &Keys) { Handlers.StoreChanged(Keys); }),
-      Self(selfOf(Settings, Kind)), RelayPrefix(std::move(Relayed)) {
+      Self(selfOf(Settings, Kind)), RelayPrefix(std::move(Use.RelayPrefix)) {
   Gateways.Settings = gatewayMembership();
 }
 
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -26,6 +26,16 @@
 /// @param Address the address
 std::string hostOf(const std::string &Address);
 
+/// @brief What a program reads from the store.
+struct StoreUse {
+  std::string Prefix; ///< keys that are read
+  /// Keys that are asked of gateways while the store is out of reach.
+  std::string RelayPrefix;
+  std::chrono::milliseconds Pace{}; ///< pause between two watches
+  /// Longest pause between tries while nothing is known yet.
+  std::chrono::milliseconds FirstReadPause{};
+};
+
 /// @brief What a program adds to a FleetNode. All are called on the thread of
 /// the io_context.
 struct FleetHandlers {
@@ -65,13 +75,8 @@
 
   /// @param Settings checked settings
   /// @param Kind Entry for gateways, Endpoint for stagers
-  /// @param StorePrefix keys that are read from the store
-  /// @param RelayPrefix keys that are asked of gateways while the store is out
-  /// of reach
-  /// @param StorePace pause between two watches
-  FleetNode(FleetProcessSettings Settings, MemberKind Kind,
-            std::string StorePrefix, std::string RelayPrefix,
-            std::chrono::milliseconds StorePace);
+  /// @param Use what is read from the store
+  FleetNode(FleetProcessSettings Settings, MemberKind Kind, StoreUse Use);
   ~FleetNode();
   FleetNode(const FleetNode &) = delete;
   FleetNode &operator=(const FleetNode &) = delete;
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -173,7 +173,8 @@
                .Number = Mirror.Revision,
                .Fields = {{"cause", Cause}}});
   }
-  Backoff = std::clamp(Backoff * 2, FirstBackoff, LongestBackoff);
+  Backoff = std::clamp(Backoff * 2, FirstBackoff,
+                       Known ? LongestBackoff : Options.FirstReadPause);
   // After an outage a listing shows which servers lapsed.
   const bool MayHaveLapsed = now() - AnsweredAt > LapsePossibleAfter;
   again(Backoff,
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -21,6 +21,8 @@
   /// time of a call it stays far below the bounds of seconds in which changes
   /// must be in force.
   std::chrono::milliseconds Pace{};
+  /// Longest pause between tries while nothing is known yet.
+  std::chrono::milliseconds FirstReadPause{};
   /// Longest wait of one watch. A connection may fall silent without a reset,
   /// which only this limit shows.
   std::chrono::milliseconds Wait{1500};
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 
 /// Pause between two watches of all keys: servers change theirs all the time.
 constexpr std::chrono::milliseconds StorePace{300};
+/// Longest pause between tries of a gateway that knows no configuration, and
+/// so serves nothing.
+constexpr std::chrono::milliseconds FirstReadPause{100};
 /// Status messages to stagers: they need the list of gateways only.
 constexpr std::chrono::seconds StagerStatusInterval{2};
 /// A stager that is silent for this long gets no more status messages.
@@ -46,7 +49,8 @@
 
 Gateway::Gateway(GatewaySettings Given, SettingsFile<GatewaySettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
-      Base(Settings.Process, MemberKind::Entry, "", "", StorePace) {
+      Base(Settings.Process, MemberKind::Entry,
+           {"", "", StorePace, FirstReadPause}) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
   Departure.Process = Settings.Process.Name;
@@ -227,12 +231,11 @@
       {.Event = ready() ? "ready" : "not_ready",
        .At = Step::Admission,
        .Number = Routes ? std::optional(Routes->Content.Number) : std::nullopt,
-       .Fields = {{"store_revision",
-                   std::to_string(Base.Store.mirror().Revision)},
-                  {"servers", std::to_string(Servers.Servers.size())},
-                  {"leaving", Departure.Stage == DrainStage::Serving
-                                  ? "false"
-                                  : "true"}}});
+       .Fields = {
+           {"store_revision", std::to_string(Base.Store.mirror().Revision)},
+           {"servers", std::to_string(Servers.Servers.size())},
+           {"leaving",
+            Departure.Stage == DrainStage::Serving ? "false" : "true"}}});
 }
 
 void Gateway::configurationChanged(const StoreItem &Item) {
@@ -303,6 +306,7 @@
   const Duration Limit = Settings.Process.VersionLimit;
   VersionBoundSettings Bound;
   Bound.Limit = Limit;
+  Bound.StoreSettle = Settings.Process.StoreSettle;
   const VersionNews News = versionNews();
   Pending.push_back({*Version, Now + requireVersionAfter(Bound, News),
                      News == VersionNews::Watched ? Now + Limit - VersionMargin
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -15,6 +15,9 @@
 constexpr std::string_view RelayPrefix = "op/";
 /// Pause between two watches: versions change rarely and are wanted at once.
 constexpr std::chrono::milliseconds StorePace{20};
+/// Longest pause between tries of a stager that knows no version; its server
+/// serves on meanwhile.
+constexpr std::chrono::milliseconds FirstReadPause{600};
 /// Interval of status messages without a change.
 constexpr std::chrono::seconds StatusInterval{2};
 /// Interval of listings of the pool's servers; changes are also told by status
@@ -39,8 +42,8 @@
 Stager::Stager(StagerSettings Given, SettingsFile<StagerSettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
       Base(Settings.Process, MemberKind::Endpoint,
-           std::string(platform::versionKeys()), std::string(RelayPrefix),
-           StorePace),
+           {std::string(platform::versionKeys()), std::string(RelayPrefix),
+            StorePace, FirstReadPause}),
       EngineClient(Base.Context) {}
 
 std::optional<Error> Stager::start() {
@@ -107,12 +110,38 @@
                   {.DeadAfter = RolloutDeadAfter, .TurnTimeout = TurnTimeout});
   // The pieces of an earlier version are in memory already.
   State.SeededFromStage = !First && Newest->second.SeededFromStage;
+  dropUnpromising(State.Load); // ends the use of Newest
   Versions.insert_or_assign(Version, std::move(State));
   readPeers();
   if (Origin)
     readManifest(Versions.at(Version));
 }
 
+void Stager::dropUnpromising(LoadState &Newer) {
+  const TimePoint Now = now();
+  std::erase_if(Versions, [&](const auto &Each) {
+    const auto &[Older, State] = Each;
+    if (Older.Model != Newer.Target.Model ||
+        State.Load.Stage != LoadStage::Fetching)
+      return false;
+    Newer.NewestSince = std::min(Newer.NewestSince, State.Load.NewestSince);
+    TransferProgress Progress;
+    if (State.Descriptor && Transfer)
+      Progress = transferProgress(*Transfer, State.Descriptor->Id);
+    if (worthFinishing(State.Load, Progress, Now))
+      return false;
+    Base.Log.write({.Event = "version_skipped",
+                    .At = Step::ChunkRequest,
+                    .Fields = {{"model", Older.Model},
+                               {"version", std::to_string(Older.Version)},
+                               {"newer", std::to_string(Newer.Target.Version)},
+                               {"held", std::to_string(Progress.Held)},
+                               {"near", std::to_string(Progress.Near)},
+                               {"pieces", std::to_string(Progress.Chunks)}}});
+    return true;
+  });
+}
+
 void Stager::readConfiguration() {
   ConfigurationAt = now() + ConfigurationInterval;
   Base.Client.call(platform::listCall(addressText(Base.Settings.Store),
@@ -170,6 +199,7 @@
         const auto Answer = platform::parseStoreAnswer(Response->Body);
         if (!Answer)
           return Base.Log.write("store_answer_invalid", Answer.error());
+        PeersKnown = true;
         for (const StoreItem &Item : Answer->Items) {
           const auto Record = platform::parseServerRecord(Item.Key, Item.Value);
           if (!Record || !Record->Weights ||
@@ -200,7 +230,7 @@
       {Settings.Process.Address, Settings.Process.Region, false}};
   for (const auto &[Address, Peer] : Peers)
     Members.push_back({Address, Peer.Region, false});
-  transferMembers(*Transfer, Members, now());
+  transferMembers(*Transfer, Members, now(), PeersKnown);
   PlanDue = true;
 }
 
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -62,6 +62,8 @@
   // Members and configuration.
   void storeChanged(const ChangedKeys &Keys);
   void versionDeclared(const DeclaredVersion &Version);
+  /// Forgets older versions whose pieces would only delay a newer one.
+  void dropUnpromising(LoadState &Newer);
   void readConfiguration();
   void configurationRead(const std::string &Text);
   void readPeers();
@@ -73,6 +75,9 @@
   // Transfer.
   void makeTransferState(const std::string &StoreRegion);
   void readManifest(VersionState &State);
+  /// Asks a reader of the origin for a manifest.
+  /// @return false when the origin is to be read instead
+  bool askReaders(VersionState &State);
   void manifestKnown(const DeclaredVersion &Target,
                      VersionDescriptor Descriptor);
   void wantVersion(VersionState &State);
@@ -129,6 +134,7 @@
   TimePoint ReportAt{};
   TimePoint StatusAt{};
   TimePoint PeersAt{};
+  bool PeersKnown = false; ///< listed at least once
   TimePoint ConfigurationAt{};
   TimePoint MaintenanceAt{};
 };
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -20,6 +20,15 @@
 constexpr Duration StartMapWait = std::chrono::milliseconds(350);
 constexpr Duration StartTime = std::chrono::seconds(3);
 
+/// Enough to use the origin's whole link, which is as narrow as that of one
+/// machine, and few enough for its slots and connections.
+constexpr std::size_t MaxStoreReaders = 6;
+/// Interval of questions for a manifest to those that read it from the origin.
+constexpr std::chrono::milliseconds ManifestAskInterval{120};
+/// Time after which a stager that got no manifest from a peer reads the
+/// origin itself: some questions.
+constexpr std::chrono::milliseconds ManifestPeerWait{900};
+
 /// A version has seconds to reach all machines, so stalls are noticed within a
 /// fraction of that.
 TransferSettings transferSettings(const FleetProcessSettings &Process,
@@ -37,16 +46,19 @@
   Result.MaxInFlight = 2;
   Result.MaxImports = 1;
   Result.MaxPerPeer = 2;
+  Result.MaxStoreReaders = MaxStoreReaders;
   Result.StallTimeout = std::chrono::milliseconds(800);
   Result.StoreTimeout = std::chrono::seconds(3);
   Result.MapWait = MapWait;
   Result.AnnounceInterval = std::chrono::milliseconds(60);
   Result.RefreshInterval = std::chrono::seconds(1);
   Result.FullRefreshInterval = std::chrono::seconds(5);
+  // A fleet that restarts as a whole must not wait for its own time-outs.
+  Result.MaxLostTime = std::chrono::milliseconds(1600);
   Result.BanTime = std::chrono::seconds(5);
   Result.NotYetRetry = std::chrono::milliseconds(150);
   Result.StoreBackoff = std::chrono::milliseconds(150);
-  Result.StoreBackoffMax = std::chrono::milliseconds(1500);
+  Result.StoreBackoffMax = std::chrono::milliseconds(600);
   Result.StandbyInterval = std::chrono::milliseconds(150);
   return Result;
 }
@@ -61,8 +73,10 @@
 void Stager::readManifest(VersionState &State) {
   if (State.ManifestAsked)
     return;
-  State.ManifestAsked = true;
   const DeclaredVersion Target = State.Load.Target;
+  if (askReaders(State))
+    return;
+  State.ManifestAsked = true;
   // A peer may know what the origin does not tell now.
   if (State.ManifestFailures > 0 && !Peers.empty()) {
     auto Peer = Peers.begin();
@@ -87,6 +101,22 @@
       });
 }
 
+bool Stager::askReaders(VersionState &State) {
+  const TimePoint Now = now();
+  if (Now - State.Load.DeclaredAt > ManifestPeerWait)
+    return false;
+  const std::vector<std::string> Readers = storeReaders(*Transfer);
+  if (PeersKnown && std::find(Readers.begin(), Readers.end(),
+                              Settings.Process.Address) != Readers.end())
+    return false;
+  State.ManifestAt = Now + ManifestAskInterval;
+  if (!Readers.empty() && PeersKnown)
+    Base.send(
+        Readers[Base.Source() % Readers.size()],
+        DescriptorRequest{State.Load.Target.Model, State.Load.Target.Version});
+  return true;
+}
+
 void Stager::manifestFailed(const DeclaredVersion &Target,
                             const std::string &Cause) {
   VersionState *State = findVersion(Target);
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -53,6 +53,7 @@
   State.Settings = Settings;
   State.Target = std::move(Target);
   State.DeclaredAt = Now;
+  State.NewestSince = Now;
   State.Since = Now;
   return State;
 }
@@ -72,6 +73,17 @@
   State.Since = Now;
 }
 
+bool worthFinishing(const LoadState &State, const TransferProgress &Progress,
+                    TimePoint Now) {
+  const auto SkipUntil = std::chrono::duration_cast<Duration>(
+      State.Settings.VersionLimit * State.Settings.SkipShare);
+  if (Now - State.NewestSince > SkipUntil)
+    return true;
+  return Progress.Chunks > 0 &&
+         static_cast<double>(Progress.Near) >=
+             State.Settings.FinishShare * static_cast<double>(Progress.Chunks);
+}
+
 std::uint32_t unavailableLimit(const LoadState &State, std::size_t Servers,
                                TimePoint Now) {
   const auto TurnsUntil = std::chrono::duration_cast<Duration>(
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -258,6 +258,33 @@
          Found->second.Missing == 0;
 }
 
+std::vector<std::string> storeReaders(const TransferState &State) {
+  std::vector<std::string> Result;
+  if (State.StoreRegion == detail::NoRegion)
+    return Result;
+  const auto &Members = State.Regions[State.StoreRegion].Members;
+  const std::size_t Readers = State.Settings.MaxStoreReaders;
+  for (const PeerIndex Index : Members)
+    if (Readers == 0 || Result.size() < Readers)
+      Result.push_back(State.Peers[Index].Name);
+  return Result;
+}
+
+TransferProgress transferProgress(const TransferState &State,
+                                  const Digest &Version) {
+  TransferProgress Result;
+  const auto Found = State.Versions.find(Version);
+  if (Found == State.Versions.end() || !Found->second.Described)
+    return Result;
+  for (const ChunkIndex Index : Found->second.Chunks) {
+    const bool Held = State.Held.test(Index);
+    ++Result.Chunks;
+    Result.Held += Held ? 1 : 0;
+    Result.Near += Held || State.Chunks[Index].Available > 0 ? 1 : 0;
+  }
+  return Result;
+}
+
 std::vector<Digest> versionChunks(const TransferState &State,
                                   const Digest &Version) {
   std::vector<Digest> Result;
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -396,17 +396,7 @@
   std::vector<std::string> Names;
   for (const PeerIndex Index : All) {
     const PeerSlot &Peer = State.Peers[Index];
-    const bool Complete =
-        Version.Described && !Version.Chunks.empty() &&
-        std::all_of(Version.Content.Words.begin(), Version.Content.Words.end(),
-                    [&, Word = std::size_t{0}](std::uint64_t Bits) mutable {
-                      const std::uint64_t Has = Word < Peer.Has.Words.size()
-                                                    ? Peer.Has.Words[Word]
-                                                    : 0;
-                      ++Word;
-                      return (Bits & ~Has) == 0;
-                    });
-    if (Everyone || !Complete)
+    if (Everyone || !detail::holdsAll(Peer, Version))
       Names.push_back(Peer.Name);
   }
   return Names;
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -75,12 +75,20 @@
   return static_cast<std::size_t>(((Chunk >> 32U) * Count) >> 32U);
 }
 
+/// Members of a region that carry chunks: the first ones of the list.
+std::size_t carrierCount(const TransferState &State, RegionIndex Region) {
+  const std::size_t Count = State.Regions[Region].Members.size();
+  const std::size_t Readers = State.Settings.MaxStoreReaders;
+  return Region == State.StoreRegion && Readers > 0 ? std::min(Count, Readers)
+                                                    : Count;
+}
+
 PeerIndex carrier(const TransferState &State, RegionIndex Region,
                   std::uint64_t Chunk, std::size_t Place) {
   const auto &Members = State.Regions[Region].Members;
   if (Place >= Members.size())
     return NoPeer;
-  return Members[(carrierPosition(Chunk, Members.size()) + Place) %
+  return Members[(carrierPosition(Chunk, carrierCount(State, Region)) + Place) %
                  Members.size()];
 }
 
@@ -156,10 +164,11 @@
 /// Members of other regions that carry the same chunks as the agent.
 void addCarriers(TransferState &State, RegionIndex Other,
                  std::size_t Position) {
-  const std::size_t Home = State.Regions[State.Home].Members.size();
+  const std::size_t Home = carrierCount(State, State.Home);
   const auto &Members = State.Regions[Other].Members;
-  const std::size_t First = Position * Members.size() / Home;
-  const std::size_t Last = ((Position + 1) * Members.size() - 1) / Home;
+  const std::size_t Count = carrierCount(State, Other);
+  const std::size_t First = Position * Count / Home;
+  const std::size_t Last = ((Position + 1) * Count - 1) / Home;
   for (std::size_t Index = First; Index <= Last; ++Index)
     addNeighbour(State, Members[Index]);
 }
@@ -170,6 +179,18 @@
   return !Peer.Name.empty() && Peer.LostUntil <= Now && Peer.BannedUntil <= Now;
 }
 
+bool holdsAll(const PeerSlot &Peer, const VersionSlot &Version) {
+  return Version.Described && !Version.Chunks.empty() &&
+         std::all_of(Version.Content.Words.begin(), Version.Content.Words.end(),
+                     [&, Word = std::size_t{0}](std::uint64_t Bits) mutable {
+                       const std::uint64_t Has = Word < Peer.Has.Words.size()
+                                                     ? Peer.Has.Words[Word]
+                                                     : 0;
+                       ++Word;
+                       return (Bits & ~Has) == 0;
+                     });
+}
+
 Duration uploadTime(const TransferState &State, std::uint64_t Bytes) {
   return sendTime(Bytes,
                   static_cast<double>(State.Settings.UploadBytesPerSecond));
@@ -263,7 +284,7 @@
     if (Other == State.Home || State.Regions[Other].Members.empty())
       continue;
     if (State.Settings.SpreadLinks) {
-      if (Position < Count)
+      if (Position < carrierCount(State, State.Home))
         addCarriers(State, Other, Position);
       continue;
     }
@@ -363,11 +384,12 @@
 }
 
 void losePeer(TransferState &State, PeerIndex Peer, TimePoint Now) {
-  // Beyond six doublings the time exceeds ten minutes at the default settings.
-  constexpr std::uint32_t MaxDoublings = 6;
+  constexpr std::uint32_t MaxDoublings = 16; // keeps the product small
   PeerSlot &Slot = State.Peers[Peer];
-  Slot.LostUntil = Now + State.Settings.StallTimeout *
-                             (1 << std::min(Slot.Timeouts, MaxDoublings));
+  Slot.LostUntil =
+      Now + std::min(State.Settings.MaxLostTime,
+                     State.Settings.StallTimeout *
+                         (1 << std::min(Slot.Timeouts, MaxDoublings)));
   ++Slot.Timeouts;
   for (auto &[Id, Version] : State.Versions)
     stopAwaiting(Version, Peer);
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -6,12 +6,17 @@
 
 Duration requireVersionAfter(const VersionBoundSettings &Settings,
                              VersionNews News) {
-  const auto Whole =
-      std::chrono::duration_cast<Duration>(Settings.Limit * Settings.Share);
+  const auto LongestMargin = std::chrono::duration_cast<Duration>(
+      Settings.Limit * Settings.MarginShare);
+  const Duration Whole =
+      Settings.Limit - std::min(Settings.Margin, LongestMargin);
   switch (News) {
   case VersionNews::Watched:
-  case VersionNews::Returned:
     return Whole;
+  case VersionNews::Returned:
+    // The bound counts from the moment at which the store has settled.
+    return Whole + std::max(Duration::zero(),
+                            Settings.StoreSettle - Settings.ReturnNoticed);
   case VersionNews::Relayed:
     return std::max(Settings.UnknownLimit, Whole - Settings.RelayDelay);
   case VersionNews::Unknown:
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -304,9 +304,24 @@
     fleet.origin.down = False
 
 
+def case_overtaken(fleet):
+    """a version that a newer one overtakes is skipped, and no process ends"""
+    fleet.origin.down = True
+    fleet.store.put("op/version/m", {"model": "m", "version": 3})
+    time.sleep(0.4)
+    fleet.store.put("op/version/m", {"model": "m", "version": 4})
+    time.sleep(0.4)
+    fleet.origin.down = False
+    wait_for(lambda: all(e.models == {"m": 4} for e in fleet.engines), "version 4 is loaded everywhere", timeout=8)
+    stagers = [daemon for daemon in fleet.daemons if "stager" in daemon.log_path]
+    check(all(daemon.process.poll() is None for daemon in stagers), "all stagers run on")
+    check(all("version_skipped" in daemon.log_text() for daemon in stagers), "version 3 is skipped")
+
+
 CASES = [case_route, case_refusals, case_repeats, case_at_most_once, case_late_answer, case_stream, case_stream_broken,
          case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_directory,
-         case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights]
+         case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights,
+         case_overtaken]
 
 
 def main():
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -1,6 +1,8 @@
 #include "tests/src/weight_network.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace marigoldyard;
 using namespace marigoldyard::test;
@@ -293,3 +295,75 @@
     chunkReceived(State, Asked[0].Chunk, "peer", true, Now);
   }
 }
+
+TEST_CASE("the progress of a version counts own chunks and those of peers") {
+  TransferState State = agentWith({{"peer", "r0"}});
+  CHECK(transferProgress(State, "v1").Chunks == 0);
+  chunkReceived(State, "v1", "", true, Start);
+  descriptorKnown(State, One, Start);
+  chunkReceived(State, "a", "", true, Start);
+  TransferProgress Progress = transferProgress(State, "v1");
+  CHECK(Progress.Held == 1);
+  CHECK(Progress.Near == 1);
+  CHECK(Progress.Chunks == 2);
+  chunkMapReceived(State, "peer", "v1", {true, true}, Start);
+  Progress = transferProgress(State, "v1");
+  CHECK(Progress.Held == 1);
+  CHECK(Progress.Near == 2);
+}
+
+TEST_CASE("only the limited number of readers draws from the store, and they "
+          "draw all") {
+  // Guards against an origin that serves all members at once and none in time.
+  constexpr std::size_t Readers = 3;
+  std::vector<TransferPeer> Members;
+  for (int I = 0; I < 12; ++I)
+    Members.push_back({"m" + std::to_string(I), "r0"});
+  VersionDescriptor Version{"v1", "m", "1", {}};
+  for (int I = 0; I < 64; ++I)
+    Version.Chunks.push_back({"chunk-" + std::to_string(I), 100});
+  std::size_t Drawers = 0;
+  std::set<Digest> Drawn;
+  for (const TransferPeer &Self : Members) {
+    TransferSettings Settings;
+    Settings.Self = Self.Name;
+    Settings.Region = Settings.StoreRegion = "r0";
+    Settings.SpreadLinks = Settings.DirectImport = true;
+    Settings.MaxStoreReaders = Readers;
+    Settings.MaxStoreFetches = Version.Chunks.size();
+    TransferState State = makeTransfer(Settings);
+    transferMembers(State, Members, Start);
+    wantVersions(State, {"v1"}, Start);
+    chunkReceived(State, "v1", {}, true, Start);
+    descriptorKnown(State, Version, Start);
+    plan<FetchFromStore>(State, Start); // asks for maps, which nobody answers
+    const auto Draws =
+        plan<FetchFromStore>(State, Start + 2 * Settings.MapWait);
+    Drawers += Draws.empty() ? 0 : 1;
+    for (const FetchFromStore &Draw : Draws)
+      Drawn.insert(Draw.Chunk);
+    const std::vector<std::string> Named = storeReaders(State);
+    CHECK(Named.size() == Readers);
+    CHECK(Draws.empty() ==
+          (std::find(Named.begin(), Named.end(), Self.Name) == Named.end()));
+  }
+  CHECK(Drawers == Readers);
+  CHECK(Drawn.size() == Version.Chunks.size());
+}
+
+TEST_CASE("a peer that did not answer is asked again within the limit") {
+  TransferState State = agentWith({{"near", "r0"}});
+  State.Settings.MaxStoreFetches = 0;
+  State.Settings.StallTimeout = std::chrono::milliseconds(800);
+  State.Settings.MaxLostTime = std::chrono::milliseconds(1600);
+  chunkReceived(State, "v1", {}, true, Start);
+  descriptorKnown(State, One, Start);
+  chunkMapReceived(State, "near", "v1", {true, true}, Start);
+  TimePoint Now = Start;
+  for (int Loss = 0; Loss < 10; ++Loss) {
+    transferPeerLost(State, "near", Now);
+    CHECK(plan<RequestFromPeer>(State, Now).empty());
+    Now += std::chrono::milliseconds(1600);
+    CHECK_FALSE(plan<RequestFromPeer>(State, Now).empty());
+  }
+}
