Let gateways see the load of servers, and empty servers use their whole link

Added servers were loaded after 4 to 9.5 s: two requests for pieces at a time wait in the queues of busy peers while the own link is idle. Change: stagers tell the gateways of their region a changed load, read every 150 ms; a send counts for all gateways of the region until the next view; an empty server asks for six pieces at once.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -37,6 +37,9 @@
   /// Part of a model server's slots that requests may take that miss their
   /// target anyway; the rest lets others begin in time.
   double LateShare = 0.95;
+  /// Gateways that send to the same servers, the own one included. Between two
+  /// answers of a server the others send to it as often as this one.
+  std::uint32_t Sharers = 1;
   /// Passes of reading whose prompts may be at a model server at once. More
   /// would only wait there, where a more urgent request cannot overtake them.
   double ReadingPasses = 1.3;
@@ -46,7 +49,8 @@
 struct EngineNews {
   std::string Address; ///< of the server
   std::int64_t StartedAtMs = 0;
-  bool Accepting = true; ///< false while it is about to load
+  bool Accepting = true;  ///< false while it is about to load
+  std::uint32_t Load = 0; ///< requests of all callers there
   std::vector<LoadedWeights> Weights;
 };
 
@@ -192,9 +196,11 @@
 std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model);
 
 /// @brief Estimated requests at a server, of all callers.
+/// @param Table the servers
 /// @param Server the server
 /// @return the estimate
-std::uint32_t estimatedLoad(const ServerState &Server);
+std::uint32_t estimatedLoad(const ServerTable &Table,
+                            const ServerState &Server);
 
 /// @brief Requests that may be at a server at once.
 /// @param Table the servers, for the settings
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -57,7 +57,7 @@
 MARIGOLDYARD_FIELDS(GatewayStatus, M.Sender, M.CallerAddress, M.Ready,
                     M.Leaving, M.KnownUpto, M.Gateways)
 MARIGOLDYARD_FIELDS(EngineStatus, M.Sender, M.Server, M.StartedAtMs,
-                    M.Accepting, M.Weights)
+                    M.Accepting, M.Load, M.Weights)
 MARIGOLDYARD_FIELDS(StoreRelayRequest, M.After, M.Prefix)
 MARIGOLDYARD_FIELDS(StoreRelay, M.Items, M.Upto)
 MARIGOLDYARD_FIELDS(DescriptorRequest, M.Model, M.Version)
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -211,7 +211,8 @@
   Member Sender;
   std::string Server; ///< its address
   std::int64_t StartedAtMs = 0;
-  bool Accepting = true; ///< false while it is about to load or loads
+  bool Accepting = true;  ///< false while it is about to load or loads
+  std::uint32_t Load = 0; ///< requests that run or wait there
   std::vector<LoadedWeights> Weights;
 };
 
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -365,7 +365,7 @@
   if (New)
     StagerStatusAt = {}; // it learns the list of gateways at once
   const EngineNews News{Status->Server, Status->StartedAtMs, Status->Accepting,
-                        Status->Weights};
+                        Status->Load, Status->Weights};
   if (!noteEngineNews(Servers, News, now()))
     return;
   beginWaiting();
@@ -501,6 +501,11 @@
   for (const auto &[Address, Other] : Base.liveGateways())
     Status.Gateways.push_back(Address);
   OtherGateways = Status.Gateways.size();
+  Servers.Settings.Sharers = 1;
+  for (const std::string &Address : Status.Gateways)
+    if (Base.Gateways.Records.at(Address).Listed.Region ==
+        Settings.Process.Region)
+      ++Servers.Settings.Sharers;
   for (const std::string &Address : Base.gatewayAddresses())
     Base.send(Address, Status);
   if (Now - StagerStatusAt < StagerStatusInterval)
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -486,7 +486,8 @@
                   {"estimated_load",
                    Found == Owner.servers().Servers.end()
                        ? "gone"
-                       : std::to_string(estimatedLoad(Found->second))},
+                       : std::to_string(
+                             estimatedLoad(Owner.servers(), Found->second))},
                   {"waited_s", seconds(now() - Arrived)}}});
 }
 
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -287,6 +287,7 @@
   Status.Server = addressText(Settings.Engine);
   Status.StartedAtMs = Report->StartedAtMs;
   Status.Accepting = Accepting;
+  Status.Load = Report->Running + Report->Waiting;
   Status.Weights = Report->Weights;
   return Status;
 }
@@ -302,6 +303,17 @@
     Base.send(Address, Status);
 }
 
+void Stager::announceLoad() {
+  const std::uint32_t Load = Report->Running + Report->Waiting;
+  if (Load == LoadTold)
+    return;
+  LoadTold = Load;
+  const EngineStatus Status = ownStatus();
+  for (const auto &[Address, Gateway] : Base.Gateways.Records)
+    if (Gateway.Described && Gateway.Listed.Region == Settings.Process.Region)
+      Base.send(Address, Status);
+}
+
 Stager::VersionState *Stager::findVersion(const DeclaredVersion &Target) {
   const auto Found = Versions.find(Target);
   return Found == Versions.end() ? nullptr : &Found->second;
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -108,6 +108,8 @@
   bool othersContinue(const DeclaredVersion &Target) const;
   void giveOrder(VersionState &State);
   EngineStatus ownStatus() const;
+  /// Tells the gateways of the own region a changed load.
+  void announceLoad();
   void announceStatus();
   VersionState *findVersion(const DeclaredVersion &Target);
 
@@ -127,6 +129,7 @@
   std::unordered_map<Digest, std::pair<DeclaredVersion, std::size_t>> Places;
   std::optional<platform::EngineReport> Report;
   bool Accepting = true;
+  std::uint32_t LoadTold = 0;
   bool StreamsResume = false; ///< on all routes to the own pool
   bool PlanDue = false;
   bool ReportOut = false;
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -11,9 +11,10 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-/// Interval of reports of the own server: a lost model is noticed within this
-/// time. Reports of the own machine are free.
-constexpr std::chrono::milliseconds ReportInterval{250};
+/// Interval of reports of the own server: a lost model and a changed load are
+/// noticed within this time, about that of a few streams' starts. Reports of
+/// the own machine are free.
+constexpr std::chrono::milliseconds ReportInterval{150};
 /// The same while the server loads, so that it serves again soon.
 constexpr std::chrono::milliseconds LoadingReportInterval{40};
 
@@ -82,6 +83,8 @@
   stepVersions();
   if (Changed)
     announceStatus();
+  else
+    announceLoad();
 }
 
 void Stager::readStaged(VersionState &State) {
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -20,6 +20,12 @@
 constexpr Duration StartMapWait = std::chrono::milliseconds(350);
 constexpr Duration StartTime = std::chrono::seconds(3);
 
+/// Pieces asked for at once while the server serves: its requests and tokens
+/// share the link.
+constexpr std::size_t ServingInFlight = 2;
+/// The same while the server is empty: nothing else needs the link, and peers
+/// whose upload queues are long must not leave it idle.
+constexpr std::size_t EmptyInFlight = 6;
 /// Enough to use the origin's whole link, which is as narrow as that of one
 /// machine, and few enough for its slots and connections.
 constexpr std::size_t MaxStoreReaders = 6;
@@ -42,8 +48,7 @@
   // The links of side machines are narrower than those between regions.
   Result.SpreadLinks = true;
   Result.DirectImport = true;
-  // Requests and tokens of the server share the link, so few pieces may queue.
-  Result.MaxInFlight = 2;
+  Result.MaxInFlight = ServingInFlight;
   Result.MaxImports = 1;
   Result.MaxPerPeer = 2;
   Result.MaxStoreReaders = MaxStoreReaders;
@@ -217,6 +222,8 @@
   if (!PlanDue && Now < nextTransferPlan(*Transfer, Now))
     return;
   PlanDue = false;
+  const bool Empty = !Report || Report->Weights.empty();
+  Transfer->Settings.MaxInFlight = Empty ? EmptyInFlight : ServingInFlight;
   for (const TransferAction &Action : planTransfer(*Transfer, Now, Base.Source))
     perform(Action);
 }
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -88,7 +88,7 @@
 double loadScore(const ServerTable &Table, const ServerState &Server,
                  double MeanFailures) {
   const std::uint32_t Limit = std::max(1U, loadLimit(Table, Server));
-  double Score = static_cast<double>(estimatedLoad(Server)) / Limit;
+  double Score = static_cast<double>(estimatedLoad(Table, Server)) / Limit;
   if (Server.Region != Table.Settings.Region)
     Score += RemotePenalty;
   // A failing server answers fast and would attract work by its low load.
@@ -178,6 +178,8 @@
     Server->Record.StartedAtMs = News.StartedAtMs;
   }
   mergeWeights(Server->Weights, News.Weights);
+  Server->ToldLoad = News.Load;
+  Server->BegunSince = 0;
   Server->LoadingUntil =
       News.Accepting ? TimePoint{} : Now + Table.Settings.LoadingHold;
   return true;
@@ -228,8 +230,9 @@
     // After a pause one request at a time tests the server.
     const std::uint32_t Limit =
         Server.FailuresInRow > 0 ? 1 : requestLimit(Table, Server, Question);
-    const std::uint32_t Load =
-        Server.FailuresInRow > 0 ? Server.InFlight : estimatedLoad(Server);
+    const std::uint32_t Load = Server.FailuresInRow > 0
+                                   ? Server.InFlight
+                                   : estimatedLoad(Table, Server);
     if (Load >= Limit || readsEnough(Table, Server, Question)) {
       Report(ServerShortage::Full);
       continue;
@@ -303,10 +306,14 @@
   return 0;
 }
 
-std::uint32_t estimatedLoad(const ServerState &Server) {
+std::uint32_t estimatedLoad(const ServerTable &Table,
+                            const ServerState &Server) {
   if (!Server.ToldLoad)
     return Server.InFlight;
-  const std::int64_t Estimate = *Server.ToldLoad + Server.BegunSince;
+  const std::int64_t Begun = Server.BegunSince > 0
+                                 ? Server.BegunSince * Table.Settings.Sharers
+                                 : Server.BegunSince;
+  const std::int64_t Estimate = *Server.ToldLoad + Begun;
   return std::max(Server.InFlight, static_cast<std::uint32_t>(
                                        std::max<std::int64_t>(0, Estimate)));
 }
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -66,10 +66,28 @@
   noteLoad(Table, "1", 4);
   CHECK(choose(Table).Id == "2");
   noteBegun(Table, "1", 0);
-  CHECK(estimatedLoad(Table.Servers.at("1")) == 5);
+  CHECK(estimatedLoad(Table, Table.Servers.at("1")) == 5);
   noteEnded(Table, "1");
   noteEnded(Table, "1");
-  CHECK(estimatedLoad(Table.Servers.at("1")) == 4);
+  CHECK(estimatedLoad(Table, Table.Servers.at("1")) == 4);
+}
+
+TEST_CASE("gateways that share servers count sends of the others") {
+  ServerTable Table = tableWith({record("1")});
+  Table.Settings.Sharers = 3;
+  noteLoad(Table, "1", 1);
+  noteBegun(Table, "1", 0);
+  CHECK(estimatedLoad(Table, Table.Servers.at("1")) == 4);
+  noteEnded(Table, "1");
+  CHECK(estimatedLoad(Table, Table.Servers.at("1")) == 1);
+}
+
+TEST_CASE("the load that a stager tells replaces older views") {
+  ServerTable Table = tableWith({record("1")});
+  noteLoad(Table, "1", 4);
+  noteBegun(Table, "1", 0);
+  REQUIRE(noteEngineNews(Table, {record("1").Address, 0, true, 2, {}}, Start));
+  CHECK(estimatedLoad(Table, Table.Servers.at("1")) == 2);
 }
 
 TEST_CASE("a draining server and one that left get no request") {
@@ -87,7 +105,7 @@
   ServerTable Table = tableWith({record("1")});
   requireVersion(Table, {"m", 2});
   CHECK(choose(Table).Shortage == ServerShortage::Loading);
-  CHECK(noteEngineNews(Table, {"10.0.0.1:80", 0, true, {{"m", 2}}}, Start));
+  CHECK(noteEngineNews(Table, {"10.0.0.1:80", 0, true, 0, {{"m", 2}}}, Start));
   CHECK(choose(Table).Id == "1");
   // A record that was written before the load does not hide it.
   putServer(Table, record("1"));
@@ -98,7 +116,7 @@
 
 TEST_CASE("a stream continues only on the version that it began with") {
   ServerTable Table = tableWith({record("1"), record("2")});
-  noteEngineNews(Table, {"10.0.0.1:80", 0, true, {{"m", 2}}}, Start);
+  noteEngineNews(Table, {"10.0.0.1:80", 0, true, 0, {{"m", 2}}}, Start);
   ServerQuestion Question;
   Question.ExactVersion = 1;
   CHECK(choose(Table, Question).Id == "2");
@@ -108,7 +126,7 @@
 
 TEST_CASE("a server that is about to load gets nothing for a bounded time") {
   ServerTable Table = tableWith({record("1")});
-  noteEngineNews(Table, {"10.0.0.1:80", 0, false, {{"m", 1}}}, Start);
+  noteEngineNews(Table, {"10.0.0.1:80", 0, false, 0, {{"m", 1}}}, Start);
   CHECK(choose(Table).Shortage == ServerShortage::Loading);
   CHECK(choose(Table, {}, Start + Table.Settings.LoadingHold).Id == "1");
 }
@@ -125,7 +143,7 @@
   putServer(Table, First); // a late record of the first start
   CHECK(choose(Table).Shortage == ServerShortage::Loading);
   CHECK_FALSE(
-      noteEngineNews(Table, {"10.0.0.1:80", 1000, true, {{"m", 1}}}, Start));
+      noteEngineNews(Table, {"10.0.0.1:80", 1000, true, 0, {{"m", 1}}}, Start));
 }
 
 TEST_CASE("of two servers at one address the later start is used") {
@@ -138,10 +156,12 @@
   for (const auto &Order : {std::vector{Old, New}, std::vector{New, Old}}) {
     ServerTable Table = tableWith(Order);
     CHECK(choose(Table).Shortage == ServerShortage::Loading);
-    CHECK(noteEngineNews(Table, {Old.Address, 2000, true, {{"m", 1}}}, Start));
+    CHECK(
+        noteEngineNews(Table, {Old.Address, 2000, true, 0, {{"m", 1}}}, Start));
     CHECK(choose(Table).Id == "2");
     removeServer(Table, "1");
-    CHECK(noteEngineNews(Table, {Old.Address, 2000, true, {{"m", 1}}}, Start));
+    CHECK(
+        noteEngineNews(Table, {Old.Address, 2000, true, 0, {{"m", 1}}}, Start));
   }
 }
 
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -76,6 +76,7 @@
                    "10.0.0.4:90",
                    1'790'000'000'000,
                    false,
+                   17,
                    {{"model", 3}, {"other", 1}}},
       StoreRelayRequest{411, "op/"},
       StoreRelay{{{"op/a", std::string("\x00\xFF{}", 4), 412, false},
