Pace the watches of gateways by their number

Change: the pause between watches grows with the number of live gateways, to 0.5 s at most; four gateways keep 0.3 s.

--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -68,7 +68,7 @@
           [this](std::string_view Line) { Output.write(Line); }),
       Timeouts(Context), Client(Context),
       Store({addressText(Settings.Store), std::move(Use.Prefix), Use.Pace,
-             Use.FirstReadPause},
+             Use.FirstReadPause, Use.Wait},
             Context, Client, Log,
             [this](const ChangedKeys &Keys) { Handlers.StoreChanged(Keys); }),
       Self(selfOf(Settings, Kind)), RelayPrefix(std::move(Use.RelayPrefix)) {
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -34,6 +34,9 @@
   std::chrono::milliseconds Pace{}; ///< pause between two watches
   /// Longest pause between tries while nothing is known yet.
   std::chrono::milliseconds FirstReadPause{};
+  /// Longest wait of one watch. A connection may fall silent without a reset,
+  /// which only this limit shows.
+  std::chrono::milliseconds Wait{};
 };
 
 /// @brief What a program adds to a FleetNode. All are called on the thread of
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -25,7 +25,7 @@
   std::chrono::milliseconds FirstReadPause{};
   /// Longest wait of one watch. A connection may fall silent without a reset,
   /// which only this limit shows.
-  std::chrono::milliseconds Wait{1500};
+  std::chrono::milliseconds Wait{};
 };
 
 /// @brief Keeps a StoreMirror up to date by listings and watches.
@@ -54,6 +54,8 @@
   /// @brief Removes items that lapsed while the store was away; call it often.
   void dropLapsedItems();
 
+  /// @brief Changes the pause between watches from the next one on.
+  void usePace(std::chrono::milliseconds Pace) { Options.Pace = Pace; }
   /// @brief Changes the address from the next call on.
   void useAddress(const std::string &Address) { Options.Address = Address; }
 
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -21,7 +21,13 @@
 namespace {
 
 /// Pause between two watches of all keys: servers change theirs all the time.
+/// It grows with the number of gateways, so that the calls of all stay few, up
+/// to a limit far below the bounds in which changes must be in force.
 constexpr std::chrono::milliseconds StorePace{300};
+constexpr std::chrono::milliseconds StorePaceOfEach{75};
+constexpr std::chrono::milliseconds LongestStorePace{500};
+/// Longest wait of one watch; servers change something before it ends.
+constexpr std::chrono::milliseconds StoreWait{1500};
 /// Longest pause between tries of a gateway that knows no configuration, and
 /// so serves nothing.
 constexpr std::chrono::milliseconds FirstReadPause{100};
@@ -40,7 +46,7 @@
 /// withdrawn from its server: the pause between watches and the way of the news
 /// pass before the declaration is known.
 constexpr std::chrono::milliseconds VersionMargin =
-    StorePace + std::chrono::milliseconds(250);
+    LongestStorePace + std::chrono::milliseconds(250);
 /// Part of the shared retry budget that is used: a restarted process begins
 /// with a full reserve again.
 constexpr double BudgetShare = 0.7;
@@ -50,7 +56,7 @@
 Gateway::Gateway(GatewaySettings Given, SettingsFile<GatewaySettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
       Base(Settings.Process, MemberKind::Entry,
-           {"", "", StorePace, FirstReadPause}) {
+           {"", "", StorePace, FirstReadPause, StoreWait}) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
   Departure.Process = Settings.Process.Name;
@@ -501,6 +507,9 @@
   for (const auto &[Address, Other] : Base.liveGateways())
     Status.Gateways.push_back(Address);
   OtherGateways = Status.Gateways.size();
+  Base.Store.usePace(
+      std::clamp(StorePaceOfEach * static_cast<int>(1 + OtherGateways),
+                 StorePace, LongestStorePace));
   Servers.Settings.Sharers = 1;
   for (const std::string &Address : Status.Gateways)
     if (Base.Gateways.Records.at(Address).Listed.Region ==
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -132,7 +132,7 @@
   std::map<std::string, RetryBudget> Budgets; ///< by pool
   std::size_t OtherGateways = 0;              ///< live ones, for the budgets
   DrainState Departure;
-  bool WasReady = false; ///< as last logged
+  bool WasReady = false;                    ///< as last logged
   std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
   /// A declared version that servers need not have yet.
   struct PendingVersion {
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -44,8 +44,7 @@
 
 Node::Node(ProcessSettings ProcessPart, Member SelfMember)
     : Settings(std::move(ProcessPart)), Self(std::move(SelfMember)),
-      Number(newIncarnation()), Loop(Lease),
-      Output(STDOUT_FILENO),
+      Number(newIncarnation()), Loop(Lease), Output(STDOUT_FILENO),
       Log(LogOptions{.Process = Settings.Name, .Number = Number},
           [this](std::string_view Line) { Output.write(Line); }),
       Events(Settings.Name, MaxTimelineEvents), Source(makeRandom()),
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -23,6 +23,9 @@
 /// Interval of listings of the pool's servers; changes are also told by status
 /// messages of the servers' stagers.
 constexpr std::chrono::seconds PeersInterval{5};
+/// Longest wait of one watch, which bounds the delay of the news when a
+/// connection falls silent without a reset.
+constexpr std::chrono::milliseconds StoreWait{1500};
 /// Interval of tries to read the configuration until it is known.
 constexpr std::chrono::milliseconds ConfigurationInterval{500};
 /// Interval of checks of the settings file.
@@ -43,7 +46,7 @@
     : Settings(std::move(Given)), File(std::move(Source)),
       Base(Settings.Process, MemberKind::Endpoint,
            {std::string(platform::versionKeys()), std::string(RelayPrefix),
-            StorePace, FirstReadPause}),
+            StorePace, FirstReadPause, StoreWait}),
       EngineClient(Base.Context) {}
 
 std::optional<Error> Stager::start() {
