--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -25,9 +25,9 @@
   /// Time in which many of the running streams end; those that are left
   /// continue at other servers, at the cost of reading their prompts once more.
   Duration DrainLimit = std::chrono::milliseconds(500);
-  /// Share of its pieces near from which a version is completed although a
-  /// newer one is declared: it is drawn from the origin, and the rest of the
-  /// way is the shorter one.
+  /// Share of a version's pieces held here or by peers from which it is
+  /// completed although a newer one is declared: only the spread between peers
+  /// is left.
   double FinishShare = 0.8;
   /// Part of the limit after which a version is completed in any case:
   /// otherwise declarations in quick succession would leave servers with none
--- a/programs/ctl/log_files.cpp
+++ b/programs/ctl/log_files.cpp
@@ -16,7 +16,7 @@
 /// What a process learned in this time before a request's first line may have
 /// decided it; the longest bound of the platform on news of a server is 3 s.
 constexpr std::int64_t ContextMicroseconds = 3'000'000;
-/// Context lines shown of each process, newest first kept.
+/// Context lines shown; the newest ones are kept.
 constexpr std::size_t MaxContextLines = 20;
 
 /// Members of a log line that every event has; the rest are its fields.
@@ -31,7 +31,10 @@
   const Json Parsed = Json::parse(Line.substr(Begin), nullptr, false);
   if (!Parsed.is_object() || memberText(Parsed, "event").empty())
     return nullptr;
-  Json Event = {{"wall_us", Parsed.value("time_us", std::int64_t{0})},
+  const auto Time = Parsed.find("time_us");
+  if (Time == Parsed.end() || !Time->is_number_integer())
+    return nullptr;
+  Json Event = {{"wall_us", *Time},
                 {"event", Parsed["event"]},
                 {"process", memberText(Parsed, "process")},
                 {"fields", Json::object()}};
--- a/tests/process/test_ctl.py
+++ b/tests/process/test_ctl.py
@@ -148,7 +148,8 @@
              logged("front-1", 13 * second, "send_failed", request_id="r-1", server="i-1", fate="lost"),
              logged("front-1", 14 * second, "request", request_id="r-1", server="i-1", outcome="stream_broken"),
              logged("front-1", 15 * second, "request", request_id="r-2", server="i-2", outcome="complete"),
-             logged("front-1", 16 * second, "server_draining", server="i-1"), "cut off: {"]
+             logged("front-1", 16 * second, "server_draining", server="i-1"), "cut off: {",
+             json.dumps({"time_us": "soon", "event": "odd"})]
     others = ["front-2: " + logged("front-2", 13 * second + 1, "server_gone", server="i-1"),
               "front-2: " + logged("front-2", 13 * second + 2, "server_gone", server="i-5")]
     with tempfile.TemporaryDirectory() as folder:
@@ -159,7 +160,7 @@
         check([line.split()[2] for line in own.splitlines()] == ["send_failed", "request"], f"its own lines, got {own}")
         check("version_required" in before and "front-2" in before and "endpoint=i-1" in before, before)
         check(not any(word in output for word in ("i-9", "i-5", "r-2", "server_draining")), f"nothing else, got {output}")
-        check("1 lines are no log lines" in errors, f"the skipped line is told, got {errors}")
+        check("2 lines are no log lines" in errors, f"the skipped line is told, got {errors}")
         check(call("explain", "r-3", "--logs", *paths)[0] == 1, "an unknown request fails")
         status, output, _ = call("timeline", "--logs", *paths)
         events = [line.split()[2] for line in output.splitlines()]
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -320,7 +320,9 @@
   for (int I = 0; I < 12; ++I)
     Members.push_back({"m" + std::to_string(I), "r0"});
   VersionDescriptor Version{"v1", "m", "1", {}};
-  for (int I = 0; I < 64; ++I)
+  constexpr int Chunks = 64;
+  Version.Chunks.reserve(Chunks);
+  for (int I = 0; I < Chunks; ++I)
     Version.Chunks.push_back({"chunk-" + std::to_string(I), 100});
   std::size_t Drawers = 0;
   std::set<Digest> Drawn;
