--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -316,8 +316,10 @@
           "draw all") {
   // Guards against an origin that serves all members at once and none in time.
   constexpr std::size_t Readers = 3;
+  constexpr int Count = 12;
   std::vector<TransferPeer> Members;
-  for (int I = 0; I < 12; ++I)
+  Members.reserve(Count);
+  for (int I = 0; I < Count; ++I)
     Members.push_back({"m" + std::to_string(I), "r0"});
   VersionDescriptor Version{"v1", "m", "1", {}};
   constexpr int Chunks = 64;
