Hold no server that left while only the own gateway was cut off

Change: relays with changes are counted since the store's last answer; where they came all the while, the store was not away, and missing items are removed at once. Ruled out: a shorter hold, since servers of a store that was away come back within two seconds. Open: a gateway cut from the store and from all others has no such evidence.

--- a/include/marigoldyard/coordination/store_mirror.hpp
+++ b/include/marigoldyard/coordination/store_mirror.hpp
@@ -43,6 +43,13 @@
                         const std::vector<StoreItem> &Events,
                         StoreRevision Upto);
 
+/// @brief Whether items that a listing lacks may have lapsed because the store
+/// was away. When others passed its changes on meanwhile, only the own process
+/// was out of reach, and what is missing was removed.
+/// @param Silence time since the store's last answer
+/// @param Relays messages of others with newer changes since then
+bool mayHaveLapsed(Duration Silence, std::size_t Relays);
+
 /// @brief Applies a complete listing.
 /// @param Mirror the copy
 /// @param Listed all items
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -16,9 +16,9 @@
 /// Silence after which the store counts as out of reach: well above a slow
 /// answer.
 constexpr std::chrono::milliseconds CutOffAfter{700};
-/// Silence after which servers may have lapsed: they are removed after three
-/// missed heartbeats, but a short outage may begin just before that.
-constexpr std::chrono::milliseconds LapsePossibleAfter{1000};
+/// Silence after which a listing is read instead of a watch, since servers may
+/// have lapsed.
+constexpr std::chrono::milliseconds ListAfter{1000};
 
 const HttpResponse *goodAnswer(const HttpResult &Result) {
   const auto *Response = std::get_if<HttpResponse>(&Result);
@@ -45,6 +45,8 @@
 
 void StoreReader::relayed(const std::vector<StoreItem> &Items,
                           StoreRevision Upto) {
+  if (Upto > Mirror.Revision)
+    ++RelaysSinceAnswer;
   const ChangedKeys Keys = applyEvents(Mirror, Items, Upto);
   if (!Known) {
     KnownSince = now();
@@ -99,7 +101,8 @@
   std::move(Page->Items.begin(), Page->Items.end(), std::back_inserter(Pages));
   if (Page->Truncated && !Page->Items.empty())
     return list();
-  const bool AfterOutage = Known && now() - AnsweredAt > LapsePossibleAfter;
+  const bool AfterOutage =
+      Known && mayHaveLapsed(now() - AnsweredAt, RelaysSinceAnswer);
   answered();
   const ChangedKeys Keys =
       applyListing(Mirror, Pages, PagesRevision, AfterOutage, now());
@@ -149,6 +152,7 @@
   Lost = false;
   Backoff = {};
   AnsweredAt = now();
+  RelaysSinceAnswer = 0;
 }
 
 void StoreReader::failed(const HttpResult &Result) {
@@ -176,9 +180,8 @@
   Backoff = std::clamp(Backoff * 2, FirstBackoff,
                        Known ? LongestBackoff : Options.FirstReadPause);
   // After an outage a listing shows which servers lapsed.
-  const bool MayHaveLapsed = now() - AnsweredAt > LapsePossibleAfter;
-  again(Backoff,
-        !Known || MayHaveLapsed ? &StoreReader::list : &StoreReader::watch);
+  const bool Outage = now() - AnsweredAt > ListAfter;
+  again(Backoff, !Known || Outage ? &StoreReader::list : &StoreReader::watch);
 }
 
 } // namespace marigoldyard
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -96,8 +96,9 @@
   std::vector<StoreItem> Pages;
   StoreRevision PagesRevision = 0;
   TimePoint AnsweredAt{};
-  TimePoint ContactSince{}; ///< end of the last outage
-  TimePoint KnownSince{};   ///< first complete content
+  std::size_t RelaysSinceAnswer = 0; ///< with changes
+  TimePoint ContactSince{};          ///< end of the last outage
+  TimePoint KnownSince{};            ///< first complete content
   std::chrono::milliseconds Backoff{};
   bool Lost = false; ///< the loss of contact was logged
 };
--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -52,6 +52,21 @@
   return Changed;
 }
 
+bool mayHaveLapsed(Duration Silence, std::size_t Relays) {
+  // Servers are removed after three missed heartbeats, but a short outage may
+  // begin just before that.
+  constexpr Duration LapsePossibleAfter = std::chrono::seconds(1);
+  // In an outage for all, one relay tells what others read just before it, and
+  // two come from those that reach the store again first.
+  constexpr std::size_t RelaysOfAnOutage = 3;
+  // Relays come once or twice a second while others read the store.
+  constexpr Duration RelayInterval = std::chrono::milliseconds(1200);
+  if (Silence <= LapsePossibleAfter)
+    return false;
+  const auto Count = static_cast<Duration::rep>(Relays);
+  return Relays <= RelaysOfAnOutage || Count * RelayInterval < Silence;
+}
+
 ChangedKeys applyListing(StoreMirror &Mirror,
                          const std::vector<StoreItem> &Listed,
                          StoreRevision Listing, bool AfterOutage,
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -185,6 +185,25 @@
     wait_for(lambda: call(away, "/read/1").status == 200, "contact is regained", timeout=4)
 
 
+def case_removed_meanwhile(fleet):
+    """a server that left while only one gateway was cut off is gone there as soon as it reaches the store again"""
+    other, away = fleet.gateways
+    gone = fleet.plain[0]
+    fleet.store.turned_away.add(away.host)
+    for _ in range(12):
+        fleet.configure()  # changes that the other gateway passes on
+        time.sleep(0.4)
+    other.process.send_signal(signal.SIGSTOP)
+    try:
+        before = away.log_text().count('"server_gone"')
+        fleet.store.remove("servers/" + gone.id)
+        fleet.store.turned_away.clear()
+        wait_for(lambda: away.log_text().count('"server_gone"') > before, "the server is gone", timeout=1.6)
+    finally:
+        other.process.send_signal(signal.SIGCONT)
+        gone.register()
+
+
 def case_directory(fleet):
     """the directory names the gateways that are ready, and leaves out one that is gone"""
     def listed(gateway):
@@ -319,7 +338,7 @@
 
 
 CASES = [case_route, case_refusals, case_repeats, case_at_most_once, case_late_answer, case_stream, case_stream_broken,
-         case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_directory,
+         case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_removed_meanwhile, case_directory,
          case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights,
          case_overtaken]
 
--- a/tests/src/unit-coordination-store_mirror.cpp
+++ b/tests/src/unit-coordination-store_mirror.cpp
@@ -80,3 +80,14 @@
   CHECK(itemsAfter(Mirror, 3).size() == 2);
   CHECK(itemsAfter(Mirror, 4).size() == 1);
 }
+
+TEST_CASE("missing items lapsed only if the store was away for all") {
+  CHECK_FALSE(mayHaveLapsed(900ms, 0)); // too short for three heartbeats
+  CHECK(mayHaveLapsed(4s, 0));
+  // One relay at the begin of an outage and two at its end prove nothing.
+  CHECK(mayHaveLapsed(2s, 3));
+  CHECK(mayHaveLapsed(12s, 4));
+  // Only the own process was cut off: a server that left is gone at once, or
+  // requests would reach it beyond the bound.
+  CHECK_FALSE(mayHaveLapsed(12s, 20));
+}
