Take the settled bound of versions back

A gateway that regains the store took the outage for one of the store itself and gave the bound its settling time. Change: the bound counts from the return again; the setting, its unit case and its rows are removed with it.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -25,11 +25,6 @@
   Duration Margin = std::chrono::milliseconds(900);
   /// Part of a short limit that the margin takes at most.
   double MarginShare = 0.15;
-  /// Time after an outage of the store until the bound counts again.
-  Duration StoreSettle{};
-  /// Longest time between the return of the store and the news of it: a pause
-  /// between two tries and a call.
-  Duration ReturnNoticed = std::chrono::milliseconds(900);
   /// Longest time after which a gateway out of contact asks others.
   Duration RelayDelay = std::chrono::milliseconds(2800);
   /// A gateway that has just started or returned is not held to the bound for
--- a/include/marigoldyard/protocol/fleet_settings.hpp
+++ b/include/marigoldyard/protocol/fleet_settings.hpp
@@ -28,8 +28,6 @@
   /// Time from the declaration of a version until no request may begin on an
   /// older one.
   std::chrono::milliseconds VersionLimit{};
-  /// Time after an outage of the store until bounds count again.
-  std::chrono::milliseconds StoreSettle{};
   std::chrono::milliseconds DrainLimit{}; ///< between SIGTERM and exit
   double LinkBitsPerSecond = 0;
 };
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -312,7 +312,6 @@
   const Duration Limit = Settings.Process.VersionLimit;
   VersionBoundSettings Bound;
   Bound.Limit = Limit;
-  Bound.StoreSettle = Settings.Process.StoreSettle;
   const VersionNews News = versionNews();
   Pending.push_back({*Version, Now + requireVersionAfter(Bound, News),
                      News == VersionNews::Watched ? Now + Limit - VersionMargin
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -12,11 +12,8 @@
       Settings.Limit - std::min(Settings.Margin, LongestMargin);
   switch (News) {
   case VersionNews::Watched:
-    return Whole;
   case VersionNews::Returned:
-    // The bound counts from the moment at which the store has settled.
-    return Whole + std::max(Duration::zero(),
-                            Settings.StoreSettle - Settings.ReturnNoticed);
+    return Whole;
   case VersionNews::Relayed:
     return std::max(Settings.UnknownLimit, Whole - Settings.RelayDelay);
   case VersionNews::Unknown:
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -93,13 +93,6 @@
      .Maximum = MaxTimeMs,
      .Default = "8000",
      .Help = "time after which no request begins on an older version"},
-    {.Key = "store_settle_ms",
-     .Kind = ValueKind::Integer,
-     .Unit = "ms",
-     .Minimum = 0,
-     .Maximum = MaxTimeMs,
-     .Default = "3000",
-     .Help = "time after an outage of the store until bounds count again"},
     {.Key = "drain_limit_s",
      .Kind = ValueKind::Number,
      .Unit = "s",
@@ -179,7 +172,6 @@
         Domain.at("region").get<std::string>();
   Result.Keys = detail::messageKeys(Value.at("keys"));
   Result.VersionLimit = milliseconds(Value.at("version_limit_ms"));
-  Result.StoreSettle = milliseconds(Value.at("store_settle_ms"));
   Result.DrainLimit = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::duration<double>(Value.at("drain_limit_s").get<double>()));
   Result.LinkBitsPerSecond =
--- a/tests/src/unit-protocol-fleet_settings.cpp
+++ b/tests/src/unit-protocol-fleet_settings.cpp
@@ -15,7 +15,7 @@
   "seeds": [ { "address": "10.0.0.1:8000" }, { "address": "10.0.0.2:8000" } ],
   "domains": [ { "failure_domain": "d", "region": "r" } ],
   "keys": [ { "id": "k", "secret": "0123456789abcdef" } ],
-  "version_limit_ms": 8000, "store_settle_ms": 2500, "drain_limit_s": 8.5, "link_mbps": 7.6)";
+  "version_limit_ms": 8000, "drain_limit_s": 8.5, "link_mbps": 7.6)";
 
 std::string gateway(const std::string &More = "") {
   return Process + R"(, "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
@@ -32,7 +32,6 @@
         std::vector<std::string>{"10.0.0.1", "10.0.0.2"});
   CHECK(Settings.Value->Process.RegionOf.at("d") == "r");
   CHECK(Settings.Value->Process.DrainLimit == 8500ms);
-  CHECK(Settings.Value->Process.StoreSettle == 2500ms);
   CHECK(Settings.Value->Process.LinkBitsPerSecond == doctest::Approx(7.6e6));
   CHECK(addressText(Settings.Value->Callers) == "10.0.0.1:80");
   CHECK(Settings.Value->RetryReserve == doctest::Approx(106));
