Read and check settings in one place

Cause: the daemons, the gateways' settings file and marigoldctl each read a settings file, printed its faults and held the size limit; holdsAll stood in a shared header with one caller left. Change: readSettings, its parts and the limit stand in transport/program; holdsAll is back beside its caller. Behaviour is unchanged. Ruled out: merging the mailbox set-up and the settings tables in this commit.

--- a/include/marigoldyard/coordination/detail/transfer_roles.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -10,9 +10,6 @@
 /// @return false when it is unlisted, lost or banned
 bool reachable(const PeerSlot &Peer, TimePoint Now);
 
-/// Whether the map of a peer names all chunks of a described version.
-bool holdsAll(const PeerSlot &Peer, const VersionSlot &Version);
-
 /// @brief Time that bytes take at the upload rate of the agent.
 /// @param State the transfers
 /// @param Bytes the bytes
--- a/include/marigoldyard/transport/program.hpp
+++ b/include/marigoldyard/transport/program.hpp
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "marigoldyard/protocol/fault_list.hpp"
 #include "marigoldyard/state/error.hpp"
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace marigoldyard {
 
@@ -36,6 +40,38 @@
 /// too large
 Expected<std::string> readFile(const std::string &Path, std::size_t MaxBytes);
 
+/// @brief Reads a settings file.
+/// @param Path the file
+/// @return the content; nothing when it cannot be read, which is printed
+std::optional<std::string> readSettingsText(const std::string &Path);
+
+/// @brief Prints the faults of a document on standard error.
+/// @param Faults the faults
+void printFaults(const std::vector<DocumentFault> &Faults);
+
+/// @brief Parses and checks settings.
+/// @param Text JSON with comments
+/// @param Parse parser of the settings
+/// @return the settings; nothing when they have faults, which are printed
+template <typename T>
+std::optional<T> checkedSettings(std::string_view Text,
+                                 Checked<T> (*Parse)(std::string_view)) {
+  Checked<T> Settings = Parse(Text);
+  printFaults(Settings.Faults);
+  return std::move(Settings.Value);
+}
+
+/// @brief Reads, parses and checks a settings file.
+/// @param Path the file
+/// @param Parse parser of the settings
+/// @return the settings; nothing when there are none, with the reasons printed
+template <typename T>
+std::optional<T> readSettings(const std::string &Path,
+                              Checked<T> (*Parse)(std::string_view)) {
+  const auto Text = readSettingsText(Path);
+  return Text ? checkedSettings(*Text, Parse) : std::nullopt;
+}
+
 /// @brief Delivers SIGINT, SIGTERM and SIGHUP to a callback on a thread of its
 /// own, which waits with sigwait.
 ///
--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::size_t MaxManifestBytes = 16UL << 20;
-constexpr std::size_t MaxSettingsBytes = 1UL << 20;
 constexpr std::uint16_t DefaultOperatorPort = 8081;
 
 /// Options of all commands.
@@ -53,11 +52,9 @@
 template <typename T>
 int checkSettings(const std::string &Path,
                   Checked<T> (*Parse)(std::string_view)) {
-  auto Text = readFile(Path, MaxSettingsBytes);
-  if (!Text) {
-    fmt::print(stderr, "{}\n", Text.error().message());
+  const auto Text = readSettingsText(Path);
+  if (!Text)
     return 1;
-  }
   const Checked<T> Result = Parse(*Text);
   for (const DocumentFault &Fault : Result.Faults)
     fmt::print("{}\n", describeFault(Fault));
@@ -122,17 +119,10 @@
 std::optional<CtlSettings> settingsOf(const Options &Given) {
   CtlSettings Result{{}, DefaultOperatorPort};
   if (!Given.SettingsPath.empty()) {
-    const auto Text = readFile(Given.SettingsPath, MaxSettingsBytes);
-    if (!Text) {
-      fmt::print(stderr, "{}\n", Text.error().message());
-      return std::nullopt;
-    }
-    const Checked<CtlSettings> Parsed = parseCtlSettings(*Text);
-    for (const DocumentFault &Fault : Parsed.Faults)
-      fmt::print(stderr, "{}\n", describeFault(Fault));
-    if (!Parsed.Value)
+    const auto Read = readSettings(Given.SettingsPath, parseCtlSettings);
+    if (!Read)
       return std::nullopt;
-    Result = *Parsed.Value;
+    Result = *Read;
   }
   if (Given.OperatorPort != 0)
     Result.OperatorPort = Given.OperatorPort;
--- a/programs/fleet/fleet_main.hpp
+++ b/programs/fleet/fleet_main.hpp
@@ -5,16 +5,13 @@
 
 #include <atomic>
 #include <cstdlib>
-#include <fmt/core.h>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace marigoldyard {
 
-/// @brief Largest settings file.
-inline constexpr std::size_t MaxSettingsBytes = 1UL << 20;
-
 /// @brief A settings file that is read again while the process runs.
 template <typename T> class SettingsFile {
 public:
@@ -27,18 +24,11 @@
   /// @return the settings; nothing when it did not change or has faults, which
   /// are printed
   std::optional<T> readIfChanged() {
-    auto Text = readFile(Path, MaxSettingsBytes);
-    if (!Text) {
-      fmt::print(stderr, "{}\n", Text.error().message());
-      return std::nullopt;
-    }
-    if (*Text == Last)
+    auto Text = readSettingsText(Path);
+    if (!Text || *Text == Last)
       return std::nullopt;
-    Last = *Text;
-    Checked<T> Settings = Parse(*Text);
-    for (const DocumentFault &Fault : Settings.Faults)
-      fmt::print(stderr, "{}\n", describeFault(Fault));
-    return Settings.Value;
+    Last = std::move(*Text);
+    return checkedSettings(Last, Parse);
   }
 
 private:
--- a/programs/node/daemon_main.hpp
+++ b/programs/node/daemon_main.hpp
@@ -5,7 +5,6 @@
 #include "programs/node/node.hpp"
 
 #include <cstdio>
-#include <fmt/core.h>
 #include <string>
 #include <string_view>
 
@@ -17,27 +16,6 @@
   std::string Purpose;
 };
 
-namespace detail {
-
-constexpr std::size_t MaxSettingsBytes = 1UL << 20;
-
-/// Reads and checks settings; prints all faults.
-template <typename T>
-std::optional<T> readSettings(const std::string &Path,
-                              Checked<T> (*Parse)(std::string_view)) {
-  auto Text = readFile(Path, MaxSettingsBytes);
-  if (!Text) {
-    fmt::print(stderr, "{}\n", Text.error().message());
-    return std::nullopt;
-  }
-  Checked<T> Settings = Parse(*Text);
-  for (const DocumentFault &Fault : Settings.Faults)
-    fmt::print(stderr, "{}\n", describeFault(Fault));
-  return Settings.Value;
-}
-
-} // namespace detail
-
 /// @brief main() of a daemon: command line, settings, signals, run.
 /// @param Description name and purpose
 /// @param Parse parser of its settings
@@ -52,7 +30,7 @@
   if (auto Status = parseProgramOptions(Description.Name, Description.Purpose,
                                         Count, Arguments, Options))
     return *Status;
-  auto Settings = detail::readSettings<T>(Options.SettingsPath, Parse);
+  auto Settings = readSettings<T>(Options.SettingsPath, Parse);
   if (!Settings)
     return 1;
   if (Options.CheckOnly)
@@ -63,7 +41,7 @@
     if (!Started.load())
       std::_Exit(1);
     Base->signalled(Signal, [&] {
-      auto Fresh = detail::readSettings<T>(Options.SettingsPath, Parse);
+      auto Fresh = readSettings<T>(Options.SettingsPath, Parse);
       return Fresh ? keyRing(Fresh->Process) : KeyRing{};
     });
   });
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -379,6 +379,19 @@
   }
 }
 
+/// Whether the map of a peer names all chunks of a described version.
+bool holdsAll(const PeerSlot &Peer, const VersionSlot &Version) {
+  return Version.Described && !Version.Chunks.empty() &&
+         std::all_of(Version.Content.Words.begin(), Version.Content.Words.end(),
+                     [&, Word = std::size_t{0}](std::uint64_t Bits) mutable {
+                       const std::uint64_t Has = Word < Peer.Has.Words.size()
+                                                     ? Peer.Has.Words[Word]
+                                                     : 0;
+                       ++Word;
+                       return (Bits & ~Has) == 0;
+                     });
+}
+
 std::vector<std::string> mapReceivers(TransferState &State,
                                       VersionSlot &Version, TimePoint Now) {
   std::erase_if(State.Requesters, [&](const detail::Requester &One) {
@@ -396,7 +409,7 @@
   std::vector<std::string> Names;
   for (const PeerIndex Index : All) {
     const PeerSlot &Peer = State.Peers[Index];
-    if (Everyone || !detail::holdsAll(Peer, Version))
+    if (Everyone || !holdsAll(Peer, Version))
       Names.push_back(Peer.Name);
   }
   return Names;
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -179,18 +179,6 @@
   return !Peer.Name.empty() && Peer.LostUntil <= Now && Peer.BannedUntil <= Now;
 }
 
-bool holdsAll(const PeerSlot &Peer, const VersionSlot &Version) {
-  return Version.Described && !Version.Chunks.empty() &&
-         std::all_of(Version.Content.Words.begin(), Version.Content.Words.end(),
-                     [&, Word = std::size_t{0}](std::uint64_t Bits) mutable {
-                       const std::uint64_t Has = Word < Peer.Has.Words.size()
-                                                     ? Peer.Has.Words[Word]
-                                                     : 0;
-                       ++Word;
-                       return (Bits & ~Has) == 0;
-                     });
-}
-
 Duration uploadTime(const TransferState &State, std::uint64_t Bytes) {
   return sendTime(Bytes,
                   static_cast<double>(State.Settings.UploadBytesPerSecond));
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <fmt/core.h>
 #include <fstream>
 #include <pthread.h>
 
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t MaxSettingsBytes = 1UL << 20;
+
 /// Ends the signal thread; sent only to that thread.
 constexpr int EndSignal = SIGUSR1;
 
@@ -64,6 +67,19 @@
   return Content;
 }
 
+std::optional<std::string> readSettingsText(const std::string &Path) {
+  auto Text = readFile(Path, MaxSettingsBytes);
+  if (Text)
+    return std::move(*Text);
+  fmt::print(stderr, "{}\n", Text.error().message());
+  return std::nullopt;
+}
+
+void printFaults(const std::vector<DocumentFault> &Faults) {
+  for (const DocumentFault &Fault : Faults)
+    fmt::print(stderr, "{}\n", describeFault(Fault));
+}
+
 SignalThread::SignalThread(std::function<void(int)> Handler) {
   sigset_t Set = handledSignals();
   pthread_sigmask(SIG_BLOCK, &Set, nullptr);
