End processes without closing their nng sockets

A stress of mailboxes shows it within 3 to 160 closings: nng_close of a PULL socket waits for ever when its connections deliver messages; nng's thread that releases connections waits for the receive operation of one of them (nng 1.5.2, stack traces of two runs).

Change: a daemon that is done writes its log out and ends with _Exit; the system closes the sockets. Mailboxes are closed in a running process nowhere else.

Test: case_end_in_flood of test_platform.py ends a stager 30 times while eight peers send valid messages. Before: still running 4 s after SIGTERM. After: 3 times 30 ends, all in time.

Ruled out: closing the listener and each connection before the socket, and ending the receiver first (both still hang in the stress, reverted); the sending side (1,500 closings without a hang); peers that are killed while they send or receive (110 kills of each without a hang).

--- a/include/marigoldyard/transport/line_writer.hpp
+++ b/include/marigoldyard/transport/line_writer.hpp
@@ -25,7 +25,7 @@
 
   /// @param Descriptor file descriptor to write to
   explicit LineWriter(int Descriptor);
-  /// @brief Writes what waits, unless the reader does not read, and ends.
+  /// @brief Calls finish().
   ~LineWriter();
   LineWriter(const LineWriter &) = delete;
   LineWriter &operator=(const LineWriter &) = delete;
@@ -34,6 +34,10 @@
   /// @param Line text without the line end
   void write(std::string_view Line);
 
+  /// @brief Writes what waits, unless the reader does not read, and ends the
+  /// thread. Later lines are dropped.
+  void finish();
+
   /// @return lines that were dropped
   std::uint64_t dropped() const { return Dropped.load(); }
 
@@ -46,6 +50,7 @@
   std::atomic<std::uint64_t> Dropped{0};
   std::uint64_t DroppedTold = 0;
   std::atomic<bool> Ending{false};
+  bool Finished = false;
   std::thread Writer;
 };
 
--- a/include/marigoldyard/transport/program.hpp
+++ b/include/marigoldyard/transport/program.hpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/protocol/fault_list.hpp"
 #include "marigoldyard/state/error.hpp"
+#include "marigoldyard/transport/line_writer.hpp"
 
 #include <functional>
 #include <memory>
@@ -72,6 +73,13 @@
   return Text ? checkedSettings(*Text, Parse) : std::nullopt;
 }
 
+/// @brief Ends the process without closing its nng sockets: nng 1.5.2 may wait
+/// for ever when a socket closes while its connections deliver messages. The
+/// system closes them.
+/// @param Output log output, written out before
+/// @param Status exit status
+[[noreturn]] void endProcess(LineWriter &Output, int Status);
+
 /// @brief Delivers SIGINT, SIGTERM and SIGHUP to a callback on a thread of its
 /// own, which waits with sigwait.
 ///
--- a/programs/fleet/fleet_main.hpp
+++ b/programs/fleet/fleet_main.hpp
@@ -73,7 +73,7 @@
   Running.store(&Process);
   Process.node().run();
   Running.store(nullptr);
-  return EXIT_SUCCESS;
+  endProcess(Process.node().Output, EXIT_SUCCESS);
 }
 
 } // namespace marigoldyard
--- a/programs/node/daemon_main.hpp
+++ b/programs/node/daemon_main.hpp
@@ -21,7 +21,8 @@
 /// @param Parse parser of its settings
 /// @param Count number of arguments
 /// @param Arguments arguments of main
-/// @return exit status: 0 after a drain that cut nothing off, 1 otherwise
+/// @return exit status when the process cannot run; otherwise it ends here,
+/// with status 0 after a drain that cut nothing off and 1 after another one
 template <typename Daemon, typename T>
 int daemonMain(const DaemonDescription &Description,
                Checked<T> (*Parse)(std::string_view), int Count,
@@ -52,7 +53,8 @@
     return 1;
   }
   Started.store(true);
-  return Process.run();
+  const int Status = Process.run();
+  endProcess(Base->Output, Status);
 }
 
 } // namespace marigoldyard
--- a/src/transport/line_writer.cpp
+++ b/src/transport/line_writer.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -23,7 +24,11 @@
 LineWriter::LineWriter(int Target)
     : Descriptor(Target), Lines(Capacity), Writer([this] { run(); }) {}
 
-LineWriter::~LineWriter() {
+LineWriter::~LineWriter() { finish(); }
+
+void LineWriter::finish() {
+  if (std::exchange(Finished, true))
+    return;
   Ending = true;
   Lines.close();
   Writer.join();
--- a/src/transport/program.cpp
+++ b/src/transport/program.cpp
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fmt/core.h>
 #include <fstream>
 #include <pthread.h>
@@ -80,6 +81,11 @@
     fmt::print(stderr, "{}\n", describeFault(Fault));
 }
 
+void endProcess(LineWriter &Output, int Status) {
+  Output.finish();
+  std::_Exit(Status);
+}
+
 SignalThread::SignalThread(std::function<void(int)> Handler) {
   sigset_t Set = handledSignals();
   pthread_sigmask(SIG_BLOCK, &Set, nullptr);
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -18,6 +18,7 @@
 PEER_PORT, BULK_PORT, OPERATOR_PORT, CALLER_PORT, READY_PORT, DIRECTORY_PORT = 7700, 7715, 9464, 8005, 8002, 8009
 SERVER_PORT, STORE_PORT, ORIGIN_PORT = 8001, 8007, 8006
 PIECES, PIECE_BYTES = 16, 4096
+SECRET = "0123456789abcdef"
 
 
 def address(host, port):
@@ -330,7 +331,7 @@
                     "peer_port": PEER_PORT, "bulk_port": BULK_PORT, "operator_port": OPERATOR_PORT,
                     "store": store.address_for(host), "seeds": [{"address": address(s, 1)} for s in seeds],
                     "domains": [{"failure_domain": "z1", "region": "r1"}],
-                    "keys": [{"id": "k1", "secret": "0123456789abcdef"}], "version_limit_ms": 8000,
+                    "keys": [{"id": "k1", "secret": SECRET}], "version_limit_ms": 8000,
                     "drain_limit_s": 6, "link_mbps": 100, **more}
         path = os.path.join(folder, f"{program}-{host}.json")
         with open(path, "w", encoding="utf-8") as target:
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -13,6 +13,10 @@
 import platform_fleet as pf  # noqa: E402  the path is set above
 from platform_fleet import call, check, wait_for  # noqa: E402
 
+# A stager has nothing to drain; the platform ends it eight seconds after the signal.
+END_LIMIT_S = 4
+FLOOD_ROUNDS = 30
+
 
 def forget(fleet):
     """Drops what the servers recorded and were told to do."""
@@ -337,10 +341,45 @@
     check(all("version_skipped" in daemon.log_text() for daemon in stagers), "version 3 is skipped")
 
 
+class PeerFlood:
+    """Peers that send a process valid messages until the end of the block."""
+
+    def __init__(self, ip):
+        self.child = subprocess.Popen([os.path.join(pf.BUILD, "tests", "standin_peer"), "--target", ip,
+                                       "--port", str(pf.PEER_PORT), "--key-id", "k1", "--secret", pf.SECRET])
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.child.kill()
+        self.child.wait()
+
+
+def case_end_in_flood(fleet):
+    """a process ends in time while its peers send messages without pause"""
+    backend = fleet.engines[0]
+    for round_number in range(FLOOD_ROUNDS):
+        stager = fleet.stager(backend)
+        wait_for(lambda s=stager: "store_listed" in s.log_text(), "the stager runs")
+        try:
+            with PeerFlood(stager.ip):
+                time.sleep(0.3)
+                stager.process.send_signal(signal.SIGTERM)
+                try:
+                    stager.process.wait(END_LIMIT_S)
+                finally:
+                    stager.process.kill()
+        except subprocess.TimeoutExpired as late:
+            raise pf.FleetError(f"round {round_number}: still running {END_LIMIT_S} s after SIGTERM") from late
+        check(stager.process.returncode == 0, f"round {round_number}: exit code {stager.process.returncode}")
+        check('"stopped"' in stager.log_text(), f"round {round_number}: the log says that it stopped")
+
+
 CASES = [case_route, case_refusals, case_repeats, case_at_most_once, case_late_answer, case_stream, case_stream_broken,
          case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_removed_meanwhile, case_directory,
          case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights,
-         case_overtaken]
+         case_overtaken, case_end_in_flood]
 
 
 def main():
