Let stagers learn from gateways of their region, and find manifests without a rush

The links between regions were full: each stager listed all servers (72 KB) every 5 s and when a version was declared, a starting one read the whole configuration (469 KB after it grew by 1,400 routes), and stagers and gateways of all regions told each other their status every 2 s. 2.

Changes: gateways answer a stager's question for the facts about its pool (origin, models, members, declared versions) and tell stagers of their region a declared version; the store is read where no gateway answers. Status messages stay in the region, but for changes. Watches of stagers wait 8 s. The search for a manifest is a decision of its own (manifest_search.hpp): readers retry within 300 ms, the others ask readers and read the origin rarely and spread. An older version is given up when the newer one's manifest is known, and kept from 0.6 of its pieces on (0.8 before).

Ruled out: processor time of gateways (0.04 of 0.5 cores), size of watch answers (11 KB took 2 s), duplicate draws of version 2 (64 draws for 64 pieces).

--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -26,9 +26,9 @@
   /// continue at other servers, at the cost of reading their prompts once more.
   Duration DrainLimit = std::chrono::milliseconds(500);
   /// Share of a version's pieces held here or by peers from which it is
-  /// completed although a newer one is declared: only the spread between peers
-  /// is left.
-  double FinishShare = 0.8;
+  /// completed although a newer one is declared: it then serves for longer than
+  /// the newer one is delayed.
+  double FinishShare = 0.6;
   /// Part of the limit after which a version is completed in any case:
   /// otherwise declarations in quick succession would leave servers with none
   /// that may serve.
@@ -102,13 +102,14 @@
 /// @param Now the time
 void restage(LoadState &State, TimePoint Now);
 
-/// @brief Whether an incomplete version is worth completing when a newer one is
-/// declared. Both share the links, so that the newer one would come later.
+/// @brief Whether an incomplete version is worth completing when the manifest
+/// of a newer one is known. Both share the links, so that the newer one would
+/// come later.
 /// @param State the loading of the older version
 /// @param Progress of its pieces
-/// @param Now the time
+/// @param NewerDeclaredAt when the newer version was declared
 bool worthFinishing(const LoadState &State, const TransferProgress &Progress,
-                    TimePoint Now);
+                    TimePoint NewerDeclaredAt);
 
 /// @brief How many servers of a region may be out of service at once.
 /// @param State the loading
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -63,6 +63,12 @@
 MARIGOLDYARD_FIELDS(DescriptorRequest, M.Model, M.Version)
 MARIGOLDYARD_FIELDS(DescriptorReply, M.Model, M.Version, M.ChunkBytes,
                     asDigest(M.Chunks))
+MARIGOLDYARD_FIELDS(PoolMember, M.Address, M.Region)
+MARIGOLDYARD_FIELDS(PoolFacts, M.Pool, M.Number, M.OriginAddress,
+                    M.OriginFailureDomain, M.Models, M.StreamsResume, M.Members,
+                    M.Declared)
+MARIGOLDYARD_FIELDS(PoolQuestion, M.Sender, M.Pool)
+MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -243,14 +243,28 @@
   std::vector<Digest> Chunks;
 };
 
+/// @brief Stager to gateway: asks for the facts about its pool.
+struct PoolQuestion {
+  Member Sender;
+  std::string Pool;
+};
+
+/// @brief Gateway to stager: the facts about its pool, asked for or because a
+/// version was declared.
+struct PoolAnswer {
+  PoolFacts Facts;
+};
+
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body = std::variant<
-    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
-    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
-    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
-    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
-    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply>;
+using Body =
+    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
+                 CancelWork, OperationOpen, OperationOpened, OperationRun,
+                 OperationResult, Report, ConfigurationOffer,
+                 ConfigurationRequest, ConfigurationValues, ChunkMap,
+                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
+                 EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
+                 DescriptorReply, PoolQuestion, PoolAnswer>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -95,6 +95,25 @@
                          const LoadedWeights &) = default;
 };
 
+/// @brief A model server of a pool as the stagers of the others see it.
+struct PoolMember {
+  std::string Address; ///< "host:port"
+  std::string Region;
+};
+
+/// @brief What a stager needs to know of the configuration and of its pool: far
+/// less than the configuration with its routes.
+struct PoolFacts {
+  std::string Pool;
+  Revision Number = 0;       ///< of the configuration
+  std::string OriginAddress; ///< of the weights; empty: none is configured
+  std::string OriginFailureDomain;
+  std::vector<std::string> Models;     ///< that the servers load
+  bool StreamsResume = false;          ///< on all routes to the pool
+  std::vector<PoolMember> Members;     ///< empty: not told
+  std::vector<LoadedWeights> Declared; ///< newest declared versions
+};
+
 /// @brief A server as it registered itself.
 struct ServerRecord {
   std::string Id;      ///< of this incarnation
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -310,6 +310,9 @@
   }
   const TimePoint Now = now();
   const Duration Limit = Settings.Process.VersionLimit;
+  Declared[Version->Model] =
+      std::max(Declared[Version->Model], Version->Version);
+  tellStagers();
   VersionBoundSettings Bound;
   Bound.Limit = Limit;
   const VersionNews News = versionNews();
@@ -363,19 +366,60 @@
 }
 
 void Gateway::received(const Message &Incoming) {
-  const auto *Status = std::get_if<EngineStatus>(&Incoming.Content);
-  if (Status == nullptr)
-    return;
-  const bool New = Stagers.insert_or_assign(Incoming.Head.Sender, now()).second;
+  if (const auto *Status = std::get_if<EngineStatus>(&Incoming.Content))
+    engineStatus(Incoming.Head.Sender, *Status);
+  else if (const auto *Question = std::get_if<PoolQuestion>(&Incoming.Content))
+    poolAsked(Incoming.Head.Sender, *Question);
+}
+
+void Gateway::engineStatus(const std::string &Stager,
+                           const EngineStatus &Status) {
+  const auto [Known, New] = Stagers.try_emplace(Stager);
+  Known->second.Heard = now();
+  Known->second.Region = Status.Sender.Region;
   if (New)
     StagerStatusAt = {}; // it learns the list of gateways at once
-  const EngineNews News{Status->Server, Status->StartedAtMs, Status->Accepting,
-                        Status->Load, Status->Weights};
+  const EngineNews News{Status.Server, Status.StartedAtMs, Status.Accepting,
+                        Status.Load, Status.Weights};
   if (!noteEngineNews(Servers, News, now()))
     return;
   beginWaiting();
 }
 
+void Gateway::poolAsked(const std::string &Stager,
+                        const PoolQuestion &Question) {
+  Stagers[Stager] = {now(), Question.Sender.Region, Question.Pool};
+  if (!Base.Store.known() || !Routes)
+    return; // it asks again, or the store
+  PoolFacts Facts = factsAbout(Question.Pool);
+  Facts.Members = poolMembers(Servers, Question.Pool);
+  Base.send(Stager, PoolAnswer{std::move(Facts)});
+}
+
+PoolFacts Gateway::factsAbout(const std::string &Pool) const {
+  PoolFacts Facts = poolFacts(Routes->Content, Pool);
+  for (const auto &[Model, Version] : Declared)
+    Facts.Declared.push_back({Model, Version});
+  return Facts;
+}
+
+bool Gateway::caresFor(const std::string &Region) const {
+  if (Region == Settings.Process.Region)
+    return true;
+  const auto Live = Base.liveGateways();
+  return std::none_of(Live.begin(), Live.end(), [&](const auto &Each) {
+    return Base.Gateways.Records.at(Each.first).Listed.Region == Region;
+  });
+}
+
+void Gateway::tellStagers() {
+  if (!Routes)
+    return;
+  for (const auto &[Address, Stager] : Stagers)
+    if (!Stager.Pool.empty() && caresFor(Stager.Region))
+      Base.send(Address, PoolAnswer{factsAbout(Stager.Pool)});
+}
+
 double Gateway::retryReserve() const {
   return BudgetShare * Settings.RetryReserve /
          static_cast<double>(1 + OtherGateways);
@@ -520,10 +564,11 @@
     return;
   StagerStatusAt = Now;
   std::erase_if(Stagers, [&](const auto &Each) {
-    return Now - Each.second > StagerForgetAfter;
+    return Now - Each.second.Heard > StagerForgetAfter;
   });
-  for (const auto &[Address, Heard] : Stagers)
-    Base.send(Address, Status);
+  for (const auto &[Address, Stager] : Stagers)
+    if (caresFor(Stager.Region))
+      Base.send(Address, Status);
 }
 
 void Gateway::terminate() {
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/coordination/dispatch_queue.hpp"
 #include "marigoldyard/coordination/drain.hpp"
+#include "marigoldyard/coordination/pool_facts.hpp"
 #include "marigoldyard/coordination/retry.hpp"
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
@@ -110,6 +111,13 @@
   void versionChanged(const StoreItem &Item);
   void noteReadiness();
   void received(const Message &Incoming);
+  void engineStatus(const std::string &Stager, const EngineStatus &Status);
+  void poolAsked(const std::string &Stager, const PoolQuestion &Question);
+  PoolFacts factsAbout(const std::string &Pool) const;
+  /// Whether stagers of a region learn from this gateway: its own region, and
+  /// those without a gateway.
+  bool caresFor(const std::string &Region) const;
+  void tellStagers();
   void tick();
   void sendStatus();
   VersionNews versionNews() const;
@@ -132,8 +140,15 @@
   std::map<std::string, RetryBudget> Budgets; ///< by pool
   std::size_t OtherGateways = 0;              ///< live ones, for the budgets
   DrainState Departure;
-  bool WasReady = false;                    ///< as last logged
-  std::map<std::string, TimePoint> Stagers; ///< IP address, last heard
+  bool WasReady = false; ///< as last logged
+  /// A stager that sent a message lately.
+  struct KnownStager {
+    TimePoint Heard{};
+    std::string Region;
+    std::string Pool; ///< empty until it asks for facts
+  };
+  std::map<std::string, KnownStager> Stagers;    ///< by IP address
+  std::map<std::string, std::uint64_t> Declared; ///< versions, by model
   /// A declared version that servers need not have yet.
   struct PendingVersion {
     DeclaredVersion Declared;
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Keys that a gateway relays: versions and the configuration.
-constexpr std::string_view RelayPrefix = "op/";
 /// Pause between two watches: versions change rarely and are wanted at once.
 constexpr std::chrono::milliseconds StorePace{20};
 /// Longest pause between tries of a stager that knows no version; its server
@@ -20,14 +18,13 @@
 constexpr std::chrono::milliseconds FirstReadPause{600};
 /// Interval of status messages without a change.
 constexpr std::chrono::seconds StatusInterval{2};
-/// Interval of listings of the pool's servers; changes are also told by status
-/// messages of the servers' stagers.
-constexpr std::chrono::seconds PeersInterval{5};
-/// Longest wait of one watch, which bounds the delay of the news when a
-/// connection falls silent without a reset.
-constexpr std::chrono::milliseconds StoreWait{1500};
-/// Interval of tries to read the configuration until it is known.
-constexpr std::chrono::milliseconds ConfigurationInterval{500};
+/// The same to gateways of other regions: the links between regions are narrow
+/// and shared, and changes are told at once.
+constexpr std::chrono::seconds FarStatusInterval{6};
+/// Longest wait of one watch. Gateways tell a declared version too, so a
+/// connection that falls silent without a reset delays nothing, and each call
+/// of each stager is priced.
+constexpr std::chrono::milliseconds StoreWait{8000};
 /// Interval of checks of the settings file.
 constexpr std::chrono::seconds MaintenanceInterval{2};
 /// A member of a rollout without a report for this long is not counted: a few
@@ -35,18 +32,15 @@
 constexpr std::chrono::seconds RolloutDeadAfter{3};
 /// A member whose turn lasts this long is passed over: a drain and a load.
 constexpr std::chrono::milliseconds TurnTimeout{2500};
-/// A stager that is silent for this long is no source of pieces.
-constexpr std::chrono::seconds PeerForgetAfter{10};
-constexpr unsigned StatusOk = 200;
-constexpr std::uint64_t FirstVersion = 1;
 
 } // namespace
 
 Stager::Stager(StagerSettings Given, SettingsFile<StagerSettings> Source)
     : Settings(std::move(Given)), File(std::move(Source)),
       Base(Settings.Process, MemberKind::Endpoint,
-           {std::string(platform::versionKeys()), std::string(RelayPrefix),
-            StorePace, FirstReadPause, StoreWait}),
+           {std::string(platform::versionKeys()),
+            std::string(platform::versionKeys()), StorePace, FirstReadPause,
+            StoreWait}),
       EngineClient(Base.Context) {}
 
 std::optional<Error> Stager::start() {
@@ -80,15 +74,12 @@
     const auto Found = Items.find(Key);
     if (Found == Items.end())
       continue;
-    const platform::ItemKind Kind = platform::itemKind(Key);
-    if (Kind == platform::ItemKind::Configuration) {
-      configurationRead(Found->second.Value);
-    } else if (Kind == platform::ItemKind::ModelVersion) {
-      if (auto Version = platform::parseDeclaredVersion(Found->second.Value))
-        versionDeclared(*Version);
-      else
-        Base.Log.write("version_refused", Version.error());
-    }
+    if (platform::itemKind(Key) != platform::ItemKind::ModelVersion)
+      continue;
+    if (auto Version = platform::parseDeclaredVersion(Found->second.Value))
+      versionDeclared(*Version);
+    else
+      Base.Log.write("version_refused", Version.error());
   }
 }
 
@@ -113,25 +104,24 @@
                   {.DeadAfter = RolloutDeadAfter, .TurnTimeout = TurnTimeout});
   // The pieces of an earlier version are in memory already.
   State.SeededFromStage = !First && Newest->second.SeededFromStage;
-  dropUnpromising(State.Load); // ends the use of Newest
+  State.Manifest = beginManifestSearch({}, now(), Base.Source);
   Versions.insert_or_assign(Version, std::move(State));
-  readPeers();
-  if (Origin)
+  if (!OriginAddress.empty())
     readManifest(Versions.at(Version));
 }
 
 void Stager::dropUnpromising(LoadState &Newer) {
-  const TimePoint Now = now();
   std::erase_if(Versions, [&](const auto &Each) {
     const auto &[Older, State] = Each;
     if (Older.Model != Newer.Target.Model ||
+        Older.Version >= Newer.Target.Version ||
         State.Load.Stage != LoadStage::Fetching)
       return false;
     Newer.NewestSince = std::min(Newer.NewestSince, State.Load.NewestSince);
     TransferProgress Progress;
     if (State.Descriptor && Transfer)
       Progress = transferProgress(*Transfer, State.Descriptor->Id);
-    if (worthFinishing(State.Load, Progress, Now))
+    if (worthFinishing(State.Load, Progress, Newer.DeclaredAt))
       return false;
     Base.Log.write({.Event = "version_skipped",
                     .At = Step::ChunkRequest,
@@ -145,98 +135,6 @@
   });
 }
 
-void Stager::readConfiguration() {
-  ConfigurationAt = now() + ConfigurationInterval;
-  Base.Client.call(platform::listCall(addressText(Base.Settings.Store),
-                                      platform::configurationKey(), {}, true),
-                   [this](const HttpResult &Result) {
-                     const auto *Response = std::get_if<HttpResponse>(&Result);
-                     if (Response == nullptr || Response->Status != StatusOk)
-                       return;
-                     const auto Answer =
-                         platform::parseStoreAnswer(Response->Body);
-                     if (Answer && !Answer->Items.empty())
-                       configurationRead(Answer->Items.front().Value);
-                   });
-}
-
-void Stager::configurationRead(const std::string &Text) {
-  auto Parsed = platform::parseFleetConfiguration(Text);
-  if (!Parsed) {
-    Base.Log.write("configuration_refused", Parsed.error());
-    return;
-  }
-  if (!Parsed->Origin)
-    return;
-  Origin = std::move(Parsed->Origin);
-  const auto Region = Settings.Process.RegionOf.find(Origin->FailureDomain);
-  if (!Transfer)
-    makeTransferState(
-        Region == Settings.Process.RegionOf.end() ? "" : Region->second);
-  StreamsResume = std::all_of(
-      Parsed->Routes.begin(), Parsed->Routes.end(), [this](const Route &Each) {
-        const bool Here = std::any_of(
-            Each.Pools.begin(), Each.Pools.end(),
-            [this](const PoolShare &To) { return To.Pool == Settings.Pool; });
-        return !Here || Each.Repeats == RepeatRule::Resumable;
-      });
-  // Versions begin at 1; only later ones are declared.
-  if (const auto Pool = Parsed->Pools.find(Settings.Pool);
-      Pool != Parsed->Pools.end())
-    for (const std::string &Model : Pool->second.Models)
-      versionDeclared({Model, FirstVersion});
-  for (auto &[Version, State] : Versions)
-    if (!State.Descriptor)
-      readManifest(State);
-}
-
-void Stager::readPeers() {
-  PeersAt = now() + PeersInterval;
-  Base.Client.call(
-      platform::listCall(addressText(Base.Settings.Store),
-                         platform::serverKeys(), {}, true),
-      [this](const HttpResult &Result) {
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Response == nullptr || Response->Status != StatusOk)
-          return;
-        const auto Answer = platform::parseStoreAnswer(Response->Body);
-        if (!Answer)
-          return Base.Log.write("store_answer_invalid", Answer.error());
-        PeersKnown = true;
-        for (const StoreItem &Item : Answer->Items) {
-          const auto Record = platform::parseServerRecord(Item.Key, Item.Value);
-          if (!Record || !Record->Weights ||
-              hostOf(Record->Address) == Settings.Process.Address)
-            continue;
-          const auto Region =
-              Settings.Process.RegionOf.find(Record->FailureDomain);
-          const std::string Host = hostOf(Record->Address);
-          // A peer refuses requests of processes that it does not know.
-          if (!Peers.contains(Host))
-            Base.send(Host, Hello{Base.self()});
-          PeerState &Peer = Peers[Host];
-          Peer.Heard = now();
-          if (Region != Settings.Process.RegionOf.end())
-            Peer.Region = Region->second;
-        }
-        updateTransferMembers();
-      });
-}
-
-void Stager::updateTransferMembers() {
-  std::erase_if(Peers, [](const auto &Each) {
-    return now() - Each.second.Heard > PeerForgetAfter;
-  });
-  if (!Transfer)
-    return;
-  std::vector<TransferPeer> Members{
-      {Settings.Process.Address, Settings.Process.Region, false}};
-  for (const auto &[Address, Peer] : Peers)
-    Members.push_back({Address, Peer.Region, false});
-  transferMembers(*Transfer, Members, now(), PeersKnown);
-  PlanDue = true;
-}
-
 void Stager::received(const Message &Incoming) {
   const std::string &Peer = Incoming.Head.Sender;
   const Body &Content = Incoming.Content;
@@ -245,6 +143,8 @@
   if (std::holds_alternative<DescriptorRequest>(Content) ||
       std::holds_alternative<DescriptorReply>(Content))
     return descriptorMessage(Peer, Content);
+  if (const auto *Answer = std::get_if<PoolAnswer>(&Content))
+    return useFacts(Answer->Facts);
   if (const auto *Greeting = std::get_if<Hello>(&Content))
     return peerHeard(Peer, Greeting->Sender.Region);
   if (!Transfer)
@@ -295,15 +195,26 @@
   return Status;
 }
 
-void Stager::announceStatus() {
+void Stager::announceStatus(bool Everywhere) {
   if (!Report)
     return;
-  StatusAt = now() + StatusInterval;
+  const TimePoint Now = now();
+  StatusAt = Now + StatusInterval;
+  if (Everywhere)
+    FarStatusAt = Now + FarStatusInterval;
   const EngineStatus Status = ownStatus();
-  for (const std::string &Gateway : Base.gatewayAddresses())
-    Base.send(Gateway, Status);
+  for (const std::string &Gateway : Base.gatewayAddresses()) {
+    const auto Known = Base.Gateways.Records.find(Gateway);
+    const bool Far = Known != Base.Gateways.Records.end() &&
+                     Known->second.Described &&
+                     Known->second.Listed.Region != Settings.Process.Region;
+    if (Everywhere || !Far)
+      Base.send(Gateway, Status);
+  }
+  // Servers of one region take turns, so others need no status.
   for (const auto &[Address, Peer] : Peers)
-    Base.send(Address, Status);
+    if (Peer.Region == Settings.Process.Region)
+      Base.send(Address, Status);
 }
 
 void Stager::announceLoad() {
@@ -325,15 +236,12 @@
 void Stager::tick() {
   const TimePoint Now = now();
   readReport();
-  if (!Origin && Now >= ConfigurationAt)
-    readConfiguration();
-  if (Now >= PeersAt)
-    readPeers();
+  askGateways();
   if (Now >= StatusAt)
-    announceStatus();
+    announceStatus(Now >= FarStatusAt);
   dropSuperseded();
   for (auto &[Version, State] : Versions)
-    if (Origin && !State.Descriptor && Now >= State.ManifestAt)
+    if (!OriginAddress.empty() && !State.Descriptor)
       readManifest(State);
   plan();
   stepVersions();
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/coordination/load_plan.hpp"
+#include "marigoldyard/coordination/manifest_search.hpp"
 #include "marigoldyard/coordination/rollout.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
 #include "platform/engine_format.hpp"
@@ -40,9 +41,7 @@
   struct VersionState {
     LoadState Load;
     std::optional<VersionDescriptor> Descriptor;
-    bool ManifestAsked = false; ///< a call or a question is out
-    TimePoint ManifestAt{};     ///< when it is asked for next
-    std::size_t ManifestFailures = 0;
+    ManifestSearch Manifest;
     bool SeededFromStage = false; ///< the staging area was read after a start
     std::vector<std::size_t> ToSeed; ///< staged pieces to be read at the start
     bool StageCallOut = false;
@@ -64,6 +63,11 @@
   void versionDeclared(const DeclaredVersion &Version);
   /// Forgets older versions whose pieces would only delay a newer one.
   void dropUnpromising(LoadState &Newer);
+  /// Asks gateways of the own region for the facts about the pool.
+  void askGateways();
+  void useFacts(const PoolFacts &Facts);
+  void usePeer(const std::string &Host, const std::string &Region);
+  /// Without a gateway that answers, the store is read.
   void readConfiguration();
   void configurationRead(const std::string &Text);
   void readPeers();
@@ -75,9 +79,7 @@
   // Transfer.
   void makeTransferState(const std::string &StoreRegion);
   void readManifest(VersionState &State);
-  /// Asks a reader of the origin for a manifest.
-  /// @return false when the origin is to be read instead
-  bool askReaders(VersionState &State);
+  void readOrigin(const VersionState &State);
   void manifestKnown(const DeclaredVersion &Target,
                      VersionDescriptor Descriptor);
   void wantVersion(VersionState &State);
@@ -110,7 +112,8 @@
   EngineStatus ownStatus() const;
   /// Tells the gateways of the own region a changed load.
   void announceLoad();
-  void announceStatus();
+  /// @param Everywhere also tells gateways of other regions
+  void announceStatus(bool Everywhere);
   VersionState *findVersion(const DeclaredVersion &Target);
 
   void tick();
@@ -119,8 +122,9 @@
   StagerSettings Settings;
   SettingsFile<StagerSettings> File;
   FleetNode Base;
-  HttpClient EngineClient; ///< kept apart so that origin calls never wait
-  std::optional<WeightOrigin> Origin;
+  HttpClient EngineClient;   ///< kept apart so that origin calls never wait
+  std::string OriginAddress; ///< empty until it is known
+  Revision FactsNumber = 0;  ///< of the configuration of the facts
   std::map<DeclaredVersion, VersionState> Versions; ///< older ones first
   std::map<std::string, PeerState> Peers;           ///< by IP address
   std::optional<TransferState> Transfer;
@@ -136,6 +140,9 @@
   TimePoint StartedAt{};
   TimePoint ReportAt{};
   TimePoint StatusAt{};
+  TimePoint FarStatusAt{};
+  TimePoint AskAt{};   ///< gateways are asked next
+  TimePoint FactsAt{}; ///< a gateway answered last
   TimePoint PeersAt{};
   bool PeersKnown = false; ///< listed at least once
   TimePoint ConfigurationAt{};
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -82,7 +82,7 @@
   }
   stepVersions();
   if (Changed)
-    announceStatus();
+    announceStatus(true);
   else
     announceLoad();
 }
@@ -324,14 +324,14 @@
       break;
     case LoadStage::Announced:
       Accepting = false;
-      announceStatus();
+      announceStatus(true);
       break;
     case LoadStage::Loading:
       giveOrder(State);
       break;
     case LoadStage::Serving:
       Accepting = true;
-      announceStatus();
+      announceStatus(true);
       break;
     case LoadStage::Fetching:
     case LoadStage::Waiting:
--- /dev/null
+++ b/programs/stager/stager_facts.cpp
@@ -0,0 +1,170 @@
+// What a stager learns of its pool, from gateways or from the store.
+#include "marigoldyard/coordination/pool_facts.hpp"
+#include "marigoldyard/transport/clock.hpp"
+#include "platform/store_format.hpp"
+#include "programs/stager/stager.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Interval of questions to a gateway; changes between them are also told by
+/// status messages of the servers' stagers.
+constexpr std::chrono::seconds AskInterval{5};
+/// The same while the last question is not answered.
+constexpr std::chrono::milliseconds AskAgain{600};
+/// The same until the first answer: the server cannot serve before.
+constexpr std::chrono::milliseconds FirstAskAgain{100};
+/// Gateways asked at once until the first answer, since seeds may be down.
+constexpr std::size_t FirstAsked = 3;
+/// Wait for the first answer of a gateway before the store is read.
+constexpr std::chrono::milliseconds FirstFactsWait{350};
+/// Silence of all gateways after which the store is read again: some questions.
+constexpr std::chrono::seconds FactsLapse{8};
+/// Interval of listings of the servers in the store.
+constexpr std::chrono::seconds PeersInterval{5};
+/// Interval of tries to read the configuration until it is known.
+constexpr std::chrono::milliseconds ConfigurationInterval{500};
+/// A stager that is silent for this long is no source of pieces.
+constexpr std::chrono::seconds PeerForgetAfter{10};
+constexpr unsigned StatusOk = 200;
+constexpr std::uint64_t FirstVersion = 1;
+
+} // namespace
+
+void Stager::askGateways() {
+  const TimePoint Now = now();
+  const bool Told = FactsAt != TimePoint{};
+  const bool Silent =
+      Told ? Now - FactsAt > FactsLapse : Now - StartedAt > FirstFactsWait;
+  if (Silent && OriginAddress.empty() && Now >= ConfigurationAt)
+    readConfiguration();
+  if (Silent && Now >= PeersAt)
+    readPeers();
+  if (Now < AskAt)
+    return;
+  AskAt = Now + (Told ? AskAgain : FirstAskAgain);
+  std::vector<std::string> Near;
+  for (const auto &[Address, Gateway] : Base.liveGateways())
+    if (Base.Gateways.Records.at(Address).Listed.Region ==
+        Settings.Process.Region)
+      Near.push_back(Address);
+  if (Near.empty()) {
+    const std::set<std::string> All = Base.gatewayAddresses();
+    Near.assign(All.begin(), All.end());
+  }
+  std::shuffle(Near.begin(), Near.end(), Base.Source);
+  Near.resize(std::min(Near.size(), Told ? 1 : FirstAsked));
+  for (const std::string &Gateway : Near)
+    Base.send(Gateway, PoolQuestion{Base.self(), Settings.Pool});
+}
+
+void Stager::useFacts(const PoolFacts &Facts) {
+  if (Facts.Pool != Settings.Pool)
+    return;
+  if (!Facts.Members.empty()) {
+    FactsAt = now();
+    AskAt = FactsAt + AskInterval;
+    PeersKnown = true;
+    for (const PoolMember &Member : Facts.Members)
+      usePeer(hostOf(Member.Address), Member.Region);
+    updateTransferMembers();
+  }
+  // A gateway that the store turns away may know an older configuration.
+  if (Facts.Number >= FactsNumber && !Facts.OriginAddress.empty()) {
+    FactsNumber = Facts.Number;
+    OriginAddress = Facts.OriginAddress;
+    StreamsResume = Facts.StreamsResume;
+    const auto Region =
+        Settings.Process.RegionOf.find(Facts.OriginFailureDomain);
+    if (!Transfer)
+      makeTransferState(
+          Region == Settings.Process.RegionOf.end() ? "" : Region->second);
+    // Versions begin at 1; only later ones are declared.
+    for (const std::string &Model : Facts.Models)
+      versionDeclared({Model, FirstVersion});
+  }
+  for (const LoadedWeights &Each : Facts.Declared)
+    versionDeclared({Each.Model, Each.Version});
+}
+
+void Stager::usePeer(const std::string &Host, const std::string &Region) {
+  if (Host == Settings.Process.Address)
+    return;
+  // A peer refuses requests of processes that it does not know.
+  if (!Peers.contains(Host))
+    Base.send(Host, Hello{Base.self()});
+  PeerState &Peer = Peers[Host];
+  Peer.Heard = now();
+  if (!Region.empty())
+    Peer.Region = Region;
+}
+
+void Stager::readConfiguration() {
+  ConfigurationAt = now() + ConfigurationInterval;
+  Base.Client.call(platform::listCall(addressText(Base.Settings.Store),
+                                      platform::configurationKey(), {}, true),
+                   [this](const HttpResult &Result) {
+                     const auto *Response = std::get_if<HttpResponse>(&Result);
+                     if (Response == nullptr || Response->Status != StatusOk)
+                       return;
+                     const auto Answer =
+                         platform::parseStoreAnswer(Response->Body);
+                     if (Answer && !Answer->Items.empty())
+                       configurationRead(Answer->Items.front().Value);
+                   });
+}
+
+void Stager::configurationRead(const std::string &Text) {
+  auto Parsed = platform::parseFleetConfiguration(Text);
+  if (!Parsed) {
+    Base.Log.write("configuration_refused", Parsed.error());
+    return;
+  }
+  useFacts(poolFacts(*Parsed, Settings.Pool));
+}
+
+void Stager::readPeers() {
+  PeersAt = now() + PeersInterval;
+  Base.Client.call(
+      platform::listCall(addressText(Base.Settings.Store),
+                         platform::serverKeys(), {}, true),
+      [this](const HttpResult &Result) {
+        const auto *Response = std::get_if<HttpResponse>(&Result);
+        if (Response == nullptr || Response->Status != StatusOk)
+          return;
+        const auto Answer = platform::parseStoreAnswer(Response->Body);
+        if (!Answer)
+          return Base.Log.write("store_answer_invalid", Answer.error());
+        PeersKnown = true;
+        for (const StoreItem &Item : Answer->Items) {
+          const auto Record = platform::parseServerRecord(Item.Key, Item.Value);
+          if (!Record || !Record->Weights)
+            continue;
+          const auto Region =
+              Settings.Process.RegionOf.find(Record->FailureDomain);
+          usePeer(hostOf(Record->Address),
+                  Region == Settings.Process.RegionOf.end() ? std::string()
+                                                            : Region->second);
+        }
+        updateTransferMembers();
+      });
+}
+
+void Stager::updateTransferMembers() {
+  std::erase_if(Peers, [](const auto &Each) {
+    return now() - Each.second.Heard > PeerForgetAfter;
+  });
+  if (!Transfer)
+    return;
+  std::vector<TransferPeer> Members{
+      {Settings.Process.Address, Settings.Process.Region, false}};
+  for (const auto &[Address, Peer] : Peers)
+    Members.push_back({Address, Peer.Region, false});
+  transferMembers(*Transfer, Members, now(), PeersKnown);
+  PlanDue = true;
+}
+
+} // namespace marigoldyard
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -11,9 +11,6 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-/// First pause after a failed read of a manifest; it grows with each failure.
-constexpr std::chrono::milliseconds ManifestRetry{200};
-constexpr std::size_t MaxManifestPauses = 5;
 constexpr std::uint64_t BitsPerByte = 8;
 /// Wait for the maps of peers: some round trips, and longer after the start.
 constexpr Duration MapWait = std::chrono::milliseconds(80);
@@ -29,11 +26,6 @@
 /// Enough to use the origin's whole link, which is as narrow as that of one
 /// machine, and few enough for its slots and connections.
 constexpr std::size_t MaxStoreReaders = 6;
-/// Interval of questions for a manifest to those that read it from the origin.
-constexpr std::chrono::milliseconds ManifestAskInterval{120};
-/// Time after which a stager that got no manifest from a peer reads the
-/// origin itself: some questions.
-constexpr std::chrono::milliseconds ManifestPeerWait{900};
 
 /// A version has seconds to reach all machines, so stalls are noticed within a
 /// fraction of that.
@@ -76,21 +68,35 @@
 }
 
 void Stager::readManifest(VersionState &State) {
-  if (State.ManifestAsked)
+  const std::vector<std::string> Readers = storeReaders(*Transfer);
+  const bool Reader =
+      PeersKnown && std::find(Readers.begin(), Readers.end(),
+                              Settings.Process.Address) != Readers.end();
+  switch (nextManifestAction(State.Manifest, Reader, now())) {
+  case ManifestAction::Wait:
     return;
-  const DeclaredVersion Target = State.Load.Target;
-  if (askReaders(State))
+  case ManifestAction::AskReader:
+    if (PeersKnown && !Readers.empty())
+      Base.send(Readers[Base.Source() % Readers.size()],
+                DescriptorRequest{State.Load.Target.Model,
+                                  State.Load.Target.Version});
     return;
-  State.ManifestAsked = true;
+  case ManifestAction::ReadOrigin:
+    return readOrigin(State);
+  }
+}
+
+void Stager::readOrigin(const VersionState &State) {
+  const DeclaredVersion Target = State.Load.Target;
   // A peer may know what the origin does not tell now.
-  if (State.ManifestFailures > 0 && !Peers.empty()) {
+  if (State.Manifest.Failures > 0 && !Peers.empty()) {
     auto Peer = Peers.begin();
     std::advance(Peer,
                  static_cast<std::ptrdiff_t>(Base.Source() % Peers.size()));
     Base.send(Peer->first, DescriptorRequest{Target.Model, Target.Version});
   }
   Base.Client.call(
-      platform::manifestCall(Origin->Address, Target),
+      platform::manifestCall(OriginAddress, Target),
       [this, Target](const HttpResult &Result) {
         const auto *Response = std::get_if<HttpResponse>(&Result);
         if (Response == nullptr)
@@ -106,31 +112,12 @@
       });
 }
 
-bool Stager::askReaders(VersionState &State) {
-  const TimePoint Now = now();
-  if (Now - State.Load.DeclaredAt > ManifestPeerWait)
-    return false;
-  const std::vector<std::string> Readers = storeReaders(*Transfer);
-  if (PeersKnown && std::find(Readers.begin(), Readers.end(),
-                              Settings.Process.Address) != Readers.end())
-    return false;
-  State.ManifestAt = Now + ManifestAskInterval;
-  if (!Readers.empty() && PeersKnown)
-    Base.send(
-        Readers[Base.Source() % Readers.size()],
-        DescriptorRequest{State.Load.Target.Model, State.Load.Target.Version});
-  return true;
-}
-
 void Stager::manifestFailed(const DeclaredVersion &Target,
                             const std::string &Cause) {
   VersionState *State = findVersion(Target);
   if (State == nullptr)
     return;
-  ++State->ManifestFailures;
-  State->ManifestAsked = false;
-  State->ManifestAt = now() + ManifestRetry * std::min(State->ManifestFailures,
-                                                       MaxManifestPauses);
+  manifestReadFailed(State->Manifest, now());
   Base.Log.write({.Level = LogLevel::Warning,
                   .Event = "manifest_failed",
                   .At = Step::DescriptorFetch,
@@ -145,9 +132,10 @@
   VersionState *State = findVersion(Target);
   if (State == nullptr)
     return;
-  State->ManifestAsked = false;
+  State->Manifest.Reading = false;
   if (State->Descriptor)
     return;
+  dropUnpromising(State->Load);
   for (std::size_t Index = 0; Index < Descriptor.Chunks.size(); ++Index)
     Places[Descriptor.Chunks[Index].Id] = {Target, Index};
   State->Descriptor = std::move(Descriptor);
@@ -255,13 +243,13 @@
 
 void Stager::drawChunk(const Digest &Chunk) {
   const auto Place = Places.find(Chunk);
-  if (Place == Places.end() || !Origin) {
+  if (Place == Places.end() || OriginAddress.empty()) {
     storeFailed(*Transfer, Chunk, Duration::zero(), now());
     return;
   }
   const auto &[Version, Index] = Place->second;
   Base.Client.call(
-      platform::pieceCall(Origin->Address, Version, Index),
+      platform::pieceCall(OriginAddress, Version, Index),
       [this, Chunk](HttpResult Result) {
         PlanDue = true;
         auto *Response = std::get_if<HttpResponse>(&Result);
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -74,10 +74,10 @@
 }
 
 bool worthFinishing(const LoadState &State, const TransferProgress &Progress,
-                    TimePoint Now) {
+                    TimePoint NewerDeclaredAt) {
   const auto SkipUntil = std::chrono::duration_cast<Duration>(
       State.Settings.VersionLimit * State.Settings.SkipShare);
-  if (Now - State.NewestSince > SkipUntil)
+  if (NewerDeclaredAt - State.NewestSince > SkipUntil)
     return true;
   return Progress.Chunks > 0 &&
          static_cast<double>(Progress.Near) >=
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -82,6 +82,7 @@
         self.lock = threading.Condition()
         self.items, self.removed, self.revision = {}, {}, 10
         self.host, self.turned_away, self.silent, self.doors = host, set(), set(), {}
+        self.calls = []  # client and path with query
         super().__init__(host, STORE_PORT)
 
     def address_for(self, client):
@@ -115,6 +116,7 @@
 
     def handle(self, request):
         client = request.server.server_address[1] - STORE_PORT
+        self.calls.append((client, request.path))
         if client in self.silent:
             time.sleep(10)
             return request.cut()
@@ -278,6 +280,7 @@
 
     def __init__(self, host):
         self.sent, self.down, self.corrupt = 0, False, 0
+        self.limit = None  # pieces that it sends before it goes down
         super().__init__(host, ORIGIN_PORT)
 
     def handle(self, request):
@@ -290,6 +293,11 @@
             digests = [hashlib.sha256(piece(model, version, i)).hexdigest() for i in range(PIECES)]
             return request.answer(200, {"model": model, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 4,
                                         "digests": digests})
+        if self.limit == 0:
+            self.down = True
+            return request.cut()
+        if self.limit is not None:
+            self.limit -= 1
         self.sent += 1
         if self.corrupt > 0:
             self.corrupt -= 1
