--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -83,6 +83,7 @@
         self.items, self.removed, self.revision = {}, {}, 10
         self.host, self.turned_away, self.silent, self.doors = host, set(), set(), {}
         self.calls = []  # client and path with query
+        self.forgotten = 0  # revision up to which the history is lost
         super().__init__(host, STORE_PORT)
 
     def address_for(self, client):
@@ -130,6 +131,8 @@
                 found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
                 return request.answer(200, {"items": found, "truncated": False, "store_revision": self.revision})
             after = int(fields["after"])
+            if after < self.forgotten:
+                return request.answer(410, {})
 
             def events():
                 changed = list(self.items.values()) + list(self.removed.values())
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -100,5 +100,6 @@
 
     def close(self):
         self.closed = True
+        self.listener.shutdown(socket.SHUT_RDWR)  # ends accept, which keeps the port otherwise
         self.listener.close()
         self.reset_all()
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -296,6 +296,33 @@
   }
 }
 
+TEST_CASE("failed draws of an earlier version precede those of a later one") {
+  TransferState State = agentWith({});
+  State.Settings.MaxStoreFetches = 1;
+  State.Settings.BufferBytes = 0;
+  chunkReceived(State, "v1", "", true, Start);
+  descriptorKnown(State, One, Start);
+  const auto First = plan<FetchFromStore>(State, Start);
+  REQUIRE(First.size() == 1);
+  // The store goes away while the later version becomes known.
+  wantVersions(State, {"v1", "v2"}, Start + std::chrono::seconds(1));
+  chunkReceived(State, "v2", "", true, Start + std::chrono::seconds(1));
+  VersionDescriptor Later{"v2", "m", "2", {}};
+  for (int Index = 0; Index < 8; ++Index)
+    Later.Chunks.push_back({"later-" + std::to_string(Index), 100});
+  descriptorKnown(State, Later, Start + std::chrono::seconds(1));
+  storeFailed(State, First[0].Chunk, {}, Start + std::chrono::seconds(1));
+  std::set<Digest> Drawn;
+  for (int Second = 10; Second < 12; ++Second)
+    for (const FetchFromStore &Draw : plan<FetchFromStore>(
+             State, Start + std::chrono::seconds(Second))) {
+      Drawn.insert(Draw.Chunk);
+      chunkReceived(State, Draw.Chunk, "", true,
+                    Start + std::chrono::seconds(Second));
+    }
+  CHECK(Drawn == std::set<Digest>{"a", "b"});
+}
+
 TEST_CASE("the progress of a version counts own chunks and those of peers") {
   TransferState State = agentWith({{"peer", "r0"}});
   CHECK(transferProgress(State, "v1").Chunks == 0);
