--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -236,7 +236,7 @@
 void Stager::tick() {
   const TimePoint Now = now();
   readReport();
-  askGateways();
+  learnFacts();
   if (Now >= StatusAt)
     announceStatus(Now >= FarStatusAt);
   dropSuperseded();
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -63,11 +63,13 @@
   void versionDeclared(const DeclaredVersion &Version);
   /// Forgets older versions whose pieces would only delay a newer one.
   void dropUnpromising(LoadState &Newer);
-  /// Asks gateways of the own region for the facts about the pool.
-  void askGateways();
+  /// Learns the facts about the pool from gateways, or from the store while
+  /// none answers.
+  void learnFacts();
+  /// @param Told whether one answered since the start
+  void askGateways(bool Told);
   void useFacts(const PoolFacts &Facts);
   void usePeer(const std::string &Host, const std::string &Region);
-  /// Without a gateway that answers, the store is read.
   void readConfiguration();
   void configurationRead(const std::string &Text);
   void readPeers();
@@ -143,6 +145,7 @@
   TimePoint FarStatusAt{};
   TimePoint AskAt{};   ///< gateways are asked next
   TimePoint FactsAt{}; ///< a gateway answered last
+  bool GatewaysSilent = false;
   TimePoint PeersAt{};
   bool PeersKnown = false; ///< listed at least once
   TimePoint ConfigurationAt{};
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -5,6 +5,7 @@
 #include "programs/stager/stager.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -34,18 +35,26 @@
 
 } // namespace
 
-void Stager::askGateways() {
+void Stager::learnFacts() {
   const TimePoint Now = now();
   const bool Told = FactsAt != TimePoint{};
   const bool Silent =
       Told ? Now - FactsAt > FactsLapse : Now - StartedAt > FirstFactsWait;
+  if (Silent != std::exchange(GatewaysSilent, Silent))
+    Base.Log.write({.Level = Silent ? LogLevel::Warning : LogLevel::Info,
+                    .Event = Silent ? "gateways_silent" : "gateways_answer",
+                    .At = Step::MemberList,
+                    .Number = FactsNumber});
   if (Silent && OriginAddress.empty() && Now >= ConfigurationAt)
     readConfiguration();
   if (Silent && Now >= PeersAt)
     readPeers();
-  if (Now < AskAt)
-    return;
-  AskAt = Now + (Told ? AskAgain : FirstAskAgain);
+  if (Now >= AskAt)
+    askGateways(Told);
+}
+
+void Stager::askGateways(bool Told) {
+  AskAt = now() + (Told ? AskAgain : FirstAskAgain);
   std::vector<std::string> Near;
   for (const auto &[Address, Gateway] : Base.liveGateways())
     if (Base.Gateways.Records.at(Address).Listed.Region ==
@@ -74,6 +83,14 @@
   }
   // A gateway that the store turns away may know an older configuration.
   if (Facts.Number >= FactsNumber && !Facts.OriginAddress.empty()) {
+    if (Facts.Number > FactsNumber)
+      Base.Log.write(
+          {.Event = "pool_facts",
+           .At = Step::ConfigurationAccept,
+           .Number = Facts.Number,
+           .Fields = {{"origin", Facts.OriginAddress},
+                      {"peers", std::to_string(Peers.size())},
+                      {"resumable", Facts.StreamsResume ? "yes" : "no"}}});
     FactsNumber = Facts.Number;
     OriginAddress = Facts.OriginAddress;
     StreamsResume = Facts.StreamsResume;
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -55,7 +55,9 @@
   Result.BanTime = std::chrono::seconds(5);
   Result.NotYetRetry = std::chrono::milliseconds(150);
   Result.StoreBackoff = std::chrono::milliseconds(150);
-  Result.StoreBackoffMax = std::chrono::milliseconds(600);
+  // Six readers ask a few times a second, so that an origin that returns is
+  // used at once.
+  Result.StoreBackoffMax = std::chrono::milliseconds(300);
   Result.StandbyInterval = std::chrono::milliseconds(150);
   return Result;
 }
