Read the store sooner when no gateway answers a starting stager

The first connection to a gateway that starts in the same moment is lost and repeated a second later.

Change: the wait is 0.12 s. A process case covers stagers without gateways, which no test did.

Ruled out: slow gateways (ready 0.1 to 0.4 s after the first start) and manifests (known 0.02 s after the pool).

--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -20,8 +20,9 @@
 constexpr std::chrono::milliseconds FirstAskAgain{100};
 /// Gateways asked at once until the first answer, since seeds may be down.
 constexpr std::size_t FirstAsked = 3;
-/// Wait for the first answer of a gateway before the store is read.
-constexpr std::chrono::milliseconds FirstFactsWait{350};
+/// Wait for the first answer of a gateway before the store is read: some round
+/// trips. When a whole fleet starts, the first connections fail.
+constexpr std::chrono::milliseconds FirstFactsWait{120};
 /// Silence of all gateways after which the store is read again: some questions.
 constexpr std::chrono::seconds FactsLapse{8};
 /// Interval of listings of the servers in the store.
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -386,6 +386,25 @@
         fleet.store.turned_away.difference_update(hosts)
 
 
+def case_no_gateway_answers(fleet):
+    """a stager that no gateway answers learns its pool and versions from the store"""
+    stop_stagers(fleet)
+    gateways = [daemon for daemon in fleet.gateways if daemon.process.poll() is None]
+    for gateway in gateways:
+        gateway.process.send_signal(signal.SIGSTOP)
+    try:
+        stagers = [fleet.stager(server) for server in fleet.engines]
+        wait_for(lambda: all('"pool_facts"' in s.log_text() for s in stagers), "the stagers know the pool", timeout=5)
+        check(all('"gateways_silent"' in s.log_text() for s in stagers), "they say that gateways are silent")
+        newest = max(next(iter(server.models.values())) for server in fleet.engines) + 1
+        fleet.store.put("op/version/m", {"model": "m", "version": newest})
+        wait_for(lambda: all(server.models == {"m": newest} for server in fleet.engines),
+                 "the version is loaded everywhere", timeout=8)
+    finally:
+        for gateway in gateways:
+            gateway.process.send_signal(signal.SIGCONT)
+
+
 class PeerFlood:
     """Peers that send a process valid messages until the end of the block."""
 
@@ -426,7 +445,7 @@
          case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_removed_meanwhile, case_directory,
          case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights,
          case_overtaken, case_nearly_complete, case_stager_facts,
-         case_end_in_flood]
+         case_no_gateway_answers, case_end_in_flood]
 
 
 def main():
