Keep periodic status messages of stagers in their region

Cause, found on reading the code again: stagers knew gateways of other regions by address only, so these counted as near and got each status message every 2 s, against what the comment says.

Change: gateways count as near when they were heard and are of the own region; without any, all are told. Questions for facts choose among the same.

--- a/include/marigoldyard/coordination/pool_facts.hpp
+++ b/include/marigoldyard/coordination/pool_facts.hpp
@@ -3,7 +3,6 @@
 #include "marigoldyard/coordination/server_table.hpp"
 #include "marigoldyard/state/fleet.hpp"
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -203,14 +203,11 @@
   if (Everywhere)
     FarStatusAt = Now + FarStatusInterval;
   const EngineStatus Status = ownStatus();
-  for (const std::string &Gateway : Base.gatewayAddresses()) {
-    const auto Known = Base.Gateways.Records.find(Gateway);
-    const bool Far = Known != Base.Gateways.Records.end() &&
-                     Known->second.Described &&
-                     Known->second.Listed.Region != Settings.Process.Region;
-    if (Everywhere || !Far)
-      Base.send(Gateway, Status);
-  }
+  std::set<std::string> Gateways = gatewaysOfRegion();
+  if (Everywhere || Gateways.empty())
+    Gateways = Base.gatewayAddresses();
+  for (const std::string &Gateway : Gateways)
+    Base.send(Gateway, Status);
   // Servers of one region take turns, so others need no status.
   for (const auto &[Address, Peer] : Peers)
     if (Peer.Region == Settings.Process.Region)
@@ -223,9 +220,16 @@
     return;
   LoadTold = Load;
   const EngineStatus Status = ownStatus();
+  for (const std::string &Gateway : gatewaysOfRegion())
+    Base.send(Gateway, Status);
+}
+
+std::set<std::string> Stager::gatewaysOfRegion() const {
+  std::set<std::string> Result;
   for (const auto &[Address, Gateway] : Base.Gateways.Records)
     if (Gateway.Described && Gateway.Listed.Region == Settings.Process.Region)
-      Base.send(Address, Status);
+      Result.insert(Address);
+  return Result;
 }
 
 Stager::VersionState *Stager::findVersion(const DeclaredVersion &Target) {
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -114,6 +114,8 @@
   EngineStatus ownStatus() const;
   /// Tells the gateways of the own region a changed load.
   void announceLoad();
+  /// Gateways of the own region that were heard.
+  std::set<std::string> gatewaysOfRegion() const;
   /// @param Everywhere also tells gateways of other regions
   void announceStatus(bool Everywhere);
   VersionState *findVersion(const DeclaredVersion &Target);
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -56,18 +56,13 @@
 
 void Stager::askGateways(bool Told) {
   AskAt = now() + (Told ? AskAgain : FirstAskAgain);
-  std::vector<std::string> Near;
-  for (const auto &[Address, Gateway] : Base.liveGateways())
-    if (Base.Gateways.Records.at(Address).Listed.Region ==
-        Settings.Process.Region)
-      Near.push_back(Address);
-  if (Near.empty()) {
-    const std::set<std::string> All = Base.gatewayAddresses();
-    Near.assign(All.begin(), All.end());
-  }
-  std::shuffle(Near.begin(), Near.end(), Base.Source);
-  Near.resize(std::min(Near.size(), Told ? 1 : FirstAsked));
-  for (const std::string &Gateway : Near)
+  std::set<std::string> Known = gatewaysOfRegion();
+  if (Known.empty())
+    Known = Base.gatewayAddresses();
+  std::vector<std::string> Chosen(Known.begin(), Known.end());
+  std::shuffle(Chosen.begin(), Chosen.end(), Base.Source);
+  Chosen.resize(std::min(Chosen.size(), Told ? 1 : FirstAsked));
+  for (const std::string &Gateway : Chosen)
     Base.send(Gateway, PoolQuestion{Base.self(), Settings.Pool});
 }
 
