Withdraw continued streams before the bound of a version too

A stream whose server crashed continued at another server on version 3 and waited there 0.7 s; it began 10.36 s after version 4 was acknowledged (bound 10.3 s). A gateway withdraws requests that wait at a server before the bound, but left continued streams out.

Change: continued streams are withdrawn like all others.

Ruled out: late news of version 4 (the first request of the same stream was withdrawn in time).

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -273,8 +273,9 @@
   const platform::RequestMessage Outgoing =
       platform::buildServerRequest(Request, Content);
   ExchangeLimits Limits = exchangeLimits();
-  // A request that waits at a server must not begin on an outdated version.
-  if (auto Until = Owner.beginUntil(Id, Facts.Model); Until && !HeadPassed)
+  // A request that waits at a server must not begin on an outdated version; a
+  // stream that continues there begins too.
+  if (auto Until = Owner.beginUntil(Id, Facts.Model))
     Limits.FirstByte =
         std::min(Limits.FirstByte, std::max(Duration::zero(), *Until - now()));
   ExchangeResult Result =
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -16,6 +16,8 @@
 # A stager has nothing to drain; the platform ends it eight seconds after the signal.
 END_LIMIT_S = 4
 FLOOD_ROUNDS = 30
+# As in the settings of the processes, from the users' sites.
+VERSION_LIMIT_S = 8
 # A few of the watches that stagers made before gateways told them versions.
 STORE_QUIET_S = 5
 
@@ -405,6 +407,28 @@
             gateway.process.send_signal(signal.SIGCONT)
 
 
+def case_continued_stream_bound(fleet):
+    """a stream that continues at another server is withdrawn there before the bound of a newer version"""
+    stop_stagers(fleet)
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", resume_streams=True,
+                                     target_gap_ms=300, target_latency_ms=1000, timeout_ms=6000)])
+    older = max(next(iter(server.models.values())) for server in fleet.engines)
+    for server in fleet.engines:
+        server.models = {"m": older}
+        server.register()
+        server.gone.clear()
+    time.sleep(1)
+    for server in fleet.engines:
+        server.behaviours = [lambda r, s=server: s.hang(r) if r.headers.get("Last-Event-Id")
+                             else s.stream(8, stop_after=3)(r)] * 2
+    fleet.store.put("op/version/m", {"model": "m", "version": older + 1})
+    declared = time.monotonic()
+    time.sleep(VERSION_LIMIT_S - 2)
+    call(fleet.gateways[0], "/stream/1", "POST", b"p", headers={"Deadline-Ms": "6000"})
+    gone = wait_for(lambda: [at for server in fleet.engines for at in server.gone], "it left the other server", timeout=3)
+    check(gone[0] - declared < VERSION_LIMIT_S, f"withdrawn {gone[0] - declared:.2f} s after the declaration")
+
+
 class PeerFlood:
     """Peers that send a process valid messages until the end of the block."""
 
@@ -445,7 +469,7 @@
          case_caller_leaves, case_draining, case_foreign_record, case_configuration, case_turned_away, case_removed_meanwhile, case_directory,
          case_no_configuration, case_start_in_silence, case_terminate, case_log_reader, case_versions, case_lost_weights,
          case_overtaken, case_nearly_complete, case_stager_facts,
-         case_no_gateway_answers, case_end_in_flood]
+         case_no_gateway_answers, case_end_in_flood, case_continued_stream_bound]
 
 
 def main():
