--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,7 +26,7 @@
 
     def __init__(self, world, store, name, host, pool, models=None):
         self.world, self.faults, self.rng = world, [], random.Random(f"{world.seed}-{name}")
-        self.runs, self.arrived, self.left_at = {}, [], None
+        self.arrived = []
         self.proxy = None
         super().__init__(store, name, host, pool, models)
 
