Share the case runner of the tests on the platform's stand-ins

Change: run_cases and forget move from test_platform.py to platform_fleet.py. Cases and checks stay as they are.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts"))
@@ -435,3 +436,27 @@
 def check(condition, what):
     if not condition:
         raise FleetError("check failed: " + what)
+
+
+def forget(fleet):
+    """Drops what the servers recorded and were told to do."""
+    for server in fleet.plain + fleet.engines:
+        server.seen.clear()
+        server.behaviours.clear()
+
+
+def run_cases(cases):
+    """Runs cases in order, each with the same fleet; exits with 1 when one failed."""
+    failed = 0
+    with PlatformFleet() as fleet:
+        for case in cases:
+            forget(fleet)
+            try:
+                case(fleet)
+                print(f"case passed: {case.__doc__}", flush=True)
+            except Exception:
+                failed += 1
+                print(f"case failed: {case.__doc__}\n{traceback.format_exc()}", flush=True)
+                for daemon in fleet.daemons[-3:]:
+                    print(f"--- {daemon.ip}\n{daemon.log_text()[-800:]}")
+    sys.exit(1 if failed else 0)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -7,11 +7,10 @@
 import sys
 import threading
 import time
-import traceback
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
-from platform_fleet import call, check, wait_for  # noqa: E402
+from platform_fleet import call, check, forget, wait_for  # noqa: E402
 
 # A stager has nothing to drain; the platform ends it eight seconds after the signal.
 END_LIMIT_S = 4
@@ -22,13 +21,6 @@
 STORE_QUIET_S = 5
 
 
-def forget(fleet):
-    """Drops what the servers recorded and were told to do."""
-    for server in fleet.plain + fleet.engines:
-        server.seen.clear()
-        server.behaviours.clear()
-
-
 def stop_stagers(fleet):
     """Ends the stagers that earlier cases started."""
     for daemon in fleet.daemons:
@@ -472,21 +464,5 @@
          case_no_gateway_answers, case_end_in_flood, case_continued_stream_bound]
 
 
-def main():
-    failed = 0
-    with pf.PlatformFleet() as fleet:
-        for case in CASES:
-            forget(fleet)
-            try:
-                case(fleet)
-                print(f"case passed: {case.__doc__}", flush=True)
-            except Exception:
-                failed += 1
-                print(f"case failed: {case.__doc__}\n{traceback.format_exc()}", flush=True)
-                for daemon in fleet.daemons[-3:]:
-                    print(f"--- {daemon.ip}\n{daemon.log_text()[-800:]}")
-    sys.exit(1 if failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    pf.run_cases(CASES)
