Reset a server's backoff when its stager reports a restart first

After a crash, callers got 503 although the restarted server had its weights again: the gateway kept the server's backoff of up to 4 s and its failure rate.

Cause: putServer() resets the health of a server when a record with a later start arrives. A stager reports the restart earlier; applyEngineStatus() took over the start time without the reset, so that the record that followed no longer looked like a restart. Change: applyEngineStatus() resets the health as putServer() does. A restarted process has none of the old one's failures, so it is used as soon as it has weights. Ruled out: shorter backoffs, which would send more requests to servers that are still down. Measured: the new unit test fails without the call of resetHealth() in applyEngineStatus() (no server is selected) and passes with it.

--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -120,6 +120,13 @@
   AddressOwner->second = Server.Record.Id;
 }
 
+/// Forgets the failures before a restart.
+void resetHealth(ServerState &Server) {
+  Server.ConsecutiveFailures = 0;
+  Server.FailureRate = 0;
+  Server.BackoffUntil = {};
+}
+
 void startBackoff(const ServerTableSettings &Settings, ServerState &Server,
                   TimePoint Now) {
   const std::uint32_t Doublings =
@@ -141,10 +148,8 @@
   if (New || Restarted) {
     Server.Weights.clear();
     Server.ReportedLoad.reset();
-    Server.ConsecutiveFailures = 0;
-    Server.FailureRate = 0;
-    Server.BackoffUntil = {};
     Server.LoadingUntil = {};
+    resetHealth(Server);
   }
   // A record written before a restart must not hide the restart.
   const std::int64_t Started =
@@ -182,6 +187,7 @@
     return false;
   if (EngineStatus.StartedAtMs > Server->Record.StartedAtMs) {
     Server->Weights.clear();
+    resetHealth(*Server);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
   }
   mergeWeights(Server->Weights, EngineStatus.Weights);
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -151,6 +151,20 @@
       Table, {"10.0.0.1:80", 1000, true, 0, {{"m", 1}}}, StartCommand));
 }
 
+// Guards against a restarted server that gets no requests until the backoff
+// from before its crash ends (LOST).
+TEST_CASE("a restart that the stager reports first ends the backoff") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 1000;
+  ServerTable Table = tableWith({First});
+  for (int I = 0; I < 4; ++I)
+    recordServerOutcome(Table, "1", ServerOutcome::Unreachable, StartCommand);
+  CHECK(choose(Table).Shortage == ServerShortage::Absent);
+  CHECK(applyEngineStatus(Table, {"10.0.0.1:80", 2000, true, 0, {{"m", 1}}},
+                          StartCommand));
+  CHECK(choose(Table).Id == "1");
+}
+
 TEST_CASE("of two servers at one address the later start is used") {
   ServerRecord Old = record("1");
   Old.StartedAtMs = 1000;
