Block prompt parts on which servers crash

Cause: nothing remembers what a server was about to do when it crashed. A request that crashed a server is sent again, by the gateway and by its caller, and so are the requests that share the part. Change: gateways read the shared parts of a prompt (all but the last). When a server closes a connection before a stream has begun and then refuses connections, its crash is recorded for each shared part and told to all gateways. A part that was at two separate crashes, with no request begun since, is blocked; three crashes when requests with it began before. A request that begins anywhere clears its parts everywhere, and a blocked part explains its crashes, so that the parts beside it are not suspect. Requests with a blocked part get 503 with Retry-After before a server is chosen (502 if they were sent before), and a request of a crashed server is not retried while one of its parts has reached the number of crashes. A 4xx is not used, since callers do not retry it and a false block would be final. A block ends after two minutes; the next crash on the part blocks it again for twice as long, at most half an hour. Why it works: a part on which servers crash never begins, a sound one does soon. Ruled out: closed connections as evidence, because lost answers, overload and cuts close them too (process case "answers that are lost, without a crash"); servers that crash together, which count as one crash (unit test).

--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -69,6 +69,8 @@
                     M.StreamsResumable, M.Members, M.Declared)
 MARIGOLDYARD_FIELDS(PoolQuestion, M.Sender, M.Pool)
 MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
+MARIGOLDYARD_FIELDS(PromptPartReport, M.CrashedServer, M.Suspected, M.Begun,
+                    M.Blocked)
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -255,6 +255,14 @@
   PoolConfiguration Facts;
 };
 
+/// @brief Gateway to gateway: news about prompt parts that may crash servers.
+struct PromptPartReport {
+  std::string CrashedServer;          ///< address; empty: no crash to report
+  std::vector<std::string> Suspected; ///< in a request that had not begun there
+  std::vector<std::string> Begun;     ///< cleared, because a request began
+  std::vector<std::string> Blocked;   ///< not sent to servers any more
+};
+
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
 using Body =
@@ -264,7 +272,7 @@
                  ConfigurationRequest, ConfigurationValues, ChunkMap,
                  ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
                  EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
-                 DescriptorReply, PoolQuestion, PoolAnswer>;
+                 DescriptorReply, PoolQuestion, PoolAnswer, PromptPartReport>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/crash_suspects.hpp"
 #include "marigoldyard/coordination/dispatch_queue.hpp"
 #include "marigoldyard/coordination/drain.hpp"
 #include "marigoldyard/coordination/pool_facts.hpp"
@@ -86,6 +87,30 @@
   std::optional<TimePoint> startDeadline(const std::string &Id,
                                          const std::string &Model) const;
 
+  /// @return the prompt parts that may crash servers
+  const CrashSuspects &crashSuspects() const { return Suspects; }
+  /// @brief Records that a server began to answer a request, and tells the
+  /// other gateways about parts that this clears.
+  /// @param Parts ids of the shared parts of the prompt
+  void recordBegun(const std::vector<std::string> &Parts);
+  /// @brief Checks whether a server has crashed, after a connection to it was
+  /// closed before the request began, and if so records the crash and tells the
+  /// other gateways. Only a refused connection counts, because a lost answer
+  /// or an overloaded server also closes connections.
+  /// @param RequestId id of the request, for the log
+  /// @param Address IP address and port of the server
+  /// @param Parts ids of the shared parts of the prompt
+  /// @return whether the server has crashed; a second check follows when it
+  /// seems to run
+  boost::asio::awaitable<bool> checkForCrash(std::string RequestId,
+                                             std::string Address,
+                                             std::vector<std::string> Parts);
+  /// @brief Records a request that is rejected because of a blocked part.
+  /// @param RequestId id of the request, for the log
+  /// @param Blocked the part
+  void recordBlockedRequest(const std::string &RequestId,
+                            const BlockedPart &Blocked);
+
   /// @brief Records a response to a caller and its latency in the metrics.
   /// @param Kind kind of the route
   /// @param Result outcome, as in the log
@@ -121,6 +146,13 @@
   void handleEngineStatus(const std::string &Stager,
                           const EngineStatus &Status);
   void handlePoolQuery(const std::string &Stager, const PoolQuestion &Query);
+  void handlePartReport(const std::string &Peer, const PromptPartReport &News);
+  boost::asio::awaitable<bool> refusesConnections(const std::string &Address);
+  void recordCrash(const std::string &RequestId, const std::string &Address,
+                   const std::vector<std::string> &Parts);
+  void sendPartReport(const PromptPartReport &News);
+  void blockSuspectParts();
+  void logPartBlocked(const std::string &Part, const std::string &Source);
   PoolConfiguration describePool(const std::string &Pool) const;
   /// Whether this gateway sends pool descriptions to the stagers of a region:
   /// those of its own region and of regions without a live gateway.
@@ -166,6 +198,7 @@
         StartDeadline; ///< until then requests may start on older versions
   };
   std::vector<PendingVersion> PendingVersions;
+  CrashSuspects Suspects;
   TimePoint LastStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -46,6 +46,9 @@
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
 constexpr std::uint64_t OutputTokenCost = 10;
+/// A stream counts as begun at its second read with events: a server may crash
+/// just after its first event.
+constexpr std::uint32_t EventReadsToBegin = 2;
 /// Retry-After of responses that refuse a request for a reason other than
 /// load.
 constexpr milliseconds DefaultRetryAfter{200};
@@ -138,6 +141,9 @@
 
 net::awaitable<bool> RequestRun::serve() {
   for (;;) {
+    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
+                                       RequestInfo.SharedParts, now()))
+      co_return co_await rejectBlocked(*Blocked);
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
       if (Choice.Shortage == ServerShortage::None) {
@@ -158,6 +164,13 @@
           NoneRun ? shortageResponse(Choice.Shortage) : failureResponse({});
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
+    // The part may have been blocked while the request waited.
+    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
+                                       RequestInfo.SharedParts, now())) {
+      Owner.finishPrefill(Choice.Id, RequestInfo.PromptTokens);
+      Owner.releaseServer(Choice.Id);
+      co_return co_await rejectBlocked(*Blocked);
+    }
     ExchangeResult Result = co_await sendTo(Choice.Id);
     if (Session.disconnected()) {
       log("caller_left", "caller disconnected during the attempt");
@@ -168,6 +181,25 @@
   }
 }
 
+net::awaitable<bool> RequestRun::rejectBlocked(BlockedPart Blocked) {
+  Owner.recordBlockedRequest(RequestInfo.Id, Blocked);
+  const std::string Detail =
+      fmt::format("servers crash on prompt part {} ({} crashes)", Blocked.Part,
+                  Blocked.Crashes);
+  if (HeadForwarded) {
+    log("stream_broken", Detail);
+    co_return false;
+  }
+  const bool NoneRun =
+      std::all_of(AttemptOutcomes.begin(), AttemptOutcomes.end(), provesNotRun);
+  LocalResponse Refusal =
+      NoneRun ? LocalResponse{503, "not_run", Step::Admission,
+                              "",  Detail,    Blocked.TimeLeft}
+              : LocalResponse{502,        "unknown", Step::Admission,
+                              LastServer, Detail,    {}};
+  co_return co_await sendLocalResponse(std::move(Refusal));
+}
+
 bool RequestRun::resumable() const {
   return MatchedRoute->AllowedRetries == RetryPolicy::Resumable;
 }
@@ -286,6 +318,8 @@
   TriedServers.insert(Id);
   LastServer = Id;
   PrefillRunning = true;
+  EventReads = 0;
+  ServerCrashed = false;
   ++Attempts;
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
@@ -311,6 +345,15 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
+  if (RequestInfo.SharedParts.empty())
+    co_return Result;
+  if (Result.Fate == AttemptStatus::Completed)
+    Owner.recordBegun(RequestInfo.SharedParts);
+  const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
+                              Result.Reason == ErrorCode::StreamIncomplete;
+  if (ConnectionLost && EventReads < EventReadsToBegin)
+    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
+                                                 RequestInfo.SharedParts);
   co_return Result;
 }
 
@@ -325,6 +368,9 @@
     return false;
   if (HeadForwarded && !resumable())
     return false;
+  if (ServerCrashed &&
+      !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts))
+    return false;
   RetryInputs Query;
   Query.LastAttempt = Last.Fate;
   Query.Reason = Last.Reason;
@@ -434,9 +480,15 @@
   co_return co_await Session.write(Text);
 }
 
+void RequestRun::recordProgress() {
+  if (++EventReads == EventReadsToBegin)
+    Owner.recordBegun(RequestInfo.SharedParts);
+}
+
 net::awaitable<bool>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
+  recordProgress();
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -45,6 +45,8 @@
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
+  void recordProgress();
+  boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
@@ -86,6 +88,8 @@
   ServerExchange *ActiveExchange = nullptr;
   bool PrefillRunning = false; ///< at LastServer
   bool HeadForwarded = false;
+  std::uint32_t EventReads = 0; ///< reads with events in the last attempt
+  bool ServerCrashed = false;   ///< in the last attempt, before it began
   EventOrder Order;
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
--- /dev/null
+++ b/src/coordination/crash_suspects.cpp
@@ -0,0 +1,255 @@
+#include "marigoldyard/coordination/crash_suspects.hpp"
+
+#include <algorithm>
+
+namespace marigoldyard {
+
+namespace {
+
+/// Crashes kept for each part.
+constexpr std::size_t MaxCrashesPerPart = 16;
+/// Largest exponent of the block time, which MaxBlockTime limits anyway.
+constexpr std::uint32_t MaxDoublings = 8;
+
+bool isBlocked(const SuspectPart &Part, TimePoint Now) {
+  return Part.BlockedUntil && Now < *Part.BlockedUntil;
+}
+
+bool hasBegun(const CrashSuspects &State, const std::string &Part) {
+  return State.BegunParts.contains(Part) ||
+         State.OlderBegunParts.contains(Part);
+}
+
+/// Whether a part was at a crash, reported by this or another process.
+bool wasAtCrash(const CrashSuspects &State, const SuspectPart &Part,
+                const std::string &Server, TimePoint At) {
+  return std::any_of(
+      Part.Crashes.begin(), Part.Crashes.end(), [&](const ServerCrash &Each) {
+        const Duration Apart = Each.At > At ? Each.At - At : At - Each.At;
+        return Each.Server == Server && Apart < State.Settings.SameCrashTime;
+      });
+}
+
+/// Counts crashes, where servers that crash together count once.
+std::size_t countCrashes(const CrashSuspects &State, const SuspectPart &Part) {
+  std::size_t Count = 0;
+  TimePoint Start{};
+  for (const ServerCrash &Each : Part.Crashes)
+    if (Count == 0 || Each.At - Start >= State.Settings.CommonCauseTime) {
+      ++Count;
+      Start = Each.At;
+    }
+  return Count;
+}
+
+std::size_t crashesToBlock(const CrashSuspects &State,
+                           const SuspectPart &Part) {
+  if (Part.TimesBlocked > 0)
+    return 1; // the first crash after the end of a block
+  return Part.BegunBefore ? State.Settings.CrashesToBlockKnown
+                          : State.Settings.CrashesToBlock;
+}
+
+/// Whether some blocked part explains a crash.
+bool isExplained(const CrashSuspects &State, const std::string &Server,
+                 TimePoint At) {
+  return std::any_of(State.Suspects.begin(), State.Suspects.end(),
+                     [&](const auto &Each) {
+                       return isBlocked(Each.second, At) &&
+                              wasAtCrash(State, Each.second, Server, At);
+                     });
+}
+
+void forgetOldCrashes(CrashSuspects &State, TimePoint Now) {
+  for (auto &[Id, Part] : State.Suspects)
+    if (!isBlocked(Part, Now))
+      std::erase_if(Part.Crashes, [&](const ServerCrash &Each) {
+        return Now - Each.At > State.Settings.CrashMemory;
+      });
+  std::erase_if(State.Suspects, [&](const auto &Entry) {
+    const SuspectPart &Part = Entry.second;
+    const bool BlockedRecently =
+        Part.BlockedUntil &&
+        Now - *Part.BlockedUntil <= State.Settings.MaxBlockTime;
+    return Part.Crashes.empty() && !BlockedRecently;
+  });
+}
+
+/// Removes the suspect with the fewest crashes when there are too many.
+void makeRoom(CrashSuspects &State, TimePoint Now) {
+  if (State.Suspects.size() < State.Settings.MaxSuspects)
+    return;
+  const auto Weakest = std::min_element(
+      State.Suspects.begin(), State.Suspects.end(),
+      [&](const auto &A, const auto &B) {
+        const auto Strength = [&](const SuspectPart &Part) {
+          return Part.Crashes.size() +
+                 (isBlocked(Part, Now) ? MaxCrashesPerPart : 0);
+        };
+        return Strength(A.second) < Strength(B.second);
+      });
+  State.Suspects.erase(Weakest);
+}
+
+void addCrash(CrashSuspects &State, const std::string &Part,
+              const ServerCrash &Crash) {
+  if (!State.Suspects.contains(Part)) {
+    makeRoom(State, Crash.At);
+    State.Suspects[Part].BegunBefore = hasBegun(State, Part);
+  }
+  SuspectPart &Suspect = State.Suspects[Part];
+  if (wasAtCrash(State, Suspect, Crash.Server, Crash.At))
+    return;
+  if (Suspect.Crashes.size() >= MaxCrashesPerPart)
+    Suspect.Crashes.erase(Suspect.Crashes.begin());
+  Suspect.Crashes.push_back(Crash);
+}
+
+/// Removes the crashes that a blocked part explains from all other parts.
+void removeExplained(CrashSuspects &State, const SuspectPart &Blocked,
+                     TimePoint Now) {
+  for (auto &[Id, Part] : State.Suspects)
+    if (&Part != &Blocked && !isBlocked(Part, Now))
+      std::erase_if(Part.Crashes, [&](const ServerCrash &Each) {
+        return wasAtCrash(State, Blocked, Each.Server, Each.At);
+      });
+}
+
+void block(CrashSuspects &State, SuspectPart &Part, TimePoint Now) {
+  const Duration Wanted =
+      State.Settings.BlockTime *
+      (std::int64_t{1} << std::min(Part.TimesBlocked, MaxDoublings));
+  Part.BlockedUntil = Now + std::min(State.Settings.MaxBlockTime, Wanted);
+  ++Part.TimesBlocked;
+}
+
+} // namespace
+
+std::vector<std::string>
+recordRequestBegun(CrashSuspects &State,
+                   const std::vector<std::string> &Parts) {
+  std::vector<std::string> Cleared;
+  for (const std::string &Part : Parts) {
+    if (State.BegunParts.size() >= State.Settings.MaxBegunParts) {
+      State.OlderBegunParts = std::move(State.BegunParts);
+      State.BegunParts.clear();
+    }
+    State.BegunParts.insert(Part);
+    if (clearPart(State, Part))
+      Cleared.push_back(Part);
+  }
+  return Cleared;
+}
+
+bool clearPart(CrashSuspects &State, const std::string &Part) {
+  return State.Suspects.erase(Part) > 0;
+}
+
+void recordServerCrash(CrashSuspects &State, const std::string &Server,
+                       const std::vector<std::string> &Parts, TimePoint Now) {
+  forgetOldCrashes(State, Now);
+  bool HasBlocked = false;
+  for (const std::string &Part : Parts) {
+    const auto Found = State.Suspects.find(Part);
+    if (Found != State.Suspects.end() && isBlocked(Found->second, Now)) {
+      addCrash(State, Part, {Server, Now});
+      removeExplained(State, State.Suspects.at(Part), Now);
+      HasBlocked = true;
+    }
+  }
+  if (HasBlocked || isExplained(State, Server, Now))
+    return;
+  for (const std::string &Part : Parts)
+    addCrash(State, Part, {Server, Now});
+}
+
+std::vector<std::string> blockSuspects(CrashSuspects &State, TimePoint Now) {
+  std::vector<std::string> Blocked;
+  for (;;) {
+    std::size_t Most = 0;
+    std::vector<std::string> Leading;
+    for (const auto &[Id, Part] : State.Suspects) {
+      if (isBlocked(Part, Now) || Part.Crashes.empty())
+        continue;
+      const std::size_t Count = countCrashes(State, Part);
+      if (Count < crashesToBlock(State, Part) || Count < Most)
+        continue;
+      if (Count > Most)
+        Leading.clear();
+      Most = Count;
+      Leading.push_back(Id);
+    }
+    // A part with which requests began before is less suspect.
+    const bool AnyNew =
+        std::any_of(Leading.begin(), Leading.end(), [&](const auto &Id) {
+          return !State.Suspects.at(Id).BegunBefore;
+        });
+    if (AnyNew)
+      std::erase_if(Leading, [&](const auto &Id) {
+        return State.Suspects.at(Id).BegunBefore;
+      });
+    const bool Tied =
+        Leading.size() > 1 && Most < State.Settings.CrashesToBlockTied;
+    if (Leading.empty() || Tied)
+      return Blocked;
+    for (const std::string &Id : Leading) {
+      SuspectPart &Part = State.Suspects.at(Id);
+      if (Part.TimesBlocked == 0 &&
+          Now - Part.Crashes.back().At < State.Settings.ClearanceTime &&
+          Most < State.Settings.CrashesToBlockTied)
+        return Blocked;
+    }
+    for (const std::string &Id : Leading)
+      block(State, State.Suspects.at(Id), Now);
+    for (const std::string &Id : Leading) {
+      removeExplained(State, State.Suspects.at(Id), Now);
+      Blocked.push_back(Id);
+    }
+  }
+}
+
+bool blockPart(CrashSuspects &State, const std::string &Part, TimePoint Now) {
+  if (!State.Suspects.contains(Part))
+    makeRoom(State, Now);
+  SuspectPart &Suspect = State.Suspects[Part];
+  if (isBlocked(Suspect, Now))
+    return false;
+  block(State, Suspect, Now);
+  removeExplained(State, Suspect, Now);
+  return true;
+}
+
+std::optional<BlockedPart>
+findBlockedPart(const CrashSuspects &State,
+                const std::vector<std::string> &Parts, TimePoint Now) {
+  if (State.Suspects.empty())
+    return std::nullopt;
+  for (const std::string &Part : Parts) {
+    const auto Found = State.Suspects.find(Part);
+    if (Found != State.Suspects.end() && isBlocked(Found->second, Now))
+      return BlockedPart{Part, *Found->second.BlockedUntil - Now,
+                         Found->second.Crashes.size()};
+  }
+  return std::nullopt;
+}
+
+bool mayRetryAfterCrash(const CrashSuspects &State,
+                        const std::vector<std::string> &Parts) {
+  return std::none_of(Parts.begin(), Parts.end(), [&](const std::string &Part) {
+    const auto Found = State.Suspects.find(Part);
+    return Found != State.Suspects.end() &&
+           countCrashes(State, Found->second) >=
+               crashesToBlock(State, Found->second);
+  });
+}
+
+std::vector<std::string> blockedParts(const CrashSuspects &State,
+                                      TimePoint Now) {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Part] : State.Suspects)
+    if (isBlocked(Part, Now))
+      Result.push_back(Id);
+  return Result;
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/tests/process/test_prompt_crashes.py
@@ -0,0 +1,137 @@
+"""Prompts that crash servers: two gateways as processes, against servers that crash on one part of a prompt."""
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+DOWN_S = 0.6
+# One request crashes one server, and a second crash decides; one more may be under way.
+MOST_CRASHES = 4
+SOUND_REQUESTS = 12
+
+
+class Crashing:
+    """Makes an engine crash, as a process that ends and starts again, when it begins to answer a prompt with a part."""
+
+    def __init__(self, engine, part):
+        self.engine, self.part, self.crashes = engine, part, 0
+        self.open, self.lock = set(), threading.Lock()
+        self.usual = engine.handle
+        engine.handle = self.handle
+
+    def handle(self, request):
+        with self.lock:
+            self.open.add(request)
+        try:
+            if self.part in request.headers.get("Prompt-Prefix", ""):
+                time.sleep(0.02)
+                return self.crash(request)
+            return self.usual(request)
+        finally:
+            with self.lock:
+                self.open.discard(request)
+
+    def crash(self, request):
+        self.crashes += 1
+        server = self.engine.server
+        server.shutdown()
+        server.socket.close()  # refuses new connections
+        with self.lock:
+            others = list(self.open)
+        for each in others:
+            each.cut()
+        threading.Thread(target=self.restart, daemon=True).start()
+
+    def restart(self):
+        time.sleep(DOWN_S)
+        host, port = self.engine.address.split(":")
+        self.engine.server = pf.Server((host, int(port)), pf.Handler)
+        self.engine.server.owner = self.engine
+        self.engine.born = int(time.time() * 1000)
+        self.engine.register()
+        threading.Thread(target=self.engine.server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def end(self):
+        self.engine.handle = self.usual
+
+
+def prompt(*parts):
+    return {"Prompt-Prefix": ",".join(f"{part}:100" for part in parts)}
+
+
+def stream(gateway, *parts):
+    return call(gateway, "/stream/1", "POST", b"p", headers=prompt(*parts))
+
+
+class Address:
+    def __init__(self, engine):
+        self.ip = engine.address.split(":")[0]
+
+
+def up(fleet):
+    """Waits until every engine answers and every gateway knows it."""
+    def answers(engine):
+        try:
+            return call(Address(engine), "/marigoldyard/report", port=pf.SERVER_PORT).status == 200
+        except OSError:
+            return False
+    for engine in fleet.engines:
+        wait_for(lambda e=engine: answers(e), "the engine is up", timeout=5)
+    time.sleep(0.8)
+
+
+def case_crashing_part(fleet):
+    """requests with a part that crashes servers are soon rejected at every gateway, and sound ones are served"""
+    crashing = [Crashing(engine, "deadly") for engine in fleet.engines]
+    statuses = []
+    for number in range(6):
+        answer = stream(fleet.gateways[number % 2], "shared", "deadly", f"own-{number}")
+        statuses.append(answer.status)
+        up(fleet)
+        sound = stream(fleet.gateways[(number + 1) % 2], "shared", f"other-{number}", f"mine-{number}")
+        check(sound.status == 200 and sound.whole, f"a sound request after {number + 1}: {sound.status}")
+    crashes = sum(each.crashes for each in crashing)
+    check(crashes <= MOST_CRASHES, f"{crashes} crashes, statuses {statuses}")
+    for gateway in fleet.gateways:
+        answer = stream(gateway, "shared", "deadly", "own-late")
+        check(answer.status == 503 and float(answer.headers["Retry-After"]) > 1, f"rejected: {answer.status}")
+        check(b"not_run" in answer.body and b"prompt part deadly" in answer.body, f"reason: {answer.body}")
+    check(sum(each.crashes for each in crashing) == crashes, "no further crash")
+    for number in range(SOUND_REQUESTS):
+        answer = stream(fleet.gateways[number % 2], "shared", f"subject-{number}", f"s-{number}")
+        check(answer.status == 200 and answer.whole, f"sound request {number}: {answer.status}")
+    check(any('"prompt_part_blocked"' in gateway.log_text() for gateway in fleet.gateways), "the log names the part")
+    for each in crashing:
+        each.end()
+
+
+def case_gateway_joins(fleet):
+    """a gateway that starts later learns the blocked parts from the others"""
+    third = fleet.gateway(42)
+    wait_for(lambda: call(third, "/marigoldyard/ready", port=pf.READY_PORT).status == 200, "ready")
+    wait_for(lambda: '"prompt_part_blocked"' in third.log_text(), "it knows the blocked part", timeout=3)
+    check(stream(third, "shared", "deadly", "own-third").status == 503, "it rejects the part")
+
+
+def case_lost_answers(fleet):
+    """answers that are lost, without a crash, block nothing"""
+    for _ in range(6):
+        for engine in fleet.engines:
+            engine.behaviours = [engine.lose]
+        stream(fleet.gateways[0], "shared", "subject-lost", "x")
+    for engine in fleet.engines:
+        engine.behaviours.clear()
+    time.sleep(1)
+    for gateway in fleet.gateways:
+        answer = stream(gateway, "shared", "subject-lost", "y")
+        check(answer.status == 200 and answer.whole, f"served: {answer.status}")
+
+
+CASES = [case_crashing_part, case_gateway_joins, case_lost_answers]
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
--- /dev/null
+++ b/tests/src/unit-coordination-crash_suspects.cpp
@@ -0,0 +1,118 @@
+#include "marigoldyard/coordination/crash_suspects.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace marigoldyard;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start = TimePoint{} + 100s;
+
+using Parts = std::vector<std::string>;
+
+} // namespace
+
+// Guards against requests that crash one server after the other (BUDGET).
+TEST_CASE("a part that was at two crashes and never began is blocked") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"shared", "deadly", "a"}, Start);
+  CHECK(mayRetryAfterCrash(State, {"deadly"}));
+  CHECK(blockSuspects(State, Start + 1s).empty());
+  CHECK(recordRequestBegun(State, {"shared", "b"}) == Parts{"shared"});
+  recordServerCrash(State, "s2", {"shared", "deadly", "c"}, Start + 2s);
+  CHECK_FALSE(mayRetryAfterCrash(State, {"deadly"}));
+  CHECK(mayRetryAfterCrash(State, {"shared", "c"}));
+  CHECK(blockSuspects(State, Start + 2s).empty());
+  CHECK(blockSuspects(State, Start + 3s) == Parts{"deadly"});
+  const auto Blocked = findBlockedPart(State, {"shared", "deadly"}, Start + 3s);
+  REQUIRE(Blocked);
+  CHECK(Blocked->Part == "deadly");
+  CHECK(Blocked->Crashes == 2);
+  CHECK_FALSE(findBlockedPart(State, {"shared", "c"}, Start + 3s));
+}
+
+// Guards against blocking sound prompts that were at servers with a deadly one
+// (LOST).
+TEST_CASE("crashes that a blocked part explains do not count against others") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"deadly"}, Start);
+  recordServerCrash(State, "s2", {"deadly"}, Start + 1s);
+  recordServerCrash(State, "s2", {"sound"}, Start + 1s);
+  recordServerCrash(State, "s3", {"deadly"}, Start + 2s);
+  recordServerCrash(State, "s3", {"sound"}, Start + 2s);
+  CHECK(blockSuspects(State, Start + 3s) == Parts{"deadly"});
+  recordServerCrash(State, "s4", {"deadly"}, Start + 4s);
+  recordServerCrash(State, "s4", {"sound"}, Start + 4s);
+  recordServerCrash(State, "s5", {"sound"}, Start + 6s);
+  recordServerCrash(State, "s5", {"deadly"}, Start + 6s);
+  CHECK(blockSuspects(State, Start + 8s).empty());
+}
+
+// Guards against blocking what many requests share when a power failure or a
+// cut takes several servers at once.
+TEST_CASE("servers that crash together count as one crash") {
+  CrashSuspects State;
+  for (const char *Server : {"s1", "s2", "s3", "s4"})
+    recordServerCrash(State, Server, {"shared"}, Start);
+  CHECK(blockSuspects(State, Start + 1s).empty());
+}
+
+TEST_CASE("reports of several gateways on one crash count once") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"deadly"}, Start);
+  recordServerCrash(State, "s1", {"deadly"}, Start + 500ms);
+  CHECK(blockSuspects(State, Start + 2s).empty());
+}
+
+TEST_CASE("a part with which requests began needs more crashes") {
+  CrashSuspects State;
+  recordRequestBegun(State, {"known"});
+  recordServerCrash(State, "s1", {"known"}, Start);
+  recordServerCrash(State, "s2", {"known"}, Start + 1s);
+  CHECK(blockSuspects(State, Start + 2s).empty());
+  recordServerCrash(State, "s3", {"known"}, Start + 3s);
+  CHECK(blockSuspects(State, Start + 4s) == Parts{"known"});
+}
+
+TEST_CASE("equally suspect parts wait for a crash that tells them apart") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"deadly", "subject"}, Start);
+  recordServerCrash(State, "s2", {"deadly", "subject"}, Start + 1s);
+  CHECK(blockSuspects(State, Start + 2s).empty());
+  recordServerCrash(State, "s3", {"deadly", "other"}, Start + 3s);
+  CHECK(blockSuspects(State, Start + 4s) == Parts{"deadly"});
+  CHECK(mayRetryAfterCrash(State, {"subject"}));
+}
+
+// Guards against a false block that lasts: its requests are not sent, so that
+// they could never clear it.
+TEST_CASE("a block ends, and the next crash blocks the part for longer") {
+  CrashSuspects State;
+  blockPart(State, "part", Start);
+  CHECK_FALSE(blockPart(State, "part", Start));
+  CHECK(blockedParts(State, Start) == Parts{"part"});
+  const TimePoint End = Start + State.Settings.BlockTime;
+  CHECK_FALSE(findBlockedPart(State, {"part"}, End));
+  recordServerCrash(State, "s1", {"part"}, End + 1s);
+  CHECK(blockSuspects(State, End + 1s) == Parts{"part"});
+  CHECK(findBlockedPart(State, {"part"}, End + State.Settings.BlockTime + 1s));
+  CHECK(recordRequestBegun(State, {"part"}) == Parts{"part"});
+  CHECK(blockedParts(State, End + 2s).empty());
+}
+
+TEST_CASE("old crashes are forgotten and the number of suspects is bounded") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"old"}, Start);
+  recordServerCrash(State, "s2", {"old"}, Start + 2min);
+  CHECK(blockSuspects(State, Start + 3min).empty());
+  blockPart(State, "blocked", Start + 3min);
+  for (int I = 0; I < 2000; ++I)
+    recordServerCrash(State, "s3", {"part" + std::to_string(I)}, Start + 3min);
+  CHECK(State.Suspects.size() <= State.Settings.MaxSuspects);
+  CHECK(findBlockedPart(State, {"blocked"}, Start + 3min));
+  for (int I = 0; I < 20'000; ++I)
+    recordRequestBegun(State, {"part" + std::to_string(I)});
+  CHECK(State.BegunParts.size() + State.OlderBegunParts.size() <=
+        2 * State.Settings.MaxBegunParts);
+}
--- a/tests/src/unit-platform-request_format.cpp
+++ b/tests/src/unit-platform-request_format.cpp
@@ -30,6 +30,26 @@
 
 } // namespace
 
+TEST_CASE("the parts of a prompt that requests share are all but the last") {
+  auto Shared = [](const char *Value) {
+    platform::Fields Headers;
+    Headers.set("Prompt-Prefix", Value);
+    return platform::decodeCallerRequest(Headers).SharedParts;
+  };
+  using Parts = std::vector<std::string>;
+  CHECK(Shared("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(Shared("e4402b7d:250").empty());
+  CHECK(Shared("").empty());
+  CHECK(Shared(",,x").empty());
+  CHECK(Shared("a,b:1,c") == Parts{"a", "b"});
+  std::string Long;
+  for (int I = 0; I < 1000; ++I)
+    Long += "ab:1,";
+  CHECK(Shared(Long.c_str()).size() == 32);
+  CHECK(Shared((std::string(65, 'a') + ":1,b:1").c_str()).empty());
+}
+
 TEST_CASE("a caller's request is decoded") {
   const auto Facts = platform::decodeCallerRequest(callersRequest().base());
   CHECK(Facts.Id == "id-1");
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -65,7 +65,11 @@
                       {"model", "other"},
                       true,
                       {{"10.0.0.4:90", "dar"}, {"10.0.0.5:90", "arusha"}},
-                      {{"model", 3}}}}};
+                      {{"model", 3}}}},
+          PromptPartReport{"10.0.0.4:90",
+                           {"5c1e07a2", "91bd3f06"},
+                           {"e4402b7d"},
+                           {"0000000a", "0000000b"}}};
 }
 
 /// One message of each type, with every member set.
