Show that a late answer of the store moves the bound of a version

A gateway counts the bound of a version from when it learned of the declaration.

Change: a process case whose stand-in store answers one gateway 1.5 s late while a version is declared that no server has.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -84,6 +84,7 @@
         self.items, self.removed, self.revision = {}, {}, 10
         self.host, self.turned_away, self.silent, self.doors = host, set(), set(), {}
         self.calls = []  # client and path with query
+        self.delays = {}  # seconds by which answers to a client are late
         self.forgotten = 0  # revision up to which the history is lost
         super().__init__(host, STORE_PORT)
 
@@ -139,7 +140,9 @@
                 changed = list(self.items.values()) + list(self.removed.values())
                 return [e for e in changed if e["revision"] > after and e["key"].startswith(prefix)]
             self.lock.wait_for(events, int(fields["wait_ms"]) / 1000)
-            return request.answer(200, {"events": events(), "store_revision": self.revision})
+            answer = {"events": events(), "store_revision": self.revision}
+        time.sleep(self.delays.get(client, 0))
+        return request.answer(200, answer)
 
 
 class Backend(Standin):
@@ -148,6 +151,7 @@
     def __init__(self, store, name, host, pool, models=None):
         self.store, self.id, self.pool, self.models = store, name, pool, models
         self.seen, self.behaviours, self.gone = [], [], []
+        self.seen_at = []  # when each request in `seen` arrived
         self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
         self.loading_until, self.pending = 0, None
         super().__init__(host, SERVER_PORT)
@@ -174,6 +178,7 @@
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return request.answer(421, b"", {"Instance-Id": self.id})
         self.seen.append((request.command, request.path, dict(request.headers), request.body))
+        self.seen_at.append(time.monotonic())
         usual = self.plain if self.models is None else self.stream(3)
         behaviour = self.behaviours.pop(0) if self.behaviours else usual
         return behaviour(request)
--- /dev/null
+++ b/tests/process/test_versions.py
@@ -0,0 +1,65 @@
+"""Bounds after the declaration of a version: no request may start on an older one after it."""
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+# As in the settings of the processes, from the users' sites.
+VERSION_LIMIT_S = 8
+
+
+def declare(fleet, version):
+    """Declares a version that no server has; returns the time of the acknowledgement."""
+    fleet.store.put("op/version/m", {"model": "m", "version": version})
+    return time.monotonic()
+
+
+class Heartbeats:
+    """Servers that update their records all the time, so that watches of the store return at once."""
+
+    def __init__(self, servers):
+        self.servers, self.ended = servers, threading.Event()
+
+    def __enter__(self):
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while not self.ended.wait(0.2):
+            for server in self.servers:
+                server.register()
+
+    def __exit__(self, *_):
+        self.ended.set()
+
+
+def newest(fleet):
+    return max(next(iter(server.models.values())) for server in fleet.engines)
+
+
+# Guards against a bound that counts from when the gateway learned of the declaration instead of from its
+# acknowledgement: requests were sent to old weights for as long after the bound as the store's answer was late.
+def case_late_answer_of_store(fleet):
+    """a gateway that learns late of a version sends nothing to older ones after its bound"""
+    gateway = fleet.gateways[0]
+    with Heartbeats(fleet.plain):
+        fleet.store.delays[gateway.host] = 1.5
+        time.sleep(2)  # the watch in progress was sent before
+        acknowledged = declare(fleet, newest(fleet) + 1)
+        while time.monotonic() - acknowledged < VERSION_LIMIT_S + 2:
+            threading.Thread(target=call, args=(gateway, "/stream/1", "POST", b"p"), daemon=True).start()
+            time.sleep(0.1)
+    fleet.store.delays.clear()
+    wait_for(lambda: "version_declared" in gateway.log_text(), "the gateway learned of the version")
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+CASES = [case_late_answer_of_store]
+
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
