Count the bound of a version from its acknowledgement

What callers saw: at scale, requests began on an older version of the weights after version_ms.

Cause: a gateway counted the bound from when it learned of the declaration, with a margin of 0.9 s. Whatever delays the store's answer (a link that is full, calls over the rate limit, a watch on a dead connection, a busy processor) was added to the bound. The grace by source made it worse: after any loss of contact the whole bound began again.

Change: a gateway works with lower bounds of the acknowledgement. A call that is answered shows everything that was acknowledged before it was sent, so a declaration that is new in an answer is younger than the previous call. Where the store was unavailable, which takes two failed calls in a row, its return counts, unless another gateway was in contact meanwhile: gateways tell each other the age of recent declarations in a new message, VersionDeclarations. A process that has just started uses such a report, or 2.5 s as before. DeclarationSource is not needed any more. version_declared and version_required log the ages that decide.

Why it works: the end of the bound does not depend on when the gateway learned; if that is too late, the version is required at once.

The unit tests of oldVersionGracePeriod are replaced: they pinned the grace by source, among them the whole bound after a loss of contact, which is the fault. The new ones check the same situations against the acknowledgement.

Ruled out: the suspended clock (time points count suspended time), a loss of declarations between two watches (the previous call covers them).

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -2,46 +2,63 @@
 
 #include "marigoldyard/state/time.hpp"
 
-#include <cstdint>
+#include <optional>
 
 namespace marigoldyard {
 
-/// @brief How a gateway learned that a version was declared.
-enum class DeclarationSource : std::uint8_t {
-  Watched,          ///< from the store, while connected to it
-  AfterStoreOutage, ///< from the store after an outage; other gateways were
-                    ///< reachable and none reported it, so the store was
-                    ///< unavailable to all
-  Relayed,          ///< from another gateway while the store is unreachable
-  Unknown,          ///< age unknown: just started, or isolated during an outage
-};
-
 /// @brief Times that bound how long an older version may still serve requests
 /// after a newer one was declared.
 struct VersionBoundSettings {
-  /// Time after a declaration from which no request may start on an older
-  /// version.
+  /// Time after the acknowledgement of a declaration from which no request may
+  /// start on an older version.
   Duration Limit = std::chrono::seconds(8);
-  /// Time before Limit from which only the new version serves. It covers the
-  /// propagation of the declaration, a gap between watches plus a call, and
-  /// requests that are queued at a server.
-  Duration Margin = std::chrono::milliseconds(900);
-  /// Largest fraction of Limit that Margin may take up if Limit is short.
+  /// Time before Limit from which no request is sent to an older version. It
+  /// lets requests that are queued at a server start in time.
+  Duration SendMargin = std::chrono::milliseconds(750);
+  /// Time before Limit at which a request that has not started is withdrawn
+  /// from its server. It covers delays of this process and of the network.
+  Duration StartMargin = std::chrono::milliseconds(300);
+  /// Largest fraction of Limit that a margin may take up if Limit is short.
   double MarginShare = 0.15;
-  /// Longest time until a gateway that lost contact with the store asks other
-  /// gateways.
-  Duration MaxRelayDelay = std::chrono::milliseconds(2800);
-  /// Delay if the age of the declaration is unknown. A gateway that has just
-  /// started or reconnected is exempt from the bound for three seconds.
-  Duration UnknownLimit = std::chrono::milliseconds(2500);
+  /// Time that a report of another gateway may have taken to arrive.
+  Duration ReportDelay = std::chrono::milliseconds(300);
+  /// Time for which older versions are used if nothing is known about the age
+  /// of the declaration. A process that has just started is exempt from the
+  /// bound for three seconds.
+  Duration UnknownAgeLimit = std::chrono::milliseconds(2500);
+};
+
+/// @brief What a gateway knows about the time at which a declaration was
+/// acknowledged. Each time is a lower bound of it.
+struct DeclarationEvidence {
+  TimePoint LearnedAt; ///< when the gateway learned of the declaration
+  /// The gateway had all changes up to then, but not the declaration.
+  std::optional<TimePoint> ConfirmedAt;
+  /// The store was last seen unavailable by this gateway.
+  std::optional<TimePoint> UnavailableAt;
+  /// Latest lower bound of another gateway that was in contact with the store,
+  /// when its report arrived less the reported age.
+  std::optional<TimePoint> ReportedAt;
+};
+
+/// @brief Whether the gateway was in contact with the store when the version
+/// was declared, so that ConfirmedAt is close to the acknowledgement and may be
+/// reported to other gateways.
+bool wasInContact(const DeclarationEvidence &Evidence);
+
+/// @brief Times at which an older version goes out of use.
+struct VersionDeadlines {
+  TimePoint RequiredAt; ///< from then on older versions get no requests
+  TimePoint StartBy;    ///< requests that start later are withdrawn
 };
 
-/// @brief Computes how long a gateway may still use older versions after it has
-/// learned of a declaration.
+/// @brief Computes the deadlines of older versions from the latest valid lower
+/// bound of the acknowledgement. The bound thus includes any delay with which
+/// the gateway learned of the declaration.
 /// @param Settings times of the bound
-/// @param Source how the gateway learned of the declaration
-/// @return time from learning of the declaration, never negative
-Duration oldVersionGracePeriod(const VersionBoundSettings &Settings,
-                               DeclarationSource Source);
+/// @param Evidence what is known about the time of the acknowledgement
+/// @return the deadlines; they may have passed already
+VersionDeadlines versionDeadlines(const VersionBoundSettings &Settings,
+                                  const DeclarationEvidence &Evidence);
 
 } // namespace marigoldyard
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -69,6 +69,8 @@
                     M.StreamsResumable, M.Members, M.Declared)
 MARIGOLDYARD_FIELDS(PoolQuestion, M.Sender, M.Pool)
 MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
+MARIGOLDYARD_FIELDS(DeclarationAge, M.Model, M.Version, M.Age)
+MARIGOLDYARD_FIELDS(VersionDeclarations, M.Recent)
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -216,6 +216,19 @@
   std::vector<LoadedWeights> Weights;
 };
 
+/// @brief Age of a declaration, as a gateway knows it that was in contact with
+/// the store.
+struct DeclarationAge {
+  std::string Model;
+  std::uint64_t Version = 0;
+  std::chrono::milliseconds Age{}; ///< upper bound
+};
+
+/// @brief Gateway to gateways: recent declarations of versions.
+struct VersionDeclarations {
+  std::vector<DeclarationAge> Recent;
+};
+
 /// @brief Asks a gateway for what the platform's store holds.
 struct StoreRelayRequest {
   StoreRevision After = 0; ///< everything up to here is known
@@ -257,14 +270,13 @@
 
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body =
-    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
-                 CancelWork, OperationOpen, OperationOpened, OperationRun,
-                 OperationResult, Report, ConfigurationOffer,
-                 ConfigurationRequest, ConfigurationValues, ChunkMap,
-                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
-                 EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
-                 DescriptorReply, PoolQuestion, PoolAnswer>;
+using Body = std::variant<
+    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
+    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
+    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
+    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
+    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply,
+    PoolQuestion, PoolAnswer, VersionDeclarations>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusTooManyRequests = 429;
 constexpr std::chrono::milliseconds MinBackoff{100};
 /// A store that recovers is detected within this time.
 constexpr std::chrono::milliseconds MaxBackoff{600};
@@ -51,7 +52,6 @@
     ++RelaysSinceResponse;
   const ChangedKeys Keys = applyEvents(Mirror, Items, Upto);
   if (!Initialized) {
-    InitializedAt = now();
     Log.write({.Event = "store_known_by_relay",
                .At = Step::ConfigurationRelay,
                .Number = Upto});
@@ -80,6 +80,8 @@
 }
 
 void StoreReader::requestListing() {
+  if (ListedItems.empty())
+    CallSentAt = now();
   Client.call(platform::makeListCall(
                   Options.Address, Options.Prefix,
                   ListedItems.empty() ? std::string() : ListedItems.back().Key,
@@ -121,10 +123,12 @@
   Initialized = true;
   ListingDue = false;
   notifyChanges(Keys);
+  ConfirmedAt = CallSentAt;
   scheduleCall(Options.WatchDelay, &StoreReader::requestChanges);
 }
 
 void StoreReader::requestChanges() {
+  CallSentAt = now();
   Client.call(platform::makeWatchCall(Options.Address, Options.Prefix,
                                       Mirror.Revision, Options.WatchTimeout),
               [this](const HttpResult &Result) { handleChanges(Result); });
@@ -141,6 +145,7 @@
   }
   recordResponse();
   notifyChanges(applyEvents(Mirror, Events->Items, Events->Revision));
+  ConfirmedAt = CallSentAt;
   scheduleCall(Options.WatchDelay, &StoreReader::requestChanges);
 }
 
@@ -150,11 +155,8 @@
                .At = Step::ConfigurationRead,
                .Peer = "store",
                .Number = Mirror.Revision});
-  if (ContactLost)
-    ReconnectedAt = now();
-  if (!Initialized)
-    InitializedAt = now();
   ContactLost = false;
+  ConsecutiveFailures = 0;
   Backoff = {};
   LastResponseAt = now();
   RelaysSinceResponse = 0;
@@ -170,6 +172,12 @@
                .Number = Mirror.Revision});
     return scheduleCall({}, &StoreReader::requestListing);
   }
+  // The first failure may be that of a kept connection. The call after it opens
+  // a new one. Calls over the rate limit say nothing about the store.
+  const bool OverRateLimit =
+      Response != nullptr && Response->Status == StatusTooManyRequests;
+  if (!OverRateLimit && ++ConsecutiveFailures > 1)
+    UnavailableAt = CallSentAt;
   const std::string Cause = Response != nullptr
                                 ? "status " + std::to_string(Response->Status)
                                 : std::get<HttpFailure>(Result).Cause.message();
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,22 +69,19 @@
   bool isInitialized() const { return Initialized; }
   /// @return whether the store is unreachable: no response within the timeout
   bool isUnreachable(TimePoint Now) const;
-  /// @return whether the first complete content is missing or was received less
-  /// than CatchUpPeriod ago
-  bool recentlyInitialized(TimePoint Now) const {
-    return !Initialized || Now - InitializedAt < CatchUpPeriod;
-  }
-  /// @return whether contact was regained less than CatchUpPeriod ago
-  bool isCatchingUp(TimePoint Now) const {
-    return Now - ReconnectedAt < CatchUpPeriod;
-  }
+  /// @return time up to which all acknowledged changes are in the mirror: the
+  /// send time of the newest applied call. While a change handler runs, it does
+  /// not cover the response that brought the change. Empty until the store has
+  /// responded to this process.
+  std::optional<TimePoint> confirmedAt() const { return ConfirmedAt; }
+  /// @return time at which the store was last seen to be unavailable; empty if
+  /// it never was. A single call that fails on a kept connection does not
+  /// count.
+  std::optional<TimePoint> unavailableAt() const { return UnavailableAt; }
   /// @return the current copy of the store's items
   const StoreMirror &mirror() const { return Mirror; }
 
 private:
-  /// Time within which a listing after an outage is applied.
-  static constexpr Duration CatchUpPeriod = std::chrono::seconds(1);
-
   void requestListing();
   void handleListing(const HttpResult &Result);
   void requestChanges();
@@ -106,8 +104,10 @@
   StoreRevision ListedRevision = 0;
   TimePoint LastResponseAt{};
   std::size_t RelaysSinceResponse = 0; ///< only relays with changes
-  TimePoint ReconnectedAt{};           ///< end of the last outage
-  TimePoint InitializedAt{};           ///< first complete content
+  TimePoint CallSentAt{};              ///< of a listing, its first page
+  std::optional<TimePoint> ConfirmedAt;
+  std::optional<TimePoint> UnavailableAt;
+  std::size_t ConsecutiveFailures = 0;
   std::chrono::milliseconds Backoff{};
   bool ContactLost = false; ///< set once the loss of contact is logged
 };
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 namespace net = boost::asio;
 using Tcp = net::ip::tcp;
 using boost::system::error_code;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -46,15 +47,16 @@
 constexpr double DrainAcceptFraction = 0.3;
 /// Time between the last end of a request and the platform's SIGKILL.
 constexpr std::chrono::milliseconds ExitMargin{600};
-/// Time before the version bound at which a request that has not started is
-/// withdrawn from its server. It covers the pause between watches and the time
-/// that the declaration takes to arrive.
-constexpr std::chrono::milliseconds VersionPropagationMargin =
-    MaxWatchPause + std::chrono::milliseconds(250);
+/// Reported declarations that are kept; older ones are dropped first.
+constexpr std::size_t MaxReportedDeclarations = 256;
 /// Fraction of the shared retry budget that is used, because a restarted
 /// process starts with a full reserve again.
 constexpr double RetryBudgetFraction = 0.7;
 
+std::string formatSeconds(Duration Value) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
+}
+
 } // namespace
 
 Gateway::Gateway(GatewaySettings InitialSettings,
@@ -319,63 +321,112 @@
     Node.Log.write("version_refused", Version.error());
     return;
   }
-  const TimePoint Now = now();
-  const Duration Limit = Settings.Process.VersionLimit;
   DeclaredVersions[Version->Model] =
       std::max(DeclaredVersions[Version->Model], Version->Version);
   sendPoolDescriptions();
+  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(),
+                               Node.Store.unavailableAt(), std::nullopt};
+  if (const auto Report = ReportedDeclarations.find(*Version);
+      Report != ReportedDeclarations.end())
+    Evidence.ReportedAt = Report->second;
+  PendingVersions.push_back({*Version, Evidence});
+  logDeclaration("version_declared", PendingVersions.back());
+  sendVersionDeclarations();
+}
+
+void Gateway::logDeclaration(std::string_view Event,
+                             const PendingVersion &Pending) {
+  const auto Ago = [Now = now()](const std::optional<TimePoint> &At) {
+    return At ? formatSeconds(Now - *At) : std::string();
+  };
+  const VersionDeadlines Deadlines =
+      versionDeadlines(versionBound(), Pending.Evidence);
+  Node.Log.write(
+      {.Event = std::string(Event),
+       .At = Step::ConfigurationAccept,
+       .Fields = {
+           {"model", Pending.Declared.Model},
+           {"version", std::to_string(Pending.Declared.Version)},
+           {"learned_s_ago", Ago(Pending.Evidence.LearnedAt)},
+           {"confirmed_s_ago", Ago(Pending.Evidence.ConfirmedAt)},
+           {"unavailable_s_ago", Ago(Pending.Evidence.UnavailableAt)},
+           {"reported_s_ago", Ago(Pending.Evidence.ReportedAt)},
+           {"required_in_s", formatSeconds(Deadlines.RequiredAt - now())}}});
+}
+
+VersionBoundSettings Gateway::versionBound() const {
   VersionBoundSettings Bound;
-  Bound.Limit = Limit;
-  const DeclarationSource News = versionNews();
-  PendingVersions.push_back({*Version, Now + oldVersionGracePeriod(Bound, News),
-                             News == DeclarationSource::Watched
-                                 ? Now + Limit - VersionPropagationMargin
-                                 : TimePoint::max()});
-  Node.Log.write({.Event = "version_declared",
-                  .At = Step::ConfigurationAccept,
-                  .Fields = {{"model", Version->Model},
-                             {"version", std::to_string(Version->Version)}}});
-}
-
-DeclarationSource Gateway::versionNews() const {
+  Bound.Limit = Settings.Process.VersionLimit;
+  return Bound;
+}
+
+void Gateway::handleVersionDeclarations(
+    const VersionDeclarations &Declarations) {
   const TimePoint Now = now();
-  if (Node.Store.recentlyInitialized(Now))
-    return DeclarationSource::Unknown;
-  if (Node.Store.isUnreachable(Now))
-    return DeclarationSource::Relayed;
-  if (!Node.Store.isCatchingUp(Now))
-    return DeclarationSource::Watched;
-  return Node.liveGateways().empty() ? DeclarationSource::Unknown
-                                     : DeclarationSource::AfterStoreOutage;
+  for (const DeclarationAge &Each : Declarations.Recent) {
+    const DeclaredVersion Declared{Each.Model, Each.Version};
+    const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
+    const auto [Known, New] = ReportedDeclarations.try_emplace(Declared, At);
+    // A later report of the same sender is delayed differently; an earlier time
+    // of another sender is a lower bound that is less close.
+    Known->second = std::max(Known->second, At);
+    for (PendingVersion &Pending : PendingVersions) {
+      if (Pending.Declared != Declared)
+        continue;
+      const bool FirstReport = !Pending.Evidence.ReportedAt;
+      Pending.Evidence.ReportedAt = Known->second;
+      if (FirstReport && !wasInContact(Pending.Evidence))
+        logDeclaration("version_age_reported", Pending);
+    }
+  }
+  while (ReportedDeclarations.size() > MaxReportedDeclarations)
+    ReportedDeclarations.erase(std::min_element(
+        ReportedDeclarations.begin(), ReportedDeclarations.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+}
+
+void Gateway::sendVersionDeclarations() {
+  VersionDeclarations Declarations;
+  const TimePoint Now = now();
+  for (const PendingVersion &Each : PendingVersions)
+    if (wasInContact(Each.Evidence))
+      Declarations.Recent.push_back(
+          {Each.Declared.Model, Each.Declared.Version,
+           std::chrono::ceil<milliseconds>(Now - *Each.Evidence.ConfirmedAt)});
+  if (Declarations.Recent.empty())
+    return;
+  for (const auto &[Address, Other] : Node.liveGateways())
+    Node.send(Address, Declarations);
 }
 
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
-  std::erase_if(PendingVersions, [&](const PendingVersion &Each) {
-    if (Now < Each.RequiredAt)
-      return false;
-    requireVersion(Servers, Each.Declared);
-    Node.Log.write(
-        {.Event = "version_required",
-         .At = Step::Routing,
-         .Fields = {{"model", Each.Declared.Model},
-                    {"version", std::to_string(Each.Declared.Version)}}});
-    return true;
+  std::erase_if(PendingVersions, [&](PendingVersion &Each) {
+    const VersionDeadlines Deadlines =
+        versionDeadlines(versionBound(), Each.Evidence);
+    if (Now >= Deadlines.RequiredAt && !std::exchange(Each.Required, true)) {
+      requireVersion(Servers, Each.Declared);
+      logDeclaration("version_required", Each);
+    }
+    return Now >= Deadlines.StartBy && Each.Required;
   });
 }
 
 std::optional<TimePoint>
 Gateway::startDeadline(const std::string &Id, const std::string &Model) const {
   const auto Server = Servers.Servers.find(Id);
-  if (Server == Servers.Servers.end())
+  if (Server == Servers.Servers.end() || !Server->second.Record.Weights)
     return std::nullopt;
   const std::uint64_t Loaded = loadedVersion(Server->second, Model);
-  std::optional<TimePoint> Result;
-  for (const PendingVersion &Each : PendingVersions)
-    if (Each.Declared.Model == Model && Each.Declared.Version > Loaded)
-      Result =
-          std::min(Result.value_or(Each.StartDeadline), Each.StartDeadline);
-  return Result;
+  std::optional<TimePoint> Earliest;
+  for (const PendingVersion &Each : PendingVersions) {
+    if (Each.Declared.Model != Model || Each.Declared.Version <= Loaded)
+      continue;
+    const TimePoint StartBy =
+        versionDeadlines(versionBound(), Each.Evidence).StartBy;
+    Earliest = std::min(Earliest.value_or(StartBy), StartBy);
+  }
+  return Earliest;
 }
 
 void Gateway::handleMessage(const Message &Incoming) {
@@ -383,6 +434,9 @@
     handleEngineStatus(Incoming.Head.Sender, *Status);
   else if (const auto *Query = std::get_if<PoolQuestion>(&Incoming.Content))
     handlePoolQuery(Incoming.Head.Sender, *Query);
+  else if (const auto *Declarations =
+               std::get_if<VersionDeclarations>(&Incoming.Content))
+    handleVersionDeclarations(*Declarations);
 }
 
 void Gateway::handleEngineStatus(const std::string &Stager,
@@ -577,6 +631,7 @@
       ++Servers.Settings.SharingGateways;
   for (const std::string &Address : Node.gatewayAddresses())
     Node.send(Address, Status);
+  sendVersionDeclarations();
   if (Now - LastStagerStatusAt < StagerStatusInterval)
     return;
   LastStagerStatusAt = Now;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -128,8 +129,10 @@
   void sendPoolDescriptions();
   void tick();
   void sendStatus();
-  DeclarationSource versionNews() const;
+  void handleVersionDeclarations(const VersionDeclarations &Declarations);
+  void sendVersionDeclarations();
   void enforceVersions();
+  VersionBoundSettings versionBound() const;
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
@@ -158,14 +161,17 @@
   };
   std::map<std::string, KnownStager> Stagers;            ///< by IP address
   std::map<std::string, std::uint64_t> DeclaredVersions; ///< latest, by model
-  /// A declared version that servers are not yet required to have.
+  /// A declared version for which older ones may still be in use.
   struct PendingVersion {
     DeclaredVersion Declared;
-    TimePoint RequiredAt; ///< from then on older versions get no requests
-    TimePoint
-        StartDeadline; ///< until then requests may start on older versions
+    DeclarationEvidence Evidence;
+    bool Required = false; ///< older versions get no requests
   };
+  void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
+  /// Latest reported lower bounds of acknowledgements, which may arrive before
+  /// the declaration itself.
+  std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
   TimePoint LastStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -4,22 +4,45 @@
 
 namespace marigoldyard {
 
-Duration oldVersionGracePeriod(const VersionBoundSettings &Settings,
-                               DeclarationSource Source) {
-  const auto LongestMargin = std::chrono::duration_cast<Duration>(
-      Settings.Limit * Settings.MarginShare);
-  const Duration FullDelay =
-      Settings.Limit - std::min(Settings.Margin, LongestMargin);
-  switch (Source) {
-  case DeclarationSource::Watched:
-  case DeclarationSource::AfterStoreOutage:
-    return FullDelay;
-  case DeclarationSource::Relayed:
-    return std::max(Settings.UnknownLimit, FullDelay - Settings.MaxRelayDelay);
-  case DeclarationSource::Unknown:
-    return std::min(Settings.UnknownLimit, FullDelay);
+namespace {
+
+/// Returns the latest valid lower bound of the acknowledgement; empty if
+/// nothing is known.
+std::optional<TimePoint> latestBound(const VersionBoundSettings &Settings,
+                                     const DeclarationEvidence &Evidence) {
+  if (wasInContact(Evidence))
+    return Evidence.ConfirmedAt;
+  // An outage that another gateway did not see was one of this VM alone and
+  // says nothing about the declaration.
+  if (Evidence.ReportedAt)
+    return std::max(Evidence.ConfirmedAt,
+                    std::optional(*Evidence.ReportedAt - Settings.ReportDelay));
+  return std::max(Evidence.ConfirmedAt, Evidence.UnavailableAt);
+}
+
+Duration margin(const VersionBoundSettings &Settings, Duration Value) {
+  return std::min(Value, std::chrono::duration_cast<Duration>(
+                             Settings.Limit * Settings.MarginShare));
+}
+
+} // namespace
+
+bool wasInContact(const DeclarationEvidence &Evidence) {
+  return Evidence.ConfirmedAt && Evidence.UnavailableAt.value_or(
+                                     TimePoint::min()) <= *Evidence.ConfirmedAt;
+}
+
+VersionDeadlines versionDeadlines(const VersionBoundSettings &Settings,
+                                  const DeclarationEvidence &Evidence) {
+  const auto Bound = latestBound(Settings, Evidence);
+  if (!Bound) {
+    const TimePoint RequiredAt =
+        Evidence.LearnedAt + std::min(Settings.UnknownAgeLimit, Settings.Limit);
+    return {RequiredAt, RequiredAt};
   }
-  return FullDelay;
+  const TimePoint End = *Bound + Settings.Limit;
+  return {End - margin(Settings, Settings.SendMargin),
+          End - margin(Settings, Settings.StartMargin)};
 }
 
 } // namespace marigoldyard
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -12,12 +12,24 @@
 VERSION_LIMIT_S = 8
 
 
-def declare(fleet, version):
+def declare_next(fleet):
     """Declares a version that no server has; returns the time of the acknowledgement."""
-    fleet.store.put("op/version/m", {"model": "m", "version": version})
+    fleet.store.put("op/version/m", {"model": "m", "version": newest(fleet) + 1})
     return time.monotonic()
 
 
+def load_declared(fleet):
+    """Lets all servers report the version that declare_next() declared."""
+    version = newest(fleet) + 1
+    for server in fleet.engines:
+        server.models = {"m": version}
+        server.register()
+
+
+def newest(fleet):
+    return max(next(iter(server.models.values())) for server in fleet.engines)
+
+
 class Heartbeats:
     """Servers that update their records all the time, so that watches of the store return at once."""
 
@@ -36,10 +48,6 @@
         self.ended.set()
 
 
-def newest(fleet):
-    return max(next(iter(server.models.values())) for server in fleet.engines)
-
-
 # Guards against a bound that counts from when the gateway learned of the declaration instead of from its
 # acknowledgement: requests were sent to old weights for as long after the bound as the store's answer was late.
 def case_late_answer_of_store(fleet):
@@ -48,13 +56,14 @@
     with Heartbeats(fleet.plain):
         fleet.store.delays[gateway.host] = 1.5
         time.sleep(2)  # the watch in progress was sent before
-        acknowledged = declare(fleet, newest(fleet) + 1)
+        acknowledged = declare_next(fleet)
         while time.monotonic() - acknowledged < VERSION_LIMIT_S + 2:
             threading.Thread(target=call, args=(gateway, "/stream/1", "POST", b"p"), daemon=True).start()
             time.sleep(0.1)
     fleet.store.delays.clear()
     wait_for(lambda: "version_declared" in gateway.log_text(), "the gateway learned of the version")
     late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
     check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -5,24 +5,76 @@
 using namespace marigoldyard;
 using namespace std::chrono_literals;
 
-TEST_CASE("a version is required within its bound, whatever its age may be") {
+namespace {
+
+constexpr TimePoint Start{100s};
+
+/// Evidence of a gateway that was in contact with the store.
+DeclarationEvidence evidenceInContact(Duration Delay) {
+  return {Start + Delay, Start, std::nullopt, std::nullopt};
+}
+
+} // namespace
+
+// Guards against a bound that counts from when the gateway learned of a
+// declaration: a late response of the store extended the use of old weights.
+TEST_CASE("the bound does not move when a gateway learns late") {
   const VersionBoundSettings Settings;
-  CHECK(oldVersionGracePeriod(Settings, DeclarationSource::Watched) == 7100ms);
-  // The bound counts from the return at the latest: the store may have been
-  // away for this gateway only, and then it counts from the declaration.
-  CHECK(oldVersionGracePeriod(Settings, DeclarationSource::AfterStoreOutage) ==
-        7100ms);
-  CHECK(oldVersionGracePeriod(Settings, DeclarationSource::Relayed) == 4300ms);
-  CHECK(oldVersionGracePeriod(Settings, DeclarationSource::Unknown) == 2500ms);
+  for (Duration Delay : {Duration(0ms), Duration(2s), Duration(6s)}) {
+    const auto Deadlines = versionDeadlines(Settings, evidenceInContact(Delay));
+    CHECK(Deadlines.RequiredAt == Start + 7250ms);
+    CHECK(Deadlines.StartBy == Start + 7700ms);
+  }
+}
+
+// Guards against late starts after a delay longer than the whole bound.
+TEST_CASE("a declaration that is learned after its bound is required at once") {
+  const auto Deadlines = versionDeadlines({}, evidenceInContact(9s));
+  CHECK(Deadlines.RequiredAt < Start + 9s);
+  CHECK(Deadlines.StartBy < Start + 9s);
 }
 
-TEST_CASE("short bounds are never exceeded") {
+// Guards against refusals of everything after an outage of the store for all:
+// the bound counts only while the store works.
+TEST_CASE("an outage that no other gateway saw through extends the bound") {
+  DeclarationEvidence Evidence{Start + 9s, Start, Start + 8s, std::nullopt};
+  CHECK(!wasInContact(Evidence));
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 8s + 7250ms);
+}
+
+// Guards against the use of old weights after a cut of one gateway from the
+// store while the others were in contact.
+TEST_CASE("a report of another gateway goes before an outage of this one") {
+  DeclarationEvidence Evidence{Start + 9s, Start, Start + 8s, Start + 2s};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
+        Start + 2s - 300ms + 7250ms);
+  // The own lower bound may be later than the reported one.
+  Evidence.ConfirmedAt = Start + 3s;
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 3s + 7250ms);
+}
+
+TEST_CASE("an outage before the last response does not matter") {
+  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, Start + 2s};
+  CHECK(wasInContact(Evidence));
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 7250ms);
+}
+
+TEST_CASE("a process that has just started trusts reports, or little time") {
+  DeclarationEvidence Evidence{Start, std::nullopt, std::nullopt, std::nullopt};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 2500ms);
+  CHECK(versionDeadlines({}, Evidence).StartBy == Start + 2500ms);
+  Evidence.ReportedAt = Start - 1s;
+  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
+        Start - 1s - 300ms + 7250ms);
+}
+
+TEST_CASE("margins take up a limited part of short bounds") {
   VersionBoundSettings Settings;
   Settings.Limit = 2s;
-  for (DeclarationSource News :
-       {DeclarationSource::Watched, DeclarationSource::AfterStoreOutage,
-        DeclarationSource::Unknown}) {
-    CHECK(oldVersionGracePeriod(Settings, News) <= 1700ms);
-    CHECK(oldVersionGracePeriod(Settings, News) >= 0ms);
-  }
+  const auto Deadlines = versionDeadlines(Settings, evidenceInContact(0ms));
+  CHECK(Deadlines.RequiredAt == Start + 1700ms);
+  CHECK(Deadlines.StartBy == Start + 1700ms);
+  Settings.Limit = 1s;
+  const DeclarationEvidence Unknown{Start, {}, {}, {}};
+  CHECK(versionDeadlines(Settings, Unknown).RequiredAt <= Start + 1s);
 }
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -65,7 +65,8 @@
                       {"model", "other"},
                       true,
                       {{"10.0.0.4:90", "dar"}, {"10.0.0.5:90", "arusha"}},
-                      {{"model", 3}}}}};
+                      {{"model", 3}}}},
+          VersionDeclarations{{{"model", 3, std::chrono::milliseconds(250)}}}};
 }
 
 /// One message of each type, with every member set.
