Withdraw requests that have not started when their version goes out of use

Cause: three ways past the time limit for the first event. A request that was sent before the declaration was known had its usual limit, which for streams that run at most once is an hour. The limit was a duration that began again after the connection was made and once more after the response's head. And a declaration was forgotten once its version was required, with requests still waiting at servers.

Change: the gateway keeps the requests that have not started and withdraws them at each tick when the version of their server goes out of use. Withdrawn work counts as lost, not as not run, and is no failure of the server. A start that is late all the same is logged as started_on_old_version and counted in marigoldyard_late_starts_total.

Why it works: the decision is made at the bound, with what is known then, instead of when the request was sent. Buffered responses of work that runs at most once are left alone: their start is not visible.

--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -401,6 +401,7 @@
 
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
+  withdrawUnstarted(Now);
   std::erase_if(PendingVersions, [&](PendingVersion &Each) {
     const VersionDeadlines Deadlines =
         versionDeadlines(versionBound(), Each.Evidence);
@@ -419,6 +420,9 @@
     return std::nullopt;
   const std::uint64_t Loaded = loadedVersion(Server->second, Model);
   std::optional<TimePoint> Earliest;
+  const auto Required = Servers.RequiredVersions.find(Model);
+  const bool IsOutdated =
+      Required != Servers.RequiredVersions.end() && Loaded < Required->second;
   for (const PendingVersion &Each : PendingVersions) {
     if (Each.Declared.Model != Model || Each.Declared.Version <= Loaded)
       continue;
@@ -426,9 +430,50 @@
         versionDeadlines(versionBound(), Each.Evidence).StartBy;
     Earliest = std::min(Earliest.value_or(StartBy), StartBy);
   }
+  if (!Earliest && IsOutdated)
+    return TimePoint::min();
   return Earliest;
 }
 
+std::uint64_t Gateway::watchStart(UnstartedRequest Watched) {
+  UnstartedRequests.emplace(++LastStartTicket, std::move(Watched));
+  return LastStartTicket;
+}
+
+void Gateway::endStartWatch(std::uint64_t Ticket) {
+  UnstartedRequests.erase(Ticket);
+}
+
+void Gateway::withdrawUnstarted(TimePoint Now) {
+  if (PendingVersions.empty())
+    return; // outdated servers get no requests any more
+  for (const auto &[Ticket, Each] : UnstartedRequests) {
+    const auto StartBy = startDeadline(Each.Server, Each.Model);
+    if (StartBy && Now >= *StartBy)
+      Each.Withdraw();
+  }
+}
+
+void Gateway::recordStart(const std::string &Request, const std::string &Server,
+                          const std::string &Model) {
+  const auto StartBy = startDeadline(Server, Model);
+  if (!StartBy || now() < *StartBy)
+    return;
+  const std::uint64_t Version =
+      loadedVersion(Servers.Servers.at(Server), Model);
+  Node.Log.write({.Level = LogLevel::Warning,
+                  .Event = "started_on_old_version",
+                  .At = Step::Routing,
+                  .Request = Request,
+                  .Fields = {{"server", Server},
+                             {"model", Model},
+                             {"version", std::to_string(Version)}}});
+  Node.ProcessMetrics
+      .counter("marigoldyard_late_starts_total",
+               "Requests that started on an older version after its bound", {})
+      .add();
+}
+
 void Gateway::handleMessage(const Message &Incoming) {
   if (const auto *Status = std::get_if<EngineStatus>(&Incoming.Content))
     handleEngineStatus(Incoming.Head.Sender, *Status);
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -79,13 +79,29 @@
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
 
-  /// @brief Time until which a request may start at a server with the version
-  /// that is loaded there.
-  /// @param Id id of the server
+  /// @brief A request that was sent to a model server and has not started, as
+  /// far as is known.
+  struct UnstartedRequest {
+    std::string Server;
+    std::string Model;
+    std::function<void()> Withdraw;
+  };
+  /// @brief Watches a request until endStartWatch() and withdraws it if it has
+  /// not started when the version of its server goes out of use.
+  /// @param Watched the request; Withdraw must be callable until
+  /// endStartWatch()
+  /// @return ticket for endStartWatch()
+  std::uint64_t watchStart(UnstartedRequest Watched);
+  /// @brief Ends the watch of a request.
+  /// @param Ticket of watchStart(); an unknown one has no effect
+  void endStartWatch(std::uint64_t Ticket);
+  /// @brief Logs and counts a request that started at a server whose version
+  /// had already gone out of use.
+  /// @param Request id of the request
+  /// @param Server id of the server
   /// @param Model name of the model
-  /// @return the time; empty while no newer version is declared
-  std::optional<TimePoint> startDeadline(const std::string &Id,
-                                         const std::string &Model) const;
+  void recordStart(const std::string &Request, const std::string &Server,
+                   const std::string &Model);
 
   /// @brief Records a response to a caller and its latency in the metrics.
   /// @param Kind kind of the route
@@ -129,9 +145,12 @@
   void sendPoolDescriptions();
   void tick();
   void sendStatus();
+  std::optional<TimePoint> startDeadline(const std::string &Id,
+                                         const std::string &Model) const;
   void handleVersionDeclarations(const VersionDeclarations &Declarations);
   void sendVersionDeclarations();
   void enforceVersions();
+  void withdrawUnstarted(TimePoint Now);
   VersionBoundSettings versionBound() const;
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
@@ -172,6 +191,8 @@
   /// Latest reported lower bounds of acknowledgements, which may arrive before
   /// the declaration itself.
   std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
+  std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
+  std::uint64_t LastStartTicket = 0;
   TimePoint LastStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -296,16 +296,17 @@
   StreamReceiver Receiver = streamReceiver();
   const platform::RequestMessage Outgoing =
       platform::buildServerRequest(Request, Content);
-  ExchangeLimits Limits = exchangeLimits();
-  // A request queued at a server must not start on an outdated version; this
-  // includes a stream that resumes there.
-  if (auto Until = Owner.startDeadline(Id, RequestInfo.Model))
-    Limits.FirstByteTimeout = std::min(
-        Limits.FirstByteTimeout, std::max(Duration::zero(), *Until - now()));
-  ExchangeResult Result =
-      co_await Exchange.run(Outgoing, Record.Address, RequestInfo.Id, Limits,
-                            MatchedRoute->IsStreaming ? &Receiver : nullptr);
+  // The start of a buffered response is not visible, and work that runs at most
+  // once must not be cut off after it.
+  if (MatchedRoute->IsStreaming ||
+      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce)
+    StartTicket = Owner.watchStart(
+        {Id, RequestInfo.Model, [&Exchange] { Exchange.withdraw(); }});
+  ExchangeResult Result = co_await Exchange.run(
+      Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(),
+      MatchedRoute->IsStreaming ? &Receiver : nullptr);
   ActiveExchange = nullptr;
+  endStartWatch();
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
@@ -314,6 +315,11 @@
   co_return Result;
 }
 
+void RequestRun::endStartWatch() {
+  if (const auto Ticket = std::exchange(StartTicket, std::nullopt))
+    Owner.endStartWatch(*Ticket);
+}
+
 void RequestRun::endPrefill() {
   if (std::exchange(PrefillRunning, false))
     Owner.finishPrefill(LastServer, RequestInfo.PromptTokens);
@@ -437,6 +443,9 @@
 net::awaitable<bool>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
+  if (StartTicket)
+    Owner.recordStart(RequestInfo.Id, LastServer, RequestInfo.Model);
+  endStartWatch();
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -45,6 +45,7 @@
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
+  void endStartWatch();
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
@@ -84,7 +85,8 @@
   std::set<std::string> TriedServers;
   std::vector<AttemptStatus> AttemptOutcomes;
   ServerExchange *ActiveExchange = nullptr;
-  bool PrefillRunning = false; ///< at LastServer
+  bool PrefillRunning = false;              ///< at LastServer
+  std::optional<std::uint64_t> StartTicket; ///< set until the request starts
   bool HeadForwarded = false;
   EventOrder Order;
   std::optional<std::uint64_t> Version;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -81,6 +81,13 @@
     Connection->Socket.close(Ignored);
 }
 
+void ServerExchange::withdraw() {
+  Withdrawn = true;
+  error_code Ignored;
+  if (Connection)
+    Connection->Socket.close(Ignored);
+}
+
 net::awaitable<ExchangeResult>
 ServerExchange::run(const platform::RequestMessage &Request,
                     const std::string &Address, const std::string &RequestId,
@@ -91,12 +98,13 @@
   ExchangeResult Result;
   if (!Connection) {
     const bool Connected = co_await connect(Address);
-    if (!Connected || Cancelled) {
+    if (!Connected || Cancelled || Withdrawn) {
+      Result = failureResult({});
       Result.Fate = AttemptStatus::NeverSent;
-      Result.Reason =
-          Cancelled ? ErrorCode::Cancelled : ErrorCode::PeerUnreachable;
-      Result.Health =
-          Cancelled ? ServerOutcome::Answered : ServerOutcome::Unreachable;
+      if (!Cancelled && !Withdrawn) {
+        Result.Reason = ErrorCode::PeerUnreachable;
+        Result.Health = ServerOutcome::Unreachable;
+      }
       Result.Detail = "no connection";
       co_return Result;
     }
@@ -106,9 +114,9 @@
   Timer.expiresAt(now() + FirstByteTimeout);
   const bool Written = co_await send(Request);
   if (!Written) {
-    Result.Reason = ErrorCode::PeerUnreachable;
-    Result.Health = Timer.expired() ? ServerOutcome::AnswerTimeout
-                                    : ServerOutcome::InvalidAnswer;
+    Result = failureResult({});
+    if (!Cancelled && !Withdrawn)
+      Result.Reason = ErrorCode::PeerUnreachable;
     Result.Detail = "request was not written";
     Timer.clear();
     co_return Result;
@@ -195,6 +203,10 @@
   if (Cancelled) {
     Result.Reason = ErrorCode::Cancelled;
     Result.Health = ServerOutcome::Answered;
+  } else if (Withdrawn) {
+    Result.Reason = ErrorCode::WrongWeights;
+    Result.Health = ServerOutcome::Answered;
+    Result.Detail = "not started before the version went out of use";
   } else if (Timer.expired()) {
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -81,6 +81,9 @@
 
   /// @brief Closes the connection, so that the server stops its work.
   void cancel();
+  /// @brief Closes the connection because the request must not start at the
+  /// server any more; another server may run it.
+  void withdraw();
 
 private:
   using Parser =
@@ -108,6 +111,7 @@
   ExchangeLimits Limits;
   std::shared_ptr<ServerConnection> Connection;
   bool Cancelled = false;
+  bool Withdrawn = false;
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -67,7 +67,60 @@
     check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
-CASES = [case_late_answer_of_store]
+def hang_after_head(server, delay):
+    """Sends the head of a stream after a delay, and no event."""
+    def run(request):
+        time.sleep(delay)
+        request.send_response(200)
+        for name, value in {**server.headers(request), "Content-Type": "text/event-stream",
+                            "Transfer-Encoding": "chunked"}.items():
+            request.send_header(name, value)
+        request.end_headers()
+        server.hang(request)
+    return run
+
+
+def check_withdrawn(fleet, acknowledged):
+    gone = wait_for(lambda: [at - acknowledged for server in fleet.engines for at in server.gone],
+                    "the request is withdrawn", timeout=VERSION_LIMIT_S + 8)
+    load_declared(fleet)
+    check(max(gone) < VERSION_LIMIT_S, f"withdrawn {max(gone):.2f} s after the declaration")
+
+
+def send_stream(fleet, kind, behaviour, **changes):
+    """Sends one stream that does not start, in the background."""
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", kind, "engines", timeout_ms=15000,
+                                     target_latency_ms=1000, target_gap_ms=300, max_attempts=1, **changes)])
+    time.sleep(1)
+    for server in fleet.engines:
+        server.gone.clear()
+        server.behaviours = [behaviour(server)]
+    return threading.Thread(target=call, args=(fleet.gateways[0], "/stream/1", "POST", b"p"),
+                            kwargs={"headers": {"Deadline-Ms": "15000"}, "timeout": 20}, daemon=True)
+
+
+# Guards against a request that was sent before the declaration and starts after the bound: its time limit was set when
+# no newer version was known.
+def case_sent_before_declaration(fleet):
+    """a stream that waits at a server since before the declaration is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: server.hang)
+    request.start()
+    wait_for(lambda: any(server.seen for server in fleet.engines), "the request arrives")
+    check_withdrawn(fleet, declare_next(fleet))
+
+
+# Guards against a time limit that starts again with the head of the response, before the first event.
+def case_head_before_start(fleet):
+    """a stream whose head was sent without an event is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: hang_after_head(server, 2), resume_streams=True)
+    with Heartbeats(fleet.plain):
+        acknowledged = declare_next(fleet)
+        time.sleep(VERSION_LIMIT_S - 3)
+        request.start()
+        check_withdrawn(fleet, acknowledged)
+
+
+CASES = [case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
 
 
 if __name__ == "__main__":
