--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -78,13 +79,29 @@
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
 
-  /// @brief Time until which a request may start at a server with the version
-  /// that is loaded there.
-  /// @param Id id of the server
+  /// @brief A request that was sent to a model server and has not started, as
+  /// far as is known.
+  struct UnstartedRequest {
+    std::string Server;
+    std::string Model;
+    std::function<void()> Withdraw;
+  };
+  /// @brief Watches a request until endStartWatch() and withdraws it if it has
+  /// not started when the version of its server goes out of use.
+  /// @param Watched the request; Withdraw must be callable until
+  /// endStartWatch()
+  /// @return ticket for endStartWatch()
+  std::uint64_t watchStart(UnstartedRequest Watched);
+  /// @brief Ends the watch of a request.
+  /// @param Ticket of watchStart(); an unknown one has no effect
+  void endStartWatch(std::uint64_t Ticket);
+  /// @brief Logs and counts a request that started at a server whose version
+  /// had already gone out of use.
+  /// @param Request id of the request
+  /// @param Server id of the server
   /// @param Model name of the model
-  /// @return the time; empty while no newer version is declared
-  std::optional<TimePoint> startDeadline(const std::string &Id,
-                                         const std::string &Model) const;
+  void recordStart(const std::string &Request, const std::string &Server,
+                   const std::string &Model);
 
   /// @brief Records a response to a caller and its latency in the metrics.
   /// @param Kind kind of the route
@@ -128,8 +145,13 @@
   void sendPoolDescriptions();
   void tick();
   void sendStatus();
-  DeclarationSource versionNews() const;
+  std::optional<TimePoint> startDeadline(const std::string &Id,
+                                         const std::string &Model) const;
+  void handleVersionDeclarations(const VersionDeclarations &Declarations);
+  void sendVersionDeclarations();
   void enforceVersions();
+  void withdrawUnstarted(TimePoint Now);
+  VersionBoundSettings versionBound() const;
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
@@ -158,14 +180,19 @@
   };
   std::map<std::string, KnownStager> Stagers;            ///< by IP address
   std::map<std::string, std::uint64_t> DeclaredVersions; ///< latest, by model
-  /// A declared version that servers are not yet required to have.
+  /// A declared version for which older ones may still be in use.
   struct PendingVersion {
     DeclaredVersion Declared;
-    TimePoint RequiredAt; ///< from then on older versions get no requests
-    TimePoint
-        StartDeadline; ///< until then requests may start on older versions
+    DeclarationEvidence Evidence;
+    bool Required = false; ///< older versions get no requests
   };
+  void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
+  /// Latest reported lower bounds of acknowledgements, which may arrive before
+  /// the declaration itself.
+  std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
+  std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
+  std::uint64_t LastStartTicket = 0;
   TimePoint LastStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
--- /dev/null
+++ b/tests/process/test_versions.py
@@ -0,0 +1,109 @@
+"""Bounds after the declaration of a version: no request may start on an older one after it."""
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+# As in the settings of the processes, from the users' sites.
+VERSION_LIMIT_S = 8
+
+
+def declare_next(fleet):
+    """Declares a version that no server has; returns the time of the acknowledgement."""
+    fleet.store.put("op/version/m", {"model": "m", "version": newest(fleet) + 1})
+    return time.monotonic()
+
+
+def load_declared(fleet):
+    """Lets all servers report the version that declare_next() declared."""
+    version = newest(fleet) + 1
+    for server in fleet.engines:
+        server.models = {"m": version}
+        server.register()
+
+
+def newest(fleet):
+    return max(next(iter(server.models.values())) for server in fleet.engines)
+
+
+# Guards against a bound that counts from when the gateway learned of the declaration instead of from its
+# acknowledgement: requests were sent to old weights for as long after the bound as the store's answer was late.
+def case_late_answer_of_store(fleet):
+    """a gateway that learns late of a version sends nothing to older ones after its bound"""
+    gateway = fleet.gateways[0]
+    with pf.Heartbeats(fleet.plain):
+        fleet.store.delays[gateway.host] = 1.5
+        time.sleep(2)  # the watch in progress was sent before
+        acknowledged = declare_next(fleet)
+        while time.monotonic() - acknowledged < VERSION_LIMIT_S + 2:
+            threading.Thread(target=call, args=(gateway, "/stream/1", "POST", b"p"), daemon=True).start()
+            time.sleep(0.1)
+    fleet.store.delays.clear()
+    wait_for(lambda: "version_declared" in gateway.log_text(), "the gateway learned of the version")
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
+    check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+def hang_after_head(server, delay):
+    """Sends the head of a stream after a delay, and no event."""
+    def run(request):
+        time.sleep(delay)
+        request.send_response(200)
+        for name, value in {**server.headers(request), "Content-Type": "text/event-stream",
+                            "Transfer-Encoding": "chunked"}.items():
+            request.send_header(name, value)
+        request.end_headers()
+        server.hang(request)
+    return run
+
+
+def check_withdrawn(fleet, acknowledged):
+    gone = wait_for(lambda: [at - acknowledged for server in fleet.engines for at in server.gone],
+                    "the request is withdrawn", timeout=VERSION_LIMIT_S + 8)
+    load_declared(fleet)
+    check(max(gone) < VERSION_LIMIT_S, f"withdrawn {max(gone):.2f} s after the declaration")
+
+
+def send_stream(fleet, kind, behaviour, **changes):
+    """Sends one stream that does not start, in the background."""
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", kind, "engines", timeout_ms=15000,
+                                     target_latency_ms=1000, target_gap_ms=300, max_attempts=1, **changes)])
+    time.sleep(1)
+    for server in fleet.engines:
+        server.gone.clear()
+        server.behaviours = [behaviour(server)]
+    return threading.Thread(target=call, args=(fleet.gateways[0], "/stream/1", "POST", b"p"),
+                            kwargs={"headers": {"Deadline-Ms": "15000"}, "timeout": 20}, daemon=True)
+
+
+# Guards against a request that was sent before the declaration and starts after the bound: its time limit was set when
+# no newer version was known.
+def case_sent_before_declaration(fleet):
+    """a stream that waits at a server since before the declaration is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: server.hang)
+    request.start()
+    wait_for(lambda: any(server.seen for server in fleet.engines), "the request arrives")
+    check_withdrawn(fleet, declare_next(fleet))
+
+
+# Guards against a time limit that starts again with the head of the response, before the first event.
+def case_head_before_start(fleet):
+    """a stream whose head was sent without an event is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: hang_after_head(server, 2), resume_streams=True)
+    with pf.Heartbeats(fleet.plain):
+        acknowledged = declare_next(fleet)
+        time.sleep(VERSION_LIMIT_S - 3)
+        request.start()
+        check_withdrawn(fleet, acknowledged)
+
+
+CASES = [case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
