Confirm the time of a watch that brought no change

What callers saw: while nothing changes in the store, a gateway required a new version, and refused what only older ones could serve, up to 3.5 s early.

Cause: the lower bound of an acknowledgement was the time at which the watch before was sent, though that watch waited 1.5 s without a change.

Change: the response to a watch without changes confirms the time until the end of its wait.

Why it works: the store responds without a change only when the wait is over. A response that comes before that confirms only the time of sending.

Ruled out: the time for which the watch waited that brought the declaration. A delayed response cannot be distinguished from one that waited.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -28,6 +28,16 @@
   Duration UnknownAgeLimit = std::chrono::milliseconds(2500);
 };
 
+/// @brief Returns the time up to which the response to a watch shows all
+/// acknowledged changes. The store responds without a change only when the wait
+/// is over, so nothing changed until then.
+/// @param SentAt when the watch was sent
+/// @param AnsweredAt when the response arrived
+/// @param Wait how long the store waits for a change
+/// @param HasChanges whether the response contains changes
+TimePoint confirmedByWatch(TimePoint SentAt, TimePoint AnsweredAt,
+                           Duration Wait, bool HasChanges);
+
 /// @brief What a gateway knows about the time at which a declaration was
 /// acknowledged. Each time is a lower bound of it.
 struct DeclarationEvidence {
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -1,5 +1,6 @@
 #include "programs/fleet/store_reader.hpp"
 
+#include "marigoldyard/coordination/version_bound.hpp"
 #include "marigoldyard/transport/clock.hpp"
 #include "platform/store_format.hpp"
 
@@ -145,7 +146,8 @@
   }
   recordResponse();
   notifyChanges(applyEvents(Mirror, Events->Items, Events->Revision));
-  ConfirmedAt = CallSentAt;
+  ConfirmedAt = confirmedByWatch(CallSentAt, LastResponseAt,
+                                 Options.WatchTimeout, !Events->Items.empty());
   scheduleCall(Options.WatchDelay, &StoreReader::requestChanges);
 }
 
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -70,7 +70,8 @@
   /// @return whether the store is unreachable: no response within the timeout
   bool isUnreachable(TimePoint Now) const;
   /// @return time up to which all acknowledged changes are in the mirror: the
-  /// send time of the newest applied call. While a change handler runs, it does
+  /// send time of the newest applied call, or the end of a watch that brought
+  /// no change. While a change handler runs, it does
   /// not cover the response that brought the change. Empty until the store has
   /// responded to this process.
   std::optional<TimePoint> confirmedAt() const { return ConfirmedAt; }
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -27,6 +27,12 @@
 
 } // namespace
 
+TimePoint confirmedByWatch(TimePoint SentAt, TimePoint AnsweredAt,
+                           Duration Wait, bool HasChanges) {
+  const bool WaitedInFull = !HasChanges && AnsweredAt - SentAt >= Wait;
+  return WaitedInFull ? SentAt + Wait : SentAt;
+}
+
 bool wasInContact(const DeclarationEvidence &Evidence) {
   return Evidence.ConfirmedAt && Evidence.UnavailableAt.value_or(
                                      TimePoint::min()) <= *Evidence.ConfirmedAt;
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -1,4 +1,5 @@
 """Bounds after the declaration of a version: no request may start on an older one after it."""
+import json
 import os
 import sys
 import threading
@@ -49,6 +50,23 @@
     check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
+# Guards against a bound that ends up to two watches early while nothing changes in the store.
+def case_idle_store(fleet):
+    """a watch without changes counts as contact until its end"""
+    gateway = fleet.gateways[0]
+    watches = lambda: [path for client, path in list(fleet.store.calls) if client == gateway.host and "kv-watch" in path]
+    time.sleep(2)  # changes of the cases before
+    sent = len(watches())
+    wait_for(lambda: len(watches()) > sent, "the next watch is sent")
+    time.sleep(1)
+    declare_next(fleet)
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "version_declared" in line],
+                     "the gateway learns of the version")
+    load_declared(fleet)
+    confirmed = float(json.loads(lines[-1])["confirmed_s_ago"])
+    check(confirmed < 2, f"the last contact was {confirmed} s before")
+
+
 def hang_after_head(server, delay):
     """Sends the head of a stream after a delay, and no event."""
     def run(request):
@@ -102,7 +120,7 @@
         check_withdrawn(fleet, acknowledged)
 
 
-CASES = [case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+CASES = [case_idle_store, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+// Guards against refusals up to two watches too early while nothing changes in
+// the store.
+TEST_CASE("a watch without changes confirms the time of its wait") {
+  CHECK(confirmedByWatch(Start, Start + 1520ms, 1500ms, false) ==
+        Start + 1500ms);
+  // A late response says nothing about the time after the wait.
+  CHECK(confirmedByWatch(Start, Start + 3s, 1500ms, false) == Start + 1500ms);
+  // A change may have been acknowledged just after the watch was sent.
+  CHECK(confirmedByWatch(Start, Start + 1520ms, 1500ms, true) == Start);
+  // A response without changes before the end of the wait is unexpected.
+  CHECK(confirmedByWatch(Start, Start + 200ms, 1500ms, false) == Start);
+}
+
 // Guards against a bound that counts from when the gateway learned of a
 // declaration: a late response of the store extended the use of old weights.
 TEST_CASE("the bound does not move when a gateway learns late") {
