Use the reports of other gateways also without an outage

What callers saw: a gateway whose calls to the store are answered with 429 while a version is declared refuses everything that only older versions can serve, from when it learns of the declaration.

Cause: calls over the rate limit are no sign of an outage, so the gateway counts as in contact, and its last contact may be longer ago than the bound. Reports of other gateways were ignored then. They also moved with each report: the latest of all counted, which is the most delayed one.

Change: the closest lower bound counts, also if it is reported. Of each sender the least delayed report counts. No bound is later than the time at which the gateway learned of the declaration.

Why it works: every report is a lower bound of the acknowledgement, apart from its delay, and is repeated twice a second, so that a single late one has no effect.

The unit test "an outage before the last response does not matter" had a report that a gateway in contact ignored; that was the fault. It keeps its other check, and a new test checks how far such a report may move the bound.

Ruled out: 429 as a sign of an outage, since too many calls of the gateways themselves have the same answer while the store works for others.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -2,7 +2,9 @@
 
 #include "marigoldyard/state/time.hpp"
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace marigoldyard {
 
@@ -46,11 +48,26 @@
   std::optional<TimePoint> ConfirmedAt;
   /// The store was last seen unavailable by this gateway.
   std::optional<TimePoint> UnavailableAt;
-  /// Latest lower bound of another gateway that was in contact with the store,
-  /// when its report arrived less the reported age.
+  /// Latest lower bound of another gateway that was in contact with the store.
   std::optional<TimePoint> ReportedAt;
 };
 
+/// @brief Reports of other gateways on the acknowledgement of a declaration.
+struct DeclarationReports {
+  /// Lower bounds by sender, too late by the delay of the report.
+  std::map<std::string, TimePoint> BySender;
+};
+
+/// @brief Adds a report. The least delayed report of each sender counts.
+/// @param Sender gateway that was in contact with the store
+/// @param At arrival of the report less the reported age
+void addReport(DeclarationReports &Reports, const std::string &Sender,
+               TimePoint At);
+
+/// @brief Returns the closest lower bound of all senders.
+/// @param Reports at least one report
+TimePoint latestReport(const DeclarationReports &Reports);
+
 /// @brief Whether the gateway was in contact with the store when the version
 /// was declared, so that ConfirmedAt is close to the acknowledgement and may be
 /// reported to other gateways.
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -328,7 +328,7 @@
                                Node.Store.unavailableAt(), std::nullopt};
   if (const auto Report = ReportedDeclarations.find(*Version);
       Report != ReportedDeclarations.end())
-    Evidence.ReportedAt = Report->second;
+    Evidence.ReportedAt = latestReport(Report->second);
   PendingVersions.push_back({*Version, Evidence});
   logDeclaration("version_declared", PendingVersions.back());
   sendVersionDeclarations();
@@ -361,28 +361,28 @@
 }
 
 void Gateway::handleVersionDeclarations(
-    const VersionDeclarations &Declarations) {
+    const std::string &Sender, const VersionDeclarations &Declarations) {
   const TimePoint Now = now();
   for (const DeclarationAge &Each : Declarations.Recent) {
     const DeclaredVersion Declared{Each.Model, Each.Version};
     const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
-    const auto [Known, New] = ReportedDeclarations.try_emplace(Declared, At);
-    // A later report of the same sender is delayed differently; an earlier time
-    // of another sender is a lower bound that is less close.
-    Known->second = std::max(Known->second, At);
+    DeclarationReports &Reports = ReportedDeclarations[Declared];
+    addReport(Reports, Sender, At);
     for (PendingVersion &Pending : PendingVersions) {
       if (Pending.Declared != Declared)
         continue;
       const bool FirstReport = !Pending.Evidence.ReportedAt;
-      Pending.Evidence.ReportedAt = Known->second;
-      if (FirstReport && !wasInContact(Pending.Evidence))
+      Pending.Evidence.ReportedAt = latestReport(Reports);
+      if (FirstReport)
         logDeclaration("version_age_reported", Pending);
     }
   }
   while (ReportedDeclarations.size() > MaxReportedDeclarations)
     ReportedDeclarations.erase(std::min_element(
         ReportedDeclarations.begin(), ReportedDeclarations.end(),
-        [](const auto &A, const auto &B) { return A.second < B.second; }));
+        [](const auto &A, const auto &B) {
+          return latestReport(A.second) < latestReport(B.second);
+        }));
 }
 
 void Gateway::sendVersionDeclarations() {
@@ -481,7 +481,7 @@
     handlePoolQuery(Incoming.Head.Sender, *Query);
   else if (const auto *Declarations =
                std::get_if<VersionDeclarations>(&Incoming.Content))
-    handleVersionDeclarations(*Declarations);
+    handleVersionDeclarations(Incoming.Head.Sender, *Declarations);
 }
 
 void Gateway::handleEngineStatus(const std::string &Stager,
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -147,7 +147,8 @@
   void sendStatus();
   std::optional<TimePoint> startDeadline(const std::string &Id,
                                          const std::string &Model) const;
-  void handleVersionDeclarations(const VersionDeclarations &Declarations);
+  void handleVersionDeclarations(const std::string &Sender,
+                                 const VersionDeclarations &Declarations);
   void sendVersionDeclarations();
   void enforceVersions();
   void withdrawUnstarted(TimePoint Now);
@@ -188,9 +189,8 @@
   };
   void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
-  /// Latest reported lower bounds of acknowledgements, which may arrive before
-  /// the declaration itself.
-  std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
+  /// Reports of other gateways, which may arrive before the declaration itself.
+  std::map<DeclaredVersion, DeclarationReports> ReportedDeclarations;
   std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
   std::uint64_t LastStartTicket = 0;
   TimePoint LastStatusAt{};
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -10,13 +10,13 @@
 /// nothing is known.
 std::optional<TimePoint> latestBound(const VersionBoundSettings &Settings,
                                      const DeclarationEvidence &Evidence) {
-  if (wasInContact(Evidence))
-    return Evidence.ConfirmedAt;
   // An outage that another gateway did not see was one of this VM alone and
   // says nothing about the declaration.
   if (Evidence.ReportedAt)
-    return std::max(Evidence.ConfirmedAt,
-                    std::optional(*Evidence.ReportedAt - Settings.ReportDelay));
+    return std::max(
+        Evidence.ConfirmedAt,
+        std::optional(std::min(*Evidence.ReportedAt - Settings.ReportDelay,
+                               Evidence.LearnedAt)));
   return std::max(Evidence.ConfirmedAt, Evidence.UnavailableAt);
 }
 
@@ -33,6 +33,19 @@
   return WaitedInFull ? SentAt + Wait : SentAt;
 }
 
+void addReport(DeclarationReports &Reports, const std::string &Sender,
+               TimePoint At) {
+  const auto [Known, New] = Reports.BySender.try_emplace(Sender, At);
+  Known->second = std::min(Known->second, At);
+}
+
+TimePoint latestReport(const DeclarationReports &Reports) {
+  TimePoint Latest = TimePoint::min();
+  for (const auto &[Sender, At] : Reports.BySender)
+    Latest = std::max(Latest, At);
+  return Latest;
+}
+
 bool wasInContact(const DeclarationEvidence &Evidence) {
   return Evidence.ConfirmedAt && Evidence.UnavailableAt.value_or(
                                      TimePoint::min()) <= *Evidence.ConfirmedAt;
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -83,6 +83,7 @@
         self.lock = threading.Condition()
         self.items, self.removed, self.revision = {}, {}, 10
         self.host, self.turned_away, self.silent, self.doors = host, set(), set(), {}
+        self.over_rate = set()  # clients whose calls are over the rate limit
         self.calls = []  # client and path with query
         self.delays = {}  # seconds by which answers to a client are late
         self.forgotten = 0  # revision up to which the history is lost
@@ -125,6 +126,8 @@
             return request.cut()
         if client in self.turned_away:
             return request.answer(503, {})
+        if client in self.over_rate:
+            return request.answer(429, {})
         path, _, query = request.path.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&"))
         prefix = fields.get("path_prefix", "")
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -67,6 +67,28 @@
     check(confirmed < 2, f"the last contact was {confirmed} s before")
 
 
+# Guards against refusals of everything by a gateway whose calls were over the rate limit until after a declaration: its
+# last contact before was long ago, but other gateways know the declaration's age.
+def case_calls_over_rate_limit(fleet):
+    """a gateway over the store's rate limit counts the bound from the report of another one"""
+    gateway = fleet.gateways[0]
+    with pf.Heartbeats(fleet.plain):
+        fleet.store.over_rate.add(gateway.host)
+        time.sleep(VERSION_LIMIT_S - 2)
+        acknowledged = declare_next(fleet)
+        time.sleep(3)
+        fleet.store.over_rate.clear()
+        statuses = {}
+        while (after := time.monotonic() - acknowledged) < VERSION_LIMIT_S + 1:
+            statuses[after] = call(gateway, "/stream/1", "POST", b"p").status
+            time.sleep(0.2)
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
+    refused = [after for after, status in statuses.items() if status != 200]
+    check(min(refused) > VERSION_LIMIT_S - 2, f"refused from {min(refused):.2f} s after the declaration")
+    check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
 def hang_after_head(server, delay):
     """Sends the head of a stream after a delay, and no event."""
     def run(request):
@@ -120,7 +142,7 @@
         check_withdrawn(fleet, acknowledged)
 
 
-CASES = [case_idle_store, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+CASES = [case_idle_store, case_calls_over_rate_limit, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -67,11 +67,34 @@
 }
 
 TEST_CASE("an outage before the last response does not matter") {
-  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, Start + 2s};
+  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, std::nullopt};
   CHECK(wasInContact(Evidence));
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 7250ms);
 }
 
+// Guards against refusals of everything by a gateway whose calls were over the
+// rate limit until after the declaration.
+TEST_CASE("a report counts for a gateway without news from the store") {
+  DeclarationEvidence Evidence{Start + 9s, Start, std::nullopt, Start + 8s};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
+        Start + 8s - 300ms + 7250ms);
+  // The declaration is no younger than the own knowledge of it.
+  Evidence.ReportedAt = Start + 12s;
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 9s + 7250ms);
+}
+
+// Guards against a bound that moves with each report that arrives late.
+TEST_CASE("the least delayed report of each sender counts") {
+  DeclarationReports Reports;
+  addReport(Reports, "a", Start + 3s);
+  CHECK(latestReport(Reports) == Start + 3s);
+  addReport(Reports, "a", Start + 1s);
+  addReport(Reports, "a", Start + 2s);
+  CHECK(latestReport(Reports) == Start + 1s);
+  addReport(Reports, "b", Start + 1500ms);
+  CHECK(latestReport(Reports) == Start + 1500ms);
+}
+
 TEST_CASE("a process that has just started trusts reports, or little time") {
   DeclarationEvidence Evidence{Start, std::nullopt, std::nullopt, std::nullopt};
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 2500ms);
