Log late starts with the version of the response

What callers saw: nothing by itself; the logs could not show whether a request began on older weights because the gateway believed in newer ones.

Cause: started_on_old_version compared the version that the gateway believed the server to have. With a wrong belief it was never logged.

Change: the version in the response decides, and both versions are logged. The watch of a request ends with the head, which is forwarded together with the first event, so that a caller that reads slowly does not lose a stream that has started.

Ruled out: correcting the belief from a response. A stream that was sent before a load may respond after it.

--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -413,24 +413,19 @@
   });
 }
 
-std::optional<TimePoint>
-Gateway::startDeadline(const std::string &Id, const std::string &Model) const {
-  const auto Server = Servers.Servers.find(Id);
-  if (Server == Servers.Servers.end() || !Server->second.Record.Weights)
-    return std::nullopt;
-  const std::uint64_t Loaded = loadedVersion(Server->second, Model);
+std::optional<TimePoint> Gateway::startDeadline(const std::string &Model,
+                                                std::uint64_t Version) const {
   std::optional<TimePoint> Earliest;
-  const auto Required = Servers.RequiredVersions.find(Model);
-  const bool IsOutdated =
-      Required != Servers.RequiredVersions.end() && Loaded < Required->second;
   for (const PendingVersion &Each : PendingVersions) {
-    if (Each.Declared.Model != Model || Each.Declared.Version <= Loaded)
+    if (Each.Declared.Model != Model || Each.Declared.Version <= Version)
       continue;
     const TimePoint StartBy =
         versionDeadlines(versionBound(), Each.Evidence).StartBy;
     Earliest = std::min(Earliest.value_or(StartBy), StartBy);
   }
-  if (!Earliest && IsOutdated)
+  const auto Required = Servers.RequiredVersions.find(Model);
+  if (!Earliest && Required != Servers.RequiredVersions.end() &&
+      Version < Required->second)
     return TimePoint::min();
   return Earliest;
 }
@@ -448,26 +443,32 @@
   if (PendingVersions.empty())
     return; // outdated servers get no requests any more
   for (const auto &[Ticket, Each] : UnstartedRequests) {
-    const auto StartBy = startDeadline(Each.Server, Each.Model);
+    const auto Server = Servers.Servers.find(Each.Server);
+    if (Server == Servers.Servers.end() || !Server->second.Record.Weights)
+      continue;
+    const auto StartBy =
+        startDeadline(Each.Model, loadedVersion(Server->second, Each.Model));
     if (StartBy && Now >= *StartBy)
       Each.Withdraw();
   }
 }
 
 void Gateway::recordStart(const std::string &Request, const std::string &Server,
-                          const std::string &Model) {
-  const auto StartBy = startDeadline(Server, Model);
+                          const std::string &Model, std::uint64_t Version) {
+  const auto StartBy = startDeadline(Model, Version);
   if (!StartBy || now() < *StartBy)
     return;
-  const std::uint64_t Version =
-      loadedVersion(Servers.Servers.at(Server), Model);
+  const auto Known = Servers.Servers.find(Server);
+  const std::uint64_t KnownVersion =
+      Known == Servers.Servers.end() ? 0 : loadedVersion(Known->second, Model);
   Node.Log.write({.Level = LogLevel::Warning,
                   .Event = "started_on_old_version",
                   .At = Step::Routing,
                   .Request = Request,
                   .Fields = {{"server", Server},
                              {"model", Model},
-                             {"version", std::to_string(Version)}}});
+                             {"version", std::to_string(Version)},
+                             {"known_version", std::to_string(KnownVersion)}}});
   Node.ProcessMetrics
       .counter("marigoldyard_late_starts_total",
                "Requests that started on an older version after its bound", {})
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -95,13 +95,14 @@
   /// @brief Ends the watch of a request.
   /// @param Ticket of watchStart(); an unknown one has no effect
   void endStartWatch(std::uint64_t Ticket);
-  /// @brief Logs and counts a request that started at a server whose version
-  /// had already gone out of use.
+  /// @brief Logs and counts a request that started on a version that had
+  /// already gone out of use.
   /// @param Request id of the request
   /// @param Server id of the server
   /// @param Model name of the model
+  /// @param Version version in the response of the server
   void recordStart(const std::string &Request, const std::string &Server,
-                   const std::string &Model);
+                   const std::string &Model, std::uint64_t Version);
 
   /// @brief Records a response to a caller and its latency in the metrics.
   /// @param Kind kind of the route
@@ -145,8 +146,10 @@
   void sendPoolDescriptions();
   void tick();
   void sendStatus();
-  std::optional<TimePoint> startDeadline(const std::string &Id,
-                                         const std::string &Model) const;
+  /// Time until which a request may start on a version of a model; empty while
+  /// no newer one is declared.
+  std::optional<TimePoint> startDeadline(const std::string &Model,
+                                         std::uint64_t Version) const;
   void handleVersionDeclarations(const std::string &Sender,
                                  const VersionDeclarations &Declarations);
   void sendVersionDeclarations();
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -428,6 +428,11 @@
 net::awaitable<bool>
 RequestRun::forwardHead(const platform::Fields &Headers, unsigned Status,
                         const platform::ServerResponse &Head) {
+  // The head is forwarded together with the first event.
+  endStartWatch();
+  if (Head.Version)
+    Owner.recordStart(RequestInfo.Id, LastServer, RequestInfo.Model,
+                      *Head.Version);
   // A resumed stream keeps the head of its first server and must have the same
   // version of the weights.
   if (HeadForwarded)
@@ -443,9 +448,6 @@
 net::awaitable<bool>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
-  if (StartTicket)
-    Owner.recordStart(RequestInfo.Id, LastServer, RequestInfo.Model);
-  endStartWatch();
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -89,6 +89,27 @@
     check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
+# Guards against starts on old weights that no log shows, because the server is believed to have newer ones.
+def case_wrong_belief(fleet):
+    """a start on a version that went out of use is logged with the version of the response"""
+    gateway = fleet.gateways[0]
+    if "version_required" not in gateway.log_text():
+        declare_next(fleet)
+        load_declared(fleet)
+        wait_for(lambda: "version_required" in gateway.log_text(), "the version is required", timeout=VERSION_LIMIT_S)
+    time.sleep(1)  # until requests that were sent before have started
+    required = newest(fleet)
+    for server in fleet.engines:
+        server.models = {"m": required - 1}
+    call(gateway, "/stream/1", "POST", b"p")
+    for server in fleet.engines:
+        server.models = {"m": required}
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "started_on_old_version" in line],
+                     "the start is logged")
+    event = json.loads(lines[-1])
+    check((event["version"], event["known_version"]) == (str(required - 1), str(required)), f"{event}")
+
+
 def hang_after_head(server, delay):
     """Sends the head of a stream after a delay, and no event."""
     def run(request):
@@ -142,7 +163,7 @@
         check_withdrawn(fleet, acknowledged)
 
 
-CASES = [case_idle_store, case_calls_over_rate_limit, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
 
 
 if __name__ == "__main__":
