--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -1,4 +1,5 @@
 """Bounds after the declaration of a version: no request may start on an older one after it."""
+import json
 import os
 import sys
 import threading
@@ -49,6 +50,66 @@
     check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
+# Guards against a bound that ends up to two watches early while nothing changes in the store.
+def case_idle_store(fleet):
+    """a watch without changes counts as contact until its end"""
+    gateway = fleet.gateways[0]
+    watches = lambda: [path for client, path in list(fleet.store.calls) if client == gateway.host and "kv-watch" in path]
+    time.sleep(2)  # changes of the cases before
+    sent = len(watches())
+    wait_for(lambda: len(watches()) > sent, "the next watch is sent")
+    time.sleep(1)
+    declare_next(fleet)
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "version_declared" in line],
+                     "the gateway learns of the version")
+    load_declared(fleet)
+    confirmed = float(json.loads(lines[-1])["confirmed_s_ago"])
+    check(confirmed < 2, f"the last contact was {confirmed} s before")
+
+
+# Guards against refusals of everything by a gateway whose calls were over the rate limit until after a declaration: its
+# last contact before was long ago, but other gateways know the declaration's age.
+def case_calls_over_rate_limit(fleet):
+    """a gateway over the store's rate limit counts the bound from the report of another one"""
+    gateway = fleet.gateways[0]
+    with pf.Heartbeats(fleet.plain):
+        fleet.store.over_rate.add(gateway.host)
+        time.sleep(VERSION_LIMIT_S - 2)
+        acknowledged = declare_next(fleet)
+        time.sleep(3)
+        fleet.store.over_rate.clear()
+        statuses = {}
+        while (after := time.monotonic() - acknowledged) < VERSION_LIMIT_S + 1:
+            statuses[after] = call(gateway, "/stream/1", "POST", b"p").status
+            time.sleep(0.2)
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
+    refused = [after for after, status in statuses.items() if status != 200]
+    check(min(refused) > VERSION_LIMIT_S - 2, f"refused from {min(refused):.2f} s after the declaration")
+    check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+# Guards against starts on old weights that no log shows, because the server is believed to have newer ones.
+def case_wrong_belief(fleet):
+    """a start on a version that went out of use is logged with the version of the response"""
+    gateway = fleet.gateways[0]
+    if "version_required" not in gateway.log_text():
+        declare_next(fleet)
+        load_declared(fleet)
+        wait_for(lambda: "version_required" in gateway.log_text(), "the version is required", timeout=VERSION_LIMIT_S)
+    time.sleep(1)  # until requests that were sent before have started
+    required = newest(fleet)
+    for server in fleet.engines:
+        server.models = {"m": required - 1}
+    call(gateway, "/stream/1", "POST", b"p")
+    for server in fleet.engines:
+        server.models = {"m": required}
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "started_on_old_version" in line],
+                     "the start is logged")
+    event = json.loads(lines[-1])
+    check((event["version"], event["known_version"]) == (str(required - 1), str(required)), f"{event}")
+
+
 def hang_after_head(server, delay):
     """Sends the head of a stream after a delay, and no event."""
     def run(request):
@@ -102,7 +163,7 @@
         check_withdrawn(fleet, acknowledged)
 
 
-CASES = [case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+// Guards against refusals up to two watches too early while nothing changes in
+// the store.
+TEST_CASE("a watch without changes confirms the time of its wait") {
+  CHECK(confirmedByWatch(Start, Start + 1520ms, 1500ms, false) ==
+        Start + 1500ms);
+  // A late response says nothing about the time after the wait.
+  CHECK(confirmedByWatch(Start, Start + 3s, 1500ms, false) == Start + 1500ms);
+  // A change may have been acknowledged just after the watch was sent.
+  CHECK(confirmedByWatch(Start, Start + 1520ms, 1500ms, true) == Start);
+  // A response without changes before the end of the wait is unexpected.
+  CHECK(confirmedByWatch(Start, Start + 200ms, 1500ms, false) == Start);
+}
+
 // Guards against a bound that counts from when the gateway learned of a
 // declaration: a late response of the store extended the use of old weights.
 TEST_CASE("the bound does not move when a gateway learns late") {
@@ -54,11 +67,34 @@
 }
 
 TEST_CASE("an outage before the last response does not matter") {
-  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, Start + 2s};
+  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, std::nullopt};
   CHECK(wasInContact(Evidence));
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 7250ms);
 }
 
+// Guards against refusals of everything by a gateway whose calls were over the
+// rate limit until after the declaration.
+TEST_CASE("a report counts for a gateway without news from the store") {
+  DeclarationEvidence Evidence{Start + 9s, Start, std::nullopt, Start + 8s};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
+        Start + 8s - 300ms + 7250ms);
+  // The declaration is no younger than the own knowledge of it.
+  Evidence.ReportedAt = Start + 12s;
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 9s + 7250ms);
+}
+
+// Guards against a bound that moves with each report that arrives late.
+TEST_CASE("the least delayed report of each sender counts") {
+  DeclarationReports Reports;
+  addReport(Reports, "a", Start + 3s);
+  CHECK(latestReport(Reports) == Start + 3s);
+  addReport(Reports, "a", Start + 1s);
+  addReport(Reports, "a", Start + 2s);
+  CHECK(latestReport(Reports) == Start + 1s);
+  addReport(Reports, "b", Start + 1500ms);
+  CHECK(latestReport(Reports) == Start + 1500ms);
+}
+
 TEST_CASE("a process that has just started trusts reports, or little time") {
   DeclarationEvidence Evidence{Start, std::nullopt, std::nullopt, std::nullopt};
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 2500ms);
