Send nothing to servers that leave or ask for no requests for a time

Servers now say in the header Server-Leaving of all their answers that they leave, and may add Retry-After to an answer 503: they want no requests from the gateway for so long. Gateways read neither, and went on sending to a server until its record in the store changed, or at once after any refusal.

Cause: both headers were not decoded. A backoff does not do for Retry-After, because any answer to another request ends it.

Change: the exchange hands the head of every response that it reads to the gateway: also of errors, refusals, late responses to earlier requests, streams (at their head) and responses that break off after it. The server table keeps for each server whether it leaves, until its start is a later one, whatever its record says meanwhile, and until when it refuses requests. Both are remembered for a bounded number of servers without a record, which may return without a restart. Of several refusals the one that ends last holds. A restart does not end a refusal: the gateway learns of the restart later than the server may refuse, and cannot tell which start refused. After its end one request at a time is sent until a response starts. A request whose server leaves, refuses or loses its record between choice and sending is assigned again; before, a record that was gone by then ended the caller's connection. Idle connections to a leaving server are closed. Callers get neither header: both are addressed to the gateway, which uses other servers.

A Retry-After that is no number of seconds (a date too) or negative is ignored; more than an hour counts as an hour.

Ruled out: health checks, of which the gateway makes none. A stager calls only its own server, for reports and orders; its calls are unchanged.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "marigoldyard/coordination/server_notice.hpp"
 #include "marigoldyard/state/fleet.hpp"
 #include "marigoldyard/state/time.hpp"
 #include "marigoldyard/state/types.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,6 +49,9 @@
   /// More prompts would wait there, where a more urgent request cannot overtake
   /// them.
   double PrefillPasses = 1.3;
+  /// Number of servers without a record whose notices are kept. The record of a
+  /// live server may be missing for a time.
+  std::size_t MaxAbsentServers = 1024;
 };
 
 /// @brief Status that a stager reports about the server on its machine.
@@ -75,9 +80,17 @@
   /// A server that started later has the address, but the record of this one
   /// has not expired yet.
   bool Replaced = false;
+  ServerAvailability Availability;
   std::vector<LoadedWeights> Weights;
 };
 
+/// @brief Notices of a server that has no record.
+struct AbsentServer {
+  std::string Id;
+  std::int64_t StartedAtMs = 0; ///< 0 when unknown
+  ServerAvailability Availability;
+};
+
 /// @brief Servers of all pools, with indexes by pool and address.
 struct ServerTable {
   ServerTableSettings Settings;
@@ -85,13 +98,15 @@
   std::map<std::string, std::set<std::string>, std::less<>> ByPool;
   std::map<std::string, std::string, std::less<>> IdByAddress;
   std::map<std::string, std::uint64_t, std::less<>> RequiredVersions;
+  std::deque<AbsentServer> AbsentServers; ///< oldest first
 };
 
 /// @brief Adds or replaces the record of a server. A restart resets its state.
 /// @complexity logarithmic in the number of servers
 void putServer(ServerTable &Table, const ServerRecord &Record);
 
-/// @brief Removes a server and its index entries.
+/// @brief Removes a server and its index entries. Its notices are kept, in case
+/// its record returns without a restart.
 /// @param Id server id; an unknown one has no effect
 /// @complexity logarithmic in the number of servers
 void removeServer(ServerTable &Table, const std::string &Id);
@@ -147,6 +162,24 @@
                           const ServerRequirements &Requirements, TimePoint Now,
                           Random &Generator);
 
+/// @brief Applies what a server said in the head of a response.
+/// @param Id server id; one without a record is remembered
+/// @param StartedAtMs start of the server that was known when the request was
+/// sent; that it leaves has no effect after a restart
+/// @param Now time at which the head was read
+/// @return what the notice changed
+NoticeChange recordNotice(ServerTable &Table, const std::string &Id,
+                          std::int64_t StartedAtMs, const ServerNotice &Notice,
+                          TimePoint Now);
+
+/// @brief Whether a server that was chosen may still get the request: it has a
+/// record, does not leave and does not refuse requests.
+bool mayReceive(const ServerTable &Table, const std::string &Id, TimePoint Now);
+
+/// @brief Whether a server leaves, by its record or by its own responses.
+/// @param Id server id; an unknown one does not leave
+bool isLeaving(const ServerTable &Table, const std::string &Id);
+
 /// @brief Counts a request that is sent to a server.
 /// @param Id server id; an unknown one has no effect
 /// @param PromptTokens tokens that the server reads before the first event
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -607,6 +607,30 @@
   Found->second.WakeTimer->cancel();
 }
 
+void Gateway::handleNotice(const ServerRecord &Server,
+                           const ServerNotice &Notice) {
+  const NoticeChange Change =
+      recordNotice(Servers, Server.Id, Server.StartedAtMs, Notice, now());
+  if (Change == NoticeChange::None)
+    return;
+  LogEvent Line;
+  Line.Event =
+      Change == NoticeChange::Leaving ? "server_leaving" : "server_refusing";
+  Line.At = Step::MemberList;
+  Line.Peer = Server.Address;
+  Line.Fields = {{"server", Server.Id}, {"pool", Server.Pool}};
+  if (Notice.RefusesFor)
+    Line.Fields.emplace_back("refuses_s", formatSeconds(*Notice.RefusesFor));
+  Node.Log.write(Line);
+  Node.ProcessMetrics
+      .counter("marigoldyard_server_notices_total",
+               "Responses of servers that asked for no further requests",
+               {{"notice", std::string(noticeChangeName(Change))}})
+      .add();
+  if (Change == NoticeChange::Leaving)
+    Connections.closeAll(Server.Address);
+}
+
 void Gateway::dispatchQueued() {
   std::set<std::string> Pools;
   for (const auto &[Ticket, Request] : Queue.Waiting)
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -75,6 +75,12 @@
   /// @param Id id of the server
   void releaseServer(const std::string &Id);
 
+  /// @brief Applies what a server said in the head of a response about further
+  /// requests.
+  /// @param Server record of the server when the request was sent
+  /// @param Notice what it said
+  void handleNotice(const ServerRecord &Server, const ServerNotice &Notice);
+
   /// @brief Retry budget of a pool; created at the first use.
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -140,10 +140,8 @@
   for (;;) {
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
-      if (Choice.Shortage == ServerShortage::None) {
-        Owner.finishPrefill(Choice.Id, RequestInfo.PromptTokens);
-        Owner.releaseServer(Choice.Id);
-      }
+      if (Choice.Shortage == ServerShortage::None)
+        releaseUnsent(Choice.Id);
       log("caller_left", serverShortageName(Choice.Shortage));
       co_return false;
     }
@@ -158,6 +156,11 @@
           NoneRun ? shortageResponse(Choice.Shortage) : failureResponse({});
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
+    // A notice or a change of the store may have arrived since the choice.
+    if (!mayReceive(Owner.servers(), Choice.Id, now())) {
+      releaseUnsent(Choice.Id);
+      continue;
+    }
     ExchangeResult Result = co_await sendTo(Choice.Id);
     if (Session.disconnected()) {
       log("caller_left", "caller disconnected during the attempt");
@@ -168,6 +171,11 @@
   }
 }
 
+void RequestRun::releaseUnsent(const std::string &Id) {
+  Owner.finishPrefill(Id, RequestInfo.PromptTokens);
+  Owner.releaseServer(Id);
+}
+
 bool RequestRun::resumable() const {
   return MatchedRoute->AllowedRetries == RetryPolicy::Resumable;
 }
@@ -289,8 +297,11 @@
   ++Attempts;
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
-      [this, &Id](const platform::ReportedLoad &Load) {
-        recordReportedLoad(Owner.servers(), Id, Load.Running + Load.Waiting);
+      [this, &Record](const platform::ServerResponse &Head) {
+        if (Head.Load)
+          recordReportedLoad(Owner.servers(), Record.Id,
+                             Head.Load->Running + Head.Load->Waiting);
+        Owner.handleNotice(Record, {Head.Leaving, Head.RefusesFor});
       });
   ActiveExchange = &Exchange;
   StreamReceiver Receiver = streamReceiver();
@@ -307,6 +318,8 @@
       MatchedRoute->IsStreaming ? &Receiver : nullptr);
   ActiveExchange = nullptr;
   endStartWatch();
+  if (isLeaving(Owner.servers(), Id))
+    Owner.connections().closeAll(Record.Address);
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
@@ -462,6 +475,7 @@
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
+  platform::removeRefusalTime(Response.Status, Response.Headers);
   const std::string Text =
       formatHead(Response.Status, Response.Headers) +
       fmt::format("Content-Length: {}\r\n\r\n", Response.Body.size()) +
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -62,6 +62,7 @@
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
 
+  void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
   ExchangeLimits exchangeLimits() const;
   WaitingRequest waitingRequest() const;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -66,9 +66,9 @@
 ServerExchange::ServerExchange(
     net::io_context &IoContext, TimeoutList &Timeouts,
     ServerConnections &IdleConnections,
-    std::function<void(const platform::ReportedLoad &)> LoadHandler)
+    std::function<void(const platform::ServerResponse &)> HeadHandler)
     : Context(IoContext), Connections(IdleConnections),
-      OnLoadReport(std::move(LoadHandler)), Timer(Timeouts, [this] {
+      OnResponseHead(std::move(HeadHandler)), Timer(Timeouts, [this] {
         error_code Ignored;
         if (Connection)
           Connection->Socket.cancel(Ignored);
@@ -229,8 +229,7 @@
       continue;
     const platform::ServerResponse Head =
         platform::decodeServerResponse(Status, ResponseParser.get().base());
-    if (Head.Load)
-      OnLoadReport(*Head.Load);
+    OnResponseHead(Head);
     const bool MatchesRequest =
         Head.RequestId == RequestId || (Head.RequestId.empty() && Head.NotRun);
     if (!MatchesRequest) {
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -60,12 +60,12 @@
   /// @param Context runs the sockets; must outlive the exchange
   /// @param Timeouts must outlive the exchange
   /// @param Connections idle connections to reuse; must outlive the exchange
-  /// @param OnLoadReport called with the load that the server reports in its
-  /// response
+  /// @param OnResponseHead called with the head of each response that is read,
+  /// also of a late response to an earlier request
   ServerExchange(
       boost::asio::io_context &Context, TimeoutList &Timeouts,
       ServerConnections &Connections,
-      std::function<void(const platform::ReportedLoad &)> OnLoadReport);
+      std::function<void(const platform::ServerResponse &)> OnResponseHead);
 
   /// @brief Sends the request and reads the response.
   /// @param Request the request as the server expects it
@@ -106,7 +106,7 @@
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
-  std::function<void(const platform::ReportedLoad &)> OnLoadReport;
+  std::function<void(const platform::ServerResponse &)> OnResponseHead;
   Timeout Timer;
   ExchangeLimits Limits;
   std::shared_ptr<ServerConnection> Connection;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -120,6 +120,31 @@
   AddressOwner->second = Server.Record.Id;
 }
 
+auto findAbsentServer(ServerTable &Table, const std::string &Id) {
+  return std::find_if(Table.AbsentServers.begin(), Table.AbsentServers.end(),
+                      [&](const AbsentServer &Each) { return Each.Id == Id; });
+}
+
+AbsentServer &addAbsentServer(ServerTable &Table, AbsentServer Server) {
+  if (Table.AbsentServers.size() >= Table.Settings.MaxAbsentServers)
+    Table.AbsentServers.pop_front();
+  return Table.AbsentServers.emplace_back(std::move(Server));
+}
+
+/// Restores the notices of a server whose record returned.
+void restoreNotices(ServerTable &Table, ServerState &Server,
+                    const ServerRecord &Record) {
+  const auto Found = findAbsentServer(Table, Record.Id);
+  if (Found == Table.AbsentServers.end())
+    return;
+  Server.Availability = Found->Availability;
+  Server.Availability.ProbeRunning = false;
+  Server.Record.StartedAtMs = Found->StartedAtMs;
+  if (Found->StartedAtMs != 0 && Record.StartedAtMs > Found->StartedAtMs)
+    applyRestart(Server.Availability);
+  Table.AbsentServers.erase(Found);
+}
+
 void startBackoff(const ServerTableSettings &Settings, ServerState &Server,
                   TimePoint Now) {
   const std::uint32_t Doublings =
@@ -145,7 +170,10 @@
     Server.FailureRate = 0;
     Server.BackoffUntil = {};
     Server.LoadingUntil = {};
+    applyRestart(Server.Availability);
   }
+  if (New)
+    restoreNotices(Table, Server, Record);
   // A record written before a restart must not hide the restart.
   const std::int64_t Started =
       std::max(Server.Record.StartedAtMs, Record.StartedAtMs);
@@ -165,6 +193,9 @@
   if (Found == Table.Servers.end())
     return;
   const ServerRecord &Record = Found->second.Record;
+  const ServerAvailability &Availability = Found->second.Availability;
+  if (Availability.Leaving || Availability.RefusesUntil != TimePoint{})
+    addAbsentServer(Table, {Id, Record.StartedAtMs, Availability});
   Table.ByPool[Record.Pool].erase(Id);
   const auto AddressOwner = Table.IdByAddress.find(Record.Address);
   if (AddressOwner != Table.IdByAddress.end() && AddressOwner->second == Id)
@@ -182,6 +213,8 @@
     return false;
   if (EngineStatus.StartedAtMs > Server->Record.StartedAtMs) {
     Server->Weights.clear();
+    if (Server->Record.StartedAtMs != 0)
+      applyRestart(Server->Availability);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
   }
   mergeWeights(Server->Weights, EngineStatus.Weights);
@@ -229,7 +262,8 @@
   for (const std::string &Id : Pool->second) {
     const ServerState &Server = Table.Servers.at(Id);
     if (Server.Record.Draining || Server.Replaced ||
-        Requirements.Excluded.contains(Id) || Now < Server.BackoffUntil)
+        Requirements.Excluded.contains(Id) || Now < Server.BackoffUntil ||
+        !mayReceive(Server.Availability, Now))
       continue;
     if (!hasWeights(Table, Server, Requirements, Now)) {
       Report(ServerShortage::Loading);
@@ -242,7 +276,9 @@
     const std::uint32_t Load = Server.ConsecutiveFailures > 0
                                    ? Server.InFlight
                                    : estimatedLoad(Table, Server);
-    if (Load >= Limit || prefillIsFull(Table, Server, Requirements)) {
+    const bool Probed =
+        Server.Availability.ProbeDue && Server.Availability.ProbeRunning;
+    if (Load >= Limit || Probed || prefillIsFull(Table, Server, Requirements)) {
       Report(ServerShortage::Full);
       continue;
     }
@@ -258,12 +294,46 @@
   return Choice;
 }
 
+NoticeChange recordNotice(ServerTable &Table, const std::string &Id,
+                          std::int64_t StartedAtMs, const ServerNotice &Notice,
+                          TimePoint Now) {
+  const auto Apply = [&](ServerAvailability &Availability,
+                         std::int64_t LastStartMs) {
+    ServerNotice Valid = Notice;
+    Valid.Leaving = Notice.Leaving && StartedAtMs >= LastStartMs;
+    return applyNotice(Availability, Valid, Now);
+  };
+  if (ServerState *Server = findServer(Table, Id))
+    return Apply(Server->Availability, Server->Record.StartedAtMs);
+  if (!Notice.Leaving && !Notice.RefusesFor)
+    return NoticeChange::None;
+  const auto Known = findAbsentServer(Table, Id);
+  AbsentServer &Server = Known != Table.AbsentServers.end()
+                             ? *Known
+                             : addAbsentServer(Table, {Id, StartedAtMs, {}});
+  return Apply(Server.Availability, Server.StartedAtMs);
+}
+
+bool mayReceive(const ServerTable &Table, const std::string &Id,
+                TimePoint Now) {
+  const auto Found = Table.Servers.find(Id);
+  return Found != Table.Servers.end() && !Found->second.Record.Draining &&
+         !Found->second.Replaced && mayReceive(Found->second.Availability, Now);
+}
+
+bool isLeaving(const ServerTable &Table, const std::string &Id) {
+  const auto Found = Table.Servers.find(Id);
+  return Found != Table.Servers.end() &&
+         (Found->second.Record.Draining || Found->second.Availability.Leaving);
+}
+
 void recordRequestStart(ServerTable &Table, const std::string &Id,
                         std::uint64_t PromptTokens) {
   if (ServerState *Server = findServer(Table, Id)) {
     Server->PrefillTokens += PromptTokens;
     ++Server->InFlight;
     ++Server->StartedSinceReport;
+    Server->Availability.ProbeRunning = Server->Availability.ProbeDue;
   }
 }
 
@@ -279,6 +349,8 @@
     return;
   --Server->InFlight;
   --Server->StartedSinceReport;
+  // The request that ended may be an older one; then a second probe is sent.
+  Server->Availability.ProbeRunning = false;
 }
 
 void recordReportedLoad(ServerTable &Table, const std::string &Id,
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -220,3 +220,143 @@
   Question.PromptTokens = 5000;
   CHECK(choose(Reading, Question).Id == "1");
 }
+
+// Guards against requests to a server that said that it leaves, while a record
+// from before says that it is ready.
+TEST_CASE("a server that says that it leaves gets nothing until it restarts") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 100;
+  ServerTable Table = tableWith({First, record("2")});
+  CHECK(recordNotice(Table, "1", 100, {.Leaving = true}, StartCommand) ==
+        NoticeChange::Leaving);
+  CHECK(recordNotice(Table, "1", 100, {.Leaving = true}, StartCommand) ==
+        NoticeChange::None);
+  CHECK(isLeaving(Table, "1"));
+  CHECK_FALSE(mayReceive(Table, "1", StartCommand));
+  fill(Table, "2", 4);
+  CHECK(choose(Table).Id == "2");
+  putServer(Table, First);
+  CHECK(choose(Table).Id == "2");
+  recordServerOutcome(Table, "1", ServerOutcome::Answered, StartCommand);
+  CHECK(applyEngineStatus(Table, {First.Address, 100, true, 0, {}},
+                          StartCommand));
+  CHECK(choose(Table).Id == "2");
+  First.StartedAtMs = 0; // a record that does not tell the start
+  putServer(Table, First);
+  CHECK(choose(Table).Id == "2");
+  First.StartedAtMs = 200;
+  putServer(Table, First);
+  CHECK(choose(Table).Id == "1");
+  CHECK(mayReceive(Table, "1", StartCommand));
+}
+
+// Guards against requests to a leaving server whose record expired and was
+// written again, as after an outage of the store.
+TEST_CASE("a notice is kept while the server has no record") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 100;
+  ServerTable Table = tableWith({First, record("2")});
+  recordNotice(Table, "1", 100, {.Leaving = true}, StartCommand);
+  removeServer(Table, "1");
+  CHECK_FALSE(mayReceive(Table, "1", StartCommand));
+  recordNotice(Table, "2", 0, {.RefusesFor = 5s}, StartCommand);
+  removeServer(Table, "2");
+  recordNotice(Table, "3", 100, {.Leaving = true}, StartCommand); // no record
+  CHECK(Table.AbsentServers.size() == 3);
+  putServer(Table, First);
+  putServer(Table, record("2"));
+  ServerRecord Third = record("3");
+  Third.StartedAtMs = 100;
+  putServer(Table, Third);
+  CHECK(Table.AbsentServers.empty());
+  CHECK(choose(Table).Id.empty());
+  CHECK(choose(Table, {}, StartCommand + 6s).Id == "2");
+  removeServer(Table, "1");
+  First.StartedAtMs = 200;
+  putServer(Table, First);
+  CHECK(choose(Table).Id == "1");
+  Table.Settings.MaxAbsentServers = 2;
+  for (int I = 0; I < 4; ++I)
+    recordNotice(Table, "x" + std::to_string(I), 1, {.Leaving = true},
+                 StartCommand);
+  CHECK(Table.AbsentServers.size() == 2);
+}
+
+// Guards against an answer from before a restart that takes the restarted
+// server out of use.
+TEST_CASE("leaving before a restart has no effect after it") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 200;
+  ServerTable Table = tableWith({First});
+  CHECK(recordNotice(Table, "1", 100, {.Leaving = true, .RefusesFor = 5s},
+                     StartCommand) == NoticeChange::Refusing);
+  CHECK(choose(Table, {}, StartCommand + 5s).Id == "1");
+  recordNotice(Table, "1", 200, {.Leaving = true}, StartCommand);
+  // A stager learns of the restart before the store.
+  CHECK(applyEngineStatus(Table, {First.Address, 300, true, 0, {{"m", 1}}},
+                          StartCommand));
+  CHECK(choose(Table, {}, StartCommand + 5s).Id == "1");
+}
+
+// Guards against requests to a server that restarted and asked for none before
+// its restart was known here.
+TEST_CASE("a refusal with a time holds beside a restart") {
+  ServerRecord First = record("1");
+  First.StartedAtMs = 100;
+  ServerTable Table = tableWith({First});
+  recordNotice(Table, "1", 100, {.RefusesFor = 4s}, StartCommand);
+  First.StartedAtMs = 200;
+  putServer(Table, First);
+  CHECK(choose(Table, {}, StartCommand + 3s).Id.empty());
+  First.StartedAtMs = 300;
+  removeServer(Table, "1");
+  putServer(Table, First);
+  CHECK(choose(Table, {}, StartCommand + 3s).Id.empty());
+  CHECK(applyEngineStatus(Table, {First.Address, 400, true, 0, {{"m", 1}}},
+                          StartCommand + 3s));
+  CHECK(choose(Table, {}, StartCommand + 3s).Id.empty());
+  CHECK(choose(Table, {}, StartCommand + 4s).Id == "1");
+}
+
+// Guards against requests within the time for which a server asked for none:
+// answers to other requests end a backoff.
+TEST_CASE("a refusal with a time holds beside answers to other requests") {
+  ServerTable Table = tableWith({record("1")});
+  CHECK(recordNotice(Table, "1", 0, {.RefusesFor = 4s}, StartCommand) ==
+        NoticeChange::Refusing);
+  CHECK(recordNotice(Table, "1", 0, {.RefusesFor = 1s}, StartCommand + 1s) ==
+        NoticeChange::None);
+  CHECK(recordNotice(Table, "1", 0, {}, StartCommand + 2s) ==
+        NoticeChange::None);
+  recordServerOutcome(Table, "1", ServerOutcome::Answered, StartCommand + 2s);
+  CHECK(choose(Table, {}, StartCommand + 3999ms).Id.empty());
+  CHECK_FALSE(mayReceive(Table, "1", StartCommand + 3999ms));
+  CHECK(choose(Table, {}, StartCommand + 4s).Id == "1");
+  CHECK(recordNotice(Table, "1", 0, {.RefusesFor = 0s}, StartCommand + 5s) ==
+        NoticeChange::None);
+  CHECK(choose(Table, {}, StartCommand + 5s).Id == "1");
+}
+
+// Guards against all waiting requests going to a server at the end of the time
+// for which it refused them.
+TEST_CASE(
+    "after a refusal one request at a time is sent until it is answered") {
+  ServerTable Table = tableWith({record("1")});
+  fill(Table, "1", 2); // in progress all the while
+  recordNotice(Table, "1", 0, {.RefusesFor = 1s}, StartCommand);
+  const TimePoint End = StartCommand + 1s;
+  CHECK(choose(Table, {}, End).Id == "1");
+  recordRequestStart(Table, "1", 0);
+  CHECK(choose(Table, {}, End).Shortage == ServerShortage::Full);
+  recordRequestEnd(Table, "1"); // without a response
+  CHECK(choose(Table, {}, End).Id == "1");
+  recordRequestStart(Table, "1", 0);
+  recordNotice(Table, "1", 0, {.RefusesFor = 2s}, End);
+  recordRequestEnd(Table, "1");
+  CHECK(choose(Table, {}, End + 1s).Id.empty());
+  recordRequestStart(Table, "1", 0);
+  recordNotice(Table, "1", 0, {}, End + 2s); // its response starts
+  CHECK(choose(Table, {}, End + 2s).Id == "1");
+  recordRequestStart(Table, "1", 0);
+  CHECK(choose(Table, {}, End + 2s).Id == "1");
+}
--- a/tests/src/unit-platform-request_format.cpp
+++ b/tests/src/unit-platform-request_format.cpp
@@ -108,11 +108,51 @@
   CHECK(platform::decodeServerResponse(503, Shed).NotRun);
 }
 
+// Guards against a notice that is missed, or taken from a malformed header.
+TEST_CASE("what a server says about further requests is decoded") {
+  const auto RefusesFor = [](const char *Text, unsigned Status = 503) {
+    platform::Fields Headers;
+    Headers.set("Retry-After", Text);
+    return platform::decodeServerResponse(Status, Headers).RefusesFor;
+  };
+  CHECK(RefusesFor("3") == 3s);
+  CHECK(RefusesFor("0.25") == 250ms);
+  CHECK(RefusesFor("0") == 0s);
+  CHECK(RefusesFor("1000000000000") == 1h);
+  CHECK(RefusesFor(std::string(400, '9').c_str()) == 1h);
+  CHECK(RefusesFor(("0." + std::string(400, '0') + "1").c_str()) == 0s);
+  for (const char *Malformed :
+       {"", "-1", "nan", "inf", "-inf", "1e3", "3s", "0x10", "1,5", "+2",
+        "Fri, 31 Dec 1999 23:59:59 GMT"})
+    CHECK_FALSE(RefusesFor(Malformed));
+  CHECK_FALSE(RefusesFor("3", 200));
+  CHECK_FALSE(RefusesFor("3", 429)); // addressed to the caller
+  platform::Fields Leaving;
+  CHECK_FALSE(platform::decodeServerResponse(200, Leaving).Leaving);
+  Leaving.set("server-leaving", "1");
+  for (const unsigned Status : {200U, 421U, 500U, 503U})
+    CHECK(platform::decodeServerResponse(Status, Leaving).Leaving);
+  Leaving.set("Server-Leaving", "0");
+  CHECK_FALSE(platform::decodeServerResponse(200, Leaving).Leaving);
+}
+
+// Guards against callers that wait because one of several servers refuses.
+TEST_CASE("only the gateway gets the time for which a server refuses") {
+  platform::Fields Headers;
+  Headers.set("Retry-After", "3");
+  platform::removeRefusalTime(429, Headers);
+  CHECK(Headers.count("Retry-After") == 1);
+  platform::removeRefusalTime(503, Headers);
+  CHECK(Headers.count("Retry-After") == 0);
+}
+
 TEST_CASE("headers of the connection and of the load stay inside") {
   CHECK(platform::isForwardedToCaller("Response-Signature"));
   CHECK(platform::isForwardedToCaller("Weight-Versions"));
   CHECK_FALSE(platform::isForwardedToCaller("transfer-encoding"));
   CHECK_FALSE(platform::isForwardedToCaller("Server-Load"));
+  CHECK_FALSE(platform::isForwardedToCaller("Server-Leaving"));
+  CHECK(platform::isForwardedToCaller("Retry-After"));
 }
 
 TEST_CASE("the directory speaks the platform's format") {
