Reject requests at once that no server takes in time

When each server of a pool left or had refused requests for some seconds, new requests waited in the queue for up to their own time limit and were rejected then, with a Retry-After that had nothing to do with the servers' times.

Cause: servers that leave or refuse were only skipped, so their pool looked like one whose servers are full.

Change: refusedUntil() tells when a pool, in which every server leaves or refuses, takes a request. A request that would expire before is rejected at once, also one that is queued already; one that can wait is queued. Retry-After of a rejection points to the time at which the first server takes requests again, plus a random part of the usual pause: that server takes one request at first. `refusing` is the reason in logs.

Ruled out: counting servers in a backoff, which may answer at any moment, and pools without any record, whose servers may just not be known yet; requests wait for these as before.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -137,10 +137,11 @@
 
 /// @brief Reason why no server was selected.
 enum class ServerShortage : std::uint8_t {
-  None,    ///< a server was selected
-  Full,    ///< usable servers have no capacity
-  Loading, ///< no usable server has the weights, or they are about to load
-  Absent,  ///< the pool has no usable server
+  None,     ///< a server was selected
+  Full,     ///< usable servers have no capacity
+  Loading,  ///< no usable server has the weights, or they are about to load
+  Refusing, ///< every server leaves, or refuses requests until too late
+  Absent,   ///< the pool has no usable server
 };
 
 /// @brief Returns the name of a shortage for logs.
@@ -180,6 +181,16 @@
 /// @param Id server id; an unknown one does not leave
 bool isLeaving(const ServerTable &Table, const std::string &Id);
 
+/// @brief Returns when a pool, in which every server leaves or refuses requests
+/// for a time, takes a request.
+/// @param Requirements pool, and servers that cannot be used for the request
+/// @return the earliest end of a refusal; TimePoint::max() when there is none;
+/// nothing when a server neither leaves nor refuses, or the pool is empty
+/// @complexity linear in the number of servers of the pool
+std::optional<TimePoint> refusedUntil(const ServerTable &Table,
+                                      const ServerRequirements &Requirements,
+                                      TimePoint Now);
+
 /// @brief Counts a request that is sent to a server.
 /// @param Id server id; an unknown one has no effect
 /// @param PromptTokens tokens that the server reads before the first event
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -563,6 +563,8 @@
     recordUsage(Queue, Customer, Cost, now());
     co_return Choice;
   }
+  if (cannotBeServed(Query, Request.ExpiresAt))
+    co_return ServerChoice{{}, ServerShortage::Refusing};
   const auto Ticket = enqueue(Queue, std::move(Request));
   if (!Ticket)
     co_return Choice;
@@ -629,6 +631,24 @@
       .add();
   if (Change == NoticeChange::Leaving)
     Connections.closeAll(Server.Address);
+  rejectUnservable();
+}
+
+bool Gateway::cannotBeServed(const ServerRequirements &Query,
+                             TimePoint ExpiresAt) const {
+  const auto Until = refusedUntil(Servers, Query, now());
+  return Until && *Until >= ExpiresAt;
+}
+
+void Gateway::rejectUnservable() {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Request] : Queue.Waiting)
+    if (cannotBeServed(Waiters.at(Ticket).Query, Request.ExpiresAt))
+      Tickets.push_back(Ticket);
+  for (const std::uint64_t Ticket : Tickets) {
+    dequeue(Queue, Ticket);
+    completeWait(Ticket, {{}, ServerShortage::Refusing});
+  }
 }
 
 void Gateway::dispatchQueued() {
@@ -659,6 +679,7 @@
   enforceVersions();
   for (const std::uint64_t Ticket : expireRequests(Queue, Now))
     completeWait(Ticket, {{}, ServerShortage::Full});
+  rejectUnservable();
   dispatchQueued();
   if (Now - LastStatusAt >= FleetNode::StatusInterval)
     sendStatus();
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -158,6 +158,9 @@
   void enforceVersions();
   void withdrawUnstarted(TimePoint Now);
   VersionBoundSettings versionBound() const;
+  bool cannotBeServed(const ServerRequirements &Query,
+                      TimePoint ExpiresAt) const;
+  void rejectUnservable();
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -390,7 +390,8 @@
   const std::string Detail = fmt::format(
       "{} ({})", make_error_code(Last.Reason).message(), Last.Detail);
   if (NoneRun)
-    return {503, "not_run", Step::Send, LastServer, Detail, DefaultRetryAfter};
+    return {503,        "not_run", Step::Send,
+            LastServer, Detail,    retryAfter(DefaultRetryAfter)};
   const bool NearDeadline = timeLeft() <= 2 * ResponseMargin;
   return {NearDeadline ? 504U : 502U,
           "unknown",
@@ -407,8 +408,19 @@
           Step::Admission,
           Pool->Name,
           std::string(serverShortageName(Shortage)),
-          std::chrono::duration_cast<Duration>(
-              std::max(Duration::zero(), timeLeft()) * RetryAfterFraction)};
+          retryAfter(std::chrono::duration_cast<Duration>(
+              std::max(Duration::zero(), timeLeft()) * RetryAfterFraction))};
+}
+
+Duration RequestRun::retryAfter(Duration Default) const {
+  const TimePoint Now = now();
+  const auto Until = refusedUntil(Owner.servers(), {.Pool = Pool->Name}, Now);
+  if (!Until || *Until == TimePoint::max())
+    return Default;
+  // A server takes one request at first, so callers come back spread over the
+  // usual pause.
+  std::uniform_int_distribution<Duration::rep> Spread(0, Default.count());
+  return *Until - Now + Duration(Spread(Owner.node().Generator));
 }
 
 StreamReceiver RequestRun::streamReceiver() {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -62,6 +62,9 @@
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
 
+  /// Retry-After of a refusal: until the pool takes requests again, when each
+  /// of its servers refuses them for a time.
+  Duration retryAfter(Duration Default) const;
   void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
   ExchangeLimits exchangeLimits() const;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -239,6 +239,8 @@
     return "full";
   case ServerShortage::Loading:
     return "loading";
+  case ServerShortage::Refusing:
+    return "refusing";
   case ServerShortage::Absent:
     return "absent";
   }
@@ -327,6 +329,31 @@
          (Found->second.Record.Draining || Found->second.Availability.Leaving);
 }
 
+std::optional<TimePoint> refusedUntil(const ServerTable &Table,
+                                      const ServerRequirements &Requirements,
+                                      TimePoint Now) {
+  const auto Pool = Table.ByPool.find(Requirements.Pool);
+  std::optional<TimePoint> Earliest;
+  if (Pool == Table.ByPool.end())
+    return Earliest;
+  for (const std::string &Id : Pool->second) {
+    const ServerState &Server = Table.Servers.at(Id);
+    if (Server.Replaced)
+      continue;
+    const bool Excluded = Requirements.Excluded.contains(Id);
+    const bool Leaving = Server.Record.Draining || Server.Availability.Leaving;
+    if (Leaving || Now < Server.Availability.RefusesUntil) {
+      const TimePoint End = Leaving || Excluded
+                                ? TimePoint::max()
+                                : Server.Availability.RefusesUntil;
+      Earliest = std::min(Earliest.value_or(End), End);
+    } else if (!Excluded) {
+      return std::nullopt;
+    }
+  }
+  return Earliest;
+}
+
 void recordRequestStart(ServerTable &Table, const std::string &Id,
                         std::uint64_t PromptTokens) {
   if (ServerState *Server = findServer(Table, Id)) {
--- a/tests/process/test_server_leaving.py
+++ b/tests/process/test_server_leaving.py
@@ -173,6 +173,95 @@
     check(refuser.seen_at[-1] - refused_at >= 2.5, "not before")
 
 
+# Guards against requests that wait until their own time limit, or are sent, although no server wants any.
+def case_all_refusing(fleet):
+    """a request that no server takes in time is rejected at once, with the time at which the first one does"""
+    restart(fleet, fleet.plain + fleet.engines, new_id=True)
+    gateway = fleet.gateways[0]
+    for server, seconds in zip(fleet.plain, (6, 4.5)):
+        server.behaviours = [refuse(server, seconds)]
+    began = time.monotonic()
+    call(gateway, "/read/1")  # refused by both
+    told = time.monotonic()
+    check(not any(server.behaviours for server in fleet.plain), "both refused")
+    forget(fleet)
+    for _ in range(5):
+        sent = time.monotonic()
+        answer = call(gateway, "/read/1")
+        check(answer.status == 503 and time.monotonic() - sent < 0.4,
+              f"status {answer.status} after {time.monotonic() - sent:.2f} s")
+        after = sent + float(answer.headers["Retry-After"])
+        check(began + 4.4 < after < told + 4.6 + 0.15 * 3, f"Retry-After points to {after - began:.2f} s")
+    check(not any(server.seen for server in fleet.plain), "nothing was sent")
+    restart(fleet, fleet.plain[:1])
+    check(call(gateway, "/read/1").status == 503, "also after a restart under the same id")
+    restart(fleet, fleet.plain[:1], new_id=True)
+    check(call(gateway, "/read/1").status == 200, "another server at the address is used")
+
+
+# Guards against requests that are rejected although a server takes requests again before their time limit.
+def case_short_refusal(fleet):
+    """a request waits for the end of a refusal that is shorter than its wait"""
+    restart(fleet, fleet.plain + fleet.engines, new_id=True)
+    gateway = fleet.gateways[0]
+    for server in fleet.plain:
+        server.behaviours = [refuse(server, 0.6)]
+    began = time.monotonic()
+    call(gateway, "/read/1")
+    answer = call(gateway, "/read/1")
+    check(answer.status == 200 and 0.5 < time.monotonic() - began < 1.5,
+          f"status {answer.status} after {time.monotonic() - began:.2f} s")
+
+
+# Guards against queued requests that stay in the queue until their own time limit.
+def case_queued(fleet):
+    """a queued request is rejected as soon as no server takes it in time"""
+    restart(fleet, fleet.plain + fleet.engines, new_id=True)
+    gateway = fleet.gateways[0]
+
+    def refuse_late(server):
+        def run(request):
+            time.sleep(0.7)
+            refuse(server, 6)(request)
+        return run
+    for server in fleet.plain:
+        server.behaviours = [refuse_late(server)]
+    for _ in range(8):
+        threading.Thread(target=call, args=(gateway, "/once/1", "POST", b"b")).start()
+        time.sleep(0.02)
+        if not any(server.behaviours for server in fleet.plain):
+            break
+    slow_since = time.monotonic()
+    for server in fleet.plain:
+        server.behaviours = [refuse(server, 1)]
+    call(gateway, "/read/1")
+    check(not any(server.behaviours for server in fleet.plain), "both refused for a second")
+    sent = time.monotonic()
+    check(sent - slow_since < 0.5, "the late refusals are still to come")
+    answer = call(gateway, "/read/1")
+    check(answer.status == 503 and 0.05 < time.monotonic() - sent < 0.95,
+          f"status {answer.status} after {time.monotonic() - sent:.2f} s")
+
+
+# Guards against requests that wait for servers of which each has said that it leaves.
+def case_all_leaving(fleet):
+    """a request is rejected at once when every server leaves, and served when one joins"""
+    restart(fleet, fleet.plain + fleet.engines, new_id=True)
+    gateway = fleet.gateways[0]
+    for server in fleet.plain:
+        server.behaviours = [with_headers(server, 500, LEAVING)]
+    call(gateway, "/read/1")
+    check(not any(server.behaviours for server in fleet.plain), "both leave")
+    forget(fleet)
+    sent = time.monotonic()
+    answer = call(gateway, "/read/1")
+    check(answer.status == 503 and time.monotonic() - sent < 0.4,
+          f"status {answer.status} after {time.monotonic() - sent:.2f} s")
+    check(not any(server.seen for server in fleet.plain), "nothing was sent")
+    restart(fleet, fleet.plain[:1])
+    check(call(gateway, "/read/1").status == 200, "the server that started again answers")
+
+
 # Guards against a server that is avoided by gateways that it told nothing.
 def case_other_gateway(fleet):
     """a gateway that a server told nothing sends requests to it"""
@@ -187,8 +276,8 @@
     check(refuser.seen, "the other gateway uses the server")
 
 
-CASES = [case_leaving, case_leaving_in_any_answer, case_leaving_stream, case_refusing,
-         case_other_gateway]
+CASES = [case_leaving, case_leaving_in_any_answer, case_leaving_stream, case_refusing, case_all_refusing,
+         case_short_refusal, case_queued, case_all_leaving, case_other_gateway]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -360,3 +360,36 @@
   recordRequestStart(Table, "1", 0);
   CHECK(choose(Table, {}, End + 2s).Id == "1");
 }
+
+// Guards against requests that wait for servers that take none, and against a
+// rejection while a server may take them.
+TEST_CASE("the end of refusals is known when every server leaves or refuses") {
+  ServerTable Table = tableWith({record("1"), record("2"), record("3")});
+  const ServerRequirements Any{.Pool = "engines"};
+  auto Until = [&](const ServerRequirements &Requirements) {
+    return refusedUntil(Table, Requirements, StartCommand);
+  };
+  CHECK_FALSE(refusedUntil(tableWith({}), Any, StartCommand));
+  recordNotice(Table, "1", 0, {.RefusesFor = 4s}, StartCommand);
+  recordNotice(Table, "2", 0, {.RefusesFor = 2s}, StartCommand);
+  CHECK_FALSE(Until(Any));
+  ServerRequirements Retried = Any;
+  Retried.Excluded = {"3"};
+  CHECK(Until(Retried) == StartCommand + 2s);
+  Retried.Excluded = {"2", "3"};
+  CHECK(Until(Retried) == StartCommand + 4s);
+  Retried.Excluded = {"1", "2", "3"};
+  CHECK(Until(Retried) == TimePoint::max());
+  ServerRecord Third = record("3");
+  Third.Draining = true;
+  putServer(Table, Third);
+  CHECK(Until(Any) == StartCommand + 2s);
+  recordNotice(Table, "1", 0, {.Leaving = true}, StartCommand);
+  recordNotice(Table, "2", 0, {.Leaving = true}, StartCommand);
+  CHECK(Until(Any) == TimePoint::max());
+  // A server in a backoff may take requests soon.
+  putServer(Table, record("4"));
+  recordServerOutcome(Table, "4", ServerOutcome::Unreachable, StartCommand);
+  CHECK_FALSE(Until(Any));
+  CHECK(choose(Table).Shortage == ServerShortage::Absent);
+}
