--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -564,6 +564,8 @@
     recordUsage(Queue, Customer, Cost, now());
     co_return Choice;
   }
+  if (cannotBeServed(Query, Request.ExpiresAt))
+    co_return ServerChoice{{}, ServerShortage::Refusing};
   const auto Ticket = enqueue(Queue, std::move(Request));
   if (!Ticket)
     co_return Choice;
@@ -608,6 +610,48 @@
   Found->second.WakeTimer->cancel();
 }
 
+void Gateway::handleNotice(const ServerRecord &Server,
+                           const ServerNotice &Notice) {
+  const NoticeChange Change =
+      recordNotice(Servers, Server.Id, Server.StartedAtMs, Notice, now());
+  if (Change == NoticeChange::None)
+    return;
+  LogEvent Line;
+  Line.Event =
+      Change == NoticeChange::Leaving ? "server_leaving" : "server_refusing";
+  Line.At = Step::MemberList;
+  Line.Peer = Server.Address;
+  Line.Fields = {{"server", Server.Id}, {"pool", Server.Pool}};
+  if (Notice.RefusesFor)
+    Line.Fields.emplace_back("refuses_s", formatSeconds(*Notice.RefusesFor));
+  Node.Log.write(Line);
+  Node.ProcessMetrics
+      .counter("marigoldyard_server_notices_total",
+               "Responses of servers that asked for no further requests",
+               {{"notice", std::string(noticeChangeName(Change))}})
+      .add();
+  if (Change == NoticeChange::Leaving)
+    Connections.closeAll(Server.Address);
+  rejectUnservable();
+}
+
+bool Gateway::cannotBeServed(const ServerRequirements &Query,
+                             TimePoint ExpiresAt) const {
+  const auto Until = refusedUntil(Servers, Query, now());
+  return Until && *Until >= ExpiresAt;
+}
+
+void Gateway::rejectUnservable() {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Request] : Queue.Waiting)
+    if (cannotBeServed(Waiters.at(Ticket).Query, Request.ExpiresAt))
+      Tickets.push_back(Ticket);
+  for (const std::uint64_t Ticket : Tickets) {
+    dequeue(Queue, Ticket);
+    completeWait(Ticket, {{}, ServerShortage::Refusing});
+  }
+}
+
 void Gateway::dispatchQueued() {
   std::set<std::string> Pools;
   for (const auto &[Ticket, Request] : Queue.Waiting)
@@ -636,6 +680,7 @@
   enforceVersions();
   for (const std::uint64_t Ticket : expireRequests(Queue, Now))
     completeWait(Ticket, {{}, ServerShortage::Full});
+  rejectUnservable();
   dispatchQueued();
   if (Now - LastStatusAt >= FleetNode::StatusInterval)
     sendStatus();
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -75,6 +75,12 @@
   /// @param Id id of the server
   void releaseServer(const std::string &Id);
 
+  /// @brief Applies what a server said in the head of a response about further
+  /// requests.
+  /// @param Server record of the server when the request was sent
+  /// @param Notice what it said
+  void handleNotice(const ServerRecord &Server, const ServerNotice &Notice);
+
   /// @brief Retry budget of a pool; created at the first use.
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
@@ -156,6 +162,9 @@
   void enforceVersions();
   void withdrawUnstarted(TimePoint Now);
   VersionBoundSettings versionBound() const;
+  bool cannotBeServed(const ServerRequirements &Query,
+                      TimePoint ExpiresAt) const;
+  void rejectUnservable();
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
