Wait for the configuration in the tests of version bounds

Cause: case_sent_before_declaration failed once at a load of 33 ("timed out after 20 s: the request arrives"). The case before delays the store's answers to the gateway; its last delayed watch ended 2 s after the new configuration was written, and the request was sent after one second, to a gateway that knew neither the configuration nor that the servers were up to date.

Change: send_stream waits until the configuration is in force instead of for a second. No check changes.

--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -134,7 +134,9 @@
     """Sends one stream that does not start, in the background."""
     fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", kind, "engines", timeout_ms=15000,
                                      target_latency_ms=1000, target_gap_ms=300, max_attempts=1, **changes)])
-    time.sleep(1)
+    # The change comes after the records of the servers, so the gateway knows these too.
+    wait_for(lambda: f'"configuration_accept","revision":{fleet.version},' in fleet.gateways[0].log_text(),
+             "the configuration is in force")
     for server in fleet.engines:
         server.gone.clear()
         server.behaviours = [behaviour(server)]
