--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 namespace net = boost::asio;
 using Tcp = net::ip::tcp;
 using boost::system::error_code;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -46,11 +47,8 @@
 constexpr double DrainAcceptFraction = 0.3;
 /// Time between the last end of a request and the platform's SIGKILL.
 constexpr std::chrono::milliseconds ExitMargin{600};
-/// Time before the version bound at which a request that has not started is
-/// withdrawn from its server. It covers the pause between watches and the time
-/// that the declaration takes to arrive.
-constexpr std::chrono::milliseconds VersionPropagationMargin =
-    MaxWatchPause + std::chrono::milliseconds(250);
+/// Reported declarations that are kept; older ones are dropped first.
+constexpr std::size_t MaxReportedDeclarations = 256;
 /// A process that has ended refuses connections at once; a server that is only
 /// slow does not matter here.
 constexpr std::chrono::milliseconds CrashProbeTimeout{100};
@@ -61,6 +59,10 @@
 /// process starts with a full reserve again.
 constexpr double RetryBudgetFraction = 0.7;
 
+std::string formatSeconds(Duration Value) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
+}
+
 } // namespace
 
 Gateway::Gateway(GatewaySettings InitialSettings,
@@ -331,63 +333,158 @@
     Node.Log.write("version_refused", Version.error());
     return;
   }
-  const TimePoint Now = now();
-  const Duration Limit = Settings.Process.VersionLimit;
   DeclaredVersions[Version->Model] =
       std::max(DeclaredVersions[Version->Model], Version->Version);
   sendPoolDescriptions();
+  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(),
+                               Node.Store.unavailableAt(), std::nullopt};
+  if (const auto Report = ReportedDeclarations.find(*Version);
+      Report != ReportedDeclarations.end())
+    Evidence.ReportedAt = latestReport(Report->second);
+  PendingVersions.push_back({*Version, Evidence});
+  logDeclaration("version_declared", PendingVersions.back());
+  sendVersionDeclarations();
+}
+
+void Gateway::logDeclaration(std::string_view Event,
+                             const PendingVersion &Pending) {
+  const auto Ago = [Now = now()](const std::optional<TimePoint> &At) {
+    return At ? formatSeconds(Now - *At) : std::string();
+  };
+  const VersionDeadlines Deadlines =
+      versionDeadlines(versionBound(), Pending.Evidence);
+  Node.Log.write(
+      {.Event = std::string(Event),
+       .At = Step::ConfigurationAccept,
+       .Fields = {
+           {"model", Pending.Declared.Model},
+           {"version", std::to_string(Pending.Declared.Version)},
+           {"learned_s_ago", Ago(Pending.Evidence.LearnedAt)},
+           {"confirmed_s_ago", Ago(Pending.Evidence.ConfirmedAt)},
+           {"unavailable_s_ago", Ago(Pending.Evidence.UnavailableAt)},
+           {"reported_s_ago", Ago(Pending.Evidence.ReportedAt)},
+           {"required_in_s", formatSeconds(Deadlines.RequiredAt - now())}}});
+}
+
+VersionBoundSettings Gateway::versionBound() const {
   VersionBoundSettings Bound;
-  Bound.Limit = Limit;
-  const DeclarationSource News = versionNews();
-  PendingVersions.push_back({*Version, Now + oldVersionGracePeriod(Bound, News),
-                             News == DeclarationSource::Watched
-                                 ? Now + Limit - VersionPropagationMargin
-                                 : TimePoint::max()});
-  Node.Log.write({.Event = "version_declared",
-                  .At = Step::ConfigurationAccept,
-                  .Fields = {{"model", Version->Model},
-                             {"version", std::to_string(Version->Version)}}});
-}
-
-DeclarationSource Gateway::versionNews() const {
+  Bound.Limit = Settings.Process.VersionLimit;
+  return Bound;
+}
+
+void Gateway::handleVersionDeclarations(
+    const std::string &Sender, const VersionDeclarations &Declarations) {
   const TimePoint Now = now();
-  if (Node.Store.recentlyInitialized(Now))
-    return DeclarationSource::Unknown;
-  if (Node.Store.isUnreachable(Now))
-    return DeclarationSource::Relayed;
-  if (!Node.Store.isCatchingUp(Now))
-    return DeclarationSource::Watched;
-  return Node.liveGateways().empty() ? DeclarationSource::Unknown
-                                     : DeclarationSource::AfterStoreOutage;
+  for (const DeclarationAge &Each : Declarations.Recent) {
+    const DeclaredVersion Declared{Each.Model, Each.Version};
+    const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
+    DeclarationReports &Reports = ReportedDeclarations[Declared];
+    addReport(Reports, Sender, At);
+    for (PendingVersion &Pending : PendingVersions) {
+      if (Pending.Declared != Declared)
+        continue;
+      const bool FirstReport = !Pending.Evidence.ReportedAt;
+      Pending.Evidence.ReportedAt = latestReport(Reports);
+      if (FirstReport)
+        logDeclaration("version_age_reported", Pending);
+    }
+  }
+  while (ReportedDeclarations.size() > MaxReportedDeclarations)
+    ReportedDeclarations.erase(std::min_element(
+        ReportedDeclarations.begin(), ReportedDeclarations.end(),
+        [](const auto &A, const auto &B) {
+          return latestReport(A.second) < latestReport(B.second);
+        }));
+}
+
+void Gateway::sendVersionDeclarations() {
+  VersionDeclarations Declarations;
+  const TimePoint Now = now();
+  for (const PendingVersion &Each : PendingVersions)
+    if (wasInContact(Each.Evidence))
+      Declarations.Recent.push_back(
+          {Each.Declared.Model, Each.Declared.Version,
+           std::chrono::ceil<milliseconds>(Now - *Each.Evidence.ConfirmedAt)});
+  if (Declarations.Recent.empty())
+    return;
+  for (const auto &[Address, Other] : Node.liveGateways())
+    Node.send(Address, Declarations);
 }
 
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
-  std::erase_if(PendingVersions, [&](const PendingVersion &Each) {
-    if (Now < Each.RequiredAt)
-      return false;
-    requireVersion(Servers, Each.Declared);
-    Node.Log.write(
-        {.Event = "version_required",
-         .At = Step::Routing,
-         .Fields = {{"model", Each.Declared.Model},
-                    {"version", std::to_string(Each.Declared.Version)}}});
-    return true;
+  withdrawUnstarted(Now);
+  std::erase_if(PendingVersions, [&](PendingVersion &Each) {
+    const VersionDeadlines Deadlines =
+        versionDeadlines(versionBound(), Each.Evidence);
+    if (Now >= Deadlines.RequiredAt && !std::exchange(Each.Required, true)) {
+      requireVersion(Servers, Each.Declared);
+      logDeclaration("version_required", Each);
+    }
+    return Now >= Deadlines.StartBy && Each.Required;
   });
 }
 
-std::optional<TimePoint>
-Gateway::startDeadline(const std::string &Id, const std::string &Model) const {
-  const auto Server = Servers.Servers.find(Id);
-  if (Server == Servers.Servers.end())
-    return std::nullopt;
-  const std::uint64_t Loaded = loadedVersion(Server->second, Model);
-  std::optional<TimePoint> Result;
-  for (const PendingVersion &Each : PendingVersions)
-    if (Each.Declared.Model == Model && Each.Declared.Version > Loaded)
-      Result =
-          std::min(Result.value_or(Each.StartDeadline), Each.StartDeadline);
-  return Result;
+std::optional<TimePoint> Gateway::startDeadline(const std::string &Model,
+                                                std::uint64_t Version) const {
+  std::optional<TimePoint> Earliest;
+  for (const PendingVersion &Each : PendingVersions) {
+    if (Each.Declared.Model != Model || Each.Declared.Version <= Version)
+      continue;
+    const TimePoint StartBy =
+        versionDeadlines(versionBound(), Each.Evidence).StartBy;
+    Earliest = std::min(Earliest.value_or(StartBy), StartBy);
+  }
+  const auto Required = Servers.RequiredVersions.find(Model);
+  if (!Earliest && Required != Servers.RequiredVersions.end() &&
+      Version < Required->second)
+    return TimePoint::min();
+  return Earliest;
+}
+
+std::uint64_t Gateway::watchStart(UnstartedRequest Watched) {
+  UnstartedRequests.emplace(++LastStartTicket, std::move(Watched));
+  return LastStartTicket;
+}
+
+void Gateway::endStartWatch(std::uint64_t Ticket) {
+  UnstartedRequests.erase(Ticket);
+}
+
+void Gateway::withdrawUnstarted(TimePoint Now) {
+  if (PendingVersions.empty())
+    return; // outdated servers get no requests any more
+  for (const auto &[Ticket, Each] : UnstartedRequests) {
+    const auto Server = Servers.Servers.find(Each.Server);
+    if (Server == Servers.Servers.end() || !Server->second.Record.Weights)
+      continue;
+    const auto StartBy =
+        startDeadline(Each.Model, loadedVersion(Server->second, Each.Model));
+    if (StartBy && Now >= *StartBy)
+      Each.Withdraw();
+  }
+}
+
+void Gateway::recordStart(const std::string &Request, const std::string &Server,
+                          const std::string &Model, std::uint64_t Version) {
+  const auto StartBy = startDeadline(Model, Version);
+  if (!StartBy || now() < *StartBy)
+    return;
+  const auto Known = Servers.Servers.find(Server);
+  const std::uint64_t KnownVersion =
+      Known == Servers.Servers.end() ? 0 : loadedVersion(Known->second, Model);
+  Node.Log.write({.Level = LogLevel::Warning,
+                  .Event = "started_on_old_version",
+                  .At = Step::Routing,
+                  .Request = Request,
+                  .Fields = {{"server", Server},
+                             {"model", Model},
+                             {"version", std::to_string(Version)},
+                             {"known_version", std::to_string(KnownVersion)}}});
+  Node.ProcessMetrics
+      .counter("marigoldyard_late_starts_total",
+               "Requests that started on an older version after its bound", {})
+      .add();
 }
 
 void Gateway::handleMessage(const Message &Incoming) {
@@ -395,6 +492,9 @@
     handleEngineStatus(Incoming.Head.Sender, *Status);
   else if (const auto *Query = std::get_if<PoolQuestion>(&Incoming.Content))
     handlePoolQuery(Incoming.Head.Sender, *Query);
+  else if (const auto *Declarations =
+               std::get_if<VersionDeclarations>(&Incoming.Content))
+    handleVersionDeclarations(Incoming.Head.Sender, *Declarations);
   else if (const auto *News = std::get_if<PromptPartReport>(&Incoming.Content))
     handlePartReport(Incoming.Head.Sender, *News);
 }
@@ -618,6 +718,8 @@
     recordUsage(Queue, Customer, Cost, now());
     co_return Choice;
   }
+  if (cannotBeServed(Query, Request.ExpiresAt))
+    co_return ServerChoice{{}, ServerShortage::Refusing};
   const auto Ticket = enqueue(Queue, std::move(Request));
   if (!Ticket)
     co_return Choice;
@@ -662,6 +764,48 @@
   Found->second.WakeTimer->cancel();
 }
 
+void Gateway::handleNotice(const ServerRecord &Server,
+                           const ServerNotice &Notice) {
+  const NoticeChange Change =
+      recordNotice(Servers, Server.Id, Server.StartedAtMs, Notice, now());
+  if (Change == NoticeChange::None)
+    return;
+  LogEvent Line;
+  Line.Event =
+      Change == NoticeChange::Leaving ? "server_leaving" : "server_refusing";
+  Line.At = Step::MemberList;
+  Line.Peer = Server.Address;
+  Line.Fields = {{"server", Server.Id}, {"pool", Server.Pool}};
+  if (Notice.RefusesFor)
+    Line.Fields.emplace_back("refuses_s", formatSeconds(*Notice.RefusesFor));
+  Node.Log.write(Line);
+  Node.ProcessMetrics
+      .counter("marigoldyard_server_notices_total",
+               "Responses of servers that asked for no further requests",
+               {{"notice", std::string(noticeChangeName(Change))}})
+      .add();
+  if (Change == NoticeChange::Leaving)
+    Connections.closeAll(Server.Address);
+  rejectUnservable();
+}
+
+bool Gateway::cannotBeServed(const ServerRequirements &Query,
+                             TimePoint ExpiresAt) const {
+  const auto Until = refusedUntil(Servers, Query, now());
+  return Until && *Until >= ExpiresAt;
+}
+
+void Gateway::rejectUnservable() {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Request] : Queue.Waiting)
+    if (cannotBeServed(Waiters.at(Ticket).Query, Request.ExpiresAt))
+      Tickets.push_back(Ticket);
+  for (const std::uint64_t Ticket : Tickets) {
+    dequeue(Queue, Ticket);
+    completeWait(Ticket, {{}, ServerShortage::Refusing});
+  }
+}
+
 void Gateway::dispatchQueued() {
   std::set<std::string> Pools;
   for (const auto &[Ticket, Request] : Queue.Waiting)
@@ -691,6 +835,7 @@
   blockSuspectParts();
   for (const std::uint64_t Ticket : expireRequests(Queue, Now))
     completeWait(Ticket, {{}, ServerShortage::Full});
+  rejectUnservable();
   dispatchQueued();
   if (Now - LastStatusAt >= FleetNode::StatusInterval)
     sendStatus();
@@ -732,6 +877,7 @@
       ++Servers.Settings.SharingGateways;
   for (const std::string &Address : Node.gatewayAddresses())
     Node.send(Address, Status);
+  sendVersionDeclarations();
   if (Now - LastStagerStatusAt < StagerStatusInterval)
     return;
   LastStagerStatusAt = Now;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,17 +76,40 @@
   /// @param Id id of the server
   void releaseServer(const std::string &Id);
 
+  /// @brief Applies what a server said in the head of a response about further
+  /// requests.
+  /// @param Server record of the server when the request was sent
+  /// @param Notice what it said
+  void handleNotice(const ServerRecord &Server, const ServerNotice &Notice);
+
   /// @brief Retry budget of a pool; created at the first use.
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
 
-  /// @brief Time until which a request may start at a server with the version
-  /// that is loaded there.
-  /// @param Id id of the server
+  /// @brief A request that was sent to a model server and has not started, as
+  /// far as is known.
+  struct UnstartedRequest {
+    std::string Server;
+    std::string Model;
+    std::function<void()> Withdraw;
+  };
+  /// @brief Watches a request until endStartWatch() and withdraws it if it has
+  /// not started when the version of its server goes out of use.
+  /// @param Watched the request; Withdraw must be callable until
+  /// endStartWatch()
+  /// @return ticket for endStartWatch()
+  std::uint64_t watchStart(UnstartedRequest Watched);
+  /// @brief Ends the watch of a request.
+  /// @param Ticket of watchStart(); an unknown one has no effect
+  void endStartWatch(std::uint64_t Ticket);
+  /// @brief Logs and counts a request that started on a version that had
+  /// already gone out of use.
+  /// @param Request id of the request
+  /// @param Server id of the server
   /// @param Model name of the model
-  /// @return the time; empty while no newer version is declared
-  std::optional<TimePoint> startDeadline(const std::string &Id,
-                                         const std::string &Model) const;
+  /// @param Version version in the response of the server
+  void recordStart(const std::string &Request, const std::string &Server,
+                   const std::string &Model, std::uint64_t Version);
 
   /// @return the prompt parts that may crash servers
   const CrashSuspects &crashSuspects() const { return Suspects; }
@@ -160,8 +184,19 @@
   void sendPoolDescriptions();
   void tick();
   void sendStatus();
-  DeclarationSource versionNews() const;
+  /// Time until which a request may start on a version of a model; empty while
+  /// no newer one is declared.
+  std::optional<TimePoint> startDeadline(const std::string &Model,
+                                         std::uint64_t Version) const;
+  void handleVersionDeclarations(const std::string &Sender,
+                                 const VersionDeclarations &Declarations);
+  void sendVersionDeclarations();
   void enforceVersions();
+  void withdrawUnstarted(TimePoint Now);
+  VersionBoundSettings versionBound() const;
+  bool cannotBeServed(const ServerRequirements &Query,
+                      TimePoint ExpiresAt) const;
+  void rejectUnservable();
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
@@ -190,15 +225,19 @@
   };
   std::map<std::string, KnownStager> Stagers;            ///< by IP address
   std::map<std::string, std::uint64_t> DeclaredVersions; ///< latest, by model
-  /// A declared version that servers are not yet required to have.
+  /// A declared version for which older ones may still be in use.
   struct PendingVersion {
     DeclaredVersion Declared;
-    TimePoint RequiredAt; ///< from then on older versions get no requests
-    TimePoint
-        StartDeadline; ///< until then requests may start on older versions
+    DeclarationEvidence Evidence;
+    bool Required = false; ///< older versions get no requests
   };
+  void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
   CrashSuspects Suspects;
+  /// Reports of other gateways, which may arrive before the declaration itself.
+  std::map<DeclaredVersion, DeclarationReports> ReportedDeclarations;
+  std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
+  std::uint64_t LastStartTicket = 0;
   TimePoint LastStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -146,10 +146,8 @@
       co_return co_await rejectBlocked(*Blocked);
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
-      if (Choice.Shortage == ServerShortage::None) {
-        Owner.finishPrefill(Choice.Id, RequestInfo.PromptTokens);
-        Owner.releaseServer(Choice.Id);
-      }
+      if (Choice.Shortage == ServerShortage::None)
+        releaseUnsent(Choice.Id);
       log("caller_left", serverShortageName(Choice.Shortage));
       co_return false;
     }
@@ -164,11 +162,15 @@
           NoneRun ? shortageResponse(Choice.Shortage) : failureResponse({});
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
+    // A notice or a change of the store may have arrived since the choice.
+    if (!mayReceive(Owner.servers(), Choice.Id, now())) {
+      releaseUnsent(Choice.Id);
+      continue;
+    }
     // The part may have been blocked while the request waited.
     if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
                                        RequestInfo.SharedParts, now())) {
-      Owner.finishPrefill(Choice.Id, RequestInfo.PromptTokens);
-      Owner.releaseServer(Choice.Id);
+      releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
     ExchangeResult Result = co_await sendTo(Choice.Id);
@@ -181,6 +183,11 @@
   }
 }
 
+void RequestRun::releaseUnsent(const std::string &Id) {
+  Owner.finishPrefill(Id, RequestInfo.PromptTokens);
+  Owner.releaseServer(Id);
+}
+
 net::awaitable<bool> RequestRun::rejectBlocked(BlockedPart Blocked) {
   Owner.recordBlockedRequest(RequestInfo.Id, Blocked);
   const std::string Detail =
@@ -323,23 +330,29 @@
   ++Attempts;
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
-      [this, &Id](const platform::ReportedLoad &Load) {
-        recordReportedLoad(Owner.servers(), Id, Load.Running + Load.Waiting);
+      [this, &Record](const platform::ServerResponse &Head) {
+        if (Head.Load)
+          recordReportedLoad(Owner.servers(), Record.Id,
+                             Head.Load->Running + Head.Load->Waiting);
+        Owner.handleNotice(Record, {Head.Leaving, Head.RefusesFor});
       });
   ActiveExchange = &Exchange;
   StreamReceiver Receiver = streamReceiver();
   const platform::RequestMessage Outgoing =
       platform::buildServerRequest(Request, Content);
-  ExchangeLimits Limits = exchangeLimits();
-  // A request queued at a server must not start on an outdated version; this
-  // includes a stream that resumes there.
-  if (auto Until = Owner.startDeadline(Id, RequestInfo.Model))
-    Limits.FirstByteTimeout = std::min(
-        Limits.FirstByteTimeout, std::max(Duration::zero(), *Until - now()));
-  ExchangeResult Result =
-      co_await Exchange.run(Outgoing, Record.Address, RequestInfo.Id, Limits,
-                            MatchedRoute->IsStreaming ? &Receiver : nullptr);
+  // The start of a buffered response is not visible, and work that runs at most
+  // once must not be cut off after it.
+  if (MatchedRoute->IsStreaming ||
+      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce)
+    StartTicket = Owner.watchStart(
+        {Id, RequestInfo.Model, [&Exchange] { Exchange.withdraw(); }});
+  ExchangeResult Result = co_await Exchange.run(
+      Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(),
+      MatchedRoute->IsStreaming ? &Receiver : nullptr);
   ActiveExchange = nullptr;
+  endStartWatch();
+  if (isLeaving(Owner.servers(), Id))
+    Owner.connections().closeAll(Record.Address);
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
@@ -357,6 +370,11 @@
   co_return Result;
 }
 
+void RequestRun::endStartWatch() {
+  if (const auto Ticket = std::exchange(StartTicket, std::nullopt))
+    Owner.endStartWatch(*Ticket);
+}
+
 void RequestRun::endPrefill() {
   if (std::exchange(PrefillRunning, false))
     Owner.finishPrefill(LastServer, RequestInfo.PromptTokens);
@@ -417,7 +435,8 @@
   const std::string Detail = fmt::format(
       "{} ({})", make_error_code(Last.Reason).message(), Last.Detail);
   if (NoneRun)
-    return {503, "not_run", Step::Send, LastServer, Detail, DefaultRetryAfter};
+    return {503,        "not_run", Step::Send,
+            LastServer, Detail,    retryAfter(DefaultRetryAfter)};
   const bool NearDeadline = timeLeft() <= 2 * ResponseMargin;
   return {NearDeadline ? 504U : 502U,
           "unknown",
@@ -434,8 +453,19 @@
           Step::Admission,
           Pool->Name,
           std::string(serverShortageName(Shortage)),
-          std::chrono::duration_cast<Duration>(
-              std::max(Duration::zero(), timeLeft()) * RetryAfterFraction)};
+          retryAfter(std::chrono::duration_cast<Duration>(
+              std::max(Duration::zero(), timeLeft()) * RetryAfterFraction))};
+}
+
+Duration RequestRun::retryAfter(Duration Default) const {
+  const TimePoint Now = now();
+  const auto Until = refusedUntil(Owner.servers(), {.Pool = Pool->Name}, Now);
+  if (!Until || *Until == TimePoint::max())
+    return Default;
+  // A server takes one request at first, so callers come back spread over the
+  // usual pause.
+  std::uniform_int_distribution<Duration::rep> Spread(0, Default.count());
+  return *Until - Now + Duration(Spread(Owner.node().Generator));
 }
 
 StreamReceiver RequestRun::streamReceiver() {
@@ -468,6 +498,11 @@
 net::awaitable<bool>
 RequestRun::forwardHead(const platform::Fields &Headers, unsigned Status,
                         const platform::ServerResponse &Head) {
+  // The head is forwarded together with the first event.
+  endStartWatch();
+  if (Head.Version)
+    Owner.recordStart(RequestInfo.Id, LastServer, RequestInfo.Model,
+                      *Head.Version);
   // A resumed stream keeps the head of its first server and must have the same
   // version of the weights.
   if (HeadForwarded)
@@ -505,6 +540,7 @@
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
+  platform::removeRefusalTime(Response.Status, Response.Headers);
   const std::string Text =
       formatHead(Response.Status, Response.Headers) +
       fmt::format("Content-Length: {}\r\n\r\n", Response.Body.size()) +
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -47,6 +47,7 @@
   void endPrefill();
   void recordProgress();
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
+  void endStartWatch();
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
@@ -63,6 +64,10 @@
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
 
+  /// Retry-After of a refusal: until the pool takes requests again, when each
+  /// of its servers refuses them for a time.
+  Duration retryAfter(Duration Default) const;
+  void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
   ExchangeLimits exchangeLimits() const;
   WaitingRequest waitingRequest() const;
@@ -86,7 +91,8 @@
   std::set<std::string> TriedServers;
   std::vector<AttemptStatus> AttemptOutcomes;
   ServerExchange *ActiveExchange = nullptr;
-  bool PrefillRunning = false; ///< at LastServer
+  bool PrefillRunning = false;              ///< at LastServer
+  std::optional<std::uint64_t> StartTicket; ///< set until the request starts
   bool HeadForwarded = false;
   std::uint32_t EventReads = 0; ///< reads with events in the last attempt
   bool ServerCrashed = false;   ///< in the last attempt, before it began
--- /dev/null
+++ b/tests/process/test_versions.py
@@ -0,0 +1,172 @@
+"""Bounds after the declaration of a version: no request may start on an older one after it."""
+import json
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+# As in the settings of the processes, from the users' sites.
+VERSION_LIMIT_S = 8
+
+
+def declare_next(fleet):
+    """Declares a version that no server has; returns the time of the acknowledgement."""
+    fleet.store.put("op/version/m", {"model": "m", "version": newest(fleet) + 1})
+    return time.monotonic()
+
+
+def load_declared(fleet):
+    """Lets all servers report the version that declare_next() declared."""
+    version = newest(fleet) + 1
+    for server in fleet.engines:
+        server.models = {"m": version}
+        server.register()
+
+
+def newest(fleet):
+    return max(next(iter(server.models.values())) for server in fleet.engines)
+
+
+# Guards against a bound that counts from when the gateway learned of the declaration instead of from its
+# acknowledgement: requests were sent to old weights for as long after the bound as the store's answer was late.
+def case_late_answer_of_store(fleet):
+    """a gateway that learns late of a version sends nothing to older ones after its bound"""
+    gateway = fleet.gateways[0]
+    with pf.Heartbeats(fleet.plain):
+        fleet.store.delays[gateway.host] = 1.5
+        time.sleep(2)  # the watch in progress was sent before
+        acknowledged = declare_next(fleet)
+        while time.monotonic() - acknowledged < VERSION_LIMIT_S + 2:
+            threading.Thread(target=call, args=(gateway, "/stream/1", "POST", b"p"), daemon=True).start()
+            time.sleep(0.1)
+    fleet.store.delays.clear()
+    wait_for(lambda: "version_declared" in gateway.log_text(), "the gateway learned of the version")
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
+    check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+# Guards against a bound that ends up to two watches early while nothing changes in the store.
+def case_idle_store(fleet):
+    """a watch without changes counts as contact until its end"""
+    gateway = fleet.gateways[0]
+    watches = lambda: [path for client, path in list(fleet.store.calls) if client == gateway.host and "kv-watch" in path]
+    time.sleep(2)  # changes of the cases before
+    sent = len(watches())
+    wait_for(lambda: len(watches()) > sent, "the next watch is sent")
+    time.sleep(1)
+    declare_next(fleet)
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "version_declared" in line],
+                     "the gateway learns of the version")
+    load_declared(fleet)
+    confirmed = float(json.loads(lines[-1])["confirmed_s_ago"])
+    check(confirmed < 2, f"the last contact was {confirmed} s before")
+
+
+# Guards against refusals of everything by a gateway whose calls were over the rate limit until after a declaration: its
+# last contact before was long ago, but other gateways know the declaration's age.
+def case_calls_over_rate_limit(fleet):
+    """a gateway over the store's rate limit counts the bound from the report of another one"""
+    gateway = fleet.gateways[0]
+    with pf.Heartbeats(fleet.plain):
+        fleet.store.over_rate.add(gateway.host)
+        time.sleep(VERSION_LIMIT_S - 2)
+        acknowledged = declare_next(fleet)
+        time.sleep(3)
+        fleet.store.over_rate.clear()
+        statuses = {}
+        while (after := time.monotonic() - acknowledged) < VERSION_LIMIT_S + 1:
+            statuses[after] = call(gateway, "/stream/1", "POST", b"p").status
+            time.sleep(0.2)
+    late = [at - acknowledged for server in fleet.engines for at in server.seen_at]
+    load_declared(fleet)
+    refused = [after for after, status in statuses.items() if status != 200]
+    check(min(refused) > VERSION_LIMIT_S - 2, f"refused from {min(refused):.2f} s after the declaration")
+    check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+# Guards against starts on old weights that no log shows, because the server is believed to have newer ones.
+def case_wrong_belief(fleet):
+    """a start on a version that went out of use is logged with the version of the response"""
+    gateway = fleet.gateways[0]
+    if "version_required" not in gateway.log_text():
+        declare_next(fleet)
+        load_declared(fleet)
+        wait_for(lambda: "version_required" in gateway.log_text(), "the version is required", timeout=VERSION_LIMIT_S)
+    time.sleep(1)  # until requests that were sent before have started
+    required = newest(fleet)
+    for server in fleet.engines:
+        server.models = {"m": required - 1}
+    call(gateway, "/stream/1", "POST", b"p")
+    for server in fleet.engines:
+        server.models = {"m": required}
+    lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "started_on_old_version" in line],
+                     "the start is logged")
+    event = json.loads(lines[-1])
+    check((event["version"], event["known_version"]) == (str(required - 1), str(required)), f"{event}")
+
+
+def hang_after_head(server, delay):
+    """Sends the head of a stream after a delay, and no event."""
+    def run(request):
+        time.sleep(delay)
+        request.send_response(200)
+        for name, value in {**server.headers(request), "Content-Type": "text/event-stream",
+                            "Transfer-Encoding": "chunked"}.items():
+            request.send_header(name, value)
+        request.end_headers()
+        server.hang(request)
+    return run
+
+
+def check_withdrawn(fleet, acknowledged):
+    gone = wait_for(lambda: [at - acknowledged for server in fleet.engines for at in server.gone],
+                    "the request is withdrawn", timeout=VERSION_LIMIT_S + 8)
+    load_declared(fleet)
+    check(max(gone) < VERSION_LIMIT_S, f"withdrawn {max(gone):.2f} s after the declaration")
+
+
+def send_stream(fleet, kind, behaviour, **changes):
+    """Sends one stream that does not start, in the background."""
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", kind, "engines", timeout_ms=15000,
+                                     target_latency_ms=1000, target_gap_ms=300, max_attempts=1, **changes)])
+    # The change comes after the records of the servers, so the gateway knows these too.
+    wait_for(lambda: f'"configuration_accept","revision":{fleet.version},' in fleet.gateways[0].log_text(),
+             "the configuration is in force")
+    for server in fleet.engines:
+        server.gone.clear()
+        server.behaviours = [behaviour(server)]
+    return threading.Thread(target=call, args=(fleet.gateways[0], "/stream/1", "POST", b"p"),
+                            kwargs={"headers": {"Deadline-Ms": "15000"}, "timeout": 20}, daemon=True)
+
+
+# Guards against a request that was sent before the declaration and starts after the bound: its time limit was set when
+# no newer version was known.
+def case_sent_before_declaration(fleet):
+    """a stream that waits at a server since before the declaration is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: server.hang)
+    request.start()
+    wait_for(lambda: any(server.seen for server in fleet.engines), "the request arrives")
+    check_withdrawn(fleet, declare_next(fleet))
+
+
+# Guards against a time limit that starts again with the head of the response, before the first event.
+def case_head_before_start(fleet):
+    """a stream whose head was sent without an event is withdrawn before the bound"""
+    request = send_stream(fleet, "streaming", lambda server: hang_after_head(server, 2), resume_streams=True)
+    with pf.Heartbeats(fleet.plain):
+        acknowledged = declare_next(fleet)
+        time.sleep(VERSION_LIMIT_S - 3)
+        request.start()
+        check_withdrawn(fleet, acknowledged)
+
+
+CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_late_answer_of_store, case_sent_before_declaration, case_head_before_start]
+
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -66,6 +66,7 @@
                       true,
                       {{"10.0.0.4:90", "dar"}, {"10.0.0.5:90", "arusha"}},
                       {{"model", 3}}}},
+          VersionDeclarations{{{"model", 3, std::chrono::milliseconds(250)}}},
           PromptPartReport{"10.0.0.4:90",
                            {"5c1e07a2", "91bd3f06"},
                            {"e4402b7d"},
