Block deadly prompt parts that were at different crashes independently

Cause: parts with the same number of crashes waited for a crash that tells them apart, although none of their crashes was the same one. Change: only parts that were at a common crash wait for each other. Ruled out: blocking all leading parts at once, which would block a sound part that happened to be beside the deadly one twice.

--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -123,6 +123,57 @@
   ++Part.TimesBlocked;
 }
 
+struct LeadingSuspects {
+  std::size_t Crashes = 0;
+  std::vector<std::string> Parts; ///< that were at this many crashes
+};
+
+/// Returns the parts with the most crashes among those with enough of them.
+/// Parts with which requests began before come last.
+LeadingSuspects leadingSuspects(const CrashSuspects &State, TimePoint Now) {
+  LeadingSuspects Result;
+  bool AnyNew = false;
+  for (const auto &[Id, Part] : State.Suspects) {
+    const std::size_t Count = countCrashes(State, Part);
+    if (isBlocked(Part, Now) || Count == 0 ||
+        Count < crashesToBlock(State, Part) || Count < Result.Crashes)
+      continue;
+    if (Count > Result.Crashes) {
+      Result = {Count, {}};
+      AnyNew = false;
+    }
+    Result.Parts.push_back(Id);
+    AnyNew = AnyNew || !Part.BegunBefore;
+  }
+  if (AnyNew)
+    std::erase_if(Result.Parts, [&](const std::string &Id) {
+      return State.Suspects.at(Id).BegunBefore;
+    });
+  return Result;
+}
+
+/// Whether a part was at a crash together with another one of a list.
+bool sharesCrash(const CrashSuspects &State, const std::string &Id,
+                 const std::vector<std::string> &Others) {
+  const SuspectPart &Part = State.Suspects.at(Id);
+  return std::any_of(
+      Others.begin(), Others.end(), [&](const std::string &Other) {
+        return Other != Id &&
+               std::any_of(Part.Crashes.begin(), Part.Crashes.end(),
+                           [&](const ServerCrash &Each) {
+                             return wasAtCrash(State, State.Suspects.at(Other),
+                                               Each.Server, Each.At);
+                           });
+      });
+}
+
+/// Whether requests with a part have had time to begin since the last crash.
+bool hadTimeToBegin(const CrashSuspects &State, const SuspectPart &Part,
+                    TimePoint Now) {
+  return Part.TimesBlocked > 0 ||
+         Now - Part.Crashes.back().At >= State.Settings.ClearanceTime;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -166,42 +217,18 @@
 std::vector<std::string> blockSuspects(CrashSuspects &State, TimePoint Now) {
   std::vector<std::string> Blocked;
   for (;;) {
-    std::size_t Most = 0;
-    std::vector<std::string> Leading;
-    for (const auto &[Id, Part] : State.Suspects) {
-      if (isBlocked(Part, Now) || Part.Crashes.empty())
-        continue;
-      const std::size_t Count = countCrashes(State, Part);
-      if (Count < crashesToBlock(State, Part) || Count < Most)
-        continue;
-      if (Count > Most)
-        Leading.clear();
-      Most = Count;
-      Leading.push_back(Id);
-    }
-    // A part with which requests began before is less suspect.
-    const bool AnyNew =
-        std::any_of(Leading.begin(), Leading.end(), [&](const auto &Id) {
-          return !State.Suspects.at(Id).BegunBefore;
-        });
-    if (AnyNew)
-      std::erase_if(Leading, [&](const auto &Id) {
-        return State.Suspects.at(Id).BegunBefore;
-      });
-    const bool Tied =
-        Leading.size() > 1 && Most < State.Settings.CrashesToBlockTied;
-    if (Leading.empty() || Tied)
+    const LeadingSuspects Leading = leadingSuspects(State, Now);
+    std::vector<std::string> Ready;
+    for (const std::string &Id : Leading.Parts)
+      if (Leading.Crashes >= State.Settings.CrashesToBlockTied ||
+          (!sharesCrash(State, Id, Leading.Parts) &&
+           hadTimeToBegin(State, State.Suspects.at(Id), Now)))
+        Ready.push_back(Id);
+    if (Ready.empty())
       return Blocked;
-    for (const std::string &Id : Leading) {
-      SuspectPart &Part = State.Suspects.at(Id);
-      if (Part.TimesBlocked == 0 &&
-          Now - Part.Crashes.back().At < State.Settings.ClearanceTime &&
-          Most < State.Settings.CrashesToBlockTied)
-        return Blocked;
-    }
-    for (const std::string &Id : Leading)
+    for (const std::string &Id : Ready)
       block(State, State.Suspects.at(Id), Now);
-    for (const std::string &Id : Leading) {
+    for (const std::string &Id : Ready) {
       removeExplained(State, State.Suspects.at(Id), Now);
       Blocked.push_back(Id);
     }
--- a/tests/src/unit-coordination-crash_suspects.cpp
+++ b/tests/src/unit-coordination-crash_suspects.cpp
@@ -85,6 +85,19 @@
   CHECK(mayRetryAfterCrash(State, {"subject"}));
 }
 
+// Guards against two deadly parts that hide each other.
+TEST_CASE("parts that were at different crashes are blocked independently") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"shared", "first"}, Start);
+  recordServerCrash(State, "s2", {"shared", "second"}, Start + 1s);
+  recordRequestBegun(State, {"shared"});
+  recordServerCrash(State, "s3", {"first"}, Start + 2s);
+  recordServerCrash(State, "s4", {"second"}, Start + 3s);
+  CHECK(blockSuspects(State, Start + 4s).size() == 2);
+  CHECK(findBlockedPart(State, {"first"}, Start + 4s));
+  CHECK(findBlockedPart(State, {"second"}, Start + 4s));
+}
+
 // Guards against a false block that lasts: its requests are not sent, so that
 // they could never clear it.
 TEST_CASE("a block ends, and the next crash blocks the part for longer") {
