Do not clear prompt parts when a server rejects a request

A server may answer 400 to a request without starting it. Requests that crash servers and are rejected at times would have gone on crashing servers.

Cause: every complete answer cleared the parts of its prompt. Change: parts are cleared by a stream with events or a success. A leaving server that ends with requests in progress is no crash. Ruled out: clearing by the first event alone, because buffered answers have none. The exemption of leaving servers has no test of its own.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -360,11 +360,15 @@
   Owner.releaseServer(Id);
   if (RequestInfo.SharedParts.empty())
     co_return Result;
-  if (Result.Fate == AttemptStatus::Completed)
+  // A rejection by the server, such as 400, is no sign that a request began.
+  const bool Served =
+      EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
+  if (Result.Fate == AttemptStatus::Completed && Served)
     Owner.recordBegun(RequestInfo.SharedParts);
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (ConnectionLost && EventReads < EventReadsToBegin)
+  if (ConnectionLost && EventReads < EventReadsToBegin &&
+      !isLeaving(Owner.servers(), Id))
     ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
                                                  RequestInfo.SharedParts);
   co_return Result;
--- a/tests/process/test_prompt_crashes.py
+++ b/tests/process/test_prompt_crashes.py
@@ -19,6 +19,7 @@
 
     def __init__(self, engine, part):
         self.engine, self.part, self.crashes = engine, part, 0
+        self.rejects = False  # answers 400 instead
         self.open, self.lock = set(), threading.Lock()
         self.usual = engine.handle
         engine.handle = self.handle
@@ -28,6 +29,8 @@
             self.open.add(request)
         try:
             if self.part in request.headers.get("Prompt-Prefix", ""):
+                if self.rejects:
+                    return request.answer(400, b"too long", self.engine.headers(request))
                 time.sleep(0.02)
                 return self.crash(request)
             return self.usual(request)
@@ -109,6 +112,23 @@
         each.end()
 
 
+def case_rejected_by_server(fleet):
+    """a server that rejects a request with 400 does not clear the parts that crash servers"""
+    crashing = [Crashing(engine, "odd") for engine in fleet.engines]
+    for number in range(6):
+        stream(fleet.gateways[number % 2], "shared", "odd", f"own-{number}")
+        up(fleet)
+        for each in crashing:
+            each.rejects = True
+        check(stream(fleet.gateways[0], "shared", "odd", f"long-{number}").status in (400, 503), "rejected")
+        for each in crashing:
+            each.rejects = False
+    crashes = sum(each.crashes for each in crashing)
+    check(crashes <= MOST_CRASHES, f"{crashes} crashes")
+    for each in crashing:
+        each.end()
+
+
 def case_gateway_joins(fleet):
     """a gateway that starts later learns the blocked parts from the others"""
     third = fleet.gateway(42)
@@ -131,7 +151,7 @@
         check(answer.status == 200 and answer.whole, f"served: {answer.status}")
 
 
-CASES = [case_crashing_part, case_gateway_joins, case_lost_answers]
+CASES = [case_crashing_part, case_rejected_by_server, case_gateway_joins, case_lost_answers]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
