--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -358,8 +358,13 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
-  if (RequestInfo.SharedParts.empty())
-    co_return Result;
+  if (!RequestInfo.SharedParts.empty())
+    co_await recordPartOutcome(Result, Record);
+  co_return Result;
+}
+
+net::awaitable<void> RequestRun::recordPartOutcome(const ExchangeResult &Result,
+                                                   const ServerRecord &Record) {
   // A rejection by the server, such as 400, is no sign that a request began.
   const bool Served =
       EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
@@ -368,10 +373,9 @@
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
   if (ConnectionLost && EventReads < EventReadsToBegin &&
-      !isLeaving(Owner.servers(), Id))
+      !isLeaving(Owner.servers(), Record.Id))
     ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
                                                  RequestInfo.SharedParts);
-  co_return Result;
 }
 
 void RequestRun::endStartWatch() {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -46,6 +46,9 @@
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void recordProgress();
+  /// Records what an attempt shows about the parts of the prompt.
+  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
+                                                 const ServerRecord &Record);
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   void endStartWatch();
   bool mayRetry(const ExchangeResult &Last);
