Keep a model server one when its record lacks weights

What callers saw: nothing yet; found in the review of the ways in which a request can begin on older weights.

Cause: a record of the store without the field of the weights describes a server that serves every version. If another writer replaces the record of a model server by such a one, the server gets requests whatever it has loaded.

Change: a server that is known with weights stays a model server, with the weights known before.

Ruled out: refusing such records altogether, since servers of other pools have no weights. A record under a new id is left out of this: requests carry the id of the server and are refused by every other one.

Measured: the new unit test failed before (the server was chosen below the required version) and passes now; 207 unit tests passed.

--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -150,8 +150,13 @@
   const std::int64_t Started =
       std::max(Server.Record.StartedAtMs, Record.StartedAtMs);
   const bool Outdated = Record.StartedAtMs < Started;
+  const bool IsEngine = Server.Record.Weights || Record.Weights;
   Server.Record = Record;
   Server.Record.StartedAtMs = Started;
+  // A record without weights does not make a model server one that serves
+  // every version.
+  if (IsEngine && !Record.Weights)
+    Server.Record.Weights.emplace();
   if (Record.Weights && !Outdated)
     mergeWeights(Server.Weights, *Record.Weights);
   const auto Region = Table.Settings.RegionOf.find(Record.FailureDomain);
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -116,6 +116,22 @@
   CHECK(Table.RequiredVersions.at("m") == 2);
 }
 
+// Guards against requests on old weights after another writer replaced the
+// record of a model server by one without the field of the weights.
+TEST_CASE("a model server whose record lacks the weights keeps known ones") {
+  ServerTable Table = tableWith({record("1")});
+  requireVersion(Table, {"m", 2});
+  ServerRecord Incomplete = record("1");
+  Incomplete.Weights.reset();
+  putServer(Table, Incomplete);
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  ServerRecord Loaded = record("1");
+  Loaded.Weights = {{"m", 2}};
+  putServer(Table, Loaded);
+  putServer(Table, Incomplete);
+  CHECK(choose(Table).Id == "1");
+}
+
 TEST_CASE("a stream continues only on the version that it began with") {
   ServerTable Table = tableWith({record("1"), record("2")});
   applyEngineStatus(Table, {"10.0.0.1:80", 0, true, 0, {{"m", 2}}},
