Freeze every gateway in the case in which none answers

Cause: the case froze the two gateways of the fleet, but the gateway that case_log_reader starts runs on. It knows the stagers of earlier cases by their addresses and sends them status messages, from which a new stager learns of it and asks it. When that falls into the first 120 ms, gateways are never silent.

Change: the case freezes all gateways that run. It also checks that no gateway answered, which it did not before.

Ruled out: a cut log. In a kept run the stager's log has gateway_joined of that gateway at 99 ms, gateways_silent at 139 ms and gateways_answer at 160 ms.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -383,13 +383,15 @@
 def case_no_gateway_answers(fleet):
     """a stager that no gateway answers learns its pool and versions from the store"""
     stop_stagers(fleet)
-    gateways = [daemon for daemon in fleet.gateways if daemon.process.poll() is None]
+    # Also gateways that earlier cases started: these tell the stagers of the pool, sometimes at once.
+    gateways = [daemon for daemon in fleet.daemons if "gateway" in daemon.log_path and daemon.process.poll() is None]
     for gateway in gateways:
         gateway.process.send_signal(signal.SIGSTOP)
     try:
         stagers = [fleet.stager(server) for server in fleet.engines]
         wait_for(lambda: all('"pool_facts"' in s.log_text() for s in stagers), "the stagers know the pool", timeout=5)
         check(all('"gateways_silent"' in s.log_text() for s in stagers), "they say that gateways are silent")
+        check(not any('"gateways_answer"' in s.log_text() for s in stagers), "no gateway answers")
         newest = max(next(iter(server.models.values())) for server in fleet.engines) + 1
         fleet.store.put("op/version/m", {"model": "m", "version": newest})
         wait_for(lambda: all(server.models == {"m": newest} for server in fleet.engines),
