Accept a refusal without request id only where it cannot be a repeated one

Callers were told "not run" for requests that a server ran, or a request that must run at most once also ran at a second server, when a server wrote an earlier refusal once more on a kept connection.

Cause: a response without request id that states "not run" counted as the response to the request that waited, also on a connection on which earlier requests had been sent. It may repeat the refusal of one of them. Change: matchResponse() decides what a response means. A refusal without id proves something only as the first response on a new connection. On a kept connection it is skipped like any stale response, and the response to the request may still follow. A success that states "not run" proves nothing, and the body of a refusal, or of a stale response, no longer counts: it is read up to 64 KB, and that of a refusal for 50 ms, to reuse the connection. Stale responses no longer extend the time limit of the first byte. Connections are not shared by requests without an id, whose responses cannot be told apart. The order of arrival does not matter: a repeated refusal that arrives before the request was sent makes the connection unusable (isOpenAndIdle), a later one is read before the response and has either no id or another one. Ruled out: repeated refusals with the id of the earlier request; they were recognized before, the case shows it for both. Trusting the order of bytes on a kept connection: a server may write the repeat after it has read the request. Measured: case_repeated_refusal of tests/process/test_server_faults.py failed on ("request 3 without id was sent once": a second server got it) and passes now. unit-coordination-response_match.cpp passes.

--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/server_exchange.hpp"
 
+#include "marigoldyard/coordination/response_match.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +29,10 @@
 constexpr std::size_t ReadChunkBytes = 16UL << 10;
 constexpr std::size_t MaxResponseBytes = 16UL << 20;
 constexpr std::size_t MaxEventBytes = 1UL << 20;
+/// Maximum size of interim and stale responses before the response.
+constexpr std::size_t MaxSkippedBytes = 64UL << 10;
+/// Longest wait for the body of a refusal.
+constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
 constexpr unsigned FirstServerError = 500;
 
 std::optional<Tcp::endpoint> parseEndpoint(const std::string &Address) {
@@ -94,7 +99,10 @@
                     const ExchangeLimits &RequestedLimits,
                     StreamReceiver *Receiver) {
   Limits = RequestedLimits;
-  Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
+  // Without an id, a late response to another request could not be recognized.
+  const bool HasId = !RequestId.empty();
+  if (HasId)
+    Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
   ExchangeResult Result;
   if (!Connection) {
     const bool Connected = co_await connect(Address);
@@ -123,7 +131,7 @@
   }
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
-  if (Reusable && *RequestWritten && !Cancelled) {
+  if (Reusable && HasId && *RequestWritten && !Cancelled) {
     Connections.putBack(Address, std::move(Connection), now());
   } else {
     error_code Ignored;
@@ -172,10 +180,11 @@
   co_return !Failure;
 }
 
-net::awaitable<error_code> ServerExchange::readHead(Parser &ResponseParser) {
+net::awaitable<error_code> ServerExchange::readHead(Parser &ResponseParser,
+                                                    std::size_t &BytesRead) {
   error_code Failure;
   ResponseParser.body_limit(MaxResponseBytes);
-  co_await http::async_read_header(
+  BytesRead += co_await http::async_read_header(
       Connection->Socket, Connection->Buffer, ResponseParser,
       net::redirect_error(net::use_awaitable, Failure));
   co_return Failure;
@@ -219,11 +228,15 @@
 net::awaitable<ExchangeResult>
 ServerExchange::receive(const std::string &RequestId,
                         StreamReceiver *Receiver) {
+  bool FirstOnConnection = !Connection->Reused;
+  std::size_t SkippedBytes = 0;
   for (;;) {
     Parser ResponseParser;
-    const error_code Failure = co_await readHead(ResponseParser);
+    const error_code Failure = co_await readHead(ResponseParser, SkippedBytes);
     if (Failure)
       co_return failureResult(Failure);
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return failureResult(http::make_error_code(http::error::body_limit));
     const unsigned Status = ResponseParser.get().result_int();
     if (Status / 100 == 1)
       continue;
@@ -231,27 +244,75 @@
         platform::decodeServerResponse(Status, ResponseParser.get().base());
     if (Head.Load)
       OnLoadReport(*Head.Load);
-    const bool MatchesRequest =
-        Head.RequestId == RequestId || (Head.RequestId.empty() && Head.NotRun);
-    if (!MatchesRequest) {
+    const ResponseMeaning Meaning =
+        matchResponse({Head.RequestId, succeeded(Status), Head.Signed,
+                       Head.NotRun, FirstOnConnection},
+                      RequestId);
+    if (Meaning == ResponseMeaning::Stale) {
       // A late response to an earlier request precedes the response to this
       // one.
-      const ExchangeResult StaleResponse =
-          co_await readBuffered(ResponseParser, Head);
-      if (!StaleResponse.Response || ResponseParser.get().need_eof())
+      FirstOnConnection = false;
+      const error_code SkipFailure =
+          co_await skipBody(ResponseParser, SkippedBytes);
+      if (SkipFailure || ResponseParser.get().need_eof())
         co_return failureResult(http::make_error_code(http::error::bad_value));
       continue;
     }
+    if (Meaning == ResponseMeaning::Invalid) {
+      ExchangeResult Result = failureResult({});
+      if (!Cancelled && !Withdrawn)
+        Result.Reason = ErrorCode::StreamCorrupt;
+      Result.Detail = Head.Signed ? "success that states that it did not run"
+                                  : "success without the server's signature";
+      co_return Result;
+    }
     Connection->IdleTimeout = keepAliveTimeout(ResponseParser.get().base());
-    if (Receiver != nullptr && succeeded(Status) && Head.Signed)
+    if (Meaning == ResponseMeaning::Refusal)
+      co_return co_await readRefusal(ResponseParser, Head);
+    if (Receiver != nullptr && succeeded(Status))
       co_return co_await readStream(ResponseParser, Head, *Receiver);
-    co_return co_await readBuffered(ResponseParser, Head);
+    co_return co_await readBuffered(ResponseParser);
   }
 }
 
+net::awaitable<error_code> ServerExchange::skipBody(Parser &ResponseParser,
+                                                    std::size_t &BytesRead) {
+  std::string Chunk;
+  while (!ResponseParser.is_done()) {
+    const error_code Failure = co_await readChunk(ResponseParser, Chunk);
+    if (Failure)
+      co_return Failure;
+    BytesRead += Chunk.size();
+    if (BytesRead > MaxSkippedBytes)
+      co_return http::make_error_code(http::error::body_limit);
+  }
+  co_return error_code();
+}
+
+// The head proves that the request was not run. The body is only read so that
+// the connection can be reused.
+net::awaitable<ExchangeResult>
+ServerExchange::readRefusal(Parser &ResponseParser,
+                            const platform::ServerResponse &Head) {
+  Timer.expiresAt(std::min(Limits.Deadline, now() + RefusalBodyTimeout));
+  std::size_t BytesRead = 0;
+  const error_code Failure = co_await skipBody(ResponseParser, BytesRead);
+  Reusable = !Failure && mayReuse(ResponseParser);
+  ExchangeResult Result;
+  Result.Fate = AttemptStatus::Refused;
+  Result.Health = ServerOutcome::Answered;
+  Result.Reason =
+      Head.WrongServer ? ErrorCode::WrongWeights : ErrorCode::QueueFull;
+  co_return Result;
+}
+
+bool ServerExchange::mayReuse(const Parser &ResponseParser) const {
+  return ResponseParser.get().keep_alive() &&
+         !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+}
+
 net::awaitable<ExchangeResult>
-ServerExchange::readBuffered(Parser &ResponseParser,
-                             const platform::ServerResponse &Head) {
+ServerExchange::readBuffered(Parser &ResponseParser) {
   BufferedResponse Response;
   Response.Status = ResponseParser.get().result_int();
   Timer.expiresAt(Limits.Deadline);
@@ -262,23 +323,9 @@
     if (Failure)
       co_return failureResult(Failure);
   }
-  Reusable = ResponseParser.get().keep_alive() &&
-             !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+  Reusable = mayReuse(ResponseParser);
   Response.Headers = ResponseParser.get().base();
   ExchangeResult Result;
-  Result.Health = ServerOutcome::Answered;
-  if (Head.NotRun) {
-    Result.Fate = AttemptStatus::Refused;
-    Result.Reason =
-        Head.WrongServer ? ErrorCode::WrongWeights : ErrorCode::QueueFull;
-    co_return Result;
-  }
-  if (succeeded(Response.Status) && !Head.Signed) {
-    Result.Health = ServerOutcome::InvalidAnswer;
-    Result.Reason = ErrorCode::StreamCorrupt;
-    Result.Detail = "success without the server's signature";
-    co_return Result;
-  }
   const bool ServerError = Response.Status >= FirstServerError;
   Result.Fate = ServerError ? AttemptStatus::Failed : AttemptStatus::Completed;
   Result.Health =
@@ -332,8 +379,7 @@
     if (!HeadForwarded)
       co_return ReceiverStopped();
   }
-  Reusable = ResponseParser.get().keep_alive() &&
-             !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+  Reusable = mayReuse(ResponseParser);
   ExchangeResult Result;
   Result.Fate = AttemptStatus::Completed;
   Result.Health = ServerOutcome::Answered;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -94,14 +94,18 @@
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
                                                  StreamReceiver *Receiver);
   boost::asio::awaitable<boost::system::error_code>
-  readHead(Parser &ResponseParser);
+  readHead(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<boost::system::error_code>
   readChunk(Parser &ResponseParser, std::string &Chunk);
+  boost::asio::awaitable<boost::system::error_code>
+  skipBody(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<ExchangeResult>
-  readBuffered(Parser &ResponseParser, const platform::ServerResponse &Head);
+  readRefusal(Parser &ResponseParser, const platform::ServerResponse &Head);
+  boost::asio::awaitable<ExchangeResult> readBuffered(Parser &ResponseParser);
   boost::asio::awaitable<ExchangeResult>
   readStream(Parser &ResponseParser, const platform::ServerResponse &Head,
              StreamReceiver &Receiver);
+  bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
 
   boost::asio::io_context &Context;
