Treat a response that is no stream as a failure once a stream has begun

A caller's stream that broke off and was answered with a 4xx by the next server ended as if it were complete. A stream that the next server continued wrongly broke off though a third server could have continued it.

Cause: an error with status 4xx is a complete response, and the end of the last attempt decided whether the stream was complete, whatever the attempt had returned. A signed success that is no event stream was split into events, too. A version or an event order that does not continue the stream counted as a caller who left, so there was no further attempt. Change: once a stream has begun, only an event stream can continue or end it; any other response is a failed attempt, which another server may repeat within the attempts and the retry budget of the request. Only a response with the type text/event-stream is read as a stream. The receiver of a stream states whether the caller left or the part does not fit. Ruled out: the text of an error in the middle of a stream. The old code did not write it; the case checks this for ten kinds of responses. Treating an empty continuation as a failure: a stream may break off after its last event.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -66,6 +66,16 @@
              : "at_most_once";
 }
 
+/// Turns a response other than a stream into a failure, because it is neither
+/// the rest of a stream that has begun nor its end.
+void discardResponse(ExchangeResult &Result) {
+  Result.Fate = AttemptStatus::Failed;
+  Result.Reason = ErrorCode::EndpointFailed;
+  Result.Detail = fmt::format("status {} instead of the rest of the stream",
+                              Result.Response->Status);
+  Result.Response.reset();
+}
+
 std::string formatSeconds(Duration Value) {
   return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
 }
@@ -283,6 +293,7 @@
   Content.ResumeAfter = Order.Last;
   if (HeadForwarded)
     Content.RequiredVersion = Version;
+  const bool StreamBegun = HeadForwarded;
   TriedServers.insert(Id);
   LastServer = Id;
   PrefillRunning = true;
@@ -307,6 +318,8 @@
       MatchedRoute->IsStreaming ? &Receiver : nullptr);
   ActiveExchange = nullptr;
   endStartWatch();
+  if (StreamBegun && Result.Response)
+    discardResponse(Result);
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
@@ -425,22 +438,25 @@
   return Text;
 }
 
-net::awaitable<bool>
+net::awaitable<PartStatus>
 RequestRun::forwardHead(const platform::Fields &Headers, unsigned Status,
                         const platform::ServerResponse &Head) {
   // A resumed stream keeps the head of its first server and must have the same
   // version of the weights.
   if (HeadForwarded)
-    co_return !Head.Version || !Version || *Head.Version == *Version;
+    co_return !Head.Version || !Version || *Head.Version == *Version
+        ? PartStatus::Forwarded
+        : PartStatus::Invalid;
   HeadForwarded = true;
   Version = Head.Version;
   FirstEventAt = now();
   const std::string Text =
       formatHead(Status, Headers) + "Transfer-Encoding: chunked\r\n\r\n";
-  co_return co_await Session.write(Text);
+  const bool Written = co_await Session.write(Text);
+  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
 }
 
-net::awaitable<bool>
+net::awaitable<PartStatus>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
   if (StartTicket)
@@ -454,11 +470,13 @@
       break;
     Text += Event.Text;
   }
+  const PartStatus Result =
+      InOrder ? PartStatus::Forwarded : PartStatus::Invalid;
   if (Text.empty())
-    co_return InOrder;
+    co_return Result;
   const std::string Chunk = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
   const bool Written = co_await Session.write(Chunk);
-  co_return Written &&InOrder;
+  co_return Written ? Result : PartStatus::CallerLeft;
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -53,10 +53,11 @@
   LocalResponse shortageResponse(ServerShortage Shortage) const;
 
   StreamReceiver streamReceiver();
-  boost::asio::awaitable<bool>
+  boost::asio::awaitable<PartStatus>
   forwardHead(const platform::Fields &Headers, unsigned Status,
               const platform::ServerResponse &Head);
-  boost::asio::awaitable<bool> forwardEvents(std::vector<StreamEvent> Events);
+  boost::asio::awaitable<PartStatus>
+  forwardEvents(std::vector<StreamEvent> Events);
   boost::asio::awaitable<bool> forwardResponse(BufferedResponse Response);
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -52,6 +53,10 @@
 
 bool succeeded(unsigned Status) { return Status / 100 == 2; }
 
+bool isEventStream(const platform::Fields &Headers) {
+  return Headers[http::field::content_type].starts_with("text/event-stream");
+}
+
 /// Value of "timeout=N" in the Keep-Alive header.
 Duration keepAliveTimeout(const platform::Fields &Headers) {
   constexpr std::string_view Name = "timeout=";
@@ -225,6 +230,20 @@
   return Result;
 }
 
+ExchangeResult ServerExchange::stoppedResult(PartStatus Status) const {
+  ExchangeResult Result = failureResult({});
+  if (Cancelled || Withdrawn)
+    return Result;
+  if (Status == PartStatus::CallerLeft) {
+    Result.Reason = ErrorCode::Cancelled;
+    Result.Health = ServerOutcome::Answered;
+  } else {
+    Result.Reason = ErrorCode::StreamCorrupt;
+    Result.Detail = "does not continue the stream";
+  }
+  return Result;
+}
+
 net::awaitable<ExchangeResult>
 ServerExchange::receive(const std::string &RequestId,
                         StreamReceiver *Receiver) {
@@ -269,7 +288,8 @@
     Connection->IdleTimeout = keepAliveTimeout(ResponseParser.get().base());
     if (Meaning == ResponseMeaning::Refusal)
       co_return co_await readRefusal(ResponseParser, Head);
-    if (Receiver != nullptr && succeeded(Status))
+    if (Receiver != nullptr && succeeded(Status) &&
+        isEventStream(ResponseParser.get().base()))
       co_return co_await readStream(ResponseParser, Head, *Receiver);
     co_return co_await readBuffered(ResponseParser);
   }
@@ -340,12 +360,6 @@
                            StreamReceiver &Receiver) {
   EventSplitter Splitter;
   bool HeadForwarded = false;
-  auto ReceiverStopped = [this] {
-    ExchangeResult Result = failureResult({});
-    Result.Reason = ErrorCode::Cancelled;
-    Result.Health = ServerOutcome::Answered;
-    return Result;
-  };
   while (!ResponseParser.is_done()) {
     Timer.expiresAt(std::min(
         Limits.Deadline,
@@ -354,16 +368,16 @@
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     if (!Events.empty()) {
-      if (!HeadForwarded) {
-        HeadForwarded =
+      if (!std::exchange(HeadForwarded, true)) {
+        const PartStatus Status =
             co_await Receiver.OnHead(ResponseParser.get().base(),
                                      ResponseParser.get().result_int(), Head);
-        if (!HeadForwarded)
-          co_return ReceiverStopped();
+        if (Status != PartStatus::Forwarded)
+          co_return stoppedResult(Status);
       }
-      const bool Forwarded = co_await Receiver.OnEvents(std::move(Events));
-      if (!Forwarded)
-        co_return ReceiverStopped();
+      const PartStatus Status = co_await Receiver.OnEvents(std::move(Events));
+      if (Status != PartStatus::Forwarded)
+        co_return stoppedResult(Status);
     }
     if (Failure)
       co_return failureResult(Failure);
@@ -374,10 +388,10 @@
     co_return failureResult(
         http::make_error_code(http::error::partial_message));
   if (!HeadForwarded) {
-    HeadForwarded = co_await Receiver.OnHead(
+    const PartStatus Status = co_await Receiver.OnHead(
         ResponseParser.get().base(), ResponseParser.get().result_int(), Head);
-    if (!HeadForwarded)
-      co_return ReceiverStopped();
+    if (Status != PartStatus::Forwarded)
+      co_return stoppedResult(Status);
   }
   Reusable = mayReuse(ResponseParser);
   ExchangeResult Result;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -35,14 +35,22 @@
   std::string Detail;
 };
 
-/// @brief Callbacks for the parts of an event stream.
+/// @brief What the receiver of a stream did with a part of it.
+enum class PartStatus : std::uint8_t {
+  Forwarded,
+  CallerLeft,
+  Invalid, ///< does not continue what the caller got; another server may
+};
+
+/// @brief Callbacks for the parts of an event stream. The exchange ends when
+/// one returns anything but Forwarded.
 struct StreamReceiver {
-  /// Head of a successful stream; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(const platform::Fields &, unsigned,
-                                             const platform::ServerResponse &)>
+  /// Head of a successful stream.
+  std::function<boost::asio::awaitable<PartStatus>(
+      const platform::Fields &, unsigned, const platform::ServerResponse &)>
       OnHead;
-  /// Complete events; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(std::vector<StreamEvent>)>
+  /// Complete events.
+  std::function<boost::asio::awaitable<PartStatus>(std::vector<StreamEvent>)>
       OnEvents;
 };
 
@@ -107,6 +115,7 @@
              StreamReceiver &Receiver);
   bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
+  ExchangeResult stoppedResult(PartStatus Status) const;
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -113,7 +113,92 @@
                 check(arrivals(fleet.plain) == number + 1, f"request {number} {name} was sent once")
 
 
-CASES = [case_repeated_refusal]
+class Resumed:
+    """A first server that breaks off after two events, and a response of the server that is to continue."""
+
+    def __init__(self, fleet, behaviour):
+        self.fleet, self.behaviour = fleet, behaviour
+        for server in fleet.engines:
+            server.behaviours = [lambda request, server=server: self.run(server, request)]
+
+    def run(self, server, request):
+        if "Last-Event-Id" in request.headers:
+            return self.behaviour(server, request)
+        return server.stream(5, stop_after=2)(request)
+
+
+def respond(status, body, signed=True, content_type="text/plain", framing="length"):
+    def run(server, request):
+        more = [f"Content-Type: {content_type}"]
+        if framing == "length":
+            more.append(f"Content-Length: {len(body)}")
+        request.connection.sendall(head_lines(server, request, status, signed, more=more) + b"\r\n" + body)
+        if framing == "close":
+            request.cut()
+    return run
+
+
+# Guards against an error response of the server that is to continue a stream: callers found its text in their stream,
+# or the stream ended as if it were complete.
+def case_error_after_stream_began(fleet):
+    """a stream whose continuation is answered with an error breaks off visibly and holds nothing of the error"""
+    error = b"error\n\nid: 3\ndata: error\n\n"
+    for name, behaviour in (("400", respond("400 Bad Request", error)),
+                            ("404", respond("404 Not Found", error)),
+                            ("404 without signature", respond("404 Not Found", error, signed=False)),
+                            ("404 without length", respond("404 Not Found", error, framing="close")),
+                            ("302", respond("302 Found", error)),
+                            ("500", respond("500 Internal Server Error", error)),
+                            ("503", respond("503 Service Unavailable", error)),
+                            ("200 without signature", respond("200 OK", error, False, "text/event-stream")),
+                            ("200 that is no event stream", respond("200 OK", error)),
+                            ("refusal", lambda server, request: server.shed(request))):
+        forget(fleet)
+        Resumed(fleet, behaviour)
+        answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(arrivals(fleet.engines) == 2, f"after {name} the stream was to continue at another server")
+        check(b"error" not in answer.body and b"HTTP" not in answer.body, f"after {name}: {answer.body!r}")
+        check(event_ids(answer) == [1, 2], f"after {name}: events {event_ids(answer)}")
+        check(not answer.whole, f"after {name} the stream does not look complete")
+
+
+# Guards against a server that continues a stream wrongly: the stream broke off though another server could continue it.
+def case_continued_at_third_server(fleet):
+    """a stream that one server fails to continue is continued by another"""
+    use_routes(fleet, [pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", max_attempts=3,
+                                resume_streams=True, target_gap_ms=300)])
+    third = pf.Backend(fleet.store, "i-engine-third", 25, "engines", {"m": 1})
+    fleet.engines.append(third)
+    time.sleep(1)
+    try:
+        for name, behaviour in (("an error", respond("404 Not Found", b"error")),
+                                ("repeated events", replay),
+                                ("skipped events", lambda server, request: respond(
+                                    "200 OK", events(server, [4, 5]), True, "text/event-stream")(server, request))):
+            forget(fleet)
+            used = threading.Event()
+
+            def fail_once(server, request, used=used, behaviour=behaviour):
+                if used.is_set():
+                    return server.stream(5)(request)
+                used.set()
+                return behaviour(server, request)
+            Resumed(fleet, fail_once)
+            answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+            check(answer.whole and event_ids(answer) == [1, 2, 3, 4, 5], f"after {name}: events {event_ids(answer)}")
+    finally:
+        fleet.store.remove("servers/" + third.id)
+        fleet.engines.remove(third)
+        third.close()
+
+
+def replay(server, request):
+    return respond("200 OK", events(server, [2, 3, 4, 5]), True, "text/event-stream")(server, request)
+
+
+CASES = [case_repeated_refusal,
+         case_error_after_stream_began,
+         case_continued_at_third_server]
 
 
 if __name__ == "__main__":
