--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -35,14 +35,22 @@
   std::string Detail;
 };
 
-/// @brief Callbacks for the parts of an event stream.
+/// @brief What the receiver of a stream did with a part of it.
+enum class PartStatus : std::uint8_t {
+  Forwarded,
+  CallerLeft,
+  Invalid, ///< does not continue what the caller got; another server may
+};
+
+/// @brief Callbacks for the parts of an event stream. The exchange ends when
+/// one returns anything but Forwarded.
 struct StreamReceiver {
-  /// Head of a successful stream; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(const platform::Fields &, unsigned,
-                                             const platform::ServerResponse &)>
+  /// Head of a successful stream.
+  std::function<boost::asio::awaitable<PartStatus>(
+      const platform::Fields &, unsigned, const platform::ServerResponse &)>
       OnHead;
-  /// Complete events; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(std::vector<StreamEvent>)>
+  /// Complete events.
+  std::function<boost::asio::awaitable<PartStatus>(std::vector<StreamEvent>)>
       OnEvents;
 };
 
@@ -94,15 +102,20 @@
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
                                                  StreamReceiver *Receiver);
   boost::asio::awaitable<boost::system::error_code>
-  readHead(Parser &ResponseParser);
+  readHead(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<boost::system::error_code>
   readChunk(Parser &ResponseParser, std::string &Chunk);
+  boost::asio::awaitable<boost::system::error_code>
+  skipBody(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<ExchangeResult>
-  readBuffered(Parser &ResponseParser, const platform::ServerResponse &Head);
+  readRefusal(Parser &ResponseParser, const platform::ServerResponse &Head);
+  boost::asio::awaitable<ExchangeResult> readBuffered(Parser &ResponseParser);
   boost::asio::awaitable<ExchangeResult>
   readStream(Parser &ResponseParser, const platform::ServerResponse &Head,
              StreamReceiver &Receiver);
+  bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
+  ExchangeResult stoppedResult(PartStatus Status) const;
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
--- /dev/null
+++ b/tests/process/test_server_faults.py
@@ -0,0 +1,305 @@
+"""Responses of faulty servers: repeated refusals, errors inside streams, bytes without end, responses without length."""
+import os
+import socket
+import struct
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, forget  # noqa: E402
+
+# An endless response is noticed long before the deadline of its request, which is 3 s.
+NOTICE_LIMIT_S = 1.5
+ENDLESS_RESPONSES = 60
+# The VMs of gateways have a few hundred MB.
+MEMORY_LIMIT_KB = 200 << 10
+
+
+def arrivals(servers):
+    return sum(len(server.seen) for server in servers)
+
+
+def use_routes(fleet, routes=None):
+    """Puts a configuration in force; without routes, the first one."""
+    fleet.configure(routes=routes)
+    for gateway in fleet.gateways:
+        pf.wait_for(lambda g=gateway: f'"revision":{fleet.version}' in g.log_text(), "the configuration is in force")
+
+
+def first_routes(case):
+    """Runs a case with the first configuration."""
+    def run(fleet):
+        use_routes(fleet)
+        case(fleet)
+    run.__doc__ = case.__doc__
+    return run
+
+
+def head_lines(server, request, status="200 OK", signed=True, request_id=None, more=()):
+    """Head of a response without the empty line at its end."""
+    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {request_id or request.headers['Attempt-Id']}", *more]
+    if signed:
+        lines.append(f"Response-Signature: sig.{server.id}")
+    if server.models:
+        lines.append(f"Weight-Versions: {next(iter(server.models.values()))}")
+    return "".join(line + "\r\n" for line in lines).encode()
+
+
+def write_until_closed(request, piece, pause=0.0):
+    """Writes a piece again and again; returns when the peer closes."""
+    try:
+        while True:
+            request.connection.sendall(piece)
+            time.sleep(pause)
+    except OSError:
+        pass
+    request.close_connection = True
+
+
+def reset(request):
+    """Ends the connection with a reset."""
+    request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    request.close_connection = True
+    request.wfile.flush()
+    request.connection.close()
+
+
+def events(server, numbers):
+    return b"".join(f"id: {n}\ndata: {server.id}-{n}\n\n".encode() for n in numbers)
+
+
+def event_ids(answer):
+    return [int(line[4:]) for line in answer.body.decode(errors="replace").splitlines() if line.startswith("id: ")]
+
+
+def first_only(servers, behaviour):
+    """The next request fails at whichever server it reaches first; later ones are served as usual."""
+    used = threading.Event()
+
+    def once(server):
+        def run(request):
+            if used.is_set():
+                return (server.plain if server.models is None else server.stream(3))(request)
+            used.set()
+            return behaviour(server, request)
+        return run
+    for server in servers:
+        server.behaviours = [once(server)]
+
+
+REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+# Guards against a refusal of an earlier request that a server writes once more on a kept connection: callers were told
+# "not run" for a request that ran, or it ran at a second server.
+def case_repeated_refusal(fleet):
+    """a refusal that a server repeats on a kept connection does not end the next request"""
+    use_routes(fleet, [pf.route("r-once", "a.example", "/once/", "non_idempotent", "plain", max_attempts=2)])
+    for name, line in (("without id", b""), ("with the earlier id", b"Attempt-Id: earlier\r\n")):
+        for delay in (0.0, 0.2):
+            forget(fleet)
+            for server in fleet.plain:
+                def repeat(request, server=server, line=line, delay=delay):
+                    time.sleep(delay)
+                    request.wfile.write(REFUSAL % line)
+                    time.sleep(0.2)
+                    server.plain(request)
+                server.behaviours = [server.plain] * 2 + [repeat]
+            for number in range(6):
+                answer = call(fleet.gateways[0], "/once/1", "POST", b"b")
+                check(answer.status == 200, f"request {number} {name}: status {answer.status} {answer.body!r}")
+                check(arrivals(fleet.plain) == number + 1, f"request {number} {name} was sent once")
+
+
+class Resumed:
+    """A first server that breaks off after two events, and a response of the server that is to continue."""
+
+    def __init__(self, fleet, behaviour):
+        self.fleet, self.behaviour = fleet, behaviour
+        for server in fleet.engines:
+            server.behaviours = [lambda request, server=server: self.run(server, request)]
+
+    def run(self, server, request):
+        if "Last-Event-Id" in request.headers:
+            return self.behaviour(server, request)
+        return server.stream(5, stop_after=2)(request)
+
+
+def respond(status, body, signed=True, content_type="text/plain", framing="length"):
+    def run(server, request):
+        more = [f"Content-Type: {content_type}"]
+        if framing == "length":
+            more.append(f"Content-Length: {len(body)}")
+        request.connection.sendall(head_lines(server, request, status, signed, more=more) + b"\r\n" + body)
+        if framing == "close":
+            request.cut()
+    return run
+
+
+# Guards against an error response of the server that is to continue a stream: callers found its text in their stream,
+# or the stream ended as if it were complete.
+def case_error_after_stream_began(fleet):
+    """a stream whose continuation is answered with an error breaks off visibly and holds nothing of the error"""
+    error = b"error\n\nid: 3\ndata: error\n\n"
+    for name, behaviour in (("400", respond("400 Bad Request", error)),
+                            ("404", respond("404 Not Found", error)),
+                            ("404 without signature", respond("404 Not Found", error, signed=False)),
+                            ("404 without length", respond("404 Not Found", error, framing="close")),
+                            ("302", respond("302 Found", error)),
+                            ("500", respond("500 Internal Server Error", error)),
+                            ("503", respond("503 Service Unavailable", error)),
+                            ("200 without signature", respond("200 OK", error, False, "text/event-stream")),
+                            ("200 that is no event stream", respond("200 OK", error)),
+                            ("refusal", lambda server, request: server.shed(request))):
+        forget(fleet)
+        Resumed(fleet, behaviour)
+        answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(arrivals(fleet.engines) == 2, f"after {name} the stream was to continue at another server")
+        check(b"error" not in answer.body and b"HTTP" not in answer.body, f"after {name}: {answer.body!r}")
+        check(event_ids(answer) == [1, 2], f"after {name}: events {event_ids(answer)}")
+        check(not answer.whole, f"after {name} the stream does not look complete")
+
+
+# Guards against a server that continues a stream wrongly: the stream broke off though another server could continue it.
+def case_continued_at_third_server(fleet):
+    """a stream that one server fails to continue is continued by another"""
+    use_routes(fleet, [pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", max_attempts=3,
+                                resume_streams=True, target_gap_ms=300)])
+    third = pf.Backend(fleet.store, "i-engine-third", 25, "engines", {"m": 1})
+    fleet.engines.append(third)
+    time.sleep(1)
+    try:
+        for name, behaviour in (("an error", respond("404 Not Found", b"error")),
+                                ("repeated events", replay),
+                                ("skipped events", lambda server, request: respond(
+                                    "200 OK", events(server, [4, 5]), True, "text/event-stream")(server, request))):
+            forget(fleet)
+            used = threading.Event()
+
+            def fail_once(server, request, used=used, behaviour=behaviour):
+                if used.is_set():
+                    return server.stream(5)(request)
+                used.set()
+                return behaviour(server, request)
+            Resumed(fleet, fail_once)
+            answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+            check(answer.whole and event_ids(answer) == [1, 2, 3, 4, 5], f"after {name}: events {event_ids(answer)}")
+    finally:
+        fleet.store.remove("servers/" + third.id)
+        fleet.engines.remove(third)
+        third.close()
+
+
+def replay(server, request):
+    return respond("200 OK", events(server, [2, 3, 4, 5]), True, "text/event-stream")(server, request)
+
+
+def endless(before, piece, pause=0.0, own_head=True, **changes):
+    """Writes a head, then bytes without end."""
+    def run(server, request):
+        head = head_lines(server, request, **changes) if own_head else b""
+        try:
+            request.connection.sendall(head + before)
+        except OSError:
+            pass
+        write_until_closed(request, piece, pause)
+        server.gone.append(time.monotonic())
+    return run
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+FILL = b"x" * 8192
+CHUNK = b"2000\r\n" + FILL + b"\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\n" + CHUNKED
+# Bytes without end that cannot be the response to a request.
+ENDLESS = {
+    "no HTTP": endless(b"", FILL, own_head=False),
+    "a head": endless(b"", b"X-More: " + b"y" * 500 + b"\r\n"),
+    "a line of a head": endless(b"X-More: ", FILL),
+    "interim responses": endless(b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 50, own_head=False),
+    "the body of another response": endless(CHUNKED, CHUNK, request_id="earlier"),
+    "the body of another response without length": endless(b"\r\n", FILL, request_id="earlier"),
+    "other responses": endless(b"Content-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\n"
+                               b"Content-Length: 0\r\n\r\n" * 50, request_id="earlier"),
+    "a chunk extension": endless(CHUNKED + b"5;x=", FILL),
+    "a trailer": endless(CHUNKED + b"0\r\nX-More: ", FILL),
+    "a success without signature": endless(CHUNKED, CHUNK, signed=False),
+    "a success without signature, slowly": endless(CHUNKED, b"1\r\nx\r\n", 0.05, signed=False),
+    "a refusal": endless(b"Not-Executed: 1\r\n" + CHUNKED, CHUNK, status="503 Service Unavailable", signed=False),
+    "a refusal, slowly": endless(b"Not-Executed: 1\r\n" + CHUNKED, b"1\r\nx\r\n", 0.05,
+                                 status="503 Service Unavailable", signed=False),
+    "a server error": endless(b"\r\n", FILL, status="500 Internal Server Error"),
+}
+
+
+def check_noticed(name, servers, started, took):
+    check(took < NOTICE_LIMIT_S, f"{name}: answered after {took:.2f} s")
+    pf.wait_for(lambda: any(server.gone for server in servers), f"{name}: the connection is closed", timeout=3)
+    gone = min(at for server in servers for at in server.gone) - started
+    check(gone < NOTICE_LIMIT_S, f"{name}: closed after {gone:.2f} s")
+
+
+def call_timed(*args, **kwargs):
+    started = time.monotonic()
+    answer = call(*args, **kwargs)
+    return answer, started, time.monotonic() - started
+
+
+# Guards against bytes without end of a server: its request waited for them until its deadline, and they were stored.
+def case_endless_bytes(fleet):
+    """a request is retried as soon as its server sends bytes without end that are no response"""
+    for name, behaviour in ENDLESS.items():
+        forget(fleet)
+        for server in fleet.plain:
+            server.gone.clear()
+        first_only(fleet.plain, behaviour)
+        answer, started, took = call_timed(fleet.gateways[0], "/read/1")
+        check(answer.status == 200 and answer.whole, f"{name}: status {answer.status}")
+        check(arrivals(fleet.plain) == 2, f"{name}: it was sent twice")
+        check_noticed(name, fleet.plain, started, took)
+
+
+def case_endless_bytes_once(fleet):
+    """a request that must run at most once is answered as soon as its server sends bytes without end"""
+    for name, behaviour in ENDLESS.items():
+        forget(fleet)
+        for server in fleet.plain:
+            server.gone.clear()
+        first_only(fleet.plain, behaviour)
+        answer, started, took = call_timed(fleet.gateways[0], "/once/1", "POST", b"b")
+        expected = 503 if "refusal" in name else 502
+        check(answer.status == expected, f"{name}: status {answer.status}")
+        check(arrivals(fleet.plain) == 1, f"{name}: it was sent once")
+        check_noticed(name, fleet.plain, started, took)
+
+
+# Guards against a stream that was held by bytes without end inside one event until the deadline.
+def case_endless_event(fleet):
+    """a stream is continued at another server when one server sends an event without end"""
+    begun = b"%x\r\n%s\r\n"
+    for name, first, piece, pause in (("at once", b"", CHUNK, 0.0), ("slowly", b"", b"1\r\nx\r\n", 0.05),
+                                      ("after an event", b"id: 1\ndata: a\n\n", CHUNK, 0.0),
+                                      ("after an event, slowly", b"id: 1\ndata: a\n\n", b"1\r\nx\r\n", 0.05),
+                                      ("as a chunk extension", b"id: 1\ndata: a\n\n", b"5;x=" + FILL, 0.0)):
+        forget(fleet)
+        for server in fleet.engines:
+            server.gone.clear()
+        text = EVENTS + (begun % (len(first), first) if first else b"") + (b"5;x=" if piece[:1] == b"5" else b"")
+        first_only(fleet.engines, endless(text, FILL if piece[:1] == b"5" else piece, pause))
+        answer, started, took = call_timed(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(answer.whole and event_ids(answer) == [1, 2, 3], f"{name}: events {event_ids(answer)}")
+        check_noticed(name, fleet.engines, started, took)
+
+
+CASES = [case_repeated_refusal,
+         case_error_after_stream_began,
+         case_continued_at_third_server,
+         case_endless_bytes,
+         case_endless_bytes_once,
+         case_endless_event]
+
+
+if __name__ == "__main__":
+    pf.run_cases([first_routes(case) for case in CASES])
