--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -71,6 +71,8 @@
 MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
 MARIGOLDYARD_FIELDS(DeclarationAge, M.Model, M.Version, M.Age)
 MARIGOLDYARD_FIELDS(VersionDeclarations, M.Recent)
+MARIGOLDYARD_FIELDS(PromptPartReport, M.CrashedServer, M.Suspected, M.Begun,
+                    M.Blocked)
 
 #undef MARIGOLDYARD_FIELDS
 
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -46,6 +46,9 @@
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
 constexpr std::uint64_t OutputTokenCost = 10;
+/// A stream counts as begun at its second read with events: a server may crash
+/// just after its first event.
+constexpr std::uint32_t EventReadsToBegin = 2;
 /// Retry-After of responses that refuse a request for a reason other than
 /// load.
 constexpr milliseconds DefaultRetryAfter{200};
@@ -148,6 +151,9 @@
 
 net::awaitable<bool> RequestRun::serve() {
   for (;;) {
+    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
+                                       RequestInfo.SharedParts, now()))
+      co_return co_await rejectBlocked(*Blocked);
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
       if (Choice.Shortage == ServerShortage::None)
@@ -171,6 +177,12 @@
       releaseUnsent(Choice.Id);
       continue;
     }
+    // The part may have been blocked while the request waited.
+    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
+                                       RequestInfo.SharedParts, now())) {
+      releaseUnsent(Choice.Id);
+      co_return co_await rejectBlocked(*Blocked);
+    }
     ExchangeResult Result = co_await sendTo(Choice.Id);
     if (Session.disconnected()) {
       log("caller_left", "caller disconnected during the attempt");
@@ -186,6 +198,25 @@
   Owner.releaseServer(Id);
 }
 
+net::awaitable<bool> RequestRun::rejectBlocked(BlockedPart Blocked) {
+  Owner.recordBlockedRequest(RequestInfo.Id, Blocked);
+  const std::string Detail =
+      fmt::format("servers crash on prompt part {} ({} crashes)", Blocked.Part,
+                  Blocked.Crashes);
+  if (HeadForwarded) {
+    log("stream_broken", Detail);
+    co_return false;
+  }
+  const bool NoneRun =
+      std::all_of(AttemptOutcomes.begin(), AttemptOutcomes.end(), provesNotRun);
+  LocalResponse Refusal =
+      NoneRun ? LocalResponse{503, "not_run", Step::Admission,
+                              "",  Detail,    Blocked.TimeLeft}
+              : LocalResponse{502,        "unknown", Step::Admission,
+                              LastServer, Detail,    {}};
+  co_return co_await sendLocalResponse(std::move(Refusal));
+}
+
 bool RequestRun::resumable() const {
   return MatchedRoute->AllowedRetries == RetryPolicy::Resumable;
 }
@@ -305,6 +336,8 @@
   TriedServers.insert(Id);
   LastServer = Id;
   PrefillRunning = true;
+  EventReads = 0;
+  ServerCrashed = false;
   ++Attempts;
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
@@ -338,6 +371,15 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
+  if (RequestInfo.SharedParts.empty())
+    co_return Result;
+  if (Result.Fate == AttemptStatus::Completed)
+    Owner.recordBegun(RequestInfo.SharedParts);
+  const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
+                              Result.Reason == ErrorCode::StreamIncomplete;
+  if (ConnectionLost && EventReads < EventReadsToBegin)
+    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
+                                                 RequestInfo.SharedParts);
   co_return Result;
 }
 
@@ -357,6 +399,9 @@
     return false;
   if (HeadForwarded && !resumable())
     return false;
+  if (ServerCrashed &&
+      !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts))
+    return false;
   RetryInputs Query;
   Query.LastAttempt = Last.Fate;
   Query.Reason = Last.Reason;
@@ -486,9 +531,15 @@
   co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
 }
 
+void RequestRun::recordProgress() {
+  if (++EventReads == EventReadsToBegin)
+    Owner.recordBegun(RequestInfo.SharedParts);
+}
+
 net::awaitable<PartStatus>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
+  recordProgress();
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -46,6 +46,8 @@
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
+  void recordProgress();
+  boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
@@ -93,6 +95,8 @@
   bool PrefillRunning = false;              ///< at LastServer
   std::optional<std::uint64_t> StartTicket; ///< set until the request starts
   bool HeadForwarded = false;
+  std::uint32_t EventReads = 0; ///< reads with events in the last attempt
+  bool ServerCrashed = false;   ///< in the last attempt, before it began
   EventOrder Order;
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -145,6 +145,13 @@
   Table.AbsentServers.erase(Found);
 }
 
+/// Forgets the failures before a restart.
+void resetHealth(ServerState &Server) {
+  Server.ConsecutiveFailures = 0;
+  Server.FailureRate = 0;
+  Server.BackoffUntil = {};
+}
+
 void startBackoff(const ServerTableSettings &Settings, ServerState &Server,
                   TimePoint Now) {
   const std::uint32_t Doublings =
@@ -166,11 +173,9 @@
   if (New || Restarted) {
     Server.Weights.clear();
     Server.ReportedLoad.reset();
-    Server.ConsecutiveFailures = 0;
-    Server.FailureRate = 0;
-    Server.BackoffUntil = {};
     Server.LoadingUntil = {};
     applyRestart(Server.Availability);
+    resetHealth(Server);
   }
   if (New)
     restoreNotices(Table, Server, Record);
@@ -220,6 +225,7 @@
     Server->Weights.clear();
     if (Server->Record.StartedAtMs != 0)
       applyRestart(Server->Availability);
+    resetHealth(*Server);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
   }
   mergeWeights(Server->Weights, EngineStatus.Weights);
