Keep contact with a store in which nothing changes

What callers saw: refusals that begin seconds before the bound of a version.

Cause: the bound counts from the last contact before the declaration. While nothing changes in the store, a watch waits 1.5 s and a pause follows, so that the last contact was up to 3 s ago.

Change: a watch waits 0.75 s, and one that brought no change is followed by the next at once.

Why it works: the last contact is at most one watch ago while nothing changes.

Measured: case_idle_store of test_versions.py, which declares the version 1.2 s after a watch: 1.548 s since the last contact before, under 1 s now. test_platform.py 26 of 26 passed, unit tests 207 passed.

--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -148,7 +148,11 @@
   notifyChanges(applyEvents(Mirror, Events->Items, Events->Revision));
   ConfirmedAt = confirmedByWatch(CallSentAt, LastResponseAt,
                                  Options.WatchTimeout, !Events->Items.empty());
-  scheduleCall(Options.WatchDelay, &StoreReader::requestChanges);
+  // The delay collects changes; a watch that waited in full needs none.
+  const bool WaitedInFull = *ConfirmedAt > CallSentAt;
+  scheduleCall(WaitedInFull ? std::chrono::milliseconds::zero()
+                            : Options.WatchDelay,
+               &StoreReader::requestChanges);
 }
 
 void StoreReader::recordResponse() {
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -18,7 +18,8 @@
 struct StoreReaderOptions {
   std::string Address;
   std::string Prefix; ///< of the keys to read
-  /// Delay between two watch calls, so that one call returns many changes.
+  /// Delay between two watch calls, so that one call returns many changes. A
+  /// call without changes is followed by the next at once.
   /// Together with the time of a call it must stay far below the deadlines of
   /// seconds within which changes must be active.
   std::chrono::milliseconds WatchDelay{};
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -28,9 +28,10 @@
 constexpr std::chrono::milliseconds MinWatchPause{300};
 constexpr std::chrono::milliseconds WatchPausePerGateway{75};
 constexpr std::chrono::milliseconds MaxWatchPause{500};
-/// Timeout of one watch; a working store returns earlier, because servers
-/// update a key within this time.
-constexpr std::chrono::milliseconds WatchTimeout{1500};
+/// Longest wait of one watch. While nothing changes, the last contact is up to
+/// this long ago when a version is declared, and older versions go out of use
+/// that much earlier than they have to.
+constexpr std::chrono::milliseconds WatchTimeout{750};
 /// Longest pause between retries of the first read; a gateway without a
 /// configuration serves nothing.
 constexpr std::chrono::milliseconds MaxFirstReadPause{100};
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -50,21 +50,21 @@
     check(late and max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
-# Guards against a bound that ends up to two watches early while nothing changes in the store.
+# Guards against a bound that ends seconds early, with refusals, while nothing changes in the store.
 def case_idle_store(fleet):
-    """a watch without changes counts as contact until its end"""
+    """the last contact before a declaration is recent also while nothing changes in the store"""
     gateway = fleet.gateways[0]
     watches = lambda: [path for client, path in list(fleet.store.calls) if client == gateway.host and "kv-watch" in path]
     time.sleep(2)  # changes of the cases before
     sent = len(watches())
     wait_for(lambda: len(watches()) > sent, "the next watch is sent")
-    time.sleep(1)
+    time.sleep(1.2)
     declare_next(fleet)
     lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "version_declared" in line],
                      "the gateway learns of the version")
     load_declared(fleet)
     confirmed = float(json.loads(lines[-1])["confirmed_s_ago"])
-    check(confirmed < 2, f"the last contact was {confirmed} s before")
+    check(confirmed < 1, f"the last contact was {confirmed} s before")
 
 
 # Guards against refusals of everything by a gateway whose calls were over the rate limit until after a declaration: its
