End an attempt at once when a server sends bytes without end

A request whose server sent interim responses without end got no answer at all: its time limit had no effect, and the gateway spent its processor time on them. A stream whose server sent the bytes of one event slowly and without end was held until its deadline. Other bytes without end were stored, up to 16 MB for a response that could not be the answer, and without limit for a chunk extension or a trailer.

Cause: the timeout of an attempt cancelled the operations on the socket. An operation that finds its bytes in a buffer is never waiting, so nothing was cancelled, and the timeout does not fire again. The time limit between events was counted from the last byte instead of the last event. The read buffer and the interim responses had no limit. Change: the timeout closes the socket, which ends every later operation too. It is off while events are written to the caller, whose connection has a timeout of its own. The limits between events count from the last event. The read buffer holds 64 KB, so a line of a chunked body is at most as long, and interim and stale responses before the response have 64 KB together. A success without signature and a refusal are decided by their head; errors may have 1 MB. Ruled out: endless heads; the limit of 8 KB of the parser already ended them. A body that belongs to the request and is signed cannot be told from a long one before the limit of 16 MB or the deadline.

--- a/programs/gateway/server_connections.hpp
+++ b/programs/gateway/server_connections.hpp
@@ -14,11 +14,15 @@
 
 /// @brief A TCP connection to a server, with its read buffer.
 struct ServerConnection {
+  /// @brief Maximum size of Buffer. A line of a chunked body must fit into it,
+  /// so it bounds chunk extensions and trailers.
+  static constexpr std::size_t MaxBufferBytes = 64UL << 10;
+
   explicit ServerConnection(boost::asio::io_context &Context)
       : Socket(Context) {}
 
   boost::asio::ip::tcp::socket Socket;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferBytes};
   bool Reused = false;
   TimePoint IdleSince{};
   Duration IdleTimeout{}; ///< after it the server may close the connection
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t ParallelBodyBytes = 16UL << 10;
 constexpr std::size_t ReadChunkBytes = 16UL << 10;
 constexpr std::size_t MaxResponseBytes = 16UL << 20;
+/// Maximum size of a response that is no success.
+constexpr std::size_t MaxErrorBytes = 1UL << 20;
 constexpr std::size_t MaxEventBytes = 1UL << 20;
 /// Maximum size of interim and stale responses before the response.
 constexpr std::size_t MaxSkippedBytes = 64UL << 10;
@@ -79,9 +81,10 @@
     std::function<void(const platform::ReportedLoad &)> LoadHandler)
     : Context(IoContext), Connections(IdleConnections),
       OnLoadReport(std::move(LoadHandler)), Timer(Timeouts, [this] {
+        // Cancelling has no effect on a read that never has to wait for bytes.
         error_code Ignored;
         if (Connection)
-          Connection->Socket.cancel(Ignored);
+          Connection->Socket.close(Ignored);
       }) {}
 
 void ServerExchange::cancel() {
@@ -154,8 +157,9 @@
   error_code Failure;
   co_await Connection->Socket.async_connect(
       *Endpoint, net::redirect_error(net::use_awaitable, Failure));
+  const bool TimedOut = Timer.expired();
   Timer.clear();
-  if (Failure)
+  if (Failure || TimedOut)
     co_return false;
   error_code Ignored; // the connection works without the option too
   Connection->Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -224,6 +228,7 @@
   } else if (Timer.expired()) {
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
+    Result.Detail = "timed out";
   } else {
     Result.Reason = ErrorCode::StreamIncomplete;
   }
@@ -336,13 +341,19 @@
   BufferedResponse Response;
   Response.Status = ResponseParser.get().result_int();
   Timer.expiresAt(Limits.Deadline);
-  while (!ResponseParser.is_done()) {
+  const std::size_t MaxBytes =
+      succeeded(Response.Status) ? MaxResponseBytes : MaxErrorBytes;
+  bool TooLarge = ResponseParser.content_length().value_or(0) > MaxBytes;
+  while (!TooLarge && !ResponseParser.is_done()) {
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     Response.Body += Chunk;
     if (Failure)
       co_return failureResult(Failure);
+    TooLarge = Response.Body.size() > MaxBytes;
   }
+  if (TooLarge)
+    co_return failureResult(http::make_error_code(http::error::body_limit));
   Reusable = mayReuse(ResponseParser);
   Response.Headers = ResponseParser.get().base();
   ExchangeResult Result;
@@ -360,14 +371,13 @@
                            StreamReceiver &Receiver) {
   EventSplitter Splitter;
   bool HeadForwarded = false;
+  Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
   while (!ResponseParser.is_done()) {
-    Timer.expiresAt(std::min(
-        Limits.Deadline,
-        now() + (HeadForwarded ? Limits.GapTimeout : Limits.FirstByteTimeout)));
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     if (!Events.empty()) {
+      Timer.clear(); // the caller's connection has a write timeout
       if (!std::exchange(HeadForwarded, true)) {
         const PartStatus Status =
             co_await Receiver.OnHead(ResponseParser.get().base(),
@@ -378,6 +388,7 @@
       const PartStatus Status = co_await Receiver.OnEvents(std::move(Events));
       if (Status != PartStatus::Forwarded)
         co_return stoppedResult(Status);
+      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
     }
     if (Failure)
       co_return failureResult(Failure);
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -196,9 +196,109 @@
     return respond("200 OK", events(server, [2, 3, 4, 5]), True, "text/event-stream")(server, request)
 
 
+def endless(before, piece, pause=0.0, own_head=True, **changes):
+    """Writes a head, then bytes without end."""
+    def run(server, request):
+        head = head_lines(server, request, **changes) if own_head else b""
+        try:
+            request.connection.sendall(head + before)
+        except OSError:
+            pass
+        write_until_closed(request, piece, pause)
+        server.gone.append(time.monotonic())
+    return run
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+FILL = b"x" * 8192
+CHUNK = b"2000\r\n" + FILL + b"\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\n" + CHUNKED
+# Bytes without end that cannot be the response to a request.
+ENDLESS = {
+    "no HTTP": endless(b"", FILL, own_head=False),
+    "a head": endless(b"", b"X-More: " + b"y" * 500 + b"\r\n"),
+    "a line of a head": endless(b"X-More: ", FILL),
+    "interim responses": endless(b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 50, own_head=False),
+    "the body of another response": endless(CHUNKED, CHUNK, request_id="earlier"),
+    "the body of another response without length": endless(b"\r\n", FILL, request_id="earlier"),
+    "other responses": endless(b"Content-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\n"
+                               b"Content-Length: 0\r\n\r\n" * 50, request_id="earlier"),
+    "a chunk extension": endless(CHUNKED + b"5;x=", FILL),
+    "a trailer": endless(CHUNKED + b"0\r\nX-More: ", FILL),
+    "a success without signature": endless(CHUNKED, CHUNK, signed=False),
+    "a success without signature, slowly": endless(CHUNKED, b"1\r\nx\r\n", 0.05, signed=False),
+    "a refusal": endless(b"Not-Executed: 1\r\n" + CHUNKED, CHUNK, status="503 Service Unavailable", signed=False),
+    "a refusal, slowly": endless(b"Not-Executed: 1\r\n" + CHUNKED, b"1\r\nx\r\n", 0.05,
+                                 status="503 Service Unavailable", signed=False),
+    "a server error": endless(b"\r\n", FILL, status="500 Internal Server Error"),
+}
+
+
+def check_noticed(name, servers, started, took):
+    check(took < NOTICE_LIMIT_S, f"{name}: answered after {took:.2f} s")
+    pf.wait_for(lambda: any(server.gone for server in servers), f"{name}: the connection is closed", timeout=3)
+    gone = min(at for server in servers for at in server.gone) - started
+    check(gone < NOTICE_LIMIT_S, f"{name}: closed after {gone:.2f} s")
+
+
+def call_timed(*args, **kwargs):
+    started = time.monotonic()
+    answer = call(*args, **kwargs)
+    return answer, started, time.monotonic() - started
+
+
+# Guards against bytes without end of a server: its request waited for them until its deadline, and they were stored.
+def case_endless_bytes(fleet):
+    """a request is retried as soon as its server sends bytes without end that are no response"""
+    for name, behaviour in ENDLESS.items():
+        forget(fleet)
+        for server in fleet.plain:
+            server.gone.clear()
+        first_only(fleet.plain, behaviour)
+        answer, started, took = call_timed(fleet.gateways[0], "/read/1")
+        check(answer.status == 200 and answer.whole, f"{name}: status {answer.status}")
+        check(arrivals(fleet.plain) == 2, f"{name}: it was sent twice")
+        check_noticed(name, fleet.plain, started, took)
+
+
+def case_endless_bytes_once(fleet):
+    """a request that must run at most once is answered as soon as its server sends bytes without end"""
+    for name, behaviour in ENDLESS.items():
+        forget(fleet)
+        for server in fleet.plain:
+            server.gone.clear()
+        first_only(fleet.plain, behaviour)
+        answer, started, took = call_timed(fleet.gateways[0], "/once/1", "POST", b"b")
+        expected = 503 if "refusal" in name else 502
+        check(answer.status == expected, f"{name}: status {answer.status}")
+        check(arrivals(fleet.plain) == 1, f"{name}: it was sent once")
+        check_noticed(name, fleet.plain, started, took)
+
+
+# Guards against a stream that was held by bytes without end inside one event until the deadline.
+def case_endless_event(fleet):
+    """a stream is continued at another server when one server sends an event without end"""
+    begun = b"%x\r\n%s\r\n"
+    for name, first, piece, pause in (("at once", b"", CHUNK, 0.0), ("slowly", b"", b"1\r\nx\r\n", 0.05),
+                                      ("after an event", b"id: 1\ndata: a\n\n", CHUNK, 0.0),
+                                      ("after an event, slowly", b"id: 1\ndata: a\n\n", b"1\r\nx\r\n", 0.05),
+                                      ("as a chunk extension", b"id: 1\ndata: a\n\n", b"5;x=" + FILL, 0.0)):
+        forget(fleet)
+        for server in fleet.engines:
+            server.gone.clear()
+        text = EVENTS + (begun % (len(first), first) if first else b"") + (b"5;x=" if piece[:1] == b"5" else b"")
+        first_only(fleet.engines, endless(text, FILL if piece[:1] == b"5" else piece, pause))
+        answer, started, took = call_timed(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(answer.whole and event_ids(answer) == [1, 2, 3], f"{name}: events {event_ids(answer)}")
+        check_noticed(name, fleet.engines, started, took)
+
+
 CASES = [case_repeated_refusal,
          case_error_after_stream_began,
-         case_continued_at_third_server]
+         case_continued_at_third_server,
+         case_endless_bytes,
+         case_endless_bytes_once,
+         case_endless_event]
 
 
 if __name__ == "__main__":
