Bound the memory of incomplete responses of all servers together

A gateway that many servers sent bodies without end grew to several times the memory of its VM.

Cause: each response may have 16 MB, and nothing bounded them together. A body was one string that grows by copying, so it needed up to three times its size. A body that is cut off is a failed attempt. Bodies are kept in blocks. Ruled out: a lower limit for each response; it would cut off valid large ones when there is memory for them.

--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/coordination/dispatch_queue.hpp"
 #include "marigoldyard/coordination/drain.hpp"
 #include "marigoldyard/coordination/pool_facts.hpp"
+#include "marigoldyard/coordination/response_memory.hpp"
 #include "marigoldyard/coordination/retry.hpp"
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
@@ -49,6 +50,8 @@
   ServerTable &servers() { return Servers; }
   /// @return the idle connections to servers
   ServerConnections &connections() { return Connections; }
+  /// @return the memory that incomplete responses of servers use
+  ResponseMemory &responseMemory() { return Responses; }
   /// @return the drain state of this process
   DrainState &drainProgress() { return DrainProgress; }
   /// @return whether the directory may send callers to this process
@@ -167,6 +170,7 @@
   DispatchQueue Queue;
   std::map<std::uint64_t, Waiter> Waiters; ///< by ticket
   ServerConnections Connections;
+  ResponseMemory Responses;
   std::map<std::string, RetryBudget> RetryBudgets; ///< by pool
   std::size_t OtherGateways =
       0; ///< number of live ones; they share the retry reserve
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -300,7 +300,7 @@
   ++Attempts;
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
-      [this, &Id](const platform::ReportedLoad &Load) {
+      Owner.responseMemory(), [this, &Id](const platform::ReportedLoad &Load) {
         recordReportedLoad(Owner.servers(), Id, Load.Running + Load.Waiting);
       });
   ActiveExchange = &Exchange;
@@ -480,10 +480,12 @@
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
-  const std::string Text =
+  std::string Text =
       formatHead(Response.Status, Response.Headers) +
-      fmt::format("Content-Length: {}\r\n\r\n", Response.Body.size()) +
-      Response.Body;
+      fmt::format("Content-Length: {}\r\n\r\n", Response.BodySize);
+  Text.reserve(Text.size() + Response.BodySize);
+  for (; !Response.Body.empty(); Response.Body.pop_front())
+    Text += Response.Body.front();
   const bool Written = co_await Session.write(Text);
   log(Written ? "complete" : "caller_left",
       fmt::format("status {}", Response.Status));
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -27,6 +27,7 @@
 /// Longer bodies are written while the response is read, because a server may
 /// respond before it has read the body.
 constexpr std::size_t ParallelBodyBytes = 16UL << 10;
+constexpr std::size_t BodyBlockBytes = 64UL << 10;
 constexpr std::size_t ReadChunkBytes = 16UL << 10;
 constexpr std::size_t MaxResponseBytes = 16UL << 20;
 /// Maximum size of a response that is no success.
@@ -55,6 +56,19 @@
 
 bool succeeded(unsigned Status) { return Status / 100 == 2; }
 
+void appendBody(BufferedResponse &Response, std::string_view Bytes) {
+  auto &Blocks = Response.Body;
+  Response.BodySize += Bytes.size();
+  if (!Blocks.empty() &&
+      Blocks.back().capacity() - Blocks.back().size() >= Bytes.size()) {
+    Blocks.back() += Bytes;
+    return;
+  }
+  Blocks.emplace_back(Bytes);
+  if (Blocks.size() > 1)
+    Blocks.back().reserve(BodyBlockBytes);
+}
+
 bool isEventStream(const platform::Fields &Headers) {
   return Headers[http::field::content_type].starts_with("text/event-stream");
 }
@@ -77,9 +91,9 @@
 
 ServerExchange::ServerExchange(
     net::io_context &IoContext, TimeoutList &Timeouts,
-    ServerConnections &IdleConnections,
+    ServerConnections &IdleConnections, ResponseMemory &SharedMemory,
     std::function<void(const platform::ReportedLoad &)> LoadHandler)
-    : Context(IoContext), Connections(IdleConnections),
+    : Context(IoContext), Connections(IdleConnections), Memory(SharedMemory),
       OnLoadReport(std::move(LoadHandler)), Timer(Timeouts, [this] {
         // Cancelling has no effect on a read that never has to wait for bytes.
         error_code Ignored;
@@ -338,8 +352,11 @@
 
 net::awaitable<ExchangeResult>
 ServerExchange::readBuffered(Parser &ResponseParser) {
-  BufferedResponse Response;
-  Response.Status = ResponseParser.get().result_int();
+  BufferedResponse Response{ResponseParser.get().result_int(),
+                            {},
+                            {},
+                            0,
+                            ResponseReservation(Memory)};
   Timer.expiresAt(Limits.Deadline);
   const std::size_t MaxBytes =
       succeeded(Response.Status) ? MaxResponseBytes : MaxErrorBytes;
@@ -347,10 +364,11 @@
   while (!TooLarge && !ResponseParser.is_done()) {
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
-    Response.Body += Chunk;
+    appendBody(Response, Chunk);
     if (Failure)
       co_return failureResult(Failure);
-    TooLarge = Response.Body.size() > MaxBytes;
+    TooLarge = Response.BodySize > MaxBytes ||
+               !Response.Memory.resize(Response.BodySize);
   }
   if (TooLarge)
     co_return failureResult(http::make_error_code(http::error::body_limit));
@@ -370,6 +388,7 @@
                            const platform::ServerResponse &Head,
                            StreamReceiver &Receiver) {
   EventSplitter Splitter;
+  ResponseReservation PendingMemory(Memory);
   bool HeadForwarded = false;
   Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
   while (!ResponseParser.is_done()) {
@@ -392,7 +411,8 @@
     }
     if (Failure)
       co_return failureResult(Failure);
-    if (Splitter.Pending.size() > MaxEventBytes)
+    if (Splitter.Pending.size() > MaxEventBytes ||
+        !PendingMemory.resize(Splitter.Pending.size()))
       co_return failureResult(http::make_error_code(http::error::body_limit));
   }
   if (!Splitter.Pending.empty())
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/response_memory.hpp"
 #include "marigoldyard/coordination/retry.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
 #include "marigoldyard/protocol/event_stream.hpp"
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,7 +24,10 @@
 struct BufferedResponse {
   unsigned Status = 0;
   platform::Fields Headers;
-  std::string Body;
+  /// In blocks, because a string that grows is copied and needs more memory.
+  std::deque<std::string> Body;
+  std::size_t BodySize = 0;   ///< in bytes
+  ResponseReservation Memory; ///< of Body
 };
 
 /// @brief Result of one attempt to send a request to a server.
@@ -68,11 +73,13 @@
   /// @param Context runs the sockets; must outlive the exchange
   /// @param Timeouts must outlive the exchange
   /// @param Connections idle connections to reuse; must outlive the exchange
+  /// @param Memory bounds the responses that are read at once; must outlive the
+  /// exchange and its result
   /// @param OnLoadReport called with the load that the server reports in its
   /// response
   ServerExchange(
       boost::asio::io_context &Context, TimeoutList &Timeouts,
-      ServerConnections &Connections,
+      ServerConnections &Connections, ResponseMemory &Memory,
       std::function<void(const platform::ReportedLoad &)> OnLoadReport);
 
   /// @brief Sends the request and reads the response.
@@ -119,6 +126,7 @@
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
+  ResponseMemory &Memory;
   std::function<void(const platform::ReportedLoad &)> OnLoadReport;
   Timeout Timer;
   ExchangeLimits Limits;
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -293,12 +293,50 @@
         check_noticed(name, fleet.engines, started, took)
 
 
+def peak_memory_kb(process):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
+        return int(next(line for line in source if line.startswith("VmHWM")).split()[1])
+
+
+# Guards against memory that grows with the number of endless responses: 16 MB each.
+def case_memory_bound(fleet):
+    """many responses without end at once are cut off before they fill the gateway's memory"""
+    for server in fleet.plain:
+        fleet.store.put("servers/" + server.id, {
+            "service": server.pool, "address": server.address, "zone": "z1", "version": "v1",
+            "slots": ENDLESS_RESPONSES, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": server.born})
+        server.behaviours = [lambda request, server=server: endless(b"\r\n", FILL * 8)(server, request)
+                             for _ in range(2 * ENDLESS_RESPONSES)]
+    time.sleep(1)
+    answers = []
+
+    def send():
+        try:
+            answers.append(call(fleet.gateways[0], "/once/1", "POST", b"b").status)
+        except OSError as error:
+            answers.append(error)
+    threads = [threading.Thread(target=send) for _ in range(ENDLESS_RESPONSES)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    peak = peak_memory_kb(fleet.gateways[0].process)
+    print(f"peak memory with {ENDLESS_RESPONSES} responses without end: {peak >> 10} MB")
+    check(peak < MEMORY_LIMIT_KB, f"{peak >> 10} MB")
+    check(set(answers) == {502}, f"the callers got {set(answers)}")
+    forget(fleet)
+    for server in fleet.plain:
+        server.register()
+    pf.wait_for(lambda: call(fleet.gateways[0], "/read/1").status == 200, "further requests are served")
+
+
 CASES = [case_repeated_refusal,
          case_error_after_stream_began,
          case_continued_at_third_server,
          case_endless_bytes,
          case_endless_bytes_once,
-         case_endless_event]
+         case_endless_event,
+         case_memory_bound]
 
 
 if __name__ == "__main__":
