Test responses and streams without length that end with their connection

The cases show that the gateway treats the end of the connection as the end of the response, and a reset, or an end inside an event, as broken off, for each kind of route.

--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -330,13 +330,59 @@
     pf.wait_for(lambda: call(fleet.gateways[0], "/read/1").status == 200, "further requests are served")
 
 
-CASES = [case_repeated_refusal,
-         case_error_after_stream_began,
-         case_continued_at_third_server,
-         case_endless_bytes,
-         case_endless_bytes_once,
-         case_endless_event,
-         case_memory_bound]
+# Guards against a response without length that is reset and looks complete, or that is whole and counts as broken.
+def case_without_length(fleet):
+    """a response without length is complete at the end of its connection, and broken off after a reset"""
+    for end, whole in ((lambda request: request.cut(), True), (reset, False)):
+        for path, body in (("/once/1", b"b"), ("/read/1", None)):
+            forget(fleet)
+
+            def run(server, request, end=end):
+                request.connection.sendall(head_lines(server, request) + b"\r\nthe body")
+                time.sleep(0.1)
+                end(request)
+            for server in fleet.plain:
+                server.behaviours = [lambda request, server=server: run(server, request)] * 2
+            answer = call(fleet.gateways[0], path, "POST" if body else "GET", body)
+            if whole:
+                check(answer.status == 200 and answer.whole and answer.body == b"the body", f"got {answer.body!r}")
+            else:
+                check(answer.status == 502, f"status {answer.status} after a reset")
+            check(arrivals(fleet.plain) == 1 or not (whole or body), f"{arrivals(fleet.plain)} sends")
+
+
+# Guards against a stream without length that ends inside an event and looks complete.
+def case_stream_without_length(fleet):
+    """a stream without length is complete at the end of its connection, unless that is inside an event or a reset"""
+    for kind, resumable in (("r-stream", True), ("r-single", False)):
+        routes = [pf.route(kind, "a.example", "/stream/", "streaming", "engines", resume_streams=resumable,
+                           target_gap_ms=300)]
+        use_routes(fleet, routes)
+        for name, tail, end, whole in (("ends", b"", lambda request: request.cut(), True),
+                                       ("ends inside an event", b"id: 4\ndata", lambda request: request.cut(), False),
+                                       ("ends before the empty line", b"id: 4\ndata: x\n",
+                                        lambda request: request.cut(), False),
+                                       ("is reset", b"", reset, False)):
+            forget(fleet)
+
+            def run(server, request, tail=tail, end=end):
+                if "Last-Event-Id" in request.headers:
+                    return server.stream(5)(request)
+                request.connection.sendall(head_lines(server, request, more=["Content-Type: text/event-stream"])
+                                           + b"\r\n" + events(server, [1, 2, 3]) + tail)
+                time.sleep(0.2)
+                return end(request)
+            for server in fleet.engines:
+                server.behaviours = [lambda request, server=server: run(server, request)] * 2
+            answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+            expected = [1, 2, 3, 4, 5] if resumable and not whole else [1, 2, 3]
+            check(event_ids(answer) == expected, f"{kind} {name}: events {event_ids(answer)}")
+            check(answer.whole == (whole or resumable), f"{kind} {name}: looks {'whole' if answer.whole else 'broken'}")
+
+
+CASES = [case_repeated_refusal, case_error_after_stream_began, case_continued_at_third_server, case_endless_bytes,
+         case_endless_bytes_once, case_endless_event, case_memory_bound, case_without_length,
+         case_stream_without_length]
 
 
 if __name__ == "__main__":
