Bound the read buffer and the interim responses of HTTP calls

A store, an origin or an engine that sends a chunk extension, a trailer or interim responses without end made a gateway, stager, entry or agent store them until the time limit of the call, up to gigabytes.

Cause: the limits on header and body of a call do not cover the lines of a chunked body nor the responses before the final one, and the read buffer had no limit of its own. Change: the read buffer holds 64 KB, and the header and the interim responses before it have 64 KB together. Ruled out: endless heads and bodies, which the existing limits end (checked by the same test), and the time limit of a call, which closes the connection. Measured: fault-transport-endless_response.cpp failed before (the peer could send 3.1 GB of a chunk extension and 3.5 GB of a trailer, each until the time limit of 10 s) and passes now; all of test_transport passes.

--- a/include/marigoldyard/transport/detail/http_call.hpp
+++ b/include/marigoldyard/transport/detail/http_call.hpp
@@ -16,10 +16,14 @@
 
 /// @brief An open connection of a client.
 struct HttpConnection {
+  /// @brief Maximum size of Buffer. A line of a chunked body must fit into it,
+  /// so it bounds chunk extensions and trailers.
+  static constexpr std::size_t MaxBufferBytes = 64UL << 10;
+
   explicit HttpConnection(boost::asio::io_context &Context) : Stream(Context) {}
 
   boost::beast::tcp_stream Stream;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferBytes};
   std::chrono::steady_clock::time_point IdleSince;
 };
 
@@ -77,7 +81,7 @@
   void write();
   void written(Failure Cause, std::size_t Count);
   void readHeader();
-  void headerRead(Failure Cause);
+  void headerRead(Failure Cause, std::size_t Count);
   void readBody();
   void bodyRead(Failure Cause);
   bool takeBytes(std::string_view Bytes);
@@ -99,6 +103,7 @@
   std::optional<Parser> Incoming;
   std::array<char, 16UL << 10> Block{};
   std::string PartialLine;
+  std::size_t HeaderBytes = 0; ///< of the response and those before it
   HttpResponse Response;
   bool Started = false;
   bool BytesSent = false;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -21,6 +21,10 @@
 
 namespace {
 
+/// Maximum size of the header of a response and of the interim responses before
+/// it.
+constexpr std::size_t MaxHeaderBytes = 64UL << 10;
+
 std::optional<Tcp::endpoint> parseEndpoint(std::string_view Address) {
   auto Colon = Address.rfind(':');
   if (Colon == std::string_view::npos)
@@ -202,14 +206,17 @@
   limitSilence();
   http::async_read_header(
       Connection->Stream, Connection->Buffer, *Incoming,
-      [Self = shared_from_this()](Failure Cause, std::size_t) {
-        Self->headerRead(Cause);
+      [Self = shared_from_this()](Failure Cause, std::size_t Count) {
+        Self->headerRead(Cause, Count);
       });
 }
 
-void HttpCall::headerRead(Failure Cause) {
+void HttpCall::headerRead(Failure Cause, std::size_t Count) {
   if (Cause)
     return failRead(Cause);
+  HeaderBytes += Count;
+  if (HeaderBytes > MaxHeaderBytes)
+    return fail(ErrorCode::InvalidMessage, "too many interim responses");
   const auto &Head = Incoming->get();
   Response.Status = Head.result_int();
   if (Response.Status >= 100 && Response.Status < 200)
