--- a/tests/src/fault-transport-endless_response.cpp
+++ b/tests/src/fault-transport-endless_response.cpp
@@ -59,9 +59,9 @@
       {Chunked, "2000\r\n" + Fill + "\r\n"},
       {"HTTP/1.1 500 Internal Server Error\r\n\r\n", Fill},
   };
-  for (const auto &[Begin, Piece] : Cases) {
-    CAPTURE(Begin);
-    EndlessServer Server(Begin, Piece);
+  for (const auto &Case : Cases) {
+    CAPTURE(Case.first);
+    EndlessServer Server(Case.first, Case.second);
     ClientThread Client;
     HttpCallRequest Request = requestTo(Server.address());
     Request.Limit = 10s;
--- a/tests/src/unit-coordination-response_memory.cpp
+++ b/tests/src/unit-coordination-response_memory.cpp
@@ -31,6 +31,7 @@
     ResponseMemory Memory;
     {
       std::vector<ResponseReservation> Responses;
+      Responses.reserve(Count);
       for (std::size_t I = 0; I < Count; ++I)
         Responses.emplace_back(Memory);
       growAll(Responses);
@@ -44,10 +45,12 @@
 TEST_CASE("small responses are accepted while large ones fill the memory") {
   ResponseMemory Memory;
   std::vector<ResponseReservation> Large;
+  Large.reserve(100);
   for (int I = 0; I < 100; ++I)
     Large.emplace_back(Memory);
   growAll(Large);
   std::vector<ResponseReservation> Small;
+  Small.reserve(100);
   for (int I = 0; I < 100; ++I) {
     Small.emplace_back(Memory);
     CHECK(Small.back().resize(Memory.GuaranteedSize));
