Split the function that sends a request to a server

Change: building the request, the start of an attempt, its record and the check for a crash are functions of their own. No behaviour changes.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -320,8 +320,8 @@
   return Limits;
 }
 
-net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
-  const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
+platform::RequestMessage
+RequestRun::buildServerRequest(const std::string &Id) const {
   platform::ServerRequest Content;
   Content.ServerId = Id;
   Content.Customer =
@@ -332,13 +332,23 @@
   Content.ResumeAfter = Order.Last;
   if (HeadForwarded)
     Content.RequiredVersion = Version;
-  const bool StreamBegun = HeadForwarded;
+  return platform::buildServerRequest(Request, Content);
+}
+
+void RequestRun::beginAttempt(const std::string &Id) {
   TriedServers.insert(Id);
   LastServer = Id;
   PrefillRunning = true;
   EventReads = 0;
   ServerCrashed = false;
   ++Attempts;
+}
+
+net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
+  const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
+  const platform::RequestMessage Outgoing = buildServerRequest(Id);
+  const bool StreamBegun = HeadForwarded;
+  beginAttempt(Id);
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
       Owner.responseMemory(),
@@ -350,8 +360,6 @@
       });
   ActiveExchange = &Exchange;
   StreamReceiver Receiver = streamReceiver();
-  const platform::RequestMessage Outgoing =
-      platform::buildServerRequest(Request, Content);
   // The start of a buffered response is not visible, and work that runs at most
   // once must not be cut off after it.
   if (MatchedRoute->IsStreaming ||
@@ -367,21 +375,32 @@
     Owner.connections().closeAll(Record.Address);
   if (StreamBegun && Result.Response)
     discardResponse(Result);
+  recordAttempt(Id, Result);
+  co_await checkForCrash(Record.Address, Result);
+  co_return Result;
+}
+
+void RequestRun::recordAttempt(const std::string &Id,
+                               const ExchangeResult &Result) {
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
-  if (RequestInfo.SharedParts.empty())
-    co_return Result;
-  if (Result.Fate == AttemptStatus::Completed)
+  if (Result.Fate == AttemptStatus::Completed &&
+      !RequestInfo.SharedParts.empty())
     Owner.recordBegun(RequestInfo.SharedParts);
+}
+
+net::awaitable<void> RequestRun::checkForCrash(const std::string &Address,
+                                               const ExchangeResult &Result) {
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (ConnectionLost && EventReads < EventReadsToBegin)
-    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
-                                                 RequestInfo.SharedParts);
-  co_return Result;
+  if (!ConnectionLost || EventReads >= EventReadsToBegin ||
+      RequestInfo.SharedParts.empty())
+    co_return;
+  ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
+                                               RequestInfo.SharedParts);
 }
 
 void RequestRun::endStartWatch() {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -42,7 +42,12 @@
 
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
+  platform::RequestMessage buildServerRequest(const std::string &Id) const;
+  void beginAttempt(const std::string &Id);
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
+  void recordAttempt(const std::string &Id, const ExchangeResult &Result);
+  boost::asio::awaitable<void> checkForCrash(const std::string &Address,
+                                             const ExchangeResult &Result);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
