Send to older versions until half a second before their bound

What callers saw: refusals before the bound of a version that no server has yet.

Cause: the margin before the bound, 0.75 s, was set when it also covered the way of the declaration, which the lower bound of the acknowledgement covers now.

Change: requests are sent to older versions until 0.5 s before the bound. Those that have not started 0.3 s before it are withdrawn as before.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -16,7 +16,7 @@
   Duration Limit = std::chrono::seconds(8);
   /// Time before Limit from which no request is sent to an older version. It
   /// lets requests that are queued at a server start in time.
-  Duration SendMargin = std::chrono::milliseconds(750);
+  Duration SendMargin = std::chrono::milliseconds(500);
   /// Time before Limit at which a request that has not started is withdrawn
   /// from its server. It covers delays of this process and of the network.
   Duration StartMargin = std::chrono::milliseconds(300);
