Bound the read buffer of a caller's connection

A caller that sent a chunk extension or a trailer without end made the gateway store it, 5 GB within 15 s, and the time limit of the body did not end it.

Cause: the limits on header and body of a request do not cover the lines of a chunked body, the read buffer had no limit, and cancelling a read that never waits for bytes has no effect. Change: the buffer holds one header, or 16 KB of a line, and what one read adds. After the last response of a connection, reading what the caller still sends ends after 500 ms also while bytes arrive. Ruled out: endless headers and bodies, which the configured limits end.

--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -26,6 +26,8 @@
 /// closed.
 constexpr std::chrono::milliseconds CloseTimeout{500};
 constexpr std::size_t ReadBufferBytes = 8192;
+/// Maximum size of a chunk extension or of a trailer.
+constexpr std::size_t MaxLineBytes = 16UL << 10;
 
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
@@ -95,6 +97,9 @@
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(Limits.MaxHeaderBytes);
   Parser.body_limit(Limits.MaxBodyBytes);
+  Buffer.max_size(std::max<std::size_t>(
+                      {Limits.MaxHeaderBytes, MaxLineBytes, Buffer.size()}) +
+                  ReadBufferBytes);
   error_code Failure;
   Timer.expiresAt(now() + Limits.HeaderTimeout);
   co_await http::async_read_header(
@@ -180,7 +185,8 @@
     Timer.expiresAt(now() + CloseTimeout);
     error_code Failure;
     std::array<char, ReadBufferBytes> Discarded{};
-    while (!Failure)
+    // Cancelling has no effect on a read that never has to wait for bytes.
+    while (!Failure && !Timer.expired())
       co_await Socket.async_read_some(
           net::buffer(Discarded),
           net::redirect_error(net::use_awaitable, Failure));
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -330,6 +330,27 @@
     pf.wait_for(lambda: call(fleet.gateways[0], "/read/1").status == 200, "further requests are served")
 
 
+# Guards against memory that a caller fills with a chunk extension or a trailer: the time limit of the body had no effect
+# on bytes that never stop.
+def case_endless_request(fleet):
+    """a request with a chunk extension or a trailer without end is rejected"""
+    for name, begin in (("a chunk extension", b"5;x="), ("a trailer", b"0\r\nX-More: ")):
+        with socket.create_connection((fleet.gateways[0].ip, pf.CALLER_PORT), timeout=5) as caller:
+            caller.sendall(b"POST /once/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: endless\r\n"
+                           b"Authorization: Bearer key-1\r\n" + CHUNKED + begin)
+            started = time.monotonic()
+            try:
+                while time.monotonic() - started < 5:
+                    caller.send(FILL)
+            except OSError:
+                pass
+            took = time.monotonic() - started
+            check(took < NOTICE_LIMIT_S, f"{name}: the connection is closed after {took:.1f} s")
+            peak = peak_memory_kb(fleet.gateways[0].process)
+            check(peak < MEMORY_LIMIT_KB, f"{name}: {peak >> 10} MB")
+    check(not arrivals(fleet.plain), "no server got a request")
+
+
 # Guards against a response without length that is reset and looks complete, or that is whole and counts as broken.
 def case_without_length(fleet):
     """a response without length is complete at the end of its connection, and broken off after a reset"""
@@ -381,8 +402,8 @@
 
 
 CASES = [case_repeated_refusal, case_error_after_stream_began, case_continued_at_third_server, case_endless_bytes,
-         case_endless_bytes_once, case_endless_event, case_memory_bound, case_without_length,
-         case_stream_without_length]
+         case_endless_bytes_once, case_endless_event, case_memory_bound,
+         case_endless_request, case_without_length, case_stream_without_length]
 
 
 if __name__ == "__main__":
