--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -69,6 +69,16 @@
              : "at_most_once";
 }
 
+/// Turns a response other than a stream into a failure, because it is neither
+/// the rest of a stream that has begun nor its end.
+void discardResponse(ExchangeResult &Result) {
+  Result.Fate = AttemptStatus::Failed;
+  Result.Reason = ErrorCode::EndpointFailed;
+  Result.Detail = fmt::format("status {} instead of the rest of the stream",
+                              Result.Response->Status);
+  Result.Response.reset();
+}
+
 std::string formatSeconds(Duration Value) {
   return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
 }
@@ -310,8 +320,8 @@
   return Limits;
 }
 
-net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
-  const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
+platform::RequestMessage
+RequestRun::buildServerRequest(const std::string &Id) const {
   platform::ServerRequest Content;
   Content.ServerId = Id;
   Content.Customer =
@@ -322,14 +332,26 @@
   Content.ResumeAfter = Order.Last;
   if (HeadForwarded)
     Content.RequiredVersion = Version;
+  return platform::buildServerRequest(Request, Content);
+}
+
+void RequestRun::beginAttempt(const std::string &Id) {
   TriedServers.insert(Id);
   LastServer = Id;
   PrefillRunning = true;
   EventReads = 0;
   ServerCrashed = false;
   ++Attempts;
+}
+
+net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
+  const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
+  const platform::RequestMessage Outgoing = buildServerRequest(Id);
+  const bool StreamBegun = HeadForwarded;
+  beginAttempt(Id);
   ServerExchange Exchange(
       Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
+      Owner.responseMemory(),
       [this, &Record](const platform::ServerResponse &Head) {
         if (Head.Load)
           recordReportedLoad(Owner.servers(), Record.Id,
@@ -338,8 +360,6 @@
       });
   ActiveExchange = &Exchange;
   StreamReceiver Receiver = streamReceiver();
-  const platform::RequestMessage Outgoing =
-      platform::buildServerRequest(Request, Content);
   // The start of a buffered response is not visible, and work that runs at most
   // once must not be cut off after it.
   if (MatchedRoute->IsStreaming ||
@@ -353,29 +373,38 @@
   endStartWatch();
   if (isLeaving(Owner.servers(), Id))
     Owner.connections().closeAll(Record.Address);
+  if (StreamBegun && Result.Response)
+    discardResponse(Result);
+  recordAttempt(Id, Result);
+  co_await checkForCrash(Record.Address, Result);
+  co_return Result;
+}
+
+void RequestRun::recordAttempt(const std::string &Id,
+                               const ExchangeResult &Result) {
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
-  if (!RequestInfo.SharedParts.empty())
-    co_await recordPartOutcome(Result, Record);
-  co_return Result;
-}
-
-net::awaitable<void> RequestRun::recordPartOutcome(const ExchangeResult &Result,
-                                                   const ServerRecord &Record) {
   // A rejection by the server, such as 400, is no sign that a request began.
   const bool Served =
       EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
-  if (Result.Fate == AttemptStatus::Completed && Served)
+  if (Result.Fate == AttemptStatus::Completed && Served &&
+      !RequestInfo.SharedParts.empty())
     Owner.recordBegun(RequestInfo.SharedParts);
+}
+
+net::awaitable<void> RequestRun::checkForCrash(const std::string &Address,
+                                               const ExchangeResult &Result) {
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (ConnectionLost && EventReads < EventReadsToBegin &&
-      !isLeaving(Owner.servers(), Record.Id))
-    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
-                                                 RequestInfo.SharedParts);
+  if (!ConnectionLost || EventReads >= EventReadsToBegin ||
+      RequestInfo.SharedParts.empty() ||
+      isLeaving(Owner.servers(), LastServer))
+    co_return;
+  ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
+                                               RequestInfo.SharedParts);
 }
 
 void RequestRun::endStartWatch() {
@@ -503,7 +532,7 @@
   return Text;
 }
 
-net::awaitable<bool>
+net::awaitable<PartStatus>
 RequestRun::forwardHead(const platform::Fields &Headers, unsigned Status,
                         const platform::ServerResponse &Head) {
   // The head is forwarded together with the first event.
@@ -514,13 +543,16 @@
   // A resumed stream keeps the head of its first server and must have the same
   // version of the weights.
   if (HeadForwarded)
-    co_return !Head.Version || !Version || *Head.Version == *Version;
+    co_return !Head.Version || !Version || *Head.Version == *Version
+        ? PartStatus::Forwarded
+        : PartStatus::Invalid;
   HeadForwarded = true;
   Version = Head.Version;
   FirstEventAt = now();
   const std::string Text =
       formatHead(Status, Headers) + "Transfer-Encoding: chunked\r\n\r\n";
-  co_return co_await Session.write(Text);
+  const bool Written = co_await Session.write(Text);
+  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
 }
 
 void RequestRun::recordProgress() {
@@ -528,7 +560,7 @@
     Owner.recordBegun(RequestInfo.SharedParts);
 }
 
-net::awaitable<bool>
+net::awaitable<PartStatus>
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
   recordProgress();
@@ -540,19 +572,23 @@
       break;
     Text += Event.Text;
   }
+  const PartStatus Result =
+      InOrder ? PartStatus::Forwarded : PartStatus::Invalid;
   if (Text.empty())
-    co_return InOrder;
+    co_return Result;
   const std::string Chunk = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
   const bool Written = co_await Session.write(Chunk);
-  co_return Written &&InOrder;
+  co_return Written ? Result : PartStatus::CallerLeft;
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
   platform::removeRefusalTime(Response.Status, Response.Headers);
-  const std::string Text =
+  std::string Text =
       formatHead(Response.Status, Response.Headers) +
-      fmt::format("Content-Length: {}\r\n\r\n", Response.Body.size()) +
-      Response.Body;
+      fmt::format("Content-Length: {}\r\n\r\n", Response.BodySize);
+  Text.reserve(Text.size() + Response.BodySize);
+  for (; !Response.Body.empty(); Response.Body.pop_front())
+    Text += Response.Body.front();
   const bool Written = co_await Session.write(Text);
   log(Written ? "complete" : "caller_left",
       fmt::format("status {}", Response.Status));
