--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -400,8 +400,7 @@
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
   if (!ConnectionLost || EventReads >= EventReadsToBegin ||
-      RequestInfo.SharedParts.empty() ||
-      isLeaving(Owner.servers(), LastServer))
+      RequestInfo.SharedParts.empty() || isLeaving(Owner.servers(), LastServer))
     co_return;
   ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
                                                RequestInfo.SharedParts);
