--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -42,15 +42,17 @@
 
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
+  platform::RequestMessage buildServerRequest(const std::string &Id) const;
+  void beginAttempt(const std::string &Id);
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
+  void recordAttempt(const std::string &Id, const ExchangeResult &Result);
+  boost::asio::awaitable<void> checkForCrash(const std::string &Address,
+                                             const ExchangeResult &Result);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
+  void endStartWatch();
   void recordProgress();
-  /// Records what an attempt shows about the parts of the prompt.
-  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
-                                                 const ServerRecord &Record);
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
-  void endStartWatch();
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
@@ -58,10 +60,11 @@
   LocalResponse shortageResponse(ServerShortage Shortage) const;
 
   StreamReceiver streamReceiver();
-  boost::asio::awaitable<bool>
+  boost::asio::awaitable<PartStatus>
   forwardHead(const platform::Fields &Headers, unsigned Status,
               const platform::ServerResponse &Head);
-  boost::asio::awaitable<bool> forwardEvents(std::vector<StreamEvent> Events);
+  boost::asio::awaitable<PartStatus>
+  forwardEvents(std::vector<StreamEvent> Events);
   boost::asio::awaitable<bool> forwardResponse(BufferedResponse Response);
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/server_exchange.hpp"
 
+#include "marigoldyard/coordination/response_match.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -25,9 +27,16 @@
 /// Longer bodies are written while the response is read, because a server may
 /// respond before it has read the body.
 constexpr std::size_t ParallelBodyBytes = 16UL << 10;
+constexpr std::size_t BodyBlockBytes = 64UL << 10;
 constexpr std::size_t ReadChunkBytes = 16UL << 10;
 constexpr std::size_t MaxResponseBytes = 16UL << 20;
+/// Maximum size of a response that is no success.
+constexpr std::size_t MaxErrorBytes = 1UL << 20;
 constexpr std::size_t MaxEventBytes = 1UL << 20;
+/// Maximum size of interim and stale responses before the response.
+constexpr std::size_t MaxSkippedBytes = 64UL << 10;
+/// Longest wait for the body of a refusal.
+constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
 constexpr unsigned FirstServerError = 500;
 
 std::optional<Tcp::endpoint> parseEndpoint(const std::string &Address) {
@@ -47,6 +56,23 @@
 
 bool succeeded(unsigned Status) { return Status / 100 == 2; }
 
+void appendBody(BufferedResponse &Response, std::string_view Bytes) {
+  auto &Blocks = Response.Body;
+  Response.BodySize += Bytes.size();
+  if (!Blocks.empty() &&
+      Blocks.back().capacity() - Blocks.back().size() >= Bytes.size()) {
+    Blocks.back() += Bytes;
+    return;
+  }
+  Blocks.emplace_back(Bytes);
+  if (Blocks.size() > 1)
+    Blocks.back().reserve(BodyBlockBytes);
+}
+
+bool isEventStream(const platform::Fields &Headers) {
+  return Headers[http::field::content_type].starts_with("text/event-stream");
+}
+
 /// Value of "timeout=N" in the Keep-Alive header.
 Duration keepAliveTimeout(const platform::Fields &Headers) {
   constexpr std::string_view Name = "timeout=";
@@ -65,13 +91,14 @@
 
 ServerExchange::ServerExchange(
     net::io_context &IoContext, TimeoutList &Timeouts,
-    ServerConnections &IdleConnections,
+    ServerConnections &IdleConnections, ResponseMemory &SharedMemory,
     std::function<void(const platform::ServerResponse &)> HeadHandler)
-    : Context(IoContext), Connections(IdleConnections),
+    : Context(IoContext), Connections(IdleConnections), Memory(SharedMemory),
       OnResponseHead(std::move(HeadHandler)), Timer(Timeouts, [this] {
+        // Cancelling has no effect on a read that never has to wait for bytes.
         error_code Ignored;
         if (Connection)
-          Connection->Socket.cancel(Ignored);
+          Connection->Socket.close(Ignored);
       }) {}
 
 void ServerExchange::cancel() {
@@ -94,7 +121,10 @@
                     const ExchangeLimits &RequestedLimits,
                     StreamReceiver *Receiver) {
   Limits = RequestedLimits;
-  Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
+  // Without an id, a late response to another request could not be recognized.
+  const bool HasId = !RequestId.empty();
+  if (HasId)
+    Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
   ExchangeResult Result;
   if (!Connection) {
     const bool Connected = co_await connect(Address);
@@ -123,7 +153,7 @@
   }
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
-  if (Reusable && *RequestWritten && !Cancelled) {
+  if (Reusable && HasId && *RequestWritten && !Cancelled) {
     Connections.putBack(Address, std::move(Connection), now());
   } else {
     error_code Ignored;
@@ -141,8 +171,9 @@
   error_code Failure;
   co_await Connection->Socket.async_connect(
       *Endpoint, net::redirect_error(net::use_awaitable, Failure));
+  const bool TimedOut = Timer.expired();
   Timer.clear();
-  if (Failure)
+  if (Failure || TimedOut)
     co_return false;
   error_code Ignored; // the connection works without the option too
   Connection->Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -172,10 +203,11 @@
   co_return !Failure;
 }
 
-net::awaitable<error_code> ServerExchange::readHead(Parser &ResponseParser) {
+net::awaitable<error_code> ServerExchange::readHead(Parser &ResponseParser,
+                                                    std::size_t &BytesRead) {
   error_code Failure;
   ResponseParser.body_limit(MaxResponseBytes);
-  co_await http::async_read_header(
+  BytesRead += co_await http::async_read_header(
       Connection->Socket, Connection->Buffer, ResponseParser,
       net::redirect_error(net::use_awaitable, Failure));
   co_return Failure;
@@ -210,74 +242,138 @@
   } else if (Timer.expired()) {
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
+    Result.Detail = "timed out";
   } else {
     Result.Reason = ErrorCode::StreamIncomplete;
   }
   return Result;
 }
 
+ExchangeResult ServerExchange::stoppedResult(PartStatus Status) const {
+  ExchangeResult Result = failureResult({});
+  if (Cancelled || Withdrawn)
+    return Result;
+  if (Status == PartStatus::CallerLeft) {
+    Result.Reason = ErrorCode::Cancelled;
+    Result.Health = ServerOutcome::Answered;
+  } else {
+    Result.Reason = ErrorCode::StreamCorrupt;
+    Result.Detail = "does not continue the stream";
+  }
+  return Result;
+}
+
 net::awaitable<ExchangeResult>
 ServerExchange::receive(const std::string &RequestId,
                         StreamReceiver *Receiver) {
+  bool FirstOnConnection = !Connection->Reused;
+  std::size_t SkippedBytes = 0;
   for (;;) {
     Parser ResponseParser;
-    const error_code Failure = co_await readHead(ResponseParser);
+    const error_code Failure = co_await readHead(ResponseParser, SkippedBytes);
     if (Failure)
       co_return failureResult(Failure);
+    if (SkippedBytes > MaxSkippedBytes)
+      co_return failureResult(http::make_error_code(http::error::body_limit));
     const unsigned Status = ResponseParser.get().result_int();
     if (Status / 100 == 1)
       continue;
     const platform::ServerResponse Head =
         platform::decodeServerResponse(Status, ResponseParser.get().base());
     OnResponseHead(Head);
-    const bool MatchesRequest =
-        Head.RequestId == RequestId || (Head.RequestId.empty() && Head.NotRun);
-    if (!MatchesRequest) {
+    const ResponseMeaning Meaning =
+        matchResponse({Head.RequestId, succeeded(Status), Head.Signed,
+                       Head.NotRun, FirstOnConnection},
+                      RequestId);
+    if (Meaning == ResponseMeaning::Stale) {
       // A late response to an earlier request precedes the response to this
       // one.
-      const ExchangeResult StaleResponse =
-          co_await readBuffered(ResponseParser, Head);
-      if (!StaleResponse.Response || ResponseParser.get().need_eof())
+      FirstOnConnection = false;
+      const error_code SkipFailure =
+          co_await skipBody(ResponseParser, SkippedBytes);
+      if (SkipFailure || ResponseParser.get().need_eof())
         co_return failureResult(http::make_error_code(http::error::bad_value));
       continue;
     }
+    if (Meaning == ResponseMeaning::Invalid) {
+      ExchangeResult Result = failureResult({});
+      if (!Cancelled && !Withdrawn)
+        Result.Reason = ErrorCode::StreamCorrupt;
+      Result.Detail = Head.Signed ? "success that states that it did not run"
+                                  : "success without the server's signature";
+      co_return Result;
+    }
     Connection->IdleTimeout = keepAliveTimeout(ResponseParser.get().base());
-    if (Receiver != nullptr && succeeded(Status) && Head.Signed)
+    if (Meaning == ResponseMeaning::Refusal)
+      co_return co_await readRefusal(ResponseParser, Head);
+    if (Receiver != nullptr && succeeded(Status) &&
+        isEventStream(ResponseParser.get().base()))
       co_return co_await readStream(ResponseParser, Head, *Receiver);
-    co_return co_await readBuffered(ResponseParser, Head);
+    co_return co_await readBuffered(ResponseParser);
   }
 }
 
+net::awaitable<error_code> ServerExchange::skipBody(Parser &ResponseParser,
+                                                    std::size_t &BytesRead) {
+  std::string Chunk;
+  while (!ResponseParser.is_done()) {
+    const error_code Failure = co_await readChunk(ResponseParser, Chunk);
+    if (Failure)
+      co_return Failure;
+    BytesRead += Chunk.size();
+    if (BytesRead > MaxSkippedBytes)
+      co_return http::make_error_code(http::error::body_limit);
+  }
+  co_return error_code();
+}
+
+// The head proves that the request was not run. The body is only read so that
+// the connection can be reused.
+net::awaitable<ExchangeResult>
+ServerExchange::readRefusal(Parser &ResponseParser,
+                            const platform::ServerResponse &Head) {
+  Timer.expiresAt(std::min(Limits.Deadline, now() + RefusalBodyTimeout));
+  std::size_t BytesRead = 0;
+  const error_code Failure = co_await skipBody(ResponseParser, BytesRead);
+  Reusable = !Failure && mayReuse(ResponseParser);
+  ExchangeResult Result;
+  Result.Fate = AttemptStatus::Refused;
+  Result.Health = ServerOutcome::Answered;
+  Result.Reason =
+      Head.WrongServer ? ErrorCode::WrongWeights : ErrorCode::QueueFull;
+  co_return Result;
+}
+
+bool ServerExchange::mayReuse(const Parser &ResponseParser) const {
+  return ResponseParser.get().keep_alive() &&
+         !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+}
+
 net::awaitable<ExchangeResult>
-ServerExchange::readBuffered(Parser &ResponseParser,
-                             const platform::ServerResponse &Head) {
-  BufferedResponse Response;
-  Response.Status = ResponseParser.get().result_int();
+ServerExchange::readBuffered(Parser &ResponseParser) {
+  BufferedResponse Response{ResponseParser.get().result_int(),
+                            {},
+                            {},
+                            0,
+                            ResponseReservation(Memory)};
   Timer.expiresAt(Limits.Deadline);
-  while (!ResponseParser.is_done()) {
+  const std::size_t MaxBytes =
+      succeeded(Response.Status) ? MaxResponseBytes : MaxErrorBytes;
+  bool TooLarge = ResponseParser.content_length().value_or(0) > MaxBytes;
+  while (!TooLarge && !ResponseParser.is_done()) {
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
-    Response.Body += Chunk;
+    appendBody(Response, Chunk);
     if (Failure)
       co_return failureResult(Failure);
+    TooLarge = Response.BodySize > MaxBytes ||
+               !Response.Memory.resize(Response.BodySize);
   }
-  Reusable = ResponseParser.get().keep_alive() &&
-             !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+  if (TooLarge)
+    co_return failureResult(http::make_error_code(http::error::body_limit));
+  Reusable = mayReuse(ResponseParser);
   Response.Headers = ResponseParser.get().base();
   ExchangeResult Result;
-  Result.Health = ServerOutcome::Answered;
-  if (Head.NotRun) {
-    Result.Fate = AttemptStatus::Refused;
-    Result.Reason =
-        Head.WrongServer ? ErrorCode::WrongWeights : ErrorCode::QueueFull;
-    co_return Result;
-  }
-  if (succeeded(Response.Status) && !Head.Signed) {
-    Result.Health = ServerOutcome::InvalidAnswer;
-    Result.Reason = ErrorCode::StreamCorrupt;
-    Result.Detail = "success without the server's signature";
-    co_return Result;
-  }
   const bool ServerError = Response.Status >= FirstServerError;
   Result.Fate = ServerError ? AttemptStatus::Failed : AttemptStatus::Completed;
   Result.Health =
@@ -291,48 +387,43 @@
                            const platform::ServerResponse &Head,
                            StreamReceiver &Receiver) {
   EventSplitter Splitter;
+  ResponseReservation PendingMemory(Memory);
   bool HeadForwarded = false;
-  auto ReceiverStopped = [this] {
-    ExchangeResult Result = failureResult({});
-    Result.Reason = ErrorCode::Cancelled;
-    Result.Health = ServerOutcome::Answered;
-    return Result;
-  };
+  Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
   while (!ResponseParser.is_done()) {
-    Timer.expiresAt(std::min(
-        Limits.Deadline,
-        now() + (HeadForwarded ? Limits.GapTimeout : Limits.FirstByteTimeout)));
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     if (!Events.empty()) {
-      if (!HeadForwarded) {
-        HeadForwarded =
+      Timer.clear(); // the caller's connection has a write timeout
+      if (!std::exchange(HeadForwarded, true)) {
+        const PartStatus Status =
             co_await Receiver.OnHead(ResponseParser.get().base(),
                                      ResponseParser.get().result_int(), Head);
-        if (!HeadForwarded)
-          co_return ReceiverStopped();
+        if (Status != PartStatus::Forwarded)
+          co_return stoppedResult(Status);
       }
-      const bool Forwarded = co_await Receiver.OnEvents(std::move(Events));
-      if (!Forwarded)
-        co_return ReceiverStopped();
+      const PartStatus Status = co_await Receiver.OnEvents(std::move(Events));
+      if (Status != PartStatus::Forwarded)
+        co_return stoppedResult(Status);
+      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
     }
     if (Failure)
       co_return failureResult(Failure);
-    if (Splitter.Pending.size() > MaxEventBytes)
+    if (Splitter.Pending.size() > MaxEventBytes ||
+        !PendingMemory.resize(Splitter.Pending.size()))
       co_return failureResult(http::make_error_code(http::error::body_limit));
   }
   if (!Splitter.Pending.empty())
     co_return failureResult(
         http::make_error_code(http::error::partial_message));
   if (!HeadForwarded) {
-    HeadForwarded = co_await Receiver.OnHead(
+    const PartStatus Status = co_await Receiver.OnHead(
         ResponseParser.get().base(), ResponseParser.get().result_int(), Head);
-    if (!HeadForwarded)
-      co_return ReceiverStopped();
+    if (Status != PartStatus::Forwarded)
+      co_return stoppedResult(Status);
   }
-  Reusable = ResponseParser.get().keep_alive() &&
-             !ResponseParser.get().need_eof() && Connection->Buffer.size() == 0;
+  Reusable = mayReuse(ResponseParser);
   ExchangeResult Result;
   Result.Fate = AttemptStatus::Completed;
   Result.Health = ServerOutcome::Answered;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/response_memory.hpp"
 #include "marigoldyard/coordination/retry.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
 #include "marigoldyard/protocol/event_stream.hpp"
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,7 +24,10 @@
 struct BufferedResponse {
   unsigned Status = 0;
   platform::Fields Headers;
-  std::string Body;
+  /// In blocks, because a string that grows is copied and needs more memory.
+  std::deque<std::string> Body;
+  std::size_t BodySize = 0;   ///< in bytes
+  ResponseReservation Memory; ///< of Body
 };
 
 /// @brief Result of one attempt to send a request to a server.
@@ -35,14 +40,22 @@
   std::string Detail;
 };
 
-/// @brief Callbacks for the parts of an event stream.
+/// @brief What the receiver of a stream did with a part of it.
+enum class PartStatus : std::uint8_t {
+  Forwarded,
+  CallerLeft,
+  Invalid, ///< does not continue what the caller got; another server may
+};
+
+/// @brief Callbacks for the parts of an event stream. The exchange ends when
+/// one returns anything but Forwarded.
 struct StreamReceiver {
-  /// Head of a successful stream; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(const platform::Fields &, unsigned,
-                                             const platform::ServerResponse &)>
+  /// Head of a successful stream.
+  std::function<boost::asio::awaitable<PartStatus>(
+      const platform::Fields &, unsigned, const platform::ServerResponse &)>
       OnHead;
-  /// Complete events; false ends the exchange.
-  std::function<boost::asio::awaitable<bool>(std::vector<StreamEvent>)>
+  /// Complete events.
+  std::function<boost::asio::awaitable<PartStatus>(std::vector<StreamEvent>)>
       OnEvents;
 };
 
@@ -60,11 +73,13 @@
   /// @param Context runs the sockets; must outlive the exchange
   /// @param Timeouts must outlive the exchange
   /// @param Connections idle connections to reuse; must outlive the exchange
+  /// @param Memory bounds the responses that are read at once; must outlive the
+  /// exchange and its result
   /// @param OnResponseHead called with the head of each response that is read,
   /// also of a late response to an earlier request
   ServerExchange(
       boost::asio::io_context &Context, TimeoutList &Timeouts,
-      ServerConnections &Connections,
+      ServerConnections &Connections, ResponseMemory &Memory,
       std::function<void(const platform::ServerResponse &)> OnResponseHead);
 
   /// @brief Sends the request and reads the response.
@@ -94,18 +109,24 @@
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
                                                  StreamReceiver *Receiver);
   boost::asio::awaitable<boost::system::error_code>
-  readHead(Parser &ResponseParser);
+  readHead(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<boost::system::error_code>
   readChunk(Parser &ResponseParser, std::string &Chunk);
+  boost::asio::awaitable<boost::system::error_code>
+  skipBody(Parser &ResponseParser, std::size_t &BytesRead);
   boost::asio::awaitable<ExchangeResult>
-  readBuffered(Parser &ResponseParser, const platform::ServerResponse &Head);
+  readRefusal(Parser &ResponseParser, const platform::ServerResponse &Head);
+  boost::asio::awaitable<ExchangeResult> readBuffered(Parser &ResponseParser);
   boost::asio::awaitable<ExchangeResult>
   readStream(Parser &ResponseParser, const platform::ServerResponse &Head,
              StreamReceiver &Receiver);
+  bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
+  ExchangeResult stoppedResult(PartStatus Status) const;
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
+  ResponseMemory &Memory;
   std::function<void(const platform::ServerResponse &)> OnResponseHead;
   Timeout Timer;
   ExchangeLimits Limits;
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -120,13 +120,6 @@
   AddressOwner->second = Server.Record.Id;
 }
 
-/// Forgets the failures before a restart.
-void resetHealth(ServerState &Server) {
-  Server.ConsecutiveFailures = 0;
-  Server.FailureRate = 0;
-  Server.BackoffUntil = {};
-}
-
 auto findAbsentServer(ServerTable &Table, const std::string &Id) {
   return std::find_if(Table.AbsentServers.begin(), Table.AbsentServers.end(),
                       [&](const AbsentServer &Each) { return Each.Id == Id; });
@@ -152,6 +145,13 @@
   Table.AbsentServers.erase(Found);
 }
 
+/// Forgets the failures before a restart.
+void resetHealth(ServerState &Server) {
+  Server.ConsecutiveFailures = 0;
+  Server.FailureRate = 0;
+  Server.BackoffUntil = {};
+}
+
 void startBackoff(const ServerTableSettings &Settings, ServerState &Server,
                   TimePoint Now) {
   const std::uint32_t Doublings =
@@ -174,8 +174,8 @@
     Server.Weights.clear();
     Server.ReportedLoad.reset();
     Server.LoadingUntil = {};
-    resetHealth(Server);
     applyRestart(Server.Availability);
+    resetHealth(Server);
   }
   if (New)
     restoreNotices(Table, Server, Record);
@@ -183,8 +183,13 @@
   const std::int64_t Started =
       std::max(Server.Record.StartedAtMs, Record.StartedAtMs);
   const bool Outdated = Record.StartedAtMs < Started;
+  const bool IsEngine = Server.Record.Weights || Record.Weights;
   Server.Record = Record;
   Server.Record.StartedAtMs = Started;
+  // A record without weights does not make a model server one that serves
+  // every version.
+  if (IsEngine && !Record.Weights)
+    Server.Record.Weights.emplace();
   if (Record.Weights && !Outdated)
     mergeWeights(Server.Weights, *Record.Weights);
   const auto Region = Table.Settings.RegionOf.find(Record.FailureDomain);
@@ -218,9 +223,9 @@
     return false;
   if (EngineStatus.StartedAtMs > Server->Record.StartedAtMs) {
     Server->Weights.clear();
-    resetHealth(*Server);
     if (Server->Record.StartedAtMs != 0)
       applyRestart(Server->Availability);
+    resetHealth(*Server);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
   }
   mergeWeights(Server->Weights, EngineStatus.Weights);
