Count the crash of a server again soon after its restart

Callers could have seen one or two more crashes, when the same server crashed again within 1.5 s.

Cause: reports on one server within 1.5 s counted as one crash. A server that starts fast crashes again in less. Change: the time is 1 s. Reports of several gateways on one crash arrive within two probes and a message, some 200 ms. Measured: the new unit test fails with 1.5 s.

--- a/include/marigoldyard/coordination/crash_suspects.hpp
+++ b/include/marigoldyard/coordination/crash_suspects.hpp
@@ -24,7 +24,7 @@
   /// cause such as a power failure takes several servers at once.
   Duration CommonCauseTime = std::chrono::milliseconds(250);
   /// Reports on one server within this time are about the same crash.
-  Duration SameCrashTime = std::chrono::milliseconds(1500);
+  Duration SameCrashTime = std::chrono::milliseconds(1000);
   /// Time for a request with a suspect part to begin after the last crash that
   /// is needed, before the part is blocked.
   Duration ClearanceTime = std::chrono::milliseconds(400);
--- a/tests/src/unit-coordination-crash_suspects.cpp
+++ b/tests/src/unit-coordination-crash_suspects.cpp
@@ -65,6 +65,14 @@
   CHECK(blockSuspects(State, Start + 2s).empty());
 }
 
+// Guards against a server that starts quickly and hides its second crash.
+TEST_CASE("a server that crashes again soon after its restart counts twice") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"deadly"}, Start);
+  recordServerCrash(State, "s1", {"deadly"}, Start + 1400ms);
+  CHECK(blockSuspects(State, Start + 3s) == Parts{"deadly"});
+}
+
 TEST_CASE("a part with which requests began needs more crashes") {
   CrashSuspects State;
   recordRequestBegun(State, {"known"});
