--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -387,7 +387,10 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
-  if (Result.Fate == AttemptStatus::Completed &&
+  // A rejection by the server, such as 400, is no sign that a request began.
+  const bool Served =
+      EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
+  if (Result.Fate == AttemptStatus::Completed && Served &&
       !RequestInfo.SharedParts.empty())
     Owner.recordBegun(RequestInfo.SharedParts);
 }
@@ -397,7 +400,7 @@
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
   if (!ConnectionLost || EventReads >= EventReadsToBegin ||
-      RequestInfo.SharedParts.empty())
+      RequestInfo.SharedParts.empty() || isLeaving(Owner.servers(), LastServer))
     co_return;
   ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
                                                RequestInfo.SharedParts);
