--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -380,7 +380,8 @@
   if (StreamBegun && Result.Response)
     discardResponse(Result);
   recordAttempt(Id, Result);
-  co_await checkForCrash(Record.Address, Result);
+  if (!RequestInfo.SharedParts.empty())
+    co_await recordPartOutcome(Result, Record);
   co_return Result;
 }
 
@@ -391,23 +392,21 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
+}
+
+net::awaitable<void> RequestRun::recordPartOutcome(const ExchangeResult &Result,
+                                                   const ServerRecord &Record) {
   // A rejection by the server, such as 400, is no sign that a request began.
   const bool Served =
       EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
-  if (Result.Fate == AttemptStatus::Completed && Served &&
-      !RequestInfo.SharedParts.empty())
+  if (Result.Fate == AttemptStatus::Completed && Served)
     Owner.recordBegun(RequestInfo.SharedParts);
-}
-
-net::awaitable<void> RequestRun::checkForCrash(const std::string &Address,
-                                               const ExchangeResult &Result) {
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (!ConnectionLost || EventReads >= EventReadsToBegin ||
-      RequestInfo.SharedParts.empty() || isLeaving(Owner.servers(), LastServer))
-    co_return;
-  ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
-                                               RequestInfo.SharedParts);
+  if (ConnectionLost && EventReads < EventReadsToBegin &&
+      !isLeaving(Owner.servers(), Record.Id))
+    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
+                                                 RequestInfo.SharedParts);
 }
 
 void RequestRun::endStartWatch() {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -46,12 +46,13 @@
   void beginAttempt(const std::string &Id);
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   void recordAttempt(const std::string &Id, const ExchangeResult &Result);
-  boost::asio::awaitable<void> checkForCrash(const std::string &Address,
-                                             const ExchangeResult &Result);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
   void recordProgress();
+  /// Records what an attempt shows about the parts of the prompt.
+  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
+                                                 const ServerRecord &Record);
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
