--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -293,6 +293,34 @@
         check_noticed(name, fleet.engines, started, took)
 
 
+# Guards against a time limit that has no effect on a stream whose events never pause.
+def case_endless_stream(fleet):
+    """a stream of events without end ends at the deadline of its request, and does not look complete"""
+    for kind in (True, False):
+        forget(fleet)
+        use_routes(fleet, [pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", resume_streams=kind,
+                                    target_gap_ms=300)])
+        for pause in (0.0, 0.02):
+            def run(server, request, pause=pause):
+                first = int(request.headers.get("Last-Event-Id", 0)) + 1
+                try:
+                    request.connection.sendall(head_lines(server, request, more=["Content-Type: text/event-stream"])
+                                               + b"\r\n")
+                    while True:
+                        request.connection.sendall(events(server, range(first, first + 10)))
+                        first += 10
+                        time.sleep(pause)
+                except OSError:
+                    request.close_connection = True
+            for server in fleet.engines:
+                server.behaviours = [lambda request, server=server: run(server, request)] * 2
+            answer, _, took = call_timed(fleet.gateways[0], "/stream/1", "POST", b"p")
+            ids = event_ids(answer)
+            check(ids and ids == list(range(1, len(ids) + 1)), "events are missing or repeated")
+            check(not answer.whole, "the stream does not look complete")
+            check(took < 4, f"it ended after {took:.2f} s")
+
+
 def peak_memory_kb(process):
     with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
         return int(next(line for line in source if line.startswith("VmHWM")).split()[1])
@@ -402,8 +430,8 @@
 
 
 CASES = [case_repeated_refusal, case_error_after_stream_began, case_continued_at_third_server, case_endless_bytes,
-         case_endless_bytes_once, case_endless_event, case_memory_bound,
-         case_endless_request, case_without_length, case_stream_without_length]
+         case_endless_bytes_once, case_endless_event, case_endless_stream,
+         case_memory_bound, case_endless_request, case_without_length, case_stream_without_length]
 
 
 if __name__ == "__main__":
