Renew the block of a prompt part by a new crash only

What callers would have seen: requests with a part that was blocked by mistake, or whose servers were repaired, rejected until all gateways restart.

Cause: the crashes that led to a block stayed with the part. When the block ended they counted again, and one crash is enough then, so the part was blocked at once for twice as long, again and again.

Change: crashes before the end of the last block do not count after it.

Measured: the new unit test fails on the code before (three of its four checks) and passes; 231 unit cases pass.

--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -30,15 +30,19 @@
       });
 }
 
-/// Counts crashes, where servers that crash together count once.
+/// Counts crashes, where servers that crash together count once. Crashes before
+/// the end of the last block led to it or were sent before it.
 std::size_t countCrashes(const CrashSuspects &State, const SuspectPart &Part) {
   std::size_t Count = 0;
   TimePoint Start{};
-  for (const ServerCrash &Each : Part.Crashes)
+  for (const ServerCrash &Each : Part.Crashes) {
+    if (Part.BlockedUntil && Each.At < *Part.BlockedUntil)
+      continue;
     if (Count == 0 || Each.At - Start >= State.Settings.CommonCauseTime) {
       ++Count;
       Start = Each.At;
     }
+  }
   return Count;
 }
 
--- a/tests/src/unit-coordination-crash_suspects.cpp
+++ b/tests/src/unit-coordination-crash_suspects.cpp
@@ -129,3 +129,18 @@
   CHECK(State.BegunParts.size() + State.OlderBegunParts.size() <=
         2 * State.Settings.MaxBegunParts);
 }
+
+// Guards against blocks that renew themselves: the crashes before a block
+// counted again at its end, without a new one.
+TEST_CASE("a block that ends is renewed by a new crash only") {
+  CrashSuspects State;
+  recordServerCrash(State, "s1", {"part"}, Start);
+  recordServerCrash(State, "s2", {"part"}, Start + 1s);
+  REQUIRE(blockSuspects(State, Start + 2s) == Parts{"part"});
+  const TimePoint End = Start + 2s + State.Settings.BlockTime;
+  recordServerCrash(State, "s3", {"part"}, Start + 3s); // sent before the block
+  CHECK(blockSuspects(State, End + 20ms).empty());
+  CHECK_FALSE(findBlockedPart(State, {"part"}, End + 20ms));
+  recordServerCrash(State, "s4", {"part"}, End + 1s);
+  CHECK(blockSuspects(State, End + 1s) == Parts{"part"});
+}
