Do not take the end of a server that left for a crash

What callers would have seen: requests with a sound prompt part rejected after two or three servers were taken away that never said that they leave.

Cause: such a server loses its record, serves on and ends. A request that was there then finds its connection lost and the address closed, which is the evidence for a crash.

Change: the loss of a connection counts only while the server has a record. A crashed server keeps its record for some heartbeats, so crashes are not missed. The watch of a request's start also ends when its run does.

Measured: found by the review, by reading; no test shows it.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -94,6 +94,7 @@
 }
 
 RequestRun::~RequestRun() {
+  endStartWatch();
   if (Admitted)
     recordWorkFinished(Owner.drainProgress());
 }
@@ -403,8 +404,10 @@
     Owner.recordBegun(RequestInfo.SharedParts);
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (ConnectionLost && EventReads < EventReadsToBegin &&
-      !isLeaving(Owner.servers(), Record.Id))
+  // A server that leaves without a notice loses its record before it ends.
+  const bool MayHaveLeft = isLeaving(Owner.servers(), Record.Id) ||
+                           !Owner.servers().Servers.contains(Record.Id);
+  if (ConnectionLost && EventReads < EventReadsToBegin && !MayHaveLeft)
     ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
                                                  RequestInfo.SharedParts);
 }
