Reset connections of requests that are given up

Cause: two requests were sent at 26.16 s over a link that was narrowed, and given up at 27.46 s when no event had come. The connection was closed, but the link still held their bytes, and a graceful close delivers them: they reached the server at 29.30 s and ran at 29.47 s.

Change: a request that is withdrawn, cancelled or timed out ends with a reset of its connection, which discards what was not delivered.

Ruled out: only withdrawn requests; this one was given up by its time limit before the version went out of use.

Measured: case_given_up_request of test_versions.py sees a graceful end before and a reset now.

--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -96,23 +96,27 @@
     : Context(IoContext), Connections(IdleConnections), Memory(SharedMemory),
       OnResponseHead(std::move(HeadHandler)), Timer(Timeouts, [this] {
         // Cancelling has no effect on a read that never has to wait for bytes.
-        error_code Ignored;
-        if (Connection)
-          Connection->Socket.close(Ignored);
+        abortConnection();
       }) {}
 
 void ServerExchange::cancel() {
   Cancelled = true;
-  error_code Ignored;
-  if (Connection)
-    Connection->Socket.close(Ignored);
+  abortConnection();
 }
 
 void ServerExchange::withdraw() {
   Withdrawn = true;
-  error_code Ignored;
-  if (Connection)
-    Connection->Socket.close(Ignored);
+  abortConnection();
+}
+
+void ServerExchange::abortConnection() {
+  if (!Connection)
+    return;
+  error_code Ignored; // the socket is closed either way
+  // After a graceful close, a slow link would still deliver the request, and
+  // the server would run it although nobody waits for it.
+  Connection->Socket.set_option(net::socket_base::linger(true, 0), Ignored);
+  Connection->Socket.close(Ignored);
 }
 
 net::awaitable<ExchangeResult>
@@ -153,7 +157,7 @@
   }
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
-  if (Reusable && HasId && *RequestWritten && !Cancelled) {
+  if (Reusable && HasId && *RequestWritten && !Cancelled && !Withdrawn) {
     Connections.putBack(Address, std::move(Connection), now());
   } else {
     error_code Ignored;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -104,6 +104,8 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// Closes the connection and discards bytes that were not delivered yet.
+  void abortConnection();
   boost::asio::awaitable<bool> connect(const std::string &Address);
   boost::asio::awaitable<bool> send(const platform::RequestMessage &Request);
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -177,8 +177,32 @@
     check_withdrawn(fleet, acknowledged)
 
 
+# Guards against a request that is given up and reaches its server all the same, after the bound, because a slow link still
+# holds its bytes: a graceful close delivers them.
+def case_given_up_request(fleet):
+    """a request that is given up ends with a reset, which discards what a slow link still holds"""
+    ends = []
+
+    def wait_for_end(request):
+        request.connection.settimeout(10)
+        try:
+            ends.append("closed" if request.connection.recv(1) == b"" else "bytes")
+        except ConnectionResetError:
+            ends.append("reset")
+        request.close_connection = True
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", timeout_ms=3000,
+                                     resume_streams=True, target_gap_ms=300, max_attempts=1)])
+    wait_for(lambda: f'"configuration_accept","revision":{fleet.version},' in fleet.gateways[0].log_text(),
+             "the configuration is in force")
+    for server in fleet.engines:
+        server.behaviours = [wait_for_end]
+    call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    wait_for(lambda: ends, "the server sees the end")
+    check(ends == ["reset"], f"the connection ends with {ends}")
+
+
 CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_late_answer_of_store,
-         case_sent_before_declaration, case_head_before_start, case_record_gone]
+         case_sent_before_declaration, case_head_before_start, case_given_up_request, case_record_gone]
 
 
 if __name__ == "__main__":
