--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -50,9 +50,6 @@
   void endPrefill();
   void endStartWatch();
   void recordProgress();
-  /// Records what an attempt shows about the parts of the prompt.
-  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
-                                                 const ServerRecord &Record);
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
