--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -94,6 +94,7 @@
 }
 
 RequestRun::~RequestRun() {
+  endStartWatch();
   if (Admitted)
     recordWorkFinished(Owner.drainProgress());
 }
@@ -345,7 +346,9 @@
 }
 
 net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
-  const ServerRecord Record = Owner.servers().Servers.at(Id).Record;
+  const ServerState &Server = Owner.servers().Servers.at(Id);
+  const ServerRecord Record = Server.Record;
+  const std::uint64_t LoadedVersion = loadedVersion(Server, RequestInfo.Model);
   const platform::RequestMessage Outgoing = buildServerRequest(Id);
   const bool StreamBegun = HeadForwarded;
   beginAttempt(Id);
@@ -362,10 +365,12 @@
   StreamReceiver Receiver = streamReceiver();
   // The start of a buffered response is not visible, and work that runs at most
   // once must not be cut off after it.
-  if (MatchedRoute->IsStreaming ||
-      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce)
-    StartTicket = Owner.watchStart(
-        {Id, RequestInfo.Model, [&Exchange] { Exchange.withdraw(); }});
+  const bool CanWithdraw =
+      MatchedRoute->IsStreaming ||
+      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
+  if (Record.Weights && CanWithdraw)
+    StartTicket = Owner.watchStart({Id, RequestInfo.Model, LoadedVersion,
+                                    [&Exchange] { Exchange.withdraw(); }});
   ExchangeResult Result = co_await Exchange.run(
       Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(),
       MatchedRoute->IsStreaming ? &Receiver : nullptr);
@@ -376,7 +381,8 @@
   if (StreamBegun && Result.Response)
     discardResponse(Result);
   recordAttempt(Id, Result);
-  co_await checkForCrash(Record.Address, Result);
+  if (!RequestInfo.SharedParts.empty())
+    co_await recordPartOutcome(Result, Record);
   co_return Result;
 }
 
@@ -387,23 +393,23 @@
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
+}
+
+net::awaitable<void> RequestRun::recordPartOutcome(const ExchangeResult &Result,
+                                                   const ServerRecord &Record) {
   // A rejection by the server, such as 400, is no sign that a request began.
   const bool Served =
       EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
-  if (Result.Fate == AttemptStatus::Completed && Served &&
-      !RequestInfo.SharedParts.empty())
+  if (Result.Fate == AttemptStatus::Completed && Served)
     Owner.recordBegun(RequestInfo.SharedParts);
-}
-
-net::awaitable<void> RequestRun::checkForCrash(const std::string &Address,
-                                               const ExchangeResult &Result) {
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
-  if (!ConnectionLost || EventReads >= EventReadsToBegin ||
-      RequestInfo.SharedParts.empty() || isLeaving(Owner.servers(), LastServer))
-    co_return;
-  ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Address,
-                                               RequestInfo.SharedParts);
+  // A server that leaves without a notice loses its record before it ends.
+  const bool MayHaveLeft = isLeaving(Owner.servers(), Record.Id) ||
+                           !Owner.servers().Servers.contains(Record.Id);
+  if (ConnectionLost && EventReads < EventReadsToBegin && !MayHaveLeft)
+    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
+                                                 RequestInfo.SharedParts);
 }
 
 void RequestRun::endStartWatch() {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -46,8 +46,6 @@
   void beginAttempt(const std::string &Id);
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   void recordAttempt(const std::string &Id, const ExchangeResult &Result);
-  boost::asio::awaitable<void> checkForCrash(const std::string &Address,
-                                             const ExchangeResult &Result);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
