Wait for the second probe before a suspect request is sent again

What callers saw: one more server crashed where the first probe came before the crashed server's address was closed: the request was sent again meanwhile.

Cause: the second probe ran beside the retry.

The unit of isSuspect passes.

--- a/include/marigoldyard/coordination/crash_suspects.hpp
+++ b/include/marigoldyard/coordination/crash_suspects.hpp
@@ -108,6 +108,11 @@
 findBlockedPart(const CrashSuspects &State,
                 const std::vector<std::string> &Parts, TimePoint Now);
 
+/// @brief Whether a part of a prompt was at a crash and not begun since.
+/// @param Parts ids of the shared parts of the prompt
+bool isSuspect(const CrashSuspects &State,
+               const std::vector<std::string> &Parts);
+
 /// @brief Whether a request that was at a crashed server may be sent again:
 /// none of its parts was at several crashes without a success.
 /// @param Parts ids of the shared parts of the prompt
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -555,21 +555,34 @@
     recordCrash(RequestId, Address, Parts);
     co_return true;
   }
+  // A retry of a request with a suspect part may crash one more server, so it
+  // waits for the second probe.
+  if (isSuspect(Suspects, Parts)) {
+    const bool Crashed = co_await probeAgain(RequestId, Address, Parts);
+    co_return Crashed;
+  }
   net::co_spawn(
       Node.Context,
       [this, Request = std::move(RequestId), Server = std::move(Address),
        Shared = std::move(Parts)]() -> net::awaitable<void> {
-        net::steady_timer Pause(Node.Context, CrashProbePause);
-        error_code Ignored;
-        co_await Pause.async_wait(
-            net::redirect_error(net::use_awaitable, Ignored));
-        if (co_await refusesConnections(Server))
-          recordCrash(Request, Server, Shared);
+        co_await probeAgain(Request, Server, Shared);
       },
       net::detached);
   co_return false;
 }
 
+net::awaitable<bool>
+Gateway::probeAgain(const std::string &RequestId, const std::string &Address,
+                    const std::vector<std::string> &Parts) {
+  net::steady_timer Pause(Node.Context, CrashProbePause);
+  error_code Ignored;
+  co_await Pause.async_wait(net::redirect_error(net::use_awaitable, Ignored));
+  const bool Crashed = co_await refusesConnections(Address);
+  if (Crashed)
+    recordCrash(RequestId, Address, Parts);
+  co_return Crashed;
+}
+
 void Gateway::recordCrash(const std::string &RequestId,
                           const std::string &Address,
                           const std::vector<std::string> &Parts) {
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -174,6 +174,11 @@
   void handleEngineStatus(const std::string &Stager,
                           const EngineStatus &Status);
   void handlePoolQuery(const std::string &Stager, const PoolQuestion &Query);
+  /// Checks for a crash after a pause: a process that ends may close its
+  /// connections before its listening socket.
+  boost::asio::awaitable<bool>
+  probeAgain(const std::string &RequestId, const std::string &Address,
+             const std::vector<std::string> &Parts);
   void handlePartReport(const std::string &Peer, const PromptPartReport &News);
   boost::asio::awaitable<bool> refusesConnections(const std::string &Address);
   void recordCrash(const std::string &RequestId, const std::string &Address,
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -46,6 +46,8 @@
   void beginAttempt(const std::string &Id);
   boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
   void recordAttempt(const std::string &Id, const ExchangeResult &Result);
+  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
+                                                 const ServerRecord &Record);
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -264,6 +264,13 @@
   return std::nullopt;
 }
 
+bool isSuspect(const CrashSuspects &State,
+               const std::vector<std::string> &Parts) {
+  return std::any_of(Parts.begin(), Parts.end(), [&](const std::string &Part) {
+    return State.Suspects.contains(Part);
+  });
+}
+
 bool mayRetryAfterCrash(const CrashSuspects &State,
                         const std::vector<std::string> &Parts) {
   return std::none_of(Parts.begin(), Parts.end(), [&](const std::string &Part) {
--- a/tests/src/unit-coordination-crash_suspects.cpp
+++ b/tests/src/unit-coordination-crash_suspects.cpp
@@ -18,6 +18,8 @@
   CrashSuspects State;
   recordServerCrash(State, "s1", {"shared", "deadly", "a"}, Start);
   CHECK(mayRetryAfterCrash(State, {"deadly"}));
+  CHECK(isSuspect(State, {"other", "deadly"}));
+  CHECK_FALSE(isSuspect(State, {"other"}));
   CHECK(blockSuspects(State, Start + 1s).empty());
   CHECK(recordRequestBegun(State, {"shared", "b"}) == Parts{"shared"});
   recordServerCrash(State, "s2", {"shared", "deadly", "c"}, Start + 2s);
