Split the gateway by versions and prompt parts

Change: the bound of versions and the blocking of prompt parts move to files of their own; formatSeconds, which stood twice, is declared with the log. No behaviour changes.

--- a/include/marigoldyard/transport/log.hpp
+++ b/include/marigoldyard/transport/log.hpp
@@ -25,6 +25,10 @@
 /// @return "debug", "info", "warning" or "error"
 std::string_view logLevelName(LogLevel Value);
 
+/// @brief Formats a time span for a log field.
+/// @return seconds with three decimals
+std::string formatSeconds(Duration Value);
+
 /// @brief One event for the log. Empty members are left out of the line.
 struct LogEvent {
   LogLevel Level = LogLevel::Info;
--- /dev/null
+++ b/programs/gateway/gateway_prompt_parts.cpp
@@ -0,0 +1,182 @@
+#include "programs/gateway/gateway.hpp"
+
+#include "marigoldyard/transport/clock.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace marigoldyard {
+
+namespace net = boost::asio;
+using Tcp = net::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// A process that has ended refuses connections at once; a server that is only
+/// slow does not matter here.
+constexpr std::chrono::milliseconds CrashProbeTimeout{100};
+/// Pause before the second probe: a process that ends may close its
+/// connections before its listening socket.
+constexpr std::chrono::milliseconds CrashProbePause{50};
+} // namespace
+
+void Gateway::handlePartReport(const std::string &Peer,
+                               const PromptPartReport &News) {
+  const TimePoint Now = now();
+  if (!News.CrashedServer.empty())
+    recordServerCrash(Suspects, News.CrashedServer, News.Suspected, Now);
+  for (const std::string &Part : News.Blocked)
+    if (blockPart(Suspects, Part, Now))
+      logPartBlocked(Part, Peer);
+  for (const std::string &Part : News.Begun)
+    clearPart(Suspects, Part);
+  blockSuspectParts();
+}
+
+void Gateway::sendPartReport(const PromptPartReport &News) {
+  for (const std::string &Address : Node.gatewayAddresses())
+    Node.send(Address, News);
+}
+
+void Gateway::recordBegun(const std::vector<std::string> &Parts) {
+  PromptPartReport News;
+  News.Begun = recordRequestBegun(Suspects, Parts);
+  if (!News.Begun.empty())
+    sendPartReport(News);
+}
+
+net::awaitable<bool> Gateway::refusesConnections(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  error_code Failure;
+  const auto Host = net::ip::make_address(Address.substr(0, Colon), Failure);
+  if (Failure || Colon == std::string::npos)
+    co_return false;
+  const auto Port = static_cast<std::uint16_t>(
+      std::strtoul(Address.c_str() + Colon + 1, nullptr, 10));
+  Tcp::socket Socket(Node.Context);
+  Timeout Limit(Node.Timeouts, [&Socket] {
+    error_code Ignored;
+    Socket.close(Ignored);
+  });
+  Limit.expiresAt(now() + CrashProbeTimeout);
+  co_await Socket.async_connect(
+      Tcp::endpoint(Host, Port),
+      net::redirect_error(net::use_awaitable, Failure));
+  Limit.clear();
+  co_return Failure == net::error::connection_refused;
+}
+
+net::awaitable<bool> Gateway::checkForCrash(std::string RequestId,
+                                            std::string Address,
+                                            std::vector<std::string> Parts) {
+  if (co_await refusesConnections(Address)) {
+    recordCrash(RequestId, Address, Parts);
+    co_return true;
+  }
+  // A retry of a request with a suspect part may crash one more server, so it
+  // waits for the second probe.
+  if (isSuspect(Suspects, Parts)) {
+    const bool Crashed = co_await probeAgain(RequestId, Address, Parts);
+    co_return Crashed;
+  }
+  net::co_spawn(
+      Node.Context,
+      [this, Request = std::move(RequestId), Server = std::move(Address),
+       Shared = std::move(Parts)]() -> net::awaitable<void> {
+        co_await probeAgain(Request, Server, Shared);
+      },
+      net::detached);
+  co_return false;
+}
+
+net::awaitable<bool>
+Gateway::probeAgain(const std::string &RequestId, const std::string &Address,
+                    const std::vector<std::string> &Parts) {
+  net::steady_timer Pause(Node.Context, CrashProbePause);
+  error_code Ignored;
+  co_await Pause.async_wait(net::redirect_error(net::use_awaitable, Ignored));
+  const bool Crashed = co_await refusesConnections(Address);
+  if (Crashed)
+    recordCrash(RequestId, Address, Parts);
+  co_return Crashed;
+}
+
+void Gateway::recordCrash(const std::string &RequestId,
+                          const std::string &Address,
+                          const std::vector<std::string> &Parts) {
+  Node.Log.write(
+      {.Event = "server_crashed",
+       .At = Step::Send,
+       .Peer = Address,
+       .Request = RequestId,
+       .Fields = {{"parts", fmt::format("{}", fmt::join(Parts, ","))}}});
+  Node.ProcessMetrics
+      .counter("marigoldyard_crash_requests_total",
+               "Requests that had not begun at a server that crashed")
+      .add();
+  PromptPartReport News;
+  News.CrashedServer = Address;
+  News.Suspected = Parts;
+  recordServerCrash(Suspects, Address, Parts, now());
+  sendPartReport(News);
+  blockSuspectParts();
+}
+
+void Gateway::blockSuspectParts() {
+  PromptPartReport News;
+  News.Blocked = blockSuspects(Suspects, now());
+  if (News.Blocked.empty())
+    return;
+  for (const std::string &Part : News.Blocked)
+    logPartBlocked(Part, Settings.Process.Address);
+  sendPartReport(News);
+}
+
+void Gateway::logPartBlocked(const std::string &Part,
+                             const std::string &Source) {
+  std::string CrashedServers;
+  const SuspectPart &Blocked = Suspects.Suspects.at(Part);
+  for (const ServerCrash &Each : Blocked.Crashes)
+    CrashedServers += (CrashedServers.empty() ? "" : ",") + Each.Server;
+  const auto TimeLeft = Blocked.BlockedUntil.value_or(now()) - now();
+  Node.Log.write(
+      {.Level = LogLevel::Warning,
+       .Event = "prompt_part_blocked",
+       .At = Step::Admission,
+       .Peer = Source,
+       .Fields = {
+           {"part", Part},
+           {"crashes", std::to_string(Blocked.Crashes.size())},
+           {"servers", CrashedServers},
+           {"times_blocked", std::to_string(Blocked.TimesBlocked)},
+           {"seconds",
+            std::to_string(
+                std::chrono::duration_cast<std::chrono::seconds>(TimeLeft)
+                    .count())}}});
+  Node.ProcessMetrics
+      .counter("marigoldyard_blocked_parts_total",
+               "Prompt parts blocked because servers crashed on them")
+      .add();
+}
+
+void Gateway::recordBlockedRequest(const std::string &RequestId,
+                                   const BlockedPart &Blocked) {
+  Node.Log.write({.Event = "request_blocked",
+                  .At = Step::Admission,
+                  .Request = RequestId,
+                  .Fields = {{"part", Blocked.Part},
+                             {"crashes", std::to_string(Blocked.Crashes)}}});
+  Node.ProcessMetrics
+      .counter(
+          "marigoldyard_blocked_requests_total",
+          "Requests rejected because servers crash on a part of the prompt")
+      .add();
+}
+
+} // namespace marigoldyard
--- /dev/null
+++ b/programs/gateway/gateway_versions.cpp
@@ -0,0 +1,183 @@
+#include "programs/gateway/gateway.hpp"
+
+#include "marigoldyard/transport/clock.hpp"
+#include "platform/store_format.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace marigoldyard {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Reported declarations that are kept; older ones are dropped first.
+constexpr std::size_t MaxReportedDeclarations = 256;
+
+} // namespace
+
+void Gateway::recordDeclaredVersion(const StoreItem &Item) {
+  const auto Version = platform::parseDeclaredVersion(Item.Value);
+  if (!Version) {
+    Node.Log.write("version_refused", Version.error());
+    return;
+  }
+  DeclaredVersions[Version->Model] =
+      std::max(DeclaredVersions[Version->Model], Version->Version);
+  sendPoolDescriptions();
+  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(),
+                               Node.Store.unavailableAt(), std::nullopt};
+  if (const auto Report = ReportedDeclarations.find(*Version);
+      Report != ReportedDeclarations.end())
+    Evidence.ReportedAt = latestReport(Report->second);
+  PendingVersions.push_back({*Version, Evidence});
+  logDeclaration("version_declared", PendingVersions.back());
+  sendVersionDeclarations();
+}
+
+void Gateway::logDeclaration(std::string_view Event,
+                             const PendingVersion &Pending) {
+  const auto Ago = [Now = now()](const std::optional<TimePoint> &At) {
+    return At ? formatSeconds(Now - *At) : std::string();
+  };
+  const VersionDeadlines Deadlines =
+      versionDeadlines(versionBound(), Pending.Evidence);
+  Node.Log.write(
+      {.Event = std::string(Event),
+       .At = Step::ConfigurationAccept,
+       .Fields = {
+           {"model", Pending.Declared.Model},
+           {"version", std::to_string(Pending.Declared.Version)},
+           {"learned_s_ago", Ago(Pending.Evidence.LearnedAt)},
+           {"confirmed_s_ago", Ago(Pending.Evidence.ConfirmedAt)},
+           {"unavailable_s_ago", Ago(Pending.Evidence.UnavailableAt)},
+           {"reported_s_ago", Ago(Pending.Evidence.ReportedAt)},
+           {"required_in_s", formatSeconds(Deadlines.RequiredAt - now())}}});
+}
+
+VersionBoundSettings Gateway::versionBound() const {
+  VersionBoundSettings Bound;
+  Bound.Limit = Settings.Process.VersionLimit;
+  return Bound;
+}
+
+void Gateway::handleVersionDeclarations(
+    const std::string &Sender, const VersionDeclarations &Declarations) {
+  const TimePoint Now = now();
+  for (const DeclarationAge &Each : Declarations.Recent) {
+    const DeclaredVersion Declared{Each.Model, Each.Version};
+    const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
+    DeclarationReports &Reports = ReportedDeclarations[Declared];
+    addReport(Reports, Sender, At);
+    for (PendingVersion &Pending : PendingVersions) {
+      if (Pending.Declared != Declared)
+        continue;
+      const bool FirstReport = !Pending.Evidence.ReportedAt;
+      Pending.Evidence.ReportedAt = latestReport(Reports);
+      if (FirstReport)
+        logDeclaration("version_age_reported", Pending);
+    }
+  }
+  while (ReportedDeclarations.size() > MaxReportedDeclarations)
+    ReportedDeclarations.erase(std::min_element(
+        ReportedDeclarations.begin(), ReportedDeclarations.end(),
+        [](const auto &A, const auto &B) {
+          return latestReport(A.second) < latestReport(B.second);
+        }));
+}
+
+void Gateway::sendVersionDeclarations() {
+  VersionDeclarations Declarations;
+  const TimePoint Now = now();
+  for (const PendingVersion &Each : PendingVersions)
+    if (wasInContact(Each.Evidence))
+      Declarations.Recent.push_back(
+          {Each.Declared.Model, Each.Declared.Version,
+           std::chrono::ceil<milliseconds>(Now - *Each.Evidence.ConfirmedAt)});
+  if (Declarations.Recent.empty())
+    return;
+  for (const auto &[Address, Other] : Node.liveGateways())
+    Node.send(Address, Declarations);
+}
+
+void Gateway::enforceVersions() {
+  const TimePoint Now = now();
+  withdrawUnstarted(Now);
+  std::erase_if(PendingVersions, [&](PendingVersion &Each) {
+    const VersionDeadlines Deadlines =
+        versionDeadlines(versionBound(), Each.Evidence);
+    if (Now >= Deadlines.RequiredAt && !std::exchange(Each.Required, true)) {
+      requireVersion(Servers, Each.Declared);
+      logDeclaration("version_required", Each);
+    }
+    return Now >= Deadlines.StartBy && Each.Required;
+  });
+}
+
+std::optional<TimePoint> Gateway::startDeadline(const std::string &Model,
+                                                std::uint64_t Version) const {
+  std::optional<TimePoint> Earliest;
+  for (const PendingVersion &Each : PendingVersions) {
+    if (Each.Declared.Model != Model || Each.Declared.Version <= Version)
+      continue;
+    const TimePoint StartBy =
+        versionDeadlines(versionBound(), Each.Evidence).StartBy;
+    Earliest = std::min(Earliest.value_or(StartBy), StartBy);
+  }
+  const auto Required = Servers.RequiredVersions.find(Model);
+  if (!Earliest && Required != Servers.RequiredVersions.end() &&
+      Version < Required->second)
+    return TimePoint::min();
+  return Earliest;
+}
+
+std::uint64_t Gateway::watchStart(UnstartedRequest Watched) {
+  UnstartedRequests.emplace(++LastStartTicket, std::move(Watched));
+  return LastStartTicket;
+}
+
+void Gateway::endStartWatch(std::uint64_t Ticket) {
+  UnstartedRequests.erase(Ticket);
+}
+
+void Gateway::withdrawUnstarted(TimePoint Now) {
+  if (PendingVersions.empty())
+    return; // outdated servers get no requests any more
+  for (const auto &[Ticket, Each] : UnstartedRequests) {
+    const auto Server = Servers.Servers.find(Each.Server);
+    // The record of a server that still runs may be gone.
+    const std::uint64_t Version =
+        Server == Servers.Servers.end()
+            ? Each.Version
+            : loadedVersion(Server->second, Each.Model);
+    const auto StartBy = startDeadline(Each.Model, Version);
+    if (StartBy && Now >= *StartBy)
+      Each.Withdraw();
+  }
+}
+
+void Gateway::recordStart(const std::string &Request, const std::string &Server,
+                          const std::string &Model, std::uint64_t Version) {
+  const auto StartBy = startDeadline(Model, Version);
+  if (!StartBy || now() < *StartBy)
+    return;
+  const auto Known = Servers.Servers.find(Server);
+  const std::uint64_t KnownVersion =
+      Known == Servers.Servers.end() ? 0 : loadedVersion(Known->second, Model);
+  Node.Log.write({.Level = LogLevel::Warning,
+                  .Event = "started_on_old_version",
+                  .At = Step::Routing,
+                  .Request = Request,
+                  .Fields = {{"server", Server},
+                             {"model", Model},
+                             {"version", std::to_string(Version)},
+                             {"known_version", std::to_string(KnownVersion)}}});
+  Node.ProcessMetrics
+      .counter("marigoldyard_late_starts_total",
+               "Requests that started on an older version after its bound", {})
+      .add();
+}
+
+} // namespace marigoldyard
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -79,10 +79,6 @@
   Result.Response.reset();
 }
 
-std::string formatSeconds(Duration Value) {
-  return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
-}
-
 } // namespace
 
 RequestRun::RequestRun(Gateway &OwningGateway, CallerSession &CallerConnection,
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -24,6 +24,10 @@
 
 } // namespace
 
+std::string formatSeconds(Duration Value) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(Value).count());
+}
+
 std::string_view logLevelName(LogLevel Value) {
   static constexpr std::string_view Names[] = {"debug", "info", "warning",
                                                "error"};
