Take reports on a version that a newer declaration hides

Cause: gateways that were added at 23.0 s read only version 3 from the store, which was declared at 21.2 s, and took its age from reports. Version 2 of 18.0 s is not in the store any more, and reports on it were ignored.

Change: a report on a version that is older than the newest known one and not required yet is kept like an own declaration.

--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -199,6 +199,7 @@
                                          std::uint64_t Version) const;
   void handleVersionDeclarations(const std::string &Sender,
                                  const VersionDeclarations &Declarations);
+  void addReported(const DeclaredVersion &Declared);
   void sendVersionDeclarations();
   void enforceVersions();
   void withdrawUnstarted(TimePoint Now);
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -63,6 +63,21 @@
   return Bound;
 }
 
+void Gateway::addReported(const DeclaredVersion &Declared) {
+  const auto Required = Servers.RequiredVersions.find(Declared.Model);
+  const bool IsRequired = Required != Servers.RequiredVersions.end() &&
+                          Required->second >= Declared.Version;
+  const bool IsKnown = std::any_of(
+      PendingVersions.begin(), PendingVersions.end(),
+      [&](const PendingVersion &Each) { return Each.Declared == Declared; });
+  // A newer declaration hides this one from a process that has just started.
+  const auto Newest = DeclaredVersions.find(Declared.Model);
+  if (!IsRequired && !IsKnown && Newest != DeclaredVersions.end() &&
+      Newest->second > Declared.Version)
+    PendingVersions.push_back(
+        {Declared, {now(), std::nullopt, std::nullopt, std::nullopt}});
+}
+
 void Gateway::handleVersionDeclarations(
     const std::string &Sender, const VersionDeclarations &Declarations) {
   const TimePoint Now = now();
@@ -71,6 +86,7 @@
     const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
     DeclarationReports &Reports = ReportedDeclarations[Declared];
     addReport(Reports, Sender, At);
+    addReported(Declared);
     for (PendingVersion &Pending : PendingVersions) {
       if (Pending.Declared != Declared)
         continue;
