Share the retry budget so that its sum holds over restarts

Cause: a gateway that starts knows no other yet, took the whole reserve as its part and held it as tokens. Each restart of a rolling restart added 0.7 of the fleet's reserve. A gateway that lost sight of the others took a larger part, too.

Change: RetryShare.

Ruled out: repeats after Withdrawn. The gateway never reports that status; what it withdraws counts as Lost and is charged. NeverSent reaches no server.

--- a/include/marigoldyard/coordination/retry.hpp
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -71,6 +71,8 @@
   /// Whether every retry after a refusal is charged. False exempts refusals
   /// because of a changed configuration or an endpoint that is leaving.
   bool ChargeRefusals = false;
+  bool ReserveGranted =
+      false; ///< with a share in a reserve of several processes
   TimePoint UpdatedAt{};
   std::uint64_t FirstAttempts = 0;
   std::uint64_t Retries = 0;
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -47,9 +47,6 @@
 constexpr double DrainAcceptFraction = 0.3;
 /// Time between the last end of a request and the platform's SIGKILL.
 constexpr std::chrono::milliseconds ExitMargin{600};
-/// Fraction of the shared retry budget that is used, because a restarted
-/// process starts with a full reserve again.
-constexpr double RetryBudgetFraction = 0.7;
 
 } // namespace
 
@@ -60,6 +57,8 @@
            {"", "", MinWatchPause, MaxFirstReadPause, WatchTimeout}) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
+  SharedRetries.Limit = {Settings.RetryShare, Settings.RetryReserve};
+  SharedRetries.StartedAt = now();
   DrainProgress.Process = Settings.Process.Name;
 }
 
@@ -375,21 +374,13 @@
       Node.send(Address, PoolAnswer{describePool(Stager.Pool)});
 }
 
-double Gateway::retryReserve() const {
-  return RetryBudgetFraction * Settings.RetryReserve /
-         static_cast<double>(1 + OtherGateways);
-}
-
 RetryBudget &Gateway::retryBudget(const std::string &Pool) {
   const auto [Found, New] = RetryBudgets.try_emplace(Pool);
-  RetryBudget &Budget = Found->second;
-  if (New) {
-    Budget.RetryRatio = RetryBudgetFraction * Settings.RetryShare;
-    Budget.ChargeRefusals = true;
-    Budget.Tokens = retryReserve();
-  }
-  Budget.Reserve = retryReserve();
-  return Budget;
+  if (New)
+    Found->second = makeRetryBudget(SharedRetries, now());
+  else
+    updateRetryBudget(SharedRetries, Found->second, now());
+  return Found->second;
 }
 
 net::awaitable<ServerChoice> Gateway::acquireServer(
@@ -554,7 +545,8 @@
       Node.Store.isInitialized() ? Node.Store.mirror().Revision : 0;
   for (const auto &[Address, Other] : Node.liveGateways())
     Status.Gateways.push_back(Address);
-  OtherGateways = Status.Gateways.size();
+  const std::size_t OtherGateways = Status.Gateways.size();
+  recordPeers(SharedRetries, OtherGateways);
   Node.Store.setWatchDelay(
       std::clamp(WatchPausePerGateway * static_cast<int>(1 + OtherGateways),
                  MinWatchPause, MaxWatchPause));
@@ -592,8 +584,7 @@
 void Gateway::reloadSettings() {
   if (auto Reloaded = File.readIfChanged()) {
     Settings.Process.Seeds = Reloaded->Process.Seeds;
-    Settings.RetryShare = Reloaded->RetryShare;
-    Settings.RetryReserve = Reloaded->RetryReserve;
+    SharedRetries.Limit = {Reloaded->RetryShare, Reloaded->RetryReserve};
     Settings.DirectoryTime = Reloaded->DirectoryTime;
     Node.applySettings(Reloaded->Process);
     Node.Log.write({.Event = "settings_reloaded", .At = Step::Settings});
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -5,7 +5,7 @@
 #include "marigoldyard/coordination/drain.hpp"
 #include "marigoldyard/coordination/pool_facts.hpp"
 #include "marigoldyard/coordination/response_memory.hpp"
-#include "marigoldyard/coordination/retry.hpp"
+#include "marigoldyard/coordination/retry_share.hpp"
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
 #include "marigoldyard/coordination/version_bound.hpp"
@@ -212,7 +212,6 @@
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
   void terminate();
   void reloadSettings();
-  double retryReserve() const;
 
   GatewaySettings Settings;
   SettingsFile<GatewaySettings> File;
@@ -224,8 +223,7 @@
   ServerConnections Connections;
   ResponseMemory Responses;
   std::map<std::string, RetryBudget> RetryBudgets; ///< by pool
-  std::size_t OtherGateways =
-      0; ///< number of live ones; they share the retry reserve
+  RetryShare SharedRetries; ///< part of this gateway in the retries of all
   DrainState DrainProgress;
   bool LoggedReady = false; ///< readiness as last logged
   /// A stager from which a message arrived recently.
