Follow the store beside odd entries of other writers

What operators of similar systems saw: one odd entry among those of the servers, and machines that read the list stopped following it.

Cause: parseStoreResponse gave up a whole listing or watch at the first item that it could not read, so that one value which is not base64 ended the following of the store. parseServerRecord took any address with a colon, so that a record with port 99,999 or a host name joined its pool, was chosen and could not be connected to.

Change: an item that cannot be read is left out, or has no value, and is logged with the number of such items; the others hold. An address is an IP number with a port from 1 to 65535. parseEndpoint, which stood three times, is one function of the transport layer; it also rejects port 0.

Ruled out: very deep nesting and numbers of 400 digits end no process.

--- a/include/marigoldyard/state/store_item.hpp
+++ b/include/marigoldyard/state/store_item.hpp
@@ -27,6 +27,8 @@
   std::vector<StoreItem> Items;
   bool Truncated = false; ///< more keys follow the last item
   StoreRevision Revision = 0;
+  /// Why items were left out, or have no value.
+  std::vector<std::string> Faults;
 };
 
 } // namespace marigoldyard
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -102,6 +102,7 @@
     ListedItems.clear();
     return scheduleCall(MaxBackoff, &StoreReader::requestListing);
   }
+  logFaults(*Page);
   if (ListedItems.empty())
     ListedRevision = Page->Revision;
   std::move(Page->Items.begin(), Page->Items.end(),
@@ -144,6 +145,7 @@
     Log.write("store_answer_invalid", Events.error());
     return scheduleCall(MaxBackoff, &StoreReader::requestListing);
   }
+  logFaults(*Events);
   recordResponse();
   notifyChanges(applyEvents(Mirror, Events->Items, Events->Revision));
   ConfirmedAt = confirmedByWatch(CallSentAt, LastResponseAt,
@@ -155,6 +157,17 @@
                &StoreReader::requestChanges);
 }
 
+void StoreReader::logFaults(const StoreResponse &Response) {
+  if (Response.Faults.empty())
+    return;
+  Log.write({.Level = LogLevel::Warning,
+             .Event = "store_items_invalid",
+             .At = Step::ConfigurationRead,
+             .Number = Response.Revision,
+             .Fields = {{"items", std::to_string(Response.Faults.size())},
+                        {"first", Response.Faults.front()}}});
+}
+
 void StoreReader::recordResponse() {
   if (ContactLost)
     Log.write({.Event = "store_regained",
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -90,6 +90,8 @@
   void handleChanges(const HttpResult &Result);
   void handleFailure(const HttpResult &Result);
   void recordResponse();
+  /// Logs the number of items of another writer that could not be read.
+  void logFaults(const StoreResponse &Response);
   void scheduleCall(std::chrono::milliseconds Delay,
                     void (StoreReader::*Next)());
   void notifyChanges(const ChangedKeys &Keys);
--- a/programs/gateway/gateway_prompt_parts.cpp
+++ b/programs/gateway/gateway_prompt_parts.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/gateway.hpp"
 
 #include "marigoldyard/transport/clock.hpp"
+#include "marigoldyard/transport/endpoint.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -52,13 +53,10 @@
 }
 
 net::awaitable<bool> Gateway::refusesConnections(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  error_code Failure;
-  const auto Host = net::ip::make_address(Address.substr(0, Colon), Failure);
-  if (Failure || Colon == std::string::npos)
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
     co_return false;
-  const auto Port = static_cast<std::uint16_t>(
-      std::strtoul(Address.c_str() + Colon + 1, nullptr, 10));
+  error_code Failure;
   Tcp::socket Socket(Node.Context);
   Timeout Limit(Node.Timeouts, [&Socket] {
     error_code Ignored;
@@ -66,8 +64,7 @@
   });
   Limit.expiresAt(now() + CrashProbeTimeout);
   co_await Socket.async_connect(
-      Tcp::endpoint(Host, Port),
-      net::redirect_error(net::use_awaitable, Failure));
+      *Endpoint, net::redirect_error(net::use_awaitable, Failure));
   Limit.clear();
   co_return Failure == net::error::connection_refused;
 }
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/coordination/response_match.hpp"
 #include "marigoldyard/transport/clock.hpp"
+#include "marigoldyard/transport/endpoint.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -39,21 +40,6 @@
 constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
 constexpr unsigned FirstServerError = 500;
 
-std::optional<Tcp::endpoint> parseEndpoint(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  error_code Failure;
-  const auto Host = net::ip::make_address(Address.substr(0, Colon), Failure);
-  std::uint16_t Port = 0;
-  const std::string_view Digits = std::string_view(Address).substr(Colon + 1);
-  const auto Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (Failure || Parsed.ec != std::errc())
-    return std::nullopt;
-  return Tcp::endpoint(Host, Port);
-}
-
 bool succeeded(unsigned Status) { return Status / 100 == 2; }
 
 void appendBody(BufferedResponse &Response, std::string_view Bytes) {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,12 +1,12 @@
 #include "marigoldyard/transport/http_client.hpp"
 
 #include "marigoldyard/transport/detail/http_call.hpp"
+#include "marigoldyard/transport/endpoint.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <sstream>
 #include <sys/socket.h>
 
@@ -25,26 +25,6 @@
 /// it.
 constexpr std::size_t MaxHeaderBytes = 64UL << 10;
 
-std::optional<Tcp::endpoint> parseEndpoint(std::string_view Address) {
-  auto Colon = Address.rfind(':');
-  if (Colon == std::string_view::npos)
-    return std::nullopt;
-  std::string_view Host = Address.substr(0, Colon);
-  std::string_view Digits = Address.substr(Colon + 1);
-  std::uint16_t Port = 0;
-  auto [End, Status] =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (Status != std::errc() || End != Digits.data() + Digits.size())
-    return std::nullopt;
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    Host = Host.substr(1, Host.size() - 2);
-  beast::error_code Failure;
-  auto Ip = net::ip::make_address(std::string(Host), Failure);
-  if (Failure)
-    return std::nullopt;
-  return Tcp::endpoint(Ip, Port);
-}
-
 /// An idle connection must have nothing to read: a close or stray bytes make it
 /// unusable.
 bool usable(HttpConnection &Idle) {
