Do not ask an origin that recovers for several copies

What callers saw: between the bound of a version and its arrival nothing is served.

Change: a standby owner returns a chunk to its owner when the origin fails for it too, or when the owner obtains chunks; another region goes to the origin only when the source region is silent; uploads are accepted by the agent's own rate; the version wanted first is fetched and imported first. Maps follow a change after 120 ms instead of 60.

--- a/include/marigoldyard/coordination/detail/transfer_roles.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_roles.hpp
@@ -94,6 +94,24 @@
 /// @param Index the chunk
 void assignToSelf(TransferState &State, ChunkIndex Index);
 
+/// @brief Whether the preferred owner of a chunk obtains chunks, so that it is
+/// not stuck. Its uploads may be too slow to answer requests all the same.
+/// @param State the transfers
+/// @param Index the chunk
+/// @param Now the time
+/// @return whether the owner's map recently showed a new chunk
+bool isOwnerProgressing(const TransferState &State, ChunkIndex Index,
+                        TimePoint Now);
+
+/// @brief Returns a chunk that the agent took over from the preferred owner in
+/// the local region, so that the agent requests it from the owner again.
+/// @param State the transfers
+/// @param Index chunk to fetch from the store; one that the agent owns stays
+/// assigned, and so does one whose owner neither answers nor obtains chunks
+/// @param Now the time
+/// @return whether the chunk was returned
+bool returnToOwner(TransferState &State, ChunkIndex Index, TimePoint Now);
+
 /// @brief Removes the pending request for a chunk to a peer or the store, if
 /// any. The chunk becomes missing again unless it is held.
 /// @param State the transfers
--- a/include/marigoldyard/coordination/detail/transfer_state.hpp
+++ b/include/marigoldyard/coordination/detail/transfer_state.hpp
@@ -146,6 +146,7 @@
   std::uint32_t Corrupt = 0;
   std::uint32_t Timeouts = 0;
   std::uint32_t Bans = 0;
+  TimePoint LastGainAt;   ///< its map last showed a chunk that it lacked
   TimePoint RefusedSince; ///< first refusal since it last sent a chunk
   TimePoint BusyUntil;
   TimePoint LostUntil;
@@ -163,7 +164,8 @@
   std::vector<PeerIndex> MapSenders; ///< peers that sent a chunk map
   ChunkBits ImportedChunks; ///< chunks that the agent imports from this region
   std::size_t InFlight = 0;
-  TimePoint NextProbeAt; ///< earliest next request to a peer without a map
+  TimePoint NextProbeAt;  ///< earliest next request to a peer without a map
+  TimePoint LastAnswerAt; ///< latest map, refusal or chunk from this region
   TimePoint
       LastProgressAt;   ///< latest chunk from this region, or start of the wait
   TimePoint NextSendAt; ///< when the link's rate limit allows the next chunk
--- a/include/marigoldyard/coordination/transfer.hpp
+++ b/include/marigoldyard/coordination/transfer.hpp
@@ -66,6 +66,12 @@
 using TransferAction = std::variant<FetchFromStore, RequestFromPeer, SendChunk,
                                     RefuseChunk, AnnounceMap, DropChunk>;
 
+/// @brief Settings for weights that must reach all VMs within seconds, over
+/// links of VMs that are narrower than the links between regions. Stalls are
+/// detected within a fraction of that time.
+/// @return settings without names and rates
+TransferSettings makeNarrowLinkSettings();
+
 /// @brief Creates the transfer state of an agent without peers or versions.
 /// @param Settings names, rates and limits
 /// @return state that contains only the agent itself
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -12,54 +12,21 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr std::uint64_t BitsPerByte = 8;
-/// Time to wait for the chunk maps of peers: a few round trips, and longer
-/// after startup.
-constexpr Duration MapWait = std::chrono::milliseconds(80);
+/// Time to wait for the chunk maps of peers after startup.
 constexpr Duration StartupMapWait = std::chrono::milliseconds(350);
 constexpr Duration StartupPeriod = std::chrono::seconds(3);
 
-/// Maximum number of pending chunk requests while the server serves, since its
-/// requests and tokens share the link.
-constexpr std::size_t ServingInFlight = 2;
 /// The same maximum while the server has no weights loaded. Nothing else needs
 /// the link then, and it must not stay idle when peers have long upload queues.
 constexpr std::size_t UnloadedInFlight = 6;
-/// Enough to saturate the origin's link, which is as narrow as that of one
-/// machine, and few enough for its slots and connections.
-constexpr std::size_t MaxStoreReaders = 6;
-
-/// A version must reach all machines within seconds, so stalls have to be
-/// detected within a fraction of that time.
 TransferSettings transferSettings(const FleetProcessSettings &Process,
                                   const std::string &StoreRegion) {
-  TransferSettings Result;
+  TransferSettings Result = makeNarrowLinkSettings();
   Result.Self = Process.Address;
   Result.Region = Process.Region;
   Result.StoreRegion = StoreRegion;
   Result.UploadBytesPerSecond =
       static_cast<std::uint64_t>(Process.LinkBitsPerSecond) / BitsPerByte;
-  // The links of side machines are narrower than the links between regions.
-  Result.DistributeLinks = true;
-  Result.DirectImport = true;
-  Result.MaxInFlight = ServingInFlight;
-  Result.MaxImports = 1;
-  Result.MaxPerPeer = 2;
-  Result.MaxStoreReaders = MaxStoreReaders;
-  Result.StallTimeout = std::chrono::milliseconds(800);
-  Result.StoreTimeout = std::chrono::seconds(3);
-  Result.MapWait = MapWait;
-  Result.AnnounceInterval = std::chrono::milliseconds(60);
-  Result.RefreshInterval = std::chrono::seconds(1);
-  Result.FullRefreshInterval = std::chrono::seconds(5);
-  // When the whole fleet restarts, it must not wait for its own timeouts.
-  Result.MaxLostTime = std::chrono::milliseconds(1600);
-  Result.BanTime = std::chrono::seconds(5);
-  Result.InFlightRetryDelay = std::chrono::milliseconds(150);
-  Result.StoreBackoff = std::chrono::milliseconds(150);
-  // Six readers retry a few times per second, so that the origin is used as
-  // soon as it recovers.
-  Result.StoreBackoffMax = std::chrono::milliseconds(300);
-  Result.StandbyInterval = std::chrono::milliseconds(150);
   return Result;
 }
 
@@ -160,8 +127,9 @@
   const TimePoint Now = now();
   // After startup, connections to peers take some time to open. Without the
   // peers' chunk maps the stager would fetch from the origin what they hold.
-  Transfer->Settings.MapWait =
-      Now - StartedAt < StartupPeriod ? StartupMapWait : MapWait;
+  Transfer->Settings.MapWait = Now - StartedAt < StartupPeriod
+                                   ? StartupMapWait
+                                   : makeNarrowLinkSettings().MapWait;
   setWantedVersions(*Transfer, DesiredIds, Now);
   chunkReceived(*Transfer, State.Descriptor->Id, {}, true, Now);
   if (auto Failure = descriptorReceived(*Transfer, *State.Descriptor, Now))
@@ -215,7 +183,8 @@
     return;
   PlanDue = false;
   const bool Empty = !Report || Report->Weights.empty();
-  Transfer->Settings.MaxInFlight = Empty ? UnloadedInFlight : ServingInFlight;
+  Transfer->Settings.MaxInFlight =
+      Empty ? UnloadedInFlight : makeNarrowLinkSettings().MaxInFlight;
   for (const TransferAction &Action :
        planTransfer(*Transfer, Now, Node.Generator))
     performAction(Action);
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -154,6 +154,38 @@
 
 } // namespace
 
+TransferSettings makeNarrowLinkSettings() {
+  using std::chrono::milliseconds;
+  TransferSettings Result;
+  // The links of VMs are narrower than the links between regions.
+  Result.DistributeLinks = true;
+  Result.DirectImport = true;
+  // While a server serves, its requests and tokens share the link.
+  Result.MaxInFlight = 2;
+  Result.MaxImports = 1;
+  Result.MaxPerPeer = 2;
+  // Enough to saturate the origin's link, which is as narrow as that of one VM,
+  // and few enough for its slots and connections.
+  Result.MaxStoreReaders = 6;
+  Result.StallTimeout = milliseconds(800);
+  Result.StoreTimeout = std::chrono::seconds(3);
+  // A few round trips.
+  Result.MapWait = milliseconds(80);
+  Result.AnnounceInterval = milliseconds(120);
+  Result.RefreshInterval = std::chrono::seconds(1);
+  Result.FullRefreshInterval = std::chrono::seconds(5);
+  // When the whole fleet restarts, it must not wait for its own timeouts.
+  Result.MaxLostTime = milliseconds(1600);
+  Result.BanTime = std::chrono::seconds(5);
+  Result.InFlightRetryDelay = milliseconds(150);
+  Result.StoreBackoff = milliseconds(150);
+  // Six readers retry a few times per second, so that the origin is used as
+  // soon as it recovers.
+  Result.StoreBackoffMax = milliseconds(300);
+  Result.StandbyInterval = milliseconds(150);
+  return Result;
+}
+
 TransferState makeTransfer(TransferSettings Settings) {
   TransferState State;
   State.Settings = std::move(Settings);
--- a/src/coordination/transfer_events.cpp
+++ b/src/coordination/transfer_events.cpp
@@ -134,16 +134,24 @@
   const bool Remote = Region != State.LocalRegion;
   std::size_t Count = 0;
   std::uint64_t Bytes = State.Chunks[Chunk].Size;
-  for (const detail::Upload &Other : State.Uploads)
-    if (State.Peers[Other.Peer].Region == Region) {
-      Bytes += State.Chunks[Other.Chunk].Size;
+  // Uploads to other regions come first, and all share the agent's own rate.
+  std::uint64_t BytesAhead = Bytes;
+  for (const detail::Upload &Other : State.Uploads) {
+    const RegionIndex OtherRegion = State.Peers[Other.Peer].Region;
+    const std::uint64_t Size = State.Chunks[Other.Chunk].Size;
+    if (!Remote || OtherRegion != State.LocalRegion)
+      BytesAhead += Size;
+    if (OtherRegion == Region) {
+      Bytes += Size;
       ++Count;
     }
+  }
   const std::size_t Limit = State.Settings.MaxUploadQueue * (Exports ? 2 : 1);
   if (Count == 0)
     return true;
-  const Duration Wait = Remote ? detail::linkTime(State, Bytes)
-                               : detail::uploadTime(State, Bytes);
+  const Duration Wait =
+      std::max(detail::uploadTime(State, BytesAhead),
+               Remote ? detail::linkTime(State, Bytes) : Duration{});
   return Count < Limit && Wait <= State.Settings.StallTimeout / 2 &&
          (Remote || Exports || !isUploadedInRegion(State, Chunk, Now));
 }
@@ -154,7 +162,7 @@
                                       const std::string &Peer,
                                       const Digest &Version,
                                       const std::vector<bool> &Held,
-                                      TimePoint) {
+                                      TimePoint Now) {
   const PeerIndex From = findPeer(State, Peer);
   const auto Found = State.Versions.find(Version);
   if (From == NoPeer || From == 0 || Found == State.Versions.end())
@@ -167,6 +175,7 @@
                      " bits for a version of " +
                      std::to_string(Slot.Chunks.size()) + " chunks"};
   detail::stopAwaitingPeer(Slot, From);
+  State.Regions[Sender.Region].LastAnswerAt = Now;
   if (!Sender.HasSentMap) {
     Sender.HasSentMap = true;
     State.Regions[Sender.Region].MapSenders.push_back(From);
@@ -174,6 +183,7 @@
   const auto Note = [&](ChunkIndex Index, bool Has) {
     if (Has && !Sender.HeldChunks.test(Index)) {
       Sender.HeldChunks.set(Index);
+      Sender.LastGainAt = Now;
       ++Sender.HeldCount;
       ++State.Chunks[Index].HolderCount;
     } else if (!Has) {
@@ -256,6 +266,7 @@
     Sender.Timeouts = 0;
     Sender.RefusedSince = TimePoint{};
     State.Regions[Sender.Region].LastProgressAt = Now;
+    State.Regions[Sender.Region].LastAnswerAt = Now;
     // The peer sends in the order of requests, so later requests to it are not
     // stalled either.
     for (detail::PendingRequest &Request : State.PendingRequests)
@@ -278,6 +289,7 @@
     return;
   ChunkSlot &Slot = State.Chunks[Index];
   PeerSlot &Sender = State.Peers[From];
+  State.Regions[Sender.Region].LastAnswerAt = Now;
   Sender.Timeouts = 0;
   if (Sender.RefusedSince == TimePoint{} ||
       Now - Sender.BusyUntil > State.Settings.StallTimeout)
@@ -297,6 +309,9 @@
   }
   if (Slot.Responsible[0] != From && Slot.Responsible[1] != From)
     return;
+  // A busy owner that holds the chunk needs no replacement.
+  if (Claimed && RetryAfter > Duration::zero())
+    return;
   if (!Claimed && RetryAfter == Duration::zero())
     Slot.RefusedProbes = detail::MaxProbes;
   if (Slot.RefusedProbes < detail::MaxProbes)
@@ -307,9 +322,15 @@
 void storeFetchFailed(TransferState &State, const Digest &Chunk,
                       Duration RetryAfter, TimePoint Now) {
   const auto Found = State.ChunkById.find(Chunk);
-  if (Found != State.ChunkById.end() &&
-      detail::endRequest(State, Found->second, NoPeer))
-    backOffStore(State, RetryAfter, Now);
+  if (Found == State.ChunkById.end() ||
+      !detail::endRequest(State, Found->second, NoPeer))
+    return;
+  backOffStore(State, RetryAfter, Now);
+  // A store that fails here too may be down for all. The preferred owner keeps
+  // trying; if all standby owners did so, the store would be asked for several
+  // copies when it is back.
+  if (State.ChunkById.contains(Chunk))
+    detail::returnToOwner(State, Found->second, Now);
 }
 
 void storeFetchProgressed(TransferState &State, const Digest &Chunk,
--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -272,11 +272,33 @@
   State.MapRequests.clear();
 }
 
+/// Orders the queue of fetches by version, the one wanted for the longest time
+/// first, since it goes out of use when a later one arrives.
+void orderQueue(TransferState &State) {
+  const auto Versions = incompleteVersions(State);
+  if (Versions.size() < 2)
+    return;
+  const auto RankOf = [&](ChunkIndex Index) {
+    if (State.Chunks[Index].IsDescriptor)
+      return std::ptrdiff_t{-1};
+    return std::find_if(Versions.begin(), Versions.end(),
+                        [&](const VersionSlot *Version) {
+                          return Version->ChunkSet.test(Index);
+                        }) -
+           Versions.begin();
+  };
+  std::stable_sort(State.StoreQueue.begin(), State.StoreQueue.end(),
+                   [&](ChunkIndex Left, ChunkIndex Right) {
+                     return RankOf(Left) < RankOf(Right);
+                   });
+}
+
 /// Fetches queued chunks that no reachable peer of the local region holds,
 /// within the limits of store fetches. Waits while chunk maps are outstanding.
 void fetchFromQueue(TransferState &State, TimePoint Now, Actions &Result) {
   if (detail::isAwaitingMaps(State, Now))
     return;
+  orderQueue(State);
   for (std::size_t Step = 0;
        Step < QueueChecksPerPlan && !State.StoreQueue.empty() &&
        State.PendingStoreFetches < State.Settings.MaxStoreFetches &&
@@ -285,6 +307,9 @@
     const ChunkIndex Index = State.StoreQueue.front();
     State.StoreQueue.pop_front();
     const bool Missing = State.Missing.test(Index);
+    if (Missing && detail::isOwnerProgressing(State, Index, Now) &&
+        detail::returnToOwner(State, Index, Now))
+      continue;
     if (Missing && State.Chunks[Index].BusyUntil <= Now &&
         !detail::isHeldInRegion(State, Index, Now))
       fetchChunk(State, Index, Now, Result);
@@ -325,7 +350,11 @@
   RegionIndex From = RegionNumber;
   if (Stalled >= 2 * State.Settings.StallTimeout)
     From = static_cast<RegionIndex>(Source() % State.Regions.size());
-  if (Stalled >= 3 * State.Settings.StallTimeout &&
+  // While the source region answers, it lacks the chunk only because the store
+  // has not sent it, and would not send it sooner to this agent.
+  const bool SourceSilent =
+      Now - Region.LastAnswerAt >= 3 * State.Settings.StallTimeout;
+  if (Stalled >= 3 * State.Settings.StallTimeout && SourceSilent &&
       State.PendingStoreFetches == 0 && State.StoreRetryAt <= Now) {
     fetchChunk(State, *Chunk, Now, Result);
     return;
@@ -337,18 +366,26 @@
 
 void importChunks(TransferState &State, TimePoint Now, Random &Source,
                   Actions &Result) {
+  const auto Versions = incompleteVersions(State);
   for (RegionIndex RegionNumber = 0; RegionNumber < State.Regions.size();
        ++RegionNumber) {
     RegionSlot &Region = State.Regions[RegionNumber];
     if (RegionNumber == State.LocalRegion ||
         Region.ImportedChunks.Words.empty())
       continue;
-    requestFromRegion(State, RegionNumber, State.Settings.MaxImports, Now,
-                      Source, Result, [&](const PeerSlot &Peer) {
-                        return rarestChunk(State, Source, Peer.HeldChunks,
-                                           State.Missing,
-                                           Region.ImportedChunks);
-                      });
+    requestFromRegion(
+        State, RegionNumber, State.Settings.MaxImports, Now, Source, Result,
+        [&](const PeerSlot &Peer) {
+          std::optional<ChunkIndex> Chunk;
+          for (const VersionSlot *Version : Versions)
+            if (!Chunk)
+              Chunk = rarestChunk(State, Source, Peer.HeldChunks, State.Missing,
+                                  Region.ImportedChunks, Version->ChunkSet);
+          if (!Chunk)
+            Chunk = rarestChunk(State, Source, Peer.HeldChunks, State.Missing,
+                                Region.ImportedChunks);
+          return Chunk;
+        });
     if (Region.InFlight == 0)
       probeStalledImport(State, RegionNumber, Now, Source, Result);
   }
--- a/src/coordination/transfer_roles.cpp
+++ b/src/coordination/transfer_roles.cpp
@@ -356,6 +356,27 @@
     State.StoreQueue.push_back(Index);
 }
 
+bool isOwnerProgressing(const TransferState &State, ChunkIndex Index,
+                        TimePoint Now) {
+  const PeerIndex Owner = State.Chunks[Index].Responsible[0];
+  return Owner != NoPeer &&
+         Now - State.Peers[Owner].LastGainAt < State.Settings.StallTimeout;
+}
+
+bool returnToOwner(TransferState &State, ChunkIndex Index, TimePoint Now) {
+  ChunkSlot &Slot = State.Chunks[Index];
+  const PeerIndex Owner = Slot.Responsible[0];
+  if (Owner == SelfPeer || Owner == NoPeer || Slot.SourceRegion != NoRegion ||
+      (!isReachable(State.Peers[Owner], Now) &&
+       !isOwnerProgressing(State, Index, Now)))
+    return false;
+  Slot.AssignedToSelf = false;
+  Slot.RefusedProbes = 0;
+  Slot.RetryAt = Now + State.Settings.StallTimeout;
+  std::erase(State.StoreQueue, Index);
+  return true;
+}
+
 bool endRequest(TransferState &State, ChunkIndex Index, PeerIndex Peer) {
   const auto Found =
       std::find_if(State.PendingRequests.begin(), State.PendingRequests.end(),
--- a/tests/src/unit-coordination-transfer.cpp
+++ b/tests/src/unit-coordination-transfer.cpp
@@ -405,3 +405,26 @@
     CHECK_FALSE(plan<RequestFromPeer>(State, Now).empty());
   }
 }
+
+TEST_CASE("chunks of an earlier version are drawn first, whichever descriptor "
+          "came first") {
+  // Guards against two versions that share the origin's link, so that the
+  // earlier one arrives only after its deadline.
+  TransferState State = agentWith({});
+  State.Settings.BufferBytes = 0;
+  State.Settings.MaxStoreFetches = 1;
+  setWantedVersions(State, {"v1", "v2"}, StartCommand + Duration(1));
+  for (const VersionDescriptor &Each : {Two, One}) {
+    chunkReceived(State, Each.Id, "", true, StartCommand);
+    descriptorReceived(State, Each, StartCommand);
+  }
+  const TimePoint Now = StartCommand + std::chrono::seconds(2);
+  std::vector<Digest> Drawn;
+  for (int I = 0; I < 3; ++I) {
+    const auto Draws = plan<FetchFromStore>(State, Now);
+    REQUIRE(Draws.size() == 1);
+    Drawn.push_back(Draws[0].Chunk);
+    chunkReceived(State, Draws[0].Chunk, "", true, Now);
+  }
+  CHECK(Drawn.back() == "c");
+}
--- a/tests/src/weight_network.hpp
+++ b/tests/src/weight_network.hpp
@@ -23,6 +23,15 @@
   double LinkBytesPerSecond = 2'500'000;
   bool DirectImport = false;
   std::uint64_t Seed = 1;
+  /// Rates in bytes per second; 0 means the rate that AllowedSeconds implies.
+  double VmBytesPerSecond = 0;
+  double StoreBytesPerSecond = 0;
+  /// Settings of the agents other than names and rates.
+  TransferSettings Transfer;
+  /// Interval at which an agent plans; zero means after each event.
+  Duration PlanInterval{};
+  /// Whether an agent has the descriptor as soon as it wants a version.
+  bool KnowsDescriptors = false;
 };
 
 /// Transfers of all agents in virtual time, with one FIFO queue for each link.
@@ -46,9 +55,12 @@
   };
 
   explicit WeightNetwork(const NetworkOptions &Given) : Options(Given) {
-    VmRate =
-        static_cast<double>(Options.CopyBytes) * 2 / Options.AllowedSeconds;
-    StoreRate = VmRate * 2;
+    VmRate = Options.VmBytesPerSecond > 0
+                 ? Options.VmBytesPerSecond
+                 : static_cast<double>(Options.CopyBytes) * 2 /
+                       Options.AllowedSeconds;
+    StoreRate = Options.StoreBytesPerSecond > 0 ? Options.StoreBytesPerSecond
+                                                : VmRate * 2;
     LinkFree.assign(Options.Regions, std::vector<TimePoint>(Options.Regions));
     LinkBytes.assign(Options.Regions,
                      std::vector<std::uint64_t>(Options.Regions));
@@ -62,14 +74,14 @@
     Added->Name = "agent-" + std::to_string(Nodes.size());
     Added->Region = Nodes.size() % Options.Regions;
     Added->Source.seed(Options.Seed * 1000 + Nodes.size());
-    TransferSettings Settings;
+    TransferSettings Settings = Options.Transfer;
     Settings.Self = Added->Name;
     Settings.Region = regionName(Added->Region);
     Settings.StoreRegion = regionName(0);
     Settings.UploadBytesPerSecond = static_cast<std::uint64_t>(VmRate);
     Settings.RegionLinkBytesPerSecond =
         static_cast<std::uint64_t>(Options.LinkBytesPerSecond);
-    Settings.DirectImport = Options.DirectImport;
+    Settings.DirectImport |= Options.DirectImport;
     Added->State = makeTransfer(Settings);
     Nodes.push_back(std::move(Added));
   }
@@ -92,6 +104,8 @@
       One->CompleteAt = TimePoint{};
       wake(*One, [this](Node &Target) {
         setWantedVersions(Target.State, {Published.Id}, Now);
+        if (Options.KnowsDescriptors)
+          receive(Target, Published.Id, "", true);
       });
     }
   }
@@ -211,6 +225,7 @@
   std::size_t StoreCorrupts = 0; ///< number of next draws that are corrupt
   std::uint64_t StoreBytes = 0;
   std::uint64_t MapBytes = 0;
+  std::uint64_t MapMessages = 0;
   std::uint64_t Plans = 0;
   std::size_t CompleteCount = 0;
 
@@ -241,7 +256,14 @@
       return;
     }
     Run(Target);
-    schedule(Target, Now);
+    schedule(Target, nextPlanTime());
+  }
+
+  TimePoint nextPlanTime() const {
+    if (Options.PlanInterval == Duration::zero())
+      return Now;
+    const auto Late = Now.time_since_epoch() % Options.PlanInterval;
+    return Late == Duration::zero() ? Now : Now + Options.PlanInterval - Late;
   }
 
   void schedule(Node &Target, TimePoint Time) {
@@ -371,6 +393,7 @@
       Held.assign(Held.size(), true);
     for (const std::string &Peer : Action.Peers) {
       MapBytes += Held.size() / 8;
+      ++MapMessages;
       message(From, *find(Peer), Now,
               [this, Version = Action.Version, Held,
                HasDescriptor = Action.HasDescriptor,
