Leave the origin's connections to those that need them after a restart

Manifests arrive at 38 to 39 s and then hardly any until 45 s; 405 reads time out from 40.0 to 48.8 s, and most servers serve only from 47 s on. The origin sends 0.1 copies in that time.

Cause: the origin accepts 48 connections. Each stager kept its connection for 15 s after the manifest, so that the first 48 locked out 187 others. Besides, stagers that start fetch version 1 beside the declared one, which shares the links.

Change: the connection of a manifest is closed after its response. The first version is not wanted when the same facts declare a later one.

--- a/include/marigoldyard/transport/http_client.hpp
+++ b/include/marigoldyard/transport/http_client.hpp
@@ -34,6 +34,8 @@
   std::size_t MaxBodyBytes = 1UL << 20; ///< of a whole response, or of one line
   bool ReuseConnection = true; ///< false opens a connection, so that a request
                                ///< never fails on one that the server closed
+  bool KeepConnection = true;  ///< false closes it after the response, for
+                               ///< servers with few connections
 };
 
 /// @brief A failed call.
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -101,9 +101,13 @@
     if (!Transfer)
       makeTransferState(
           Region == Settings.Process.RegionOf.end() ? "" : Region->second);
-    // Versions begin at 1; only later ones are declared.
+    // Versions begin at 1; only later ones are declared. The first version is
+    // not fetched beside a later one, which would then come later.
     for (const std::string &Model : Facts.Models)
-      handleVersionDeclaration({Model, FirstVersion});
+      if (std::none_of(
+              Facts.Declared.begin(), Facts.Declared.end(),
+              [&](const LoadedWeights &Each) { return Each.Model == Model; }))
+        handleVersionDeclaration({Model, FirstVersion});
   }
   for (const LoadedWeights &Each : Facts.Declared)
     handleVersionDeclaration({Each.Model, Each.Version});
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -280,7 +280,8 @@
 void HttpCall::succeed() {
   if (isLines() && !PartialLine.empty() && !Line(PartialLine))
     return fail(ErrorCode::Cancelled, "receiver of the lines gave up");
-  if (Incoming->keep_alive() && Connection->Buffer.size() == 0)
+  if (Request.KeepConnection && Incoming->keep_alive() &&
+      Connection->Buffer.size() == 0)
     Shared->Pool.keep(Request.Address, std::move(Connection));
   end(std::move(Response));
 }
--- a/tests/src/unit-platform-engine_format.cpp
+++ b/tests/src/unit-platform-engine_format.cpp
@@ -77,6 +77,9 @@
         "/marigoldyard/piece/m?item_count=5&version=2");
   CHECK(platform::makeManifestCall("o:1", {"m", 2}).Target ==
         "/marigoldyard/manifest/m?version=2");
+  // Idle connections of a large fleet would use up those of the origin.
+  CHECK_FALSE(platform::makeManifestCall("o:1", {"m", 2}).KeepConnection);
+  CHECK(platform::makeChunkCall("o:1", {"m", 2}, 5).KeepConnection);
   CHECK(platform::makeStageChunkCall("s:1", "m", 5, "bytes").Method == "PUT");
   CHECK(platform::makeReadStagedChunkCall("s:1", "m", 5).Target ==
         "/marigoldyard/stage-get/m?item_count=5");
--- a/tests/src/unit-transport-http.cpp
+++ b/tests/src/unit-transport-http.cpp
@@ -121,3 +121,18 @@
   CHECK(queryParameter("a=1&b=2", "c").empty());
   CHECK(queryParameter("a=%4", "a") == "%4");
 }
+
+TEST_CASE("a connection that is not to be kept is closed after its response") {
+  const auto Server = serve([](const HttpRequest &, const Responder &Response) {
+    Response.send({200, {}, "whole"});
+  });
+  ClientThread Caller;
+  HttpCallRequest Request = requestTo(addressOf(*Server));
+  Request.KeepConnection = false;
+  for (int I = 0; I < 2; ++I) {
+    const HttpResult Result = Caller.call(Request);
+    REQUIRE(std::holds_alternative<HttpResponse>(Result));
+    CHECK(std::get<HttpResponse>(Result).Body == "whole");
+  }
+  CHECK(Server->counters().Connections == 2);
+}
