Send fewer status messages in large fleets

By count, each report of a changed load went to all gateways of the region (235 stagers x 8 x 6.6 a second), each stager told its 46 neighbours every 2 s that it runs, and 40 gateways told each other everything every 400 ms.

Change: a changed load goes to three gateways at a time, in turn; stagers of a region tell each other every 4 s while no version is rolled out, and at once when one is declared; gateways tell those of other regions every 400 ms in fleets of up to 12, and up to three times as rarely in larger ones, with the suspicion timeout to match. A gateway that is contacted for the first time is told at once, and so is each change of readiness. The age of a declared version goes with the rarer messages.

A stager whose server has not answered for 0.9 s sends no status, since gateways take it as a sign of life.

--- a/include/marigoldyard/coordination/membership.hpp
+++ b/include/marigoldyard/coordination/membership.hpp
@@ -34,6 +34,10 @@
   /// Two missing reports plus 50 ms for their transfer and the core loop; below
   /// the 1 s within which a dead endpoint stops receiving work.
   Duration SuspicionTimeout = std::chrono::milliseconds(950);
+  /// Region of this process, and the same timeout for members of other regions,
+  /// which may report less often; zero means SuspicionTimeout.
+  std::string Region;
+  Duration RemoteSuspicionTimeout{};
   /// Longest delay until the VM list shows that a VM was added or removed.
   Duration MaxListDelay = std::chrono::seconds(60);
   /// Time for which unanswered work keeps a member suspected although its
@@ -85,6 +89,14 @@
   TableFull,        ///< not recorded because the table is full
 };
 
+/// @brief Interval of the reports that members send to those of other regions.
+/// It grows with their number, since each of them reports to all others, and
+/// the links between regions are narrow.
+/// @param Interval interval within a region
+/// @param Members number of members
+/// @return at most three times Interval
+Duration remoteReportInterval(Duration Interval, std::size_t Members);
+
 /// @brief Merges the platform's VM list. A member that is no longer listed is
 /// kept while it sends reports.
 /// @param List complete list; never the result of a failed read
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -21,6 +21,9 @@
 /// listings.
 constexpr std::size_t MaxMessageBytes = 16UL << 20;
 constexpr std::size_t MaxUncontactedGateways = 1024;
+/// A gateway is suspected after this many intervals, since one status may be
+/// lost and another may be late.
+constexpr int MissedReports = 3;
 
 Member describeSelf(const FleetProcessSettings &Settings, MemberKind Kind) {
   Member Self;
@@ -44,8 +47,7 @@
 MembershipSettings gatewayMembershipSettings() {
   MembershipSettings Settings;
   Settings.ReportInterval = FleetNode::StatusInterval;
-  // Three intervals, since one status may be lost and another may be late.
-  Settings.SuspicionTimeout = 3 * FleetNode::StatusInterval;
+  Settings.SuspicionTimeout = MissedReports * FleetNode::StatusInterval;
   Settings.MaxListDelay = RemovedGatewayTimeout;
   return Settings;
 }
@@ -78,6 +80,7 @@
       Self(describeSelf(Settings, Kind)),
       RelayPrefix(std::move(Use.RelayPrefix)) {
   Gateways.Settings = gatewayMembershipSettings();
+  Gateways.Settings.Region = Settings.Region;
 }
 
 FleetNode::~FleetNode() {
@@ -196,6 +199,16 @@
   return Result;
 }
 
+bool FleetNode::isInOtherRegion(const std::string &Address) const {
+  const auto Found = Gateways.Records.find(Address);
+  return Found != Gateways.Records.end() && Found->second.HasDescription &&
+         Found->second.Description.Region != Settings.Region;
+}
+
+Duration FleetNode::remoteStatusInterval() const {
+  return remoteReportInterval(StatusInterval, 1 + gatewayAddresses().size());
+}
+
 void FleetNode::applySettings(const FleetProcessSettings &NewSettings) {
   Settings.Seeds = NewSettings.Seeds;
   Settings.Store = NewSettings.Store;
@@ -237,6 +250,11 @@
   ContactedGateways[Peer] = {Status.CallerAddress, Status.Ready, Status.Leaving,
                              Status.KnownUpto};
   UncontactedGateways.erase(Peer);
+  // The sender may know more gateways than this process does yet.
+  Gateways.Settings.RemoteSuspicionTimeout =
+      MissedReports *
+      std::max(remoteStatusInterval(),
+               remoteReportInterval(StatusInterval, Status.Gateways.size()));
   for (const std::string &ListedGateway : Status.Gateways)
     if (!ContactedGateways.contains(ListedGateway) &&
         ListedGateway != Settings.Address &&
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -116,6 +116,12 @@
   /// @return IP addresses of the seeds and of all known gateways, without this
   /// process; some may not be running
   std::set<std::string> gatewayAddresses() const;
+  /// @param Address IP address of a gateway
+  /// @return whether the gateway is known to be in another region
+  bool isInOtherRegion(const std::string &Address) const;
+  /// @return interval between status messages of a gateway to those of other
+  /// regions
+  Duration remoteStatusInterval() const;
 
   /// @brief Applies the settings that may change at run time: the seeds and the
   /// store's address.
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -71,6 +71,7 @@
     handleMessage(Incoming);
   };
   Handlers.GatewayJoined = [this](const std::string &Peer) {
+    Node.send(Peer, makeStatus());
     PromptPartReport News;
     News.Blocked = blockedParts(Suspects, now());
     if (!News.Blocked.empty())
@@ -244,6 +245,7 @@
 void Gateway::logReadinessChange() {
   if (std::exchange(LoggedReady, ready()) == ready())
     return;
+  LastRemoteStatusAt = {};
   Node.Log.write(
       {.Event = ready() ? "ready" : "not_ready",
        .At = Step::Admission,
@@ -517,7 +519,7 @@
   rejectUnservable();
   dispatchQueued();
   if (Now - LastStatusAt >= FleetNode::StatusInterval)
-    sendStatus();
+    sendStatus(Now - LastRemoteStatusAt >= Node.remoteStatusInterval());
   if (Now - LastMaintenanceAt >= MaintenanceInterval) {
     LastMaintenanceAt = Now;
     Connections.closeExpired(Now);
@@ -533,9 +535,7 @@
   }
 }
 
-void Gateway::sendStatus() {
-  const TimePoint Now = now();
-  LastStatusAt = Now;
+GatewayStatus Gateway::makeStatus() const {
   GatewayStatus Status;
   Status.Sender = Node.self();
   Status.CallerAddress = addressText(Settings.Callers);
@@ -545,6 +545,13 @@
       Node.Store.isInitialized() ? Node.Store.mirror().Revision : 0;
   for (const auto &[Address, Other] : Node.liveGateways())
     Status.Gateways.push_back(Address);
+  return Status;
+}
+
+void Gateway::sendStatus(bool AllRegions) {
+  const TimePoint Now = now();
+  LastStatusAt = Now;
+  const GatewayStatus Status = makeStatus();
   const std::size_t OtherGateways = Status.Gateways.size();
   recordPeers(SharedRetries, OtherGateways);
   Node.Store.setWatchDelay(
@@ -556,8 +563,12 @@
         Settings.Process.Region)
       ++Servers.Settings.SharingGateways;
   for (const std::string &Address : Node.gatewayAddresses())
-    Node.send(Address, Status);
-  sendVersionDeclarations();
+    if (AllRegions || !Node.isInOtherRegion(Address))
+      Node.send(Address, Status);
+  if (AllRegions) {
+    LastRemoteStatusAt = Now;
+    sendVersionDeclarations();
+  }
   if (Now - LastStagerStatusAt < StagerStatusInterval)
     return;
   LastStagerStatusAt = Now;
@@ -578,7 +589,7 @@
                                                   DrainAcceptFraction),
              Limit, now());
   logReadinessChange();
-  sendStatus();
+  sendStatus(true);
 }
 
 void Gateway::reloadSettings() {
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -192,7 +192,10 @@
   bool isResponsibleFor(const std::string &Region) const;
   void sendPoolDescriptions();
   void tick();
-  void sendStatus();
+  /// @param AllRegions whether to include gateways of other regions, to which
+  /// status messages go less often in a large fleet
+  void sendStatus(bool AllRegions);
+  GatewayStatus makeStatus() const;
   /// Time until which a request may start on a version of a model; empty while
   /// no newer one is declared.
   std::optional<TimePoint> startDeadline(const std::string &Model,
@@ -248,6 +251,7 @@
   std::uint64_t LastStartTicket = 0;
   CrashSuspects Suspects;
   TimePoint LastStatusAt{};
+  TimePoint LastRemoteStatusAt{};
   TimePoint LastStagerStatusAt{};
   TimePoint LastMaintenanceAt{};
 };
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -27,8 +27,17 @@
 /// money, and because gateways also report declared versions, so a connection
 /// that stalls without a reset delays nothing.
 constexpr std::chrono::milliseconds StoreWatchTimeout{8000};
+/// Interval between status messages to stagers of the local region while no
+/// version is being rolled out. They then only show that the stager runs.
+constexpr std::chrono::seconds IdlePeerStatusInterval{4};
+/// Gateways that get the load after one report of the server. With more of them
+/// each gets it less often, so that the messages do not grow with their number,
+/// and not all at the same time, so that they do not all choose this server.
+constexpr std::size_t MaxLoadReceivers = 3;
 /// Interval between checks of the settings file.
 constexpr std::chrono::seconds MaintenanceInterval{2};
+/// No status is sent when the server has not answered for this long.
+constexpr std::chrono::milliseconds ReportLifetime{900};
 /// A rollout member that has not reported for this long is not counted. This
 /// exceeds a status interval and is well below the deadline of a version.
 constexpr std::chrono::seconds RolloutReportTimeout{3};
@@ -113,6 +122,8 @@
   State.StagingAreaRead = !First && Newest->second.StagingAreaRead;
   State.Manifest = beginManifestSearch({}, now(), Node.Generator);
   Versions.insert_or_assign(Version, std::move(State));
+  // The rollout counts only stagers of which it has a recent report.
+  NextStatusAt = {};
   if (!OriginAddress.empty())
     requestManifest(Versions.at(Version));
 }
@@ -207,9 +218,10 @@
 }
 
 void Stager::announceStatus(bool AllRegions) {
-  if (!Report)
-    return;
   const TimePoint Now = now();
+  // Gateways take a status as a sign that the server runs.
+  if (!Report || Now - ReportReceivedAt > ReportLifetime)
+    return;
   NextStatusAt = Now + StatusInterval;
   if (AllRegions)
     NextRemoteStatusAt = Now + RemoteStatusInterval;
@@ -221,19 +233,40 @@
     Node.send(Gateway, Status);
   // Only servers of the same region take turns in a rollout, so stagers of
   // other regions need no status.
+  if (!AllRegions && !isRolloutPending() && Now < NextPeerStatusAt)
+    return;
+  NextPeerStatusAt = Now + IdlePeerStatusInterval;
   for (const auto &[Address, Peer] : Peers)
     if (Peer.Region == Settings.Process.Region)
       Node.send(Address, Status);
 }
 
+bool Stager::isRolloutPending() const {
+  return std::any_of(Versions.begin(), Versions.end(), [](const auto &Each) {
+    return Each.second.Load.Stage != LoadStage::Serving;
+  });
+}
+
 void Stager::announceLoad() {
-  const std::uint32_t Load = Report->Running + Report->Waiting;
-  if (Load == ReportedLoad)
-    return;
-  ReportedLoad = Load;
   const EngineStatus Status = localStatus();
-  for (const std::string &Gateway : localRegionGateways())
+  const std::set<std::string> Known = localRegionGateways();
+  std::erase_if(ReportedLoads,
+                [&](const auto &Each) { return !Known.contains(Each.first); });
+  std::vector<std::string> Receivers(Known.upper_bound(LastLoadReceiver),
+                                     Known.end());
+  Receivers.insert(Receivers.end(), Known.begin(),
+                   Known.upper_bound(LastLoadReceiver));
+  std::size_t Sent = 0;
+  for (const std::string &Gateway : Receivers) {
+    const auto [Reported, New] = ReportedLoads.try_emplace(Gateway);
+    if (!New && Reported->second == Status.Load)
+      continue;
+    Reported->second = Status.Load;
+    LastLoadReceiver = Gateway;
     Node.send(Gateway, Status);
+    if (++Sent == MaxLoadReceivers)
+      return;
+  }
 }
 
 std::set<std::string> Stager::localRegionGateways() const {
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -115,8 +115,10 @@
   bool canContinueStreams(const DeclaredVersion &Target) const;
   void sendLoadOrder(VersionState &State);
   EngineStatus localStatus() const;
-  /// Sends a changed load to the gateways of the local region.
+  /// Sends a changed load to gateways of the local region, to some of them at a
+  /// time and in turn.
   void announceLoad();
+  bool isRolloutPending() const;
   /// Gateways of the local region that have sent a status.
   std::set<std::string> localRegionGateways() const;
   /// @param AllRegions whether to include gateways of other regions
@@ -141,16 +143,19 @@
       ChunkLocations;
   std::optional<platform::EngineReport> Report;
   bool Accepting = true;
-  std::uint32_t ReportedLoad = 0;
+  std::map<std::string, std::uint32_t> ReportedLoads; ///< by gateway
+  std::string LastLoadReceiver;
   bool StreamsCanResume = false; ///< on all routes to the local pool
   bool PlanDue = false;
   bool ReportPending = false;
   TimePoint StartedAt{};
   TimePoint ReportRequestedAt{};
+  TimePoint ReportReceivedAt{};
   TimePoint NextStatusAt{};
   TimePoint NextRemoteStatusAt{};
-  TimePoint NextQueryAt{};     ///< of a query to gateways
-  TimePoint FactsReceivedAt{}; ///< last response of a gateway
+  TimePoint NextPeerStatusAt{}; ///< to stagers of the local region
+  TimePoint NextQueryAt{};      ///< of a query to gateways
+  TimePoint FactsReceivedAt{};  ///< last response of a gateway
   bool GatewaysUnresponsive = false;
   TimePoint NextPeerFetchAt{};
   bool PeersKnown = false; ///< received at least once
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -65,6 +65,7 @@
   const bool Changed =
       !Report || Restarted || Report->Weights != NewReport.Weights;
   Report = NewReport;
+  ReportReceivedAt = now();
   if (Restarted)
     for (auto &[Version, State] : Versions) {
       // A server that lost power has lost the staged chunks too.
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -28,6 +28,15 @@
   return Since;
 }
 
+Duration suspicionTimeout(const MembershipSettings &Settings,
+                          const MemberRecord &Record) {
+  const bool Remote =
+      Record.HasDescription && Record.Description.Region != Settings.Region;
+  return Remote && Settings.RemoteSuspicionTimeout > Duration::zero()
+             ? Settings.RemoteSuspicionTimeout
+             : Settings.SuspicionTimeout;
+}
+
 bool isUnanswered(const MemberRecord &Record, TimePoint Now) {
   return Record.UnansweredAt &&
          Now - *Record.UnansweredAt < Record.CurrentBackoff;
@@ -35,8 +44,8 @@
 
 bool isSilent(const MembershipState &State, const MemberRecord &Record,
               TimePoint Now) {
-  return Record.ExpectsReports &&
-         Now - silentSince(State, Record) >= State.Settings.SuspicionTimeout;
+  return Record.ExpectsReports && Now - silentSince(State, Record) >=
+                                      suspicionTimeout(State.Settings, Record);
 }
 
 /// Whether messages of the member arrive, also while it is not listed yet or no
@@ -44,7 +53,7 @@
 bool reportedRecently(const MembershipState &State, const MemberRecord &Record,
                       TimePoint Now) {
   return Record.LastReceived && !Record.ConnectionLostAt &&
-         Now - *Record.LastReceived < State.Settings.SuspicionTimeout;
+         Now - *Record.LastReceived < suspicionTimeout(State.Settings, Record);
 }
 
 /// Makes room for an unlisted member by removing the unlisted member that has
@@ -116,6 +125,15 @@
   return "";
 }
 
+Duration remoteReportInterval(Duration Interval, std::size_t Members) {
+  // Up to this number of members all get the reports at the same interval.
+  constexpr std::size_t SmallFleet = 12;
+  constexpr int MaxMultiple = 3;
+  const Duration Grown = Interval * static_cast<Duration::rep>(Members) /
+                         static_cast<Duration::rep>(SmallFleet);
+  return std::clamp(Grown, Interval, MaxMultiple * Interval);
+}
+
 void mergeMemberList(MembershipState &State, const std::vector<Member> &List,
                      TimePoint Now) {
   std::set<std::string_view> ListedNames;
--- a/tests/src/unit-coordination-membership.cpp
+++ b/tests/src/unit-coordination-membership.cpp
@@ -207,3 +207,36 @@
   CHECK(State.Records.size() == 20);
   CHECK(State.Records.begin()->second.IsListed);
 }
+
+TEST_CASE(
+    "members of other regions report less often in a large fleet, and are "
+    "suspected later") {
+  using std::chrono::milliseconds;
+  CHECK(remoteReportInterval(milliseconds(400), 4) == milliseconds(400));
+  CHECK(remoteReportInterval(milliseconds(400), 24) == milliseconds(800));
+  CHECK(remoteReportInterval(milliseconds(400), 1000) == milliseconds(1200));
+  MembershipState State;
+  State.Settings.Region = "r1";
+  State.Settings.SuspicionTimeout = milliseconds(1200);
+  State.Settings.RemoteSuspicionTimeout = milliseconds(3600);
+  State.Settings.MaxListDelay = std::chrono::seconds(10);
+  Member Near;
+  Near.Name = "near";
+  Near.Region = "r1";
+  Member Far;
+  Far.Name = "far";
+  Far.Region = "r2";
+  const TimePoint Start = TimePoint{} + std::chrono::hours(1);
+  mergeMemberList(State, {Near, Far}, Start);
+  for (const char *Name : {"near", "far"}) {
+    recordMemberReport(State, Name, 1, false, Start);
+    setReportsExpected(State, Name, true, Start);
+  }
+  const auto StateOf = [&](const char *Name, milliseconds Later) {
+    return memberState(State, State.Records.at(Name), Start + Later);
+  };
+  CHECK(StateOf("near", milliseconds(1100)) == MemberState::Live);
+  CHECK(StateOf("near", milliseconds(1300)) == MemberState::Suspected);
+  CHECK(StateOf("far", milliseconds(3500)) == MemberState::Live);
+  CHECK(StateOf("far", milliseconds(3700)) == MemberState::Suspected);
+}
