Learn from refusals, and let requests wait at busy servers

Cause: a server without the weights that it is thought to have refuses at once and looks idle, so it is chosen again. A limit that is meant for silent servers ends the wait at busy ones, and the request waits at another full server from the start.

Change: - After such a refusal a server gets one probe at a time, 0.5 s later and up to 4 s, until its state is reported anew. A report within 0.3 s may be older than the refusal and does not count. - A stream that has not started goes on waiting while its stager reports that the server runs and all slots are taken, up to 0.4 s before the caller gives up. - Only requests of the most urgent priority may take the places to wait at a model server, where they overtake; others wait in the gateway.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -25,6 +25,10 @@
   /// A crashed server usually restarts within some seconds.
   Duration InitialBackoff = std::chrono::milliseconds(500);
   Duration MaxBackoff = std::chrono::seconds(4);
+  /// A status that arrives sooner after a refusal may be older than it.
+  Duration StatusDelay = std::chrono::milliseconds(300);
+  /// A server whose stager reported longer ago may not run any more.
+  Duration StatusLifetime = std::chrono::seconds(1);
   /// How long a server counts as loading after its stager reported it. Loading
   /// starts only after the requests in progress have ended.
   Duration LoadingTimeout = std::chrono::seconds(6);
@@ -77,6 +81,12 @@
   double FailureRate = 0;
   TimePoint BackoffUntil{};
   TimePoint LoadingUntil{};
+  /// Refusals that contradict what is known about the server, since its state
+  /// was last reported; no request is sent to it until DoubtedUntil.
+  std::uint32_t Contradictions = 0;
+  TimePoint ContradictedAt{};
+  TimePoint DoubtedUntil{};
+  TimePoint EngineReportedAt{}; ///< latest status of its stager
   /// A server that started later has the address, but the record of this one
   /// has not expired yet.
   bool Replaced = false;
@@ -133,6 +143,9 @@
   std::uint64_t TokensPerPass = 0; ///< prompt tokens that a server reads in one
                                    ///< prefill pass; 0 for no limit
   bool Late = false; ///< the request misses its latency target anyway
+  /// Whether the request may wait at a model server. The places for it are left
+  /// to urgent requests, which overtake there.
+  bool MayQueueAtServer = true;
 };
 
 /// @brief Reason why no server was selected.
@@ -228,6 +241,26 @@
 void recordServerOutcome(ServerTable &Table, const std::string &Id,
                          ServerOutcome Outcome, TimePoint Now);
 
+/// @brief Records that a server refused a request because it is not the server,
+/// or does not have the weights, that its record and its stager told of. Such a
+/// server answers at once and looks idle, so that it would attract one request
+/// after the other. It gets none until its state is reported anew, except for
+/// probes after a backoff.
+/// @param Id server id; an unknown one has no effect
+/// @param Now start of the backoff
+void recordContradiction(ServerTable &Table, const std::string &Id,
+                         TimePoint Now);
+
+/// @brief Records that a server served a request, which ends the doubts about
+/// it.
+/// @param Id server id; an unknown one has no effect
+void recordServed(ServerTable &Table, const std::string &Id);
+
+/// @brief Whether a model server runs and all its slots are taken, so that a
+/// request which has not started there is waiting and not lost.
+/// @param Id server id; an unknown one is not busy
+bool isBusy(const ServerTable &Table, const std::string &Id, TimePoint Now);
+
 /// @brief Returns the newest version of a model that a server is known to have
 /// loaded.
 /// @return the version; 0 when the model is not loaded
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -24,6 +24,9 @@
 /// Shortest wait for the first event before a stream is retried at another
 /// server; callers disconnect after two seconds or more.
 constexpr milliseconds MinFirstEventTimeout{1200};
+/// A stream is retried this long before its caller abandons it, so that the
+/// next server can still begin.
+constexpr milliseconds AbandonMargin{400};
 /// Shortest wait between events before a stream resumes at another server.
 constexpr milliseconds MinGapTimeout{1000};
 /// A request without a response is retried after this many target latencies,
@@ -43,6 +46,7 @@
 /// Time from the start of a request at a server to the first event, without
 /// the prefill of the prompt.
 constexpr milliseconds FirstEventOverhead{120};
+constexpr std::uint32_t MostUrgentPriority = 0;
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
 constexpr std::uint64_t OutputTokenCost = 10;
@@ -244,12 +248,7 @@
         FirstEventOverhead;
   Result.TargetDeadline = ArrivalTime + MatchedRoute->TargetLatency -
                           TimeAlreadySpent - PrefillTime;
-  const Duration CallerTimeout =
-      MatchedRoute->IsStreaming
-          ? std::max({Duration(MinCallerTimeout),
-                      CallerTimeoutLatencies * MatchedRoute->TargetLatency,
-                      CallerTimeoutGaps * MatchedRoute->TargetEventGap})
-          : Deadline - ArrivalTime;
+  const Duration CallerTimeout = callerTimeout();
   // The first request of a caller waits only while it can still meet its target
   // latency. A retry is late already and waits for a fraction of the caller's
   // timeout.
@@ -268,6 +267,14 @@
   return Result;
 }
 
+Duration RequestRun::callerTimeout() const {
+  return MatchedRoute->IsStreaming
+             ? std::max({Duration(MinCallerTimeout),
+                         CallerTimeoutLatencies * MatchedRoute->TargetLatency,
+                         CallerTimeoutGaps * MatchedRoute->TargetEventGap})
+             : Deadline - ArrivalTime;
+}
+
 net::awaitable<ServerChoice> RequestRun::acquire() {
   ServerRequirements Query;
   Query.Pool = Pool->Name;
@@ -275,6 +282,8 @@
   Query.PromptTokens = RequestInfo.PromptTokens;
   Query.TokensPerPass = Pool->PromptTokensPerPass;
   Query.Excluded = TriedServers;
+  Query.MayQueueAtServer =
+      requestPriority(*MatchedRoute, RequestCustomer) == MostUrgentPriority;
   if (HeadForwarded)
     Query.ExactVersion = Version;
   WaitingRequest QueueEntry = waitingRequest();
@@ -291,7 +300,7 @@
       std::move(Query), std::move(QueueEntry), SetDisconnectHandler);
 }
 
-ExchangeLimits RequestRun::exchangeLimits() const {
+ExchangeLimits RequestRun::exchangeLimits(const std::string &Id) const {
   ExchangeLimits Limits;
   Limits.Deadline = Deadline - ResponseMargin;
   Limits.MaxIdleAge = Duration::max();
@@ -312,6 +321,11 @@
     Limits.FirstByteTimeout =
         std::max(Duration(MinFirstEventTimeout),
                  TimeoutTargetMultiple * MatchedRoute->TargetLatency);
+    // Another busy server would let the request wait from the start again.
+    Limits.IsWaiting = [this, Id] {
+      return !HeadForwarded && isBusy(Owner.servers(), Id, now());
+    };
+    Limits.MaxWaitUntil = ArrivalTime + callerTimeout() - AbandonMargin;
     break;
   }
   return Limits;
@@ -368,7 +382,7 @@
     StartTicket = Owner.watchStart({Id, RequestInfo.Model, LoadedVersion,
                                     [&Exchange] { Exchange.withdraw(); }});
   ExchangeResult Result = co_await Exchange.run(
-      Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(),
+      Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(Id),
       MatchedRoute->IsStreaming ? &Receiver : nullptr);
   ActiveExchange = nullptr;
   endStartWatch();
@@ -386,6 +400,11 @@
                                const ExchangeResult &Result) {
   AttemptOutcomes.push_back(Result.Fate);
   recordServerOutcome(Owner.servers(), Id, Result.Health, now());
+  if (Result.Fate == AttemptStatus::Completed)
+    recordServed(Owner.servers(), Id);
+  else if (Result.Fate == AttemptStatus::Refused &&
+           Result.Reason == ErrorCode::WrongWeights)
+    recordContradiction(Owner.servers(), Id, now());
   logSend(Id, Result);
   endPrefill();
   Owner.releaseServer(Id);
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -75,7 +75,9 @@
   Duration retryAfter(Duration Default) const;
   void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
-  ExchangeLimits exchangeLimits() const;
+  ExchangeLimits exchangeLimits(const std::string &Id) const;
+  /// Time after which the caller abandons the request.
+  Duration callerTimeout() const;
   WaitingRequest waitingRequest() const;
   bool resumable() const;
   void log(std::string_view Outcome, std::string_view Detail);
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t MaxEventBytes = 1UL << 20;
 /// Maximum size of interim and stale responses before the response.
 constexpr std::size_t MaxSkippedBytes = 64UL << 10;
+/// Interval of checks whether a request still waits at a busy server.
+constexpr std::chrono::milliseconds WaitCheckInterval{200};
 /// Longest wait for the body of a refusal.
 constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
 constexpr unsigned FirstServerError = 500;
@@ -82,7 +84,8 @@
     : Context(IoContext), Connections(IdleConnections), Memory(SharedMemory),
       OnResponseHead(std::move(HeadHandler)), Timer(Timeouts, [this] {
         // Cancelling has no effect on a read that never has to wait for bytes.
-        abortConnection();
+        if (!prolongWait())
+          abortConnection();
       }) {}
 
 void ServerExchange::cancel() {
@@ -105,6 +108,16 @@
   Connection->Socket.close(Ignored);
 }
 
+bool ServerExchange::prolongWait() {
+  const TimePoint Until = std::min(
+      {now() + WaitCheckInterval, Limits.MaxWaitUntil, Limits.Deadline});
+  if (!AwaitsFirstEvent || !Limits.IsWaiting || Until <= now() ||
+      !Limits.IsWaiting())
+    return false;
+  Timer.expiresAt(Until);
+  return true;
+}
+
 net::awaitable<ExchangeResult>
 ServerExchange::run(const platform::RequestMessage &Request,
                     const std::string &Address, const std::string &RequestId,
@@ -141,6 +154,7 @@
     Timer.clear();
     co_return Result;
   }
+  AwaitsFirstEvent = true;
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
   if (Reusable && HasId && *RequestWritten && !Cancelled && !Withdrawn) {
@@ -322,6 +336,7 @@
 net::awaitable<ExchangeResult>
 ServerExchange::readRefusal(Parser &ResponseParser,
                             const platform::ServerResponse &Head) {
+  AwaitsFirstEvent = false;
   Timer.expiresAt(std::min(Limits.Deadline, now() + RefusalBodyTimeout));
   std::size_t BytesRead = 0;
   const error_code Failure = co_await skipBody(ResponseParser, BytesRead);
@@ -346,6 +361,7 @@
                             {},
                             0,
                             ResponseReservation(Memory)};
+  AwaitsFirstEvent = false;
   Timer.expiresAt(Limits.Deadline);
   const std::size_t MaxBytes =
       succeeded(Response.Status) ? MaxResponseBytes : MaxErrorBytes;
@@ -385,6 +401,7 @@
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     if (!Events.empty()) {
+      AwaitsFirstEvent = false;
       Timer.clear(); // the caller's connection has a write timeout
       if (!std::exchange(HeadForwarded, true)) {
         const PartStatus Status =
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -65,6 +65,10 @@
   Duration FirstByteTimeout{}; ///< until the response starts
   Duration GapTimeout{};       ///< between two chunks of a stream
   Duration MaxIdleAge{};       ///< longest idle time of a reused connection
+  /// Whether the request waits at a server that runs; then the wait for the
+  /// first byte goes on up to MaxWaitUntil. Empty when that is never known.
+  std::function<bool()> IsWaiting;
+  TimePoint MaxWaitUntil{};
 };
 
 /// @brief Sends one request to one server and reads the response.
@@ -106,6 +110,10 @@
 
   /// Closes the connection and discards bytes that were not delivered yet.
   void abortConnection();
+  /// Prolongs the wait for the first byte or event of a request that waits at
+  /// its server.
+  /// @return whether the wait goes on
+  bool prolongWait();
   boost::asio::awaitable<bool> connect(const std::string &Address);
   boost::asio::awaitable<bool> send(const platform::RequestMessage &Request);
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
@@ -135,6 +143,7 @@
   std::shared_ptr<ServerConnection> Connection;
   bool Cancelled = false;
   bool Withdrawn = false;
+  bool AwaitsFirstEvent = false; ///< the request was sent and has not started
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -79,9 +79,16 @@
          Limit;
 }
 
+std::uint32_t slotsOf(const ServerState &Server) {
+  return Server.Record.Slots > 0 ? Server.Record.Slots : DefaultSlots;
+}
+
 std::uint32_t requestLimit(const ServerTable &Table, const ServerState &Server,
                            const ServerRequirements &Requirements) {
-  const std::uint32_t Limit = loadLimit(Table, Server);
+  const std::uint32_t Limit =
+      Server.Record.Weights && !Requirements.MayQueueAtServer
+          ? slotsOf(Server)
+          : loadLimit(Table, Server);
   if (!Requirements.Late || !Server.Record.Weights)
     return Limit;
   return static_cast<std::uint32_t>(Limit * Table.Settings.LateRequestShare);
@@ -152,13 +159,17 @@
   Server.BackoffUntil = {};
 }
 
-void startBackoff(const ServerTableSettings &Settings, ServerState &Server,
-                  TimePoint Now) {
-  const std::uint32_t Doublings =
-      std::min(Server.ConsecutiveFailures - 1, MaxDoublings);
-  Server.BackoffUntil =
-      Now + std::min(Settings.MaxBackoff,
-                     Settings.InitialBackoff * (std::int64_t{1} << Doublings));
+/// Duration of the backoff after a number of events in a row, at least one.
+Duration backoffAfter(const ServerTableSettings &Settings,
+                      std::uint32_t Events) {
+  const std::uint32_t Doublings = std::min(Events - 1, MaxDoublings);
+  return std::min(Settings.MaxBackoff,
+                  Settings.InitialBackoff * (std::int64_t{1} << Doublings));
+}
+
+void endDoubts(ServerState &Server) {
+  Server.Contradictions = 0;
+  Server.DoubtedUntil = {};
 }
 
 } // namespace
@@ -176,6 +187,7 @@
     Server.LoadingUntil = {};
     applyRestart(Server.Availability);
     resetHealth(Server);
+    endDoubts(Server);
   }
   if (New)
     restoreNotices(Table, Server, Record);
@@ -226,8 +238,12 @@
     if (Server->Record.StartedAtMs != 0)
       applyRestart(Server->Availability);
     resetHealth(*Server);
+    endDoubts(*Server);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
   }
+  if (Now - Server->ContradictedAt >= Table.Settings.StatusDelay)
+    endDoubts(*Server);
+  Server->EngineReportedAt = Now;
   mergeWeights(Server->Weights, EngineStatus.Weights);
   Server->ReportedLoad = EngineStatus.Load;
   Server->StartedSinceReport = 0;
@@ -278,17 +294,18 @@
         Requirements.Excluded.contains(Id) || Now < Server.BackoffUntil ||
         !mayReceive(Server.Availability, Now))
       continue;
-    if (!hasWeights(Table, Server, Requirements, Now)) {
+    if (Now < Server.DoubtedUntil ||
+        !hasWeights(Table, Server, Requirements, Now)) {
       Report(ServerShortage::Loading);
       continue;
     }
     // After a backoff one request at a time probes the server.
-    const std::uint32_t Limit = Server.ConsecutiveFailures > 0
-                                    ? 1
-                                    : requestLimit(Table, Server, Requirements);
-    const std::uint32_t Load = Server.ConsecutiveFailures > 0
-                                   ? Server.InFlight
-                                   : estimatedLoad(Table, Server);
+    const bool Probing =
+        Server.ConsecutiveFailures > 0 || Server.Contradictions > 0;
+    const std::uint32_t Limit =
+        Probing ? 1 : requestLimit(Table, Server, Requirements);
+    const std::uint32_t Load =
+        Probing ? Server.InFlight : estimatedLoad(Table, Server);
     const bool Probed =
         Server.Availability.ProbeDue && Server.Availability.ProbeRunning;
     if (Load >= Limit || Probed || prefillIsFull(Table, Server, Requirements)) {
@@ -417,7 +434,35 @@
   if (Outcome == ServerOutcome::InvalidAnswer)
     return;
   ++Server->ConsecutiveFailures;
-  startBackoff(Table.Settings, *Server, Now);
+  Server->BackoffUntil =
+      Now + backoffAfter(Table.Settings, Server->ConsecutiveFailures);
+}
+
+void recordContradiction(ServerTable &Table, const std::string &Id,
+                         TimePoint Now) {
+  ServerState *Server = findServer(Table, Id);
+  if (Server == nullptr)
+    return;
+  // Requests that were sent before the first refusal tell nothing new.
+  if (Now >= Server->DoubtedUntil)
+    ++Server->Contradictions;
+  Server->ContradictedAt = Now;
+  Server->DoubtedUntil =
+      Now + backoffAfter(Table.Settings, Server->Contradictions);
+}
+
+void recordServed(ServerTable &Table, const std::string &Id) {
+  if (ServerState *Server = findServer(Table, Id))
+    endDoubts(*Server);
+}
+
+bool isBusy(const ServerTable &Table, const std::string &Id, TimePoint Now) {
+  const auto Found = Table.Servers.find(Id);
+  if (Found == Table.Servers.end())
+    return false;
+  const ServerState &Server = Found->second;
+  return Server.ReportedLoad && *Server.ReportedLoad >= slotsOf(Server) &&
+         Now - Server.EngineReportedAt < Table.Settings.StatusLifetime;
 }
 
 std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model) {
@@ -441,8 +486,7 @@
 }
 
 std::uint32_t loadLimit(const ServerTable &Table, const ServerState &Server) {
-  const std::uint32_t Slots =
-      Server.Record.Slots > 0 ? Server.Record.Slots : DefaultSlots;
+  const std::uint32_t Slots = slotsOf(Server);
   if (Server.Record.Weights)
     return Slots + Table.Settings.EngineQueueDepth;
   return 2 * Slots;
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -423,3 +423,78 @@
   CHECK_FALSE(Until(Any));
   CHECK(choose(Table).Shortage == ServerShortage::Absent);
 }
+
+TEST_CASE("a server that refuses for its weights attracts no further requests "
+          "until its state is reported anew") {
+  // Guards against a black hole: a server without the weights refuses at once,
+  // looks idle and is chosen again.
+  ServerTable Table = tableWith({record("1"), record("2")});
+  fill(Table, "2", 3);
+  TimePoint Now = StartCommand;
+  int Refused = 0;
+  for (; Now < StartCommand + 10s; Now += 10ms) {
+    const ServerChoice Choice = choose(Table, {}, Now);
+    REQUIRE(Choice.Shortage == ServerShortage::None);
+    recordRequestStart(Table, Choice.Id, 0);
+    if (Choice.Id == "1") {
+      ++Refused;
+      recordContradiction(Table, "1", Now + 2ms);
+    }
+    recordRequestEnd(Table, Choice.Id);
+  }
+  CHECK(Refused <= 5);
+  CHECK(choose(Table, {}, Now).Id == "2");
+  // A status that was sent before the refusal changes nothing.
+  recordContradiction(Table, "1", Now);
+  applyEngineStatus(Table, {record("1").Address, 0, true, 0, {{"m", 1}}},
+                    Now + 50ms);
+  CHECK(choose(Table, {}, Now + 50ms).Id == "2");
+  applyEngineStatus(Table, {record("1").Address, 0, true, 0, {{"m", 1}}},
+                    Now + 400ms);
+  CHECK(choose(Table, {}, Now + 400ms).Id == "1");
+}
+
+TEST_CASE("refusals of requests that were on the way do not prolong the doubts "
+          "about a server") {
+  ServerTable Table = tableWith({record("1")});
+  for (int I = 0; I < 4; ++I)
+    recordContradiction(Table, "1", StartCommand);
+  CHECK(choose(Table).Shortage == ServerShortage::Loading);
+  CHECK(choose(Table, {}, StartCommand + 500ms).Id == "1");
+  recordRequestStart(Table, "1", 0);
+  CHECK(choose(Table, {}, StartCommand + 500ms).Shortage ==
+        ServerShortage::Full); // one probe at a time
+  recordRequestEnd(Table, "1");
+  recordServed(Table, "1");
+  fill(Table, "1", 2);
+  CHECK(choose(Table, {}, StartCommand + 500ms).Id == "1");
+}
+
+TEST_CASE("the places to wait at a server are left to urgent requests") {
+  // Guards against urgent requests that wait behind less urgent ones in a
+  // flood.
+  ServerTable Table = tableWith({record("1")});
+  ServerRequirements Patient;
+  Patient.MayQueueAtServer = false;
+  fill(Table, "1", 3);
+  CHECK(choose(Table, Patient).Id == "1");
+  fill(Table, "1", 1);
+  CHECK(choose(Table, Patient).Shortage == ServerShortage::Full);
+  CHECK(choose(Table).Id == "1");
+}
+
+TEST_CASE("a request waits at a server that runs and is full, and not at one "
+          "that is silent") {
+  ServerTable Table = tableWith({record("1")});
+  const auto Report = [&](std::uint32_t Load, TimePoint Now) {
+    applyEngineStatus(Table, {record("1").Address, 0, true, Load, {{"m", 1}}},
+                      Now);
+  };
+  CHECK_FALSE(isBusy(Table, "1", StartCommand));
+  Report(4, StartCommand);
+  CHECK(isBusy(Table, "1", StartCommand + 900ms));
+  CHECK_FALSE(isBusy(Table, "1", StartCommand + 1s));
+  Report(3, StartCommand);
+  CHECK_FALSE(isBusy(Table, "1", StartCommand)); // it has a free slot
+  CHECK_FALSE(isBusy(Table, "unknown", StartCommand));
+}
