Refuse documents with numbers too large or deep nesting

What operators of similar systems saw: one odd entry that is very deeply nested, or has a number too large; processes that read it ended again and again.

Cause: parseDocument, which reads manifests, indexes and settings for all programs but the gateway's store, caught parse errors only. A number that overflows throws out_of_range, which ended the process; nesting of 100,000 levels overflowed the stack when the value was destroyed.

Change: all exceptions of the parser are faults of the document, and nesting is limited to that of the other parser.

Measured: the new case failed before, with the exception and with SIGSEGV, and passes.

--- a/src/protocol/schema.cpp
+++ b/src/protocol/schema.cpp
@@ -1,5 +1,7 @@
 #include "marigoldyard/protocol/detail/schema.hpp"
 
+#include "marigoldyard/protocol/detail/json_object.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -248,25 +250,37 @@
 
 json parseDocument(std::string_view Text, std::vector<DocumentFault> &Faults) {
   std::vector<std::set<std::string>> Open;
-  const json::parser_callback_t NoteKeys = [&](int, json::parse_event_t Event,
-                                               json &Parsed) {
-    if (Event == json::parse_event_t::object_start)
-      Open.emplace_back();
-    else if (Event == json::parse_event_t::object_end)
-      Open.pop_back();
-    else if (Event == json::parse_event_t::key &&
-             !Open.back().insert(Parsed.get<std::string>()).second)
-      Faults.push_back({"",
-                        "key " + Parsed.dump() + " occurs twice in one object",
-                        "distinct keys"});
-    return true;
-  };
+  bool TooDeep = false;
+  const json::parser_callback_t NoteKeys =
+      [&](int Depth, json::parse_event_t Event, json &Parsed) {
+        // Deeper values are discarded, because a value is destroyed
+        // recursively.
+        TooDeep |= Depth > MaxJsonDepth;
+        if (TooDeep)
+          return false;
+        if (Event == json::parse_event_t::object_start)
+          Open.emplace_back();
+        else if (Event == json::parse_event_t::object_end)
+          Open.pop_back();
+        else if (Event == json::parse_event_t::key &&
+                 !Open.back().insert(Parsed.get<std::string>()).second)
+          Faults.push_back(
+              {"", "key " + Parsed.dump() + " occurs twice in one object",
+               "distinct keys"});
+        return true;
+      };
   try {
-    return json::parse(Text, NoteKeys, /*allow_exceptions=*/true,
-                       /*ignore_comments=*/true);
+    json Value = json::parse(Text, NoteKeys, /*allow_exceptions=*/true,
+                             /*ignore_comments=*/true);
+    if (!TooDeep)
+      return Value;
+    Faults.push_back({"", "is nested too deeply", "JSON, comments allowed"});
   } catch (const json::parse_error &Failure) {
     Faults.push_back({"", "is not JSON: byte " + std::to_string(Failure.byte),
                       "JSON, comments allowed"});
+  } catch (const json::exception &Failure) { // such as a number too large
+    Faults.push_back({"", std::string("is not JSON: ") + Failure.what(),
+                      "JSON, comments allowed"});
   }
   return json(json::value_t::discarded);
 }
--- a/tests/src/unit-protocol-manifest.cpp
+++ b/tests/src/unit-protocol-manifest.cpp
@@ -190,3 +190,19 @@
                            "`max_unavailable`", "`0.2`", "required"})
     CHECK(Page.find(Part) != std::string::npos);
 }
+
+TEST_CASE("a document with a number that is too large or with deep nesting is "
+          "refused and ends no process") {
+  constexpr std::size_t Depth = 100'000;
+  const std::string Digits(400, '9');
+  for (const std::string &Text : std::initializer_list<std::string>{
+           std::string("1e999"), "-1e999", Digits, "[" + Digits + "]",
+           R"({"revision":1e999,"products":[]})",
+           R"({"revision":)" + Digits + R"(,"values":{}})",
+           std::string(Depth, '['),
+           std::string(Depth, '[') + std::string(Depth, ']')}) {
+    CAPTURE(Text.substr(0, 40));
+    CHECK_FALSE(parseIndex(Text, "service"));
+    CHECK_FALSE(parseManifest(Text).Faults.empty());
+  }
+}
