Let callers return when weights or a configuration may be there

Cause: one short Retry-After for all refusals other than for load.

Change: returnDelay() in a module of its own. Where nothing serves yet, callers are told to return after just under a third of the time they have, the longest that they wait; in an overload the delay stays 0.15 of it.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -53,13 +53,9 @@
 /// A stream counts as begun at its second read with events: a server may crash
 /// just after its first event.
 constexpr std::uint32_t EventReadsToBegin = 2;
-/// Retry-After of responses that refuse a request for a reason other than
-/// load.
-constexpr milliseconds DefaultRetryAfter{200};
-/// Fraction of the remaining time that is sent as Retry-After when a request is
-/// refused for load. A burst may be over by then, and callers wait for at most
-/// a third of their time.
-constexpr double RetryAfterFraction = 0.15;
+/// Time that a caller is taken to have while no route and no value of its own
+/// tell it.
+constexpr milliseconds DefaultCallerTime{2000};
 
 std::string_view toStringView(boost::beast::string_view Text) {
   return {Text.data(), Text.size()};
@@ -113,12 +109,14 @@
 
 std::optional<RequestRun::LocalResponse> RequestRun::admit() {
   if (!Table)
-    return LocalResponse{503,
-                         "not_run",
-                         Step::ConfigurationRead,
-                         "store",
-                         "no configuration is known yet",
-                         DefaultRetryAfter};
+    return LocalResponse{
+        503,
+        "not_run",
+        Step::ConfigurationRead,
+        "store",
+        "no configuration is known yet",
+        returnDelay(RefusalCause::NotReady,
+                    RequestInfo.TimeLeft.value_or(DefaultCallerTime))};
   MatchedRoute = findRoute(*Table, toStringView(Request[http::field::host]),
                            toStringView(Request.target()));
   if (MatchedRoute == nullptr)
@@ -136,12 +134,13 @@
   Admitted = true;
   Pool = choosePool(*Table, *MatchedRoute, Owner.node().Generator);
   if (Pool == nullptr)
-    return LocalResponse{503,
-                         "not_run",
-                         Step::Routing,
-                         "",
-                         "the configuration does not describe the pool",
-                         DefaultRetryAfter};
+    return LocalResponse{
+        503,
+        "not_run",
+        Step::Routing,
+        "",
+        "the configuration does not describe the pool",
+        returnDelay(RefusalCause::Other, MatchedRoute->Timeout)};
   const Duration Remaining =
       std::min(RequestInfo.TimeLeft.value_or(MatchedRoute->Timeout),
                MatchedRoute->Timeout);
@@ -492,8 +491,14 @@
   const std::string Detail = fmt::format(
       "{} ({})", make_error_code(Last.Reason).message(), Last.Detail);
   if (NoneRun)
-    return {503,        "not_run", Step::Send,
-            LastServer, Detail,    retryAfter(DefaultRetryAfter)};
+    return {503,
+            "not_run",
+            Step::Send,
+            LastServer,
+            Detail,
+            retryAfter(Last.Reason == ErrorCode::WrongWeights
+                           ? RefusalCause::NotReady
+                           : RefusalCause::Other)};
   const bool NearDeadline = timeLeft() <= 2 * ResponseMargin;
   return {NearDeadline ? 504U : 502U,
           "unknown",
@@ -510,12 +515,15 @@
           Step::Admission,
           Pool->Name,
           std::string(serverShortageName(Shortage)),
-          retryAfter(std::chrono::duration_cast<Duration>(
-              std::max(Duration::zero(), timeLeft()) * RetryAfterFraction))};
+          retryAfter(Shortage == ServerShortage::Loading ||
+                             Shortage == ServerShortage::Absent
+                         ? RefusalCause::NotReady
+                         : RefusalCause::Overload)};
 }
 
-Duration RequestRun::retryAfter(Duration Default) const {
+Duration RequestRun::retryAfter(RefusalCause Cause) const {
   const TimePoint Now = now();
+  const Duration Default = returnDelay(Cause, timeLeft());
   const auto Until = refusedUntil(Owner.servers(), {.Pool = Pool->Name}, Now);
   if (!Until || *Until == TimePoint::max())
     return Default;
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/return_delay.hpp"
 #include "programs/gateway/gateway.hpp"
 #include "programs/gateway/server_exchange.hpp"
 
@@ -72,7 +73,7 @@
 
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
-  Duration retryAfter(Duration Default) const;
+  Duration retryAfter(RefusalCause Cause) const;
   void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
   ExchangeLimits exchangeLimits(const std::string &Id) const;
