Order chunks by version only where there are several

"without faults the time and the origin stay within the bounds": 208.5 s against 195 with 32 agents in 3 regions. "a connection that is not to be kept is closed after its response": 1 connection, not 2.

Cause: importing went by version also with a single one, which left its descriptor for last.

Change: one function gives the order of versions and none for a single one, as requests within a region had it. The test checks that no connection stays open, where a kept one does for seconds.

Ruled out: load. The first runs in virtual time and the second counts what the other end holds open.

--- a/src/coordination/transfer_plan.cpp
+++ b/src/coordination/transfer_plan.cpp
@@ -198,14 +198,16 @@
   }
 }
 
-/// Wanted versions with missing chunks, the one wanted for the longest time
-/// first.
-std::vector<const VersionSlot *>
-incompleteVersions(const TransferState &State) {
+/// Returns the order in which the chunks of versions are obtained: that of the
+/// wanted versions with missing chunks, the one wanted for the longest time
+/// first. Empty if there are fewer than two, which need no order.
+std::vector<const VersionSlot *> versionOrder(const TransferState &State) {
   std::vector<const VersionSlot *> Result;
   for (const auto &[Id, Version] : State.Versions)
     if (Version.Wanted && Version.Described && Version.MissingCount > 0)
       Result.push_back(&Version);
+  if (Result.size() < 2)
+    return {};
   std::stable_sort(Result.begin(), Result.end(),
                    [](const VersionSlot *Left, const VersionSlot *Right) {
                      return Left->WantedAt < Right->WantedAt;
@@ -215,9 +217,7 @@
 
 void requestInRegion(TransferState &State, TimePoint Now, Random &Source,
                      Actions &Result) {
-  auto Versions = incompleteVersions(State);
-  if (Versions.size() == 1)
-    Versions.clear(); // a single version needs no order
+  const auto Versions = versionOrder(State);
   requestFromRegion(State, State.LocalRegion, State.Settings.MaxInFlight, Now,
                     Source, Result, [&](const PeerSlot &Peer) {
                       std::optional<ChunkIndex> Chunk =
@@ -275,8 +275,8 @@
 /// Orders the queue of fetches by version, the one wanted for the longest time
 /// first, since it goes out of use when a later one arrives.
 void orderQueue(TransferState &State) {
-  const auto Versions = incompleteVersions(State);
-  if (Versions.size() < 2)
+  const auto Versions = versionOrder(State);
+  if (Versions.empty())
     return;
   const auto RankOf = [&](ChunkIndex Index) {
     if (State.Chunks[Index].IsDescriptor)
@@ -366,7 +366,7 @@
 
 void importChunks(TransferState &State, TimePoint Now, Random &Source,
                   Actions &Result) {
-  const auto Versions = incompleteVersions(State);
+  const auto Versions = versionOrder(State);
   for (RegionIndex RegionNumber = 0; RegionNumber < State.Regions.size();
        ++RegionNumber) {
     RegionSlot &Region = State.Regions[RegionNumber];
--- a/tests/src/unit-transport-http.cpp
+++ b/tests/src/unit-transport-http.cpp
@@ -134,5 +134,8 @@
     REQUIRE(std::holds_alternative<HttpResponse>(Result));
     CHECK(std::get<HttpResponse>(Result).Body == "whole");
   }
-  CHECK(Server->counters().Connections == 2);
+  // A connection that is kept stays open for seconds.
+  for (int I = 0; I < 100 && Server->counters().Connections > 0; ++I)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  CHECK(Server->counters().Connections == 0);
 }
