Give up a silent server only when another one can take the request

What callers saw: a stream was cut, or a request was answered 502, while its server was sound and only paused for a second or so.

Cause: the timeouts for the first byte (1.2 s for streams, three target latencies for idempotent requests) and between events (1.0 s) closed the connection to the server first and looked for another one afterwards. When none had the same weights and capacity, when the retry budget was used up or when the route allowed no further attempt, the stream ended without its last chunk. A change of the configuration, a version change or servers that leave make that shortage more likely.

Change: at these timeouts the request stays where it is unless another server could take it now; this is checked every 200 ms up to the deadline. The server counts as silent for the choice of servers as before. A line server_silent names the request.

Evidence: tests/process/test_silent_servers.py.

Ruled out: a change of the configuration touches no request in progress, each keeps the routes with which it was read.

--- a/include/marigoldyard/coordination/retry.hpp
+++ b/include/marigoldyard/coordination/retry.hpp
@@ -129,4 +129,11 @@
 RetryDecision decideRetry(RetryBudget &Budget, const RetryInputs &Inputs,
                           TimePoint Now);
 
+/// @brief Returns what decideRetry() would decide, and charges nothing.
+/// @param Budget budget of the product
+/// @return Retry, or the first reason against a retry
+/// @complexity constant
+RetryDecision previewRetry(RetryBudget Budget, const RetryInputs &Inputs,
+                           TimePoint Now);
+
 } // namespace marigoldyard
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -423,6 +423,13 @@
   co_return Assignment;
 }
 
+bool Gateway::hasCapacity(const ServerRequirements &Query,
+                          std::uint32_t Priority) {
+  return !mustWait(Queue, Query.Pool, Priority) &&
+         chooseServer(Servers, Query, now(), Node.Generator).Shortage ==
+             ServerShortage::None;
+}
+
 void Gateway::finishPrefill(const std::string &Id, std::uint64_t PromptTokens) {
   recordPrefillEnd(Servers, Id, PromptTokens);
   const auto Found = Servers.Servers.find(Id);
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -69,6 +69,10 @@
   boost::asio::awaitable<ServerChoice> acquireServer(
       ServerRequirements Query, WaitingRequest Request,
       const std::function<void(std::function<void()>)> &SetDisconnectHandler);
+  /// @brief Whether acquireServer() would choose a server without a wait.
+  /// @param Query requirements on the server
+  /// @param Priority priority of the request in the queue
+  bool hasCapacity(const ServerRequirements &Query, std::uint32_t Priority);
   /// @brief Records that a server finished the prefill of a prompt and
   /// dispatches queued requests.
   /// @param Id id of the server
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -274,7 +274,7 @@
              : Deadline - ArrivalTime;
 }
 
-net::awaitable<ServerChoice> RequestRun::acquire() {
+ServerRequirements RequestRun::serverRequirements() const {
   ServerRequirements Query;
   Query.Pool = Pool->Name;
   Query.Model = RequestInfo.Model;
@@ -285,6 +285,11 @@
       requestPriority(*MatchedRoute, RequestCustomer) == MostUrgentPriority;
   if (HeadForwarded)
     Query.ExactVersion = Version;
+  return Query;
+}
+
+net::awaitable<ServerChoice> RequestRun::acquire() {
+  ServerRequirements Query = serverRequirements();
   WaitingRequest QueueEntry = waitingRequest();
   const std::function<void(std::function<void()>)> SetDisconnectHandler =
       [this](std::function<void()> Leave) {
@@ -306,6 +311,10 @@
   Limits.GapTimeout =
       std::max(Duration(MinGapTimeout),
                TimeoutTargetMultiple * MatchedRoute->TargetEventGap);
+  if (MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce) {
+    Limits.HasAlternative = [this] { return hasAlternative(); };
+    Limits.OnSilence = [this] { recordSilence(); };
+  }
   switch (MatchedRoute->AllowedRetries) {
   case RetryPolicy::AtMostOnce:
     Limits.FirstByteTimeout = Duration(std::chrono::hours(1));
@@ -436,6 +445,44 @@
     Owner.finishPrefill(LastServer, RequestInfo.PromptTokens);
 }
 
+RetryInputs RequestRun::retryInputs(AttemptStatus LastAttempt,
+                                    ErrorCode Reason) const {
+  RetryInputs Query;
+  Query.LastAttempt = LastAttempt;
+  Query.Reason = Reason;
+  Query.Idempotent = MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
+  Query.MayHaveRun = !provesNotRun(LastAttempt) ||
+                     !std::all_of(AttemptOutcomes.begin(),
+                                  AttemptOutcomes.end(), provesNotRun);
+  Query.Attempts = Attempts;
+  Query.TimeLeft = timeLeft() - ResponseMargin;
+  return Query;
+}
+
+bool RequestRun::hasAlternative() const {
+  if (Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
+      (HeadForwarded && !resumable()) ||
+      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
+    return false;
+  const RetryDecision Decision = previewRetry(
+      Owner.retryBudget(Pool->Name),
+      retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout), now());
+  return Decision == RetryDecision::Retry &&
+         Owner.hasCapacity(serverRequirements(), waitingRequest().Priority);
+}
+
+void RequestRun::recordSilence() const {
+  recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::AnswerTimeout,
+                      now());
+  Owner.node().Log.write(
+      {.Event = "server_silent",
+       .At = Step::Send,
+       .Request = RequestInfo.Id,
+       .Fields = {{"server", LastServer},
+                  {"begun", HeadForwarded ? "true" : "false"},
+                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
+}
+
 bool RequestRun::mayRetry(const ExchangeResult &Last) {
   if (Last.Fate == AttemptStatus::Completed ||
       Attempts >= MatchedRoute->MaxAttemptsPerRequest)
@@ -445,16 +492,9 @@
   if (ServerCrashed &&
       !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts))
     return false;
-  RetryInputs Query;
-  Query.LastAttempt = Last.Fate;
-  Query.Reason = Last.Reason;
-  Query.Idempotent = MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
-  Query.MayHaveRun = !std::all_of(AttemptOutcomes.begin(),
-                                  AttemptOutcomes.end(), provesNotRun);
-  Query.Attempts = Attempts;
-  Query.TimeLeft = timeLeft() - ResponseMargin;
   const RetryDecision Verdict =
-      decideRetry(Owner.retryBudget(Pool->Name), Query, now());
+      decideRetry(Owner.retryBudget(Pool->Name),
+                  retryInputs(Last.Fate, Last.Reason), now());
   if (Verdict != RetryDecision::Retry)
     Owner.node().Log.write(
         {.Event = "repeat_denied",
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -49,12 +49,18 @@
   void recordAttempt(const std::string &Id, const ExchangeResult &Result);
   boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
                                                  const ServerRecord &Record);
+  ServerRequirements serverRequirements() const;
   boost::asio::awaitable<ServerChoice> acquire();
   void endPrefill();
   void endStartWatch();
   void recordProgress();
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
+  RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
+  /// Whether the request, whose server is silent, could be sent to another one
+  /// now.
+  bool hasAlternative() const;
+  void recordSilence() const;
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
   LocalResponse failureResponse(const ExchangeResult &Last) const;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -108,12 +108,24 @@
   Connection->Socket.close(Ignored);
 }
 
+bool ServerExchange::isWaitingAtServer() const {
+  return AwaitsFirstEvent && Limits.IsWaiting && now() < Limits.MaxWaitUntil &&
+         Limits.IsWaiting();
+}
+
 bool ServerExchange::prolongWait() {
-  const TimePoint Until = std::min(
-      {now() + WaitCheckInterval, Limits.MaxWaitUntil, Limits.Deadline});
-  if (!AwaitsFirstEvent || !Limits.IsWaiting || Until <= now() ||
-      !Limits.IsWaiting())
+  const TimePoint Now = now();
+  if (!AwaitsResponse || Now >= Limits.Deadline)
     return false;
+  TimePoint Until = std::min(Now + WaitCheckInterval, Limits.Deadline);
+  if (isWaitingAtServer()) {
+    Until = std::min(Until, Limits.MaxWaitUntil);
+  } else {
+    if (!Limits.HasAlternative || Limits.HasAlternative())
+      return false;
+    if (!std::exchange(SilenceReported, true) && Limits.OnSilence)
+      Limits.OnSilence();
+  }
   Timer.expiresAt(Until);
   return true;
 }
@@ -155,6 +167,7 @@
     co_return Result;
   }
   AwaitsFirstEvent = true;
+  AwaitsResponse = true;
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
   if (Reusable && HasId && *RequestWritten && !Cancelled && !Withdrawn) {
@@ -337,6 +350,7 @@
 ServerExchange::readRefusal(Parser &ResponseParser,
                             const platform::ServerResponse &Head) {
   AwaitsFirstEvent = false;
+  AwaitsResponse = false;
   Timer.expiresAt(std::min(Limits.Deadline, now() + RefusalBodyTimeout));
   std::size_t BytesRead = 0;
   const error_code Failure = co_await skipBody(ResponseParser, BytesRead);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -69,6 +69,12 @@
   /// first byte goes on up to MaxWaitUntil. Empty when that is never known.
   std::function<bool()> IsWaiting;
   TimePoint MaxWaitUntil{};
+  /// Whether another server could take the request now. Until then, a timeout
+  /// does not end the wait for a silent server, which may go on. Empty when a
+  /// timeout always ends it.
+  std::function<bool()> HasAlternative;
+  /// Called at the first timeout that does not end the wait.
+  std::function<void()> OnSilence;
 };
 
 /// @brief Sends one request to one server and reads the response.
@@ -111,9 +117,11 @@
   /// Closes the connection and discards bytes that were not delivered yet.
   void abortConnection();
   /// Prolongs the wait for the first byte or event of a request that waits at
-  /// its server.
+  /// its server, and the wait for a silent server while no other one can take
+  /// the request.
   /// @return whether the wait goes on
   bool prolongWait();
+  bool isWaitingAtServer() const;
   boost::asio::awaitable<bool> connect(const std::string &Address);
   boost::asio::awaitable<bool> send(const platform::RequestMessage &Request);
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
@@ -144,6 +152,8 @@
   bool Cancelled = false;
   bool Withdrawn = false;
   bool AwaitsFirstEvent = false; ///< the request was sent and has not started
+  bool AwaitsResponse = false;   ///< the request was sent and has not ended
+  bool SilenceReported = false;
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
--- a/src/coordination/retry.cpp
+++ b/src/coordination/retry.cpp
@@ -157,4 +157,9 @@
   return RetryDecision::Retry;
 }
 
+RetryDecision previewRetry(RetryBudget Budget, const RetryInputs &Inputs,
+                           TimePoint Now) {
+  return decideRetry(Budget, Inputs, Now);
+}
+
 } // namespace marigoldyard
--- /dev/null
+++ b/tests/process/test_silent_servers.py
@@ -0,0 +1,115 @@
+"""Servers that are sound, fall silent for a second or so and go on."""
+import json
+import os
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+EVENTS = 8
+
+
+def pausing_stream(server, pause_after, pause):
+    """A stream of EVENTS events with one pause after `pause_after` of them; 0 pauses before the head."""
+    def run(request):
+        head = server.headers(request)
+        if pause_after == 0:
+            time.sleep(pause)
+        request.send_response(200)
+        for name, value in {**head, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}.items():
+            request.send_header(name, value)
+        request.end_headers()
+        for number in range(int(request.headers.get("Last-Event-Id", 0)) + 1, EVENTS + 1):
+            text = f"id: {number}\ndata: {server.id}-{number}\n\n"
+            request.wfile.write(f"{len(text):x}\r\n{text}\r\n".encode())
+            if number == pause_after:
+                time.sleep(pause)
+        request.wfile.write(b"0\r\n\r\n")
+    return run
+
+
+def event_ids(answer):
+    return [int(line[4:]) for line in answer.body.decode(errors="replace").splitlines() if line.startswith("id: ")]
+
+
+class OnlyServer:
+    """Leaves one server of a pool in use; the others are drained meanwhile."""
+
+    def __init__(self, servers):
+        self.server, self.others = servers[0], servers[1:]
+
+    def __enter__(self):
+        for other in self.others:
+            other.register("draining")
+        time.sleep(0.8)  # until the gateways have applied the change
+        return self.server
+
+    def __exit__(self, *_):
+        for other in self.others:
+            other.register()
+        time.sleep(0.8)
+
+
+def call_while(fleet, change, *args):
+    """Sends one request and makes a change 0.3 s later; returns the answer."""
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(call(*args)))
+    caller.start()
+    time.sleep(0.3)
+    change(fleet)
+    caller.join()
+    return answers[0]
+
+
+def no_change(_):
+    pass
+
+
+# Guards against a stream that is cut while its server pauses although no other server can continue it.
+def case_stream_pauses(fleet):
+    """a stream whose server pauses is not cut when no other server can continue it"""
+    for change in (no_change, lambda f: f.configure()):
+        pf.forget(fleet)
+        with OnlyServer(fleet.engines) as server:
+            server.behaviours = [pausing_stream(server, 3, 1.7)]
+            answer = call_while(fleet, change, fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)),
+              f"whole: {answer.whole}, events {event_ids(answer)}")
+
+
+# Guards against a request that ends with a failure while its server pauses although no other server can take it.
+def case_first_byte_pauses(fleet):
+    """a request whose server pauses before its response is not given up when no other server can take it"""
+    with OnlyServer(fleet.engines) as server:
+        server.behaviours = [pausing_stream(server, 0, 1.7)]
+        answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    check(answer.status == 200 and answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)),
+          f"stream: status {answer.status}, events {event_ids(answer)}")
+    with OnlyServer(fleet.plain) as server:
+        server.behaviours = [server.slow]
+        answer = call(fleet.gateways[0], "/read/1")
+    check(answer.status == 200, f"response: status {answer.status} {answer.body!r}")
+
+
+# Guards against waiting at a silent server while another one could serve.
+def case_other_server_takes_over(fleet):
+    """a stream continues at another server when its own is silent for long"""
+    for server in fleet.engines:
+        server.behaviours = [pausing_stream(server, 3, 2.5)]
+    started = time.monotonic()
+    answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    took = time.monotonic() - started
+    check(answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)), f"events {event_ids(answer)}")
+    check(took < 2, f"it took {took:.2f} s")
+    logged = lambda: any(line["event"] == "send_failed" and line["detail"] == "timed out"
+                         for line in map(json.loads, fleet.gateways[0].log_text().splitlines()))
+    wait_for(logged, "the attempt that was given up is logged", timeout=3)
+
+
+CASES = [case_stream_pauses, case_first_byte_pauses, case_other_server_takes_over]
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
