Answer every request that was read before a planned stop ends

What callers saw: requests that a gateway had read were cut without an answer when the grace time of its planned stop ended, among them requests that must not be repeated, and requests accepted during the stop.

Cause: at the drain limit the process ended with its requests in progress. A request accepted up to 0.3 of the limit after SIGTERM kept its own deadline, which may lie beyond the limit.

Change: 0.3 s before the process ends, each request whose response has not begun gets a final one: 503 if it provably has not run, 504 otherwise. A request accepted during the stop has that time as its deadline, also at its server. A stream that has begun is still cut at the limit, and each request that is cut gets a line of its own in the log.

Ruled out: answers that servers give late in the grace time were delivered before as well.

--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -47,6 +47,9 @@
 constexpr double DrainAcceptFraction = 0.3;
 /// Time between the last end of a request and the platform's SIGKILL.
 constexpr std::chrono::milliseconds ExitMargin{600};
+/// Time before the end of the process at which requests without a response get
+/// a final one; it is for writing the responses.
+constexpr std::chrono::milliseconds LastResponseMargin{300};
 
 } // namespace
 
@@ -532,8 +535,12 @@
     Connections.closeExpired(Now);
     reloadSettings();
   }
+  if (Now >= lastResponseAt())
+    expireRuns();
   if (DrainProgress.Stage != DrainStage::Serving &&
       updateDrain(DrainProgress, Now) == DrainStage::Done) {
+    for (RequestRun *Run : Runs)
+      Run->recordCut();
     Node.Log.write(
         {.Event = "stopped",
          .At = Step::Drain,
@@ -599,6 +606,17 @@
   sendStatus(true);
 }
 
+TimePoint Gateway::lastResponseAt() const {
+  return DrainProgress.Stage == DrainStage::Serving
+             ? TimePoint::max()
+             : DrainProgress.Deadline - LastResponseMargin;
+}
+
+void Gateway::expireRuns() {
+  for (RequestRun *Run : Runs)
+    Run->expire();
+}
+
 void Gateway::reloadSettings() {
   if (auto Reloaded = File.readIfChanged()) {
     Settings.Process.Seeds = Reloaded->Process.Seeds;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -27,6 +27,8 @@
 
 namespace marigoldyard {
 
+class RequestRun;
+
 /// @brief Entry point for callers: resolves the directory, reports readiness,
 /// and admits, routes and forwards requests.
 ///
@@ -89,6 +91,17 @@
   /// @param Notice what it said
   void handleNotice(const ServerRecord &Server, const ServerNotice &Notice);
 
+  /// @brief Registers a request in progress, so that it is answered before the
+  /// process ends.
+  /// @param Run removed with removeRun() before it is destroyed
+  void addRun(RequestRun &Run) { Runs.insert(&Run); }
+  /// @brief Removes a request in progress.
+  /// @param Run an unknown one has no effect
+  void removeRun(RequestRun &Run) { Runs.erase(&Run); }
+  /// @return time at which requests without a response get a final one, because
+  /// the process is about to end; TimePoint::max() unless it is leaving
+  TimePoint lastResponseAt() const;
+
   /// @brief Retry budget of a pool; created at the first use.
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
@@ -218,6 +231,9 @@
   void dispatchQueued(const std::string &Pool);
   void completeWait(std::uint64_t Ticket, ServerChoice Assignment);
   void terminate();
+  /// Ends the waits of requests that have no response yet, so that each gets a
+  /// final one before the process ends.
+  void expireRuns();
   void reloadSettings();
 
   GatewaySettings Settings;
@@ -232,7 +248,8 @@
   std::map<std::string, RetryBudget> RetryBudgets; ///< by pool
   RetryShare SharedRetries; ///< part of this gateway in the retries of all
   DrainState DrainProgress;
-  bool LoggedReady = false; ///< readiness as last logged
+  std::set<RequestRun *> Runs; ///< in progress
+  bool LoggedReady = false;    ///< readiness as last logged
   /// A stager from which a message arrived recently.
   struct KnownStager {
     TimePoint LastMessageAt{};
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -91,6 +91,7 @@
 
 RequestRun::~RequestRun() {
   endStartWatch();
+  Owner.removeRun(*this);
   if (Admitted)
     recordWorkFinished(Owner.drainProgress());
 }
@@ -132,6 +133,7 @@
     return LocalResponse{503, "not_run", Step::Drain,
                          "",  "leaving", milliseconds(0)};
   Admitted = true;
+  Owner.addRun(*this);
   Pool = choosePool(*Table, *MatchedRoute, Owner.node().Generator);
   if (Pool == nullptr)
     return LocalResponse{
@@ -144,11 +146,23 @@
   const Duration Remaining =
       std::min(RequestInfo.TimeLeft.value_or(MatchedRoute->Timeout),
                MatchedRoute->Timeout);
-  Deadline = ArrivalTime + Remaining;
+  Deadline = std::min(ArrivalTime + Remaining, Owner.lastResponseAt());
   recordFirstAttempt(Owner.retryBudget(Pool->Name), ArrivalTime);
   return std::nullopt;
 }
 
+void RequestRun::expire() {
+  if (HeadForwarded || now() >= Deadline)
+    return;
+  Deadline = now();
+  if (ActiveExchange != nullptr)
+    ActiveExchange->expire();
+  if (EndQueueWait)
+    EndQueueWait();
+}
+
+void RequestRun::recordCut() { log("cut", "the process ends"); }
+
 net::awaitable<bool> RequestRun::serve() {
   for (;;) {
     if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
@@ -293,6 +307,7 @@
   WaitingRequest QueueEntry = waitingRequest();
   const std::function<void(std::function<void()>)> SetDisconnectHandler =
       [this](std::function<void()> Leave) {
+        EndQueueWait = Leave;
         Session.onDisconnect([this, End = std::move(Leave)] {
           if (ActiveExchange != nullptr)
             ActiveExchange->cancel();
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -30,6 +30,12 @@
   /// @return whether the caller's connection may be kept open
   boost::asio::awaitable<bool> run();
 
+  /// @brief Ends all waits as at the deadline, so that the request gets a final
+  /// response now. Has no effect once its response has begun.
+  void expire();
+  /// @brief Logs that the process ends before the request does.
+  void recordCut();
+
 private:
   /// A response that the gateway generates instead of forwarding one.
   struct LocalResponse {
@@ -100,6 +106,7 @@
   const Customer *RequestCustomer = nullptr;
   const ServerPool *Pool = nullptr;
   TimePoint Deadline{};
+  std::function<void()> EndQueueWait; ///< set while the request is queued
   bool Admitted = false;
 
   std::uint32_t Attempts = 0;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -93,6 +93,11 @@
   abortConnection();
 }
 
+void ServerExchange::expire() {
+  Expired = true;
+  abortConnection();
+}
+
 void ServerExchange::withdraw() {
   Withdrawn = true;
   abortConnection();
@@ -143,10 +148,10 @@
   ExchangeResult Result;
   if (!Connection) {
     const bool Connected = co_await connect(Address);
-    if (!Connected || Cancelled || Withdrawn) {
+    if (!Connected || wasStopped()) {
       Result = failureResult({});
       Result.Fate = AttemptStatus::NeverSent;
-      if (!Cancelled && !Withdrawn) {
+      if (!wasStopped()) {
         Result.Reason = ErrorCode::PeerUnreachable;
         Result.Health = ServerOutcome::Unreachable;
       }
@@ -160,7 +165,7 @@
   const bool Written = co_await send(Request);
   if (!Written) {
     Result = failureResult({});
-    if (!Cancelled && !Withdrawn)
+    if (!wasStopped())
       Result.Reason = ErrorCode::PeerUnreachable;
     Result.Detail = "request was not written";
     Timer.clear();
@@ -170,7 +175,7 @@
   AwaitsResponse = true;
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
-  if (Reusable && HasId && *RequestWritten && !Cancelled && !Withdrawn) {
+  if (Reusable && HasId && *RequestWritten && !wasStopped()) {
     Connections.putBack(Address, std::move(Connection), now());
   } else {
     error_code Ignored;
@@ -256,7 +261,7 @@
     Result.Reason = ErrorCode::WrongWeights;
     Result.Health = ServerOutcome::Answered;
     Result.Detail = "not started before the version went out of use";
-  } else if (Timer.expired()) {
+  } else if (Expired || Timer.expired()) {
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
     Result.Detail = "timed out";
@@ -268,7 +273,7 @@
 
 ExchangeResult ServerExchange::stoppedResult(PartStatus Status) const {
   ExchangeResult Result = failureResult({});
-  if (Cancelled || Withdrawn)
+  if (wasStopped())
     return Result;
   if (Status == PartStatus::CallerLeft) {
     Result.Reason = ErrorCode::Cancelled;
@@ -314,7 +319,7 @@
     }
     if (Meaning == ResponseMeaning::Invalid) {
       ExchangeResult Result = failureResult({});
-      if (!Cancelled && !Withdrawn)
+      if (!wasStopped())
         Result.Reason = ErrorCode::StreamCorrupt;
       Result.Detail = Head.Signed ? "success that states that it did not run"
                                   : "success without the server's signature";
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -106,6 +106,8 @@
 
   /// @brief Closes the connection, so that the server stops its work.
   void cancel();
+  /// @brief Ends the exchange as at its deadline.
+  void expire();
   /// @brief Closes the connection because the request must not start at the
   /// server any more; another server may run it.
   void withdraw();
@@ -138,6 +140,8 @@
   boost::asio::awaitable<ExchangeResult>
   readStream(Parser &ResponseParser, const platform::ServerResponse &Head,
              StreamReceiver &Receiver);
+  /// Whether the exchange was ended from outside.
+  bool wasStopped() const { return Cancelled || Withdrawn || Expired; }
   bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
   ExchangeResult stoppedResult(PartStatus Status) const;
@@ -151,6 +155,7 @@
   std::shared_ptr<ServerConnection> Connection;
   bool Cancelled = false;
   bool Withdrawn = false;
+  bool Expired = false;
   bool AwaitsFirstEvent = false; ///< the request was sent and has not started
   bool AwaitsResponse = false;   ///< the request was sent and has not ended
   bool SilenceReported = false;
