Order changes of the store by era and revision

What callers saw: after the store was restored from a copy, configurations written later were not in force in time, servers that started again got no requests, and added keys were refused.

Cause: a revision was used as a position without the history that it belongs to. Revisions go back with a restore; every write with a lower revision than the known one was dropped, in the local copy, in relays and in what gateways tell each other, and a watch went on after a revision that the new history gives out again.

Change: a position is the store's era (header Store-Era) and a revision. Listings, watches, relays and status messages carry it. Within an era nothing changes. Between eras an item is only taken over from the copy if its writer wrote it later, by the version of a configuration or of weights, by the start of a server or because it started to drain; a write after the first content of the era always counts. So a restore takes back no configuration, key or departure that was known. What the copy lacks stays, servers for the usual two seconds. A response of another era than its watch leads to a listing, and one from before the restore is dropped.

The fields of StoreItem, GatewayStatus, StoreRelayRequest and StoreRelay change on the wire: gateways of this build and of older ones drop these messages of each other.

The checks in the tests of the mirror are the same as before; their positions have an era now.

--- a/include/marigoldyard/coordination/store_mirror.hpp
+++ b/include/marigoldyard/coordination/store_mirror.hpp
@@ -10,11 +10,24 @@
 
 namespace marigoldyard {
 
+/// @brief How items are treated when the store was restored from a copy.
+struct RestoreRules {
+  /// Whether the writer of an item wrote it after another one of the same key,
+  /// by what the values state. Revisions do not order items of two eras.
+  bool (*IsNewer)(const StoreItem &Item, const StoreItem &Than) = nullptr;
+  /// Whether the store may remove the items of a key that are not renewed. All
+  /// others are written again after a restore.
+  bool (*MayExpire)(std::string_view Key) = nullptr;
+};
+
 /// @brief Local copy of a part of the platform's store.
 ///
-/// An item is replaced only by one with a higher revision, so that stale reads
-/// and delayed relays revert nothing.
+/// Within an era, an item is replaced only by one with a higher revision, so
+/// that stale reads and delayed relays revert nothing. After a restore, the
+/// store may hold older items than this copy, which are not taken over: what
+/// was known stays until it is written again.
 struct StoreMirror {
+  RestoreRules Rules;
   /// Time for which an item that is missing from a listing after an outage is
   /// kept. Servers whose items expired during the outage register again within
   /// this time.
@@ -25,9 +38,12 @@
 
   std::map<std::string, StoreItem, std::less<>> Items;
   std::deque<StoreItem> Removals; ///< oldest first
-  StoreRevision Revision = 0;     ///< all changes up to it are applied
-  /// Every removal after this revision is in Removals.
-  StoreRevision RemovalsCompleteAfter = 0;
+  StorePosition Position;         ///< all changes up to it are applied
+  /// Revision of the first content that was received of an era, by era. An item
+  /// of the era up to this revision may be one of the copy.
+  std::map<StoreEra, StoreRevision> CopiedUpTo;
+  /// Every removal after this position is in Removals.
+  StorePosition RemovalsCompleteAfter;
   std::map<std::string, TimePoint, std::less<>>
       PendingRemovals; ///< time of the removal of expired items, by key
 };
@@ -37,11 +53,13 @@
 
 /// @brief Applies events of a watch or items of a relay.
 /// @param Events items and removals, in any sequence
-/// @param CompleteUpTo revision up to which the events are complete
+/// @param CompleteUpTo position up to which the events are complete
+/// @param CopiedUpTo of the sender of a relay, for the era of CompleteUpTo
 /// @complexity logarithmic in the number of items, for each event
 ChangedKeys applyEvents(StoreMirror &Mirror,
                         const std::vector<StoreItem> &Events,
-                        StoreRevision CompleteUpTo);
+                        StorePosition CompleteUpTo,
+                        StoreRevision CopiedUpTo = 0);
 
 /// @brief Whether items that a listing lacks may have expired because the store
 /// was unavailable. When other processes relayed its changes meanwhile, only
@@ -53,14 +71,14 @@
 
 /// @brief Applies a complete listing.
 /// @param Listed items of all pages
-/// @param ListingRevision revision of the first page; later changes may be
-/// missing
+/// @param ListedAt position of the first page; later changes may be missing. A
+/// new era means that the store was restored.
 /// @param AfterOutage whether the store was unavailable before, so that missing
-/// items are kept for ExpiryGracePeriod
+/// items are kept for ExpiryGracePeriod, as after a restore
 /// @complexity O(n log n) in the number of items
 ChangedKeys applyListing(StoreMirror &Mirror,
                          const std::vector<StoreItem> &Listed,
-                         StoreRevision ListingRevision, bool AfterOutage,
+                         StorePosition ListedAt, bool AfterOutage,
                          TimePoint Now);
 
 /// @brief Removes items that expired during an outage and were not registered
@@ -69,12 +87,17 @@
 /// @complexity linear in the number of pending removals
 ChangedKeys removeExpiredItems(StoreMirror &Mirror, TimePoint Now);
 
-/// @brief Items and removals after a revision, for a relay to another process.
-/// @param After revision up to which the other process has all changes
+/// @brief Items and removals after a position, for a relay to another process.
+/// @param After position up to which the other process has all changes
 /// @return items and removals; includes all items when removals after the
-/// revision were discarded
+/// position were discarded
 /// @complexity linear in the number of items
 std::vector<StoreItem> itemsAfter(const StoreMirror &Mirror,
-                                  StoreRevision After);
+                                  StorePosition After);
+
+/// @brief Returns the revision up to which items of the mirror's era may be
+/// from a copy, for a relay to another process.
+/// @return the revision; 0 while no content is known
+StoreRevision copiedUpTo(const StoreMirror &Mirror);
 
 } // namespace marigoldyard
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -53,13 +53,15 @@
                     M.FailureDomain, M.Pool, M.Draining)
 MARIGOLDYARD_FIELDS(Hello, M.Sender)
 MARIGOLDYARD_FIELDS(LoadedWeights, M.Model, M.Version)
-MARIGOLDYARD_FIELDS(StoreItem, M.Key, M.Value, M.ChangedRevision, M.Deleted)
+MARIGOLDYARD_FIELDS(StorePosition, M.Era, M.Revision)
+MARIGOLDYARD_FIELDS(StoreItem, M.Key, M.Value, M.ChangedRevision, M.Deleted,
+                    M.Era)
 MARIGOLDYARD_FIELDS(GatewayStatus, M.Sender, M.CallerAddress, M.Ready,
                     M.Leaving, M.KnownUpto, M.Gateways)
 MARIGOLDYARD_FIELDS(EngineStatus, M.Sender, M.Server, M.StartedAtMs,
                     M.Accepting, M.Load, M.Weights)
 MARIGOLDYARD_FIELDS(StoreRelayRequest, M.After, M.Prefix)
-MARIGOLDYARD_FIELDS(StoreRelay, M.Items, M.Upto)
+MARIGOLDYARD_FIELDS(StoreRelay, M.Items, M.Upto, M.CopiedUpTo)
 MARIGOLDYARD_FIELDS(DescriptorRequest, M.Model, M.Version)
 MARIGOLDYARD_FIELDS(DescriptorReply, M.Model, M.Version, M.ChunkBytes,
                     asDigest(M.Chunks))
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -202,7 +202,7 @@
   std::string CallerAddress; ///< "host:port" for callers
   bool Ready = false;
   bool Leaving = false;
-  StoreRevision KnownUpto = 0;       ///< of the store
+  StorePosition KnownUpto;           ///< of the store
   std::vector<std::string> Gateways; ///< live ones that the sender knows
 };
 
@@ -231,14 +231,17 @@
 
 /// @brief Asks a gateway for what the platform's store holds.
 struct StoreRelayRequest {
-  StoreRevision After = 0; ///< everything up to here is known
-  std::string Prefix;      ///< of the keys
+  StorePosition After; ///< everything up to here is known
+  std::string Prefix;  ///< of the keys
 };
 
 /// @brief Items of the platform's store that the asking process lacks.
 struct StoreRelay {
   std::vector<StoreItem> Items;
-  StoreRevision Upto = 0; ///< the items are complete up to here
+  StorePosition Upto; ///< the items are complete up to here
+  /// Items of the era of Upto up to this revision may be from the copy from
+  /// which the store was restored.
+  StoreRevision CopiedUpTo = 0;
 };
 
 /// @brief Stager to stager: asks for the chunks of a version, because the
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -223,7 +223,7 @@
                  std::get_if<StoreRelayRequest>(&Incoming.Content)) {
     handleRelayRequest(Peer, *RelayRequest);
   } else if (const auto *Relay = std::get_if<StoreRelay>(&Incoming.Content)) {
-    Store.applyRelay(Relay->Items, Relay->Upto);
+    Store.applyRelay(*Relay);
   } else {
     Handlers.Received(Incoming);
   }
@@ -274,18 +274,21 @@
 
 void FleetNode::handleRelayRequest(const std::string &Peer,
                                    const StoreRelayRequest &Request) {
-  if (!Store.isInitialized() || Store.mirror().Revision <= Request.After)
+  if (!Store.isInitialized() || Store.mirror().Position <= Request.After)
     return;
   StoreRelay Relay;
-  Relay.Upto = Store.mirror().Revision;
+  Relay.Upto = Store.mirror().Position;
+  Relay.CopiedUpTo = copiedUpTo(Store.mirror());
   for (StoreItem &Item : itemsAfter(Store.mirror(), Request.After))
     if (Item.Key.starts_with(Request.Prefix))
       Relay.Items.push_back(std::move(Item));
   Log.write({.Event = "store_relayed",
              .At = Step::ConfigurationRelay,
              .Peer = Peer,
-             .Number = Relay.Upto,
-             .Fields = {{"after", std::to_string(Request.After)},
+             .Number = Relay.Upto.Revision,
+             .Fields = {{"era", std::to_string(Relay.Upto.Era)},
+                        {"after", std::to_string(Request.After.Revision)},
+                        {"after_era", std::to_string(Request.After.Era)},
                         {"items", std::to_string(Relay.Items.size())}}});
   send(Peer, std::move(Relay));
 }
@@ -298,15 +301,15 @@
     return;
   RelayRequestedAt = Now;
   std::string NewestGateway;
-  StoreRevision NewestRevision = Store.mirror().Revision;
+  StorePosition Newest = Store.mirror().Position;
   for (const auto &[Address, Gateway] : liveGateways())
-    if (Gateway.LatestRevision > NewestRevision) {
-      NewestRevision = Gateway.LatestRevision;
+    if (Gateway.LatestPosition > Newest) {
+      Newest = Gateway.LatestPosition;
       NewestGateway = Address;
     }
   if (!NewestGateway.empty())
     send(NewestGateway,
-         StoreRelayRequest{Store.mirror().Revision, RelayPrefix});
+         StoreRelayRequest{Store.mirror().Position, RelayPrefix});
 }
 
 void FleetNode::tick() {
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -61,7 +61,7 @@
   std::string CallerAddress;
   bool Ready = false;
   bool Draining = false;
-  StoreRevision LatestRevision = 0;
+  StorePosition LatestPosition;
 };
 
 /// @brief Functions shared by gateways and stagers: log, metrics, messages, the
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -34,7 +34,9 @@
                          boost::asio::io_context &Context, HttpClient &Sender,
                          Logger &Target, ChangeHandler Callback)
     : Options(std::move(Settings)), Timer(Context), Client(Sender), Log(Target),
-      OnChange(std::move(Callback)) {}
+      OnChange(std::move(Callback)) {
+  Mirror.Rules = {platform::isWrittenLater, platform::mayExpire};
+}
 
 void StoreReader::start() {
   LastResponseAt = now();
@@ -47,15 +49,16 @@
                                                    UnreachableTimeout;
 }
 
-void StoreReader::applyRelay(const std::vector<StoreItem> &Items,
-                             StoreRevision Upto) {
-  if (Upto > Mirror.Revision)
+void StoreReader::applyRelay(const StoreRelay &Relay) {
+  if (Relay.Upto > Mirror.Position)
     ++RelaysSinceResponse;
-  const ChangedKeys Keys = applyEvents(Mirror, Items, Upto);
+  const ChangedKeys Keys =
+      applyEvents(Mirror, Relay.Items, Relay.Upto, Relay.CopiedUpTo);
   if (!Initialized) {
     Log.write({.Event = "store_known_by_relay",
                .At = Step::ConfigurationRelay,
-               .Number = Upto});
+               .Number = Relay.Upto.Revision,
+               .Fields = {{"era", std::to_string(Relay.Upto.Era)}}});
   }
   Initialized = true;
   notifyChanges(Keys);
@@ -96,15 +99,21 @@
     ListedItems.clear();
     return handleFailure(Result);
   }
-  auto Page = platform::parseStoreResponse(Response->Body);
+  auto Page = platform::readStoreResponse(*Response);
   if (!Page) {
     Log.write("store_answer_invalid", Page.error());
     ListedItems.clear();
     return scheduleCall(MaxBackoff, &StoreReader::requestListing);
   }
+  const bool IsFirstPage = ListedItems.empty();
+  if (Page->Position.Era < Mirror.Position.Era ||
+      (!IsFirstPage && Page->Position.Era != ListedAt.Era)) {
+    ListedItems.clear();
+    return handleOtherEra(Page->Position);
+  }
   logFaults(*Page);
-  if (ListedItems.empty())
-    ListedRevision = Page->Revision;
+  if (IsFirstPage)
+    ListedAt = Page->Position;
   std::move(Page->Items.begin(), Page->Items.end(),
             std::back_inserter(ListedItems));
   if (Page->Truncated && !Page->Items.empty())
@@ -112,13 +121,16 @@
   const bool AfterOutage = Initialized && mayHaveExpired(now() - LastResponseAt,
                                                          RelaysSinceResponse);
   recordResponse();
+  const bool Restored = Initialized && ListedAt.Era > Mirror.Position.Era;
   const ChangedKeys Keys =
-      applyListing(Mirror, ListedItems, ListedRevision, AfterOutage, now());
+      applyListing(Mirror, ListedItems, ListedAt, AfterOutage, now());
   Log.write(
       {.Event = "store_listed",
        .At = Step::ConfigurationRead,
-       .Number = ListedRevision,
-       .Fields = {{"items", std::to_string(ListedItems.size())},
+       .Number = ListedAt.Revision,
+       .Fields = {{"era", std::to_string(ListedAt.Era)},
+                  {"restored", Restored ? "yes" : "no"},
+                  {"items", std::to_string(ListedItems.size())},
                   {"changed", std::to_string(Keys.size())},
                   {"held", std::to_string(Mirror.PendingRemovals.size())}}});
   ListedItems.clear();
@@ -131,8 +143,10 @@
 
 void StoreReader::requestChanges() {
   CallSentAt = now();
+  WatchedEra = Mirror.Position.Era;
   Client.call(platform::makeWatchCall(Options.Address, Options.Prefix,
-                                      Mirror.Revision, Options.WatchTimeout),
+                                      Mirror.Position.Revision,
+                                      Options.WatchTimeout),
               [this](const HttpResult &Result) { handleChanges(Result); });
 }
 
@@ -140,14 +154,16 @@
   const HttpResponse *Response = successfulResponse(Result);
   if (Response == nullptr)
     return handleFailure(Result);
-  auto Events = platform::parseStoreResponse(Response->Body);
+  auto Events = platform::readStoreResponse(*Response);
   if (!Events) {
     Log.write("store_answer_invalid", Events.error());
     return scheduleCall(MaxBackoff, &StoreReader::requestListing);
   }
+  if (Events->Position.Era != WatchedEra)
+    return handleOtherEra(Events->Position);
   logFaults(*Events);
   recordResponse();
-  notifyChanges(applyEvents(Mirror, Events->Items, Events->Revision));
+  notifyChanges(applyEvents(Mirror, Events->Items, Events->Position));
   ConfirmedAt = confirmedByWatch(CallSentAt, LastResponseAt,
                                  Options.WatchTimeout, !Events->Items.empty());
   // The delay collects changes; a watch that waited in full needs none.
@@ -157,13 +173,28 @@
                &StoreReader::requestChanges);
 }
 
+void StoreReader::handleOtherEra(StorePosition Position) {
+  const bool IsNew = Position.Era > Mirror.Position.Era;
+  Log.write({.Level = LogLevel::Warning,
+             .Event = IsNew ? "store_restored" : "store_answer_outdated",
+             .At = Step::ConfigurationRead,
+             .Peer = "store",
+             .Number = Position.Revision,
+             .Fields = {{"era", std::to_string(Position.Era)},
+                        {"known_era", std::to_string(Mirror.Position.Era)},
+                        {"known_revision",
+                         std::to_string(Mirror.Position.Revision)}}});
+  scheduleCall(IsNew ? std::chrono::milliseconds::zero() : MinBackoff,
+               &StoreReader::requestListing);
+}
+
 void StoreReader::logFaults(const StoreResponse &Response) {
   if (Response.Faults.empty())
     return;
   Log.write({.Level = LogLevel::Warning,
              .Event = "store_items_invalid",
              .At = Step::ConfigurationRead,
-             .Number = Response.Revision,
+             .Number = Response.Position.Revision,
              .Fields = {{"items", std::to_string(Response.Faults.size())},
                         {"first", Response.Faults.front()}}});
 }
@@ -173,7 +204,7 @@
     Log.write({.Event = "store_regained",
                .At = Step::ConfigurationRead,
                .Peer = "store",
-               .Number = Mirror.Revision});
+               .Number = Mirror.Position.Revision});
   ContactLost = false;
   ConsecutiveFailures = 0;
   Backoff = {};
@@ -188,7 +219,7 @@
   if (HistoryUnavailable) {
     Log.write({.Event = "store_history_lost",
                .At = Step::ConfigurationRead,
-               .Number = Mirror.Revision});
+               .Number = Mirror.Position.Revision});
     return scheduleCall({}, &StoreReader::requestListing);
   }
   // The first failure may be that of a kept connection. The call after it opens
@@ -206,7 +237,7 @@
                .Event = "store_lost",
                .At = Step::ConfigurationRead,
                .Peer = "store",
-               .Number = Mirror.Revision,
+               .Number = Mirror.Position.Revision,
                .Fields = {{"cause", Cause}}});
   }
   Backoff = std::clamp(Backoff * 2, MinBackoff,
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/coordination/store_mirror.hpp"
+#include "marigoldyard/protocol/message.hpp"
 #include "marigoldyard/transport/http_client.hpp"
 #include "marigoldyard/transport/log.hpp"
 
@@ -51,9 +52,7 @@
   void start();
 
   /// @brief Applies items that another process relayed.
-  /// @param Items changed items
-  /// @param Upto store revision up to which the items are complete
-  void applyRelay(const std::vector<StoreItem> &Items, StoreRevision Upto);
+  void applyRelay(const StoreRelay &Relay);
 
   /// @brief Removes items that expired while the store was unreachable. Must be
   /// called regularly.
@@ -88,6 +87,9 @@
   void handleListing(const HttpResult &Result);
   void requestChanges();
   void handleChanges(const HttpResult &Result);
+  /// Handles a response of another era than that of its call: lists the keys of
+  /// a store that was restored, and drops an answer from before the restore.
+  void handleOtherEra(StorePosition Position);
   void handleFailure(const HttpResult &Result);
   void recordResponse();
   /// Logs the number of items of another writer that could not be read.
@@ -105,7 +107,8 @@
   bool Initialized = false;
   bool ListingDue = true; ///< the next call is a listing
   std::vector<StoreItem> ListedItems;
-  StoreRevision ListedRevision = 0;
+  StorePosition ListedAt;  ///< position of the first page
+  StoreEra WatchedEra = 0; ///< of the position after which is watched
   TimePoint LastResponseAt{};
   std::size_t RelaysSinceResponse = 0; ///< only relays with changes
   TimePoint CallSentAt{};              ///< of a listing, its first page
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -254,11 +254,12 @@
        .At = Step::Admission,
        .Number = Routes ? std::optional(Routes->Content.ConfigRevision)
                         : std::nullopt,
-       .Fields = {
-           {"store_revision", std::to_string(Node.Store.mirror().Revision)},
-           {"servers", std::to_string(Servers.Servers.size())},
-           {"leaving",
-            DrainProgress.Stage == DrainStage::Serving ? "false" : "true"}}});
+       .Fields = {{"store_revision",
+                   std::to_string(Node.Store.mirror().Position.Revision)},
+                  {"servers", std::to_string(Servers.Servers.size())},
+                  {"leaving", DrainProgress.Stage == DrainStage::Serving
+                                  ? "false"
+                                  : "true"}}});
 }
 
 void Gateway::applyConfiguration(const StoreItem &Item) {
@@ -282,6 +283,7 @@
        .Fields = {{"before", std::to_string(InForce)},
                   {"routes", std::to_string(Parsed->Routes.size())},
                   {"customers", std::to_string(Parsed->Customers.size())},
+                  {"store_era", std::to_string(Item.Era)},
                   {"store_revision", std::to_string(Item.ChangedRevision)}}});
   Routes = makeRouteTable(std::move(*Parsed));
 }
@@ -555,8 +557,8 @@
   Status.CallerAddress = addressText(Settings.Callers);
   Status.Ready = ready();
   Status.Leaving = DrainProgress.Stage != DrainStage::Serving;
-  Status.KnownUpto =
-      Node.Store.isInitialized() ? Node.Store.mirror().Revision : 0;
+  Status.KnownUpto = Node.Store.isInitialized() ? Node.Store.mirror().Position
+                                                : StorePosition{};
   for (const auto &[Address, Other] : Node.liveGateways())
     Status.Gateways.push_back(Address);
   return Status;
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -127,17 +127,17 @@
 
 void Stager::fetchConfiguration() {
   NextConfigurationFetchAt = now() + ConfigurationRetryInterval;
-  Node.Client.call(
-      platform::makeListCall(addressText(Node.Settings.Store),
-                             platform::configurationKey(), {}, true),
-      [this](const HttpResult &Result) {
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        if (Response == nullptr || Response->Status != StatusOk)
-          return;
-        const auto Answer = platform::parseStoreResponse(Response->Body);
-        if (Answer && !Answer->Items.empty())
-          handleConfiguration(Answer->Items.front().Value);
-      });
+  Node.Client.call(platform::makeListCall(addressText(Node.Settings.Store),
+                                          platform::configurationKey(), {},
+                                          true),
+                   [this](const HttpResult &Result) {
+                     const auto *Response = std::get_if<HttpResponse>(&Result);
+                     if (Response == nullptr || Response->Status != StatusOk)
+                       return;
+                     const auto Answer = platform::readStoreResponse(*Response);
+                     if (Answer && !Answer->Items.empty())
+                       handleConfiguration(Answer->Items.front().Value);
+                   });
 }
 
 void Stager::handleConfiguration(const std::string &Text) {
@@ -158,7 +158,7 @@
         const auto *Response = std::get_if<HttpResponse>(&Result);
         if (Response == nullptr || Response->Status != StatusOk)
           return;
-        const auto Answer = platform::parseStoreResponse(Response->Body);
+        const auto Answer = platform::readStoreResponse(*Response);
         if (!Answer)
           return Node.Log.write("store_answer_invalid", Answer.error());
         PeersKnown = true;
--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -7,15 +7,36 @@
 
 namespace {
 
-/// Revision of the newest known change of a key; 0 for an unknown key.
-StoreRevision lastKnownChange(const StoreMirror &Mirror,
-                              const std::string &Key) {
+/// The newest known item or removal of a key; null for an unknown key.
+const StoreItem *findKnown(const StoreMirror &Mirror, const std::string &Key) {
   if (const auto Found = Mirror.Items.find(Key); Found != Mirror.Items.end())
-    return Found->second.ChangedRevision;
+    return &Found->second;
   const auto Removed =
       std::find_if(Mirror.Removals.rbegin(), Mirror.Removals.rend(),
                    [&](const StoreItem &Each) { return Each.Key == Key; });
-  return Removed == Mirror.Removals.rend() ? 0 : Removed->ChangedRevision;
+  return Removed == Mirror.Removals.rend() ? nullptr : &*Removed;
+}
+
+/// Whether an item was certainly written in the era of its revision, and not
+/// taken over from the copy from which the store was restored.
+bool wasWrittenInEra(const StoreMirror &Mirror, const StoreItem &Item) {
+  const auto Copied = Mirror.CopiedUpTo.find(Item.Era);
+  return Copied != Mirror.CopiedUpTo.end() &&
+         Item.ChangedRevision > Copied->second;
+}
+
+/// Whether an item replaces the known one of its key.
+bool supersedes(const StoreMirror &Mirror, const StoreItem &Item,
+                const StoreItem &Known) {
+  if (Item.Era == Known.Era)
+    return Item.ChangedRevision > Known.ChangedRevision;
+  const bool IsOfLaterEra = Item.Era > Known.Era;
+  const StoreItem &Later = IsOfLaterEra ? Item : Known;
+  const StoreItem &Earlier = IsOfLaterEra ? Known : Item;
+  const bool LaterIsNewer =
+      wasWrittenInEra(Mirror, Later) ||
+      (Mirror.Rules.IsNewer != nullptr && Mirror.Rules.IsNewer(Later, Earlier));
+  return LaterIsNewer == IsOfLaterEra;
 }
 
 void recordRemoval(StoreMirror &Mirror, StoreItem Removal) {
@@ -23,13 +44,14 @@
   Mirror.Removals.push_back(std::move(Removal));
   if (Mirror.Removals.size() <= Mirror.MaxRemovals)
     return;
-  Mirror.RemovalsCompleteAfter = std::max(
-      Mirror.RemovalsCompleteAfter, Mirror.Removals.front().ChangedRevision);
+  Mirror.RemovalsCompleteAfter = std::max(Mirror.RemovalsCompleteAfter,
+                                          positionOf(Mirror.Removals.front()));
   Mirror.Removals.pop_front();
 }
 
 bool applyItem(StoreMirror &Mirror, const StoreItem &Event) {
-  if (Event.ChangedRevision <= lastKnownChange(Mirror, Event.Key))
+  const StoreItem *Known = findKnown(Mirror, Event.Key);
+  if (Known != nullptr && !supersedes(Mirror, Event, *Known))
     return false;
   Mirror.PendingRemovals.erase(Event.Key);
   if (!Event.Deleted) {
@@ -40,16 +62,24 @@
   return Mirror.Items.erase(Event.Key) > 0;
 }
 
+/// Records content of an era that may be new.
+void recordEra(StoreMirror &Mirror, StoreEra Era, StoreRevision CopiedUpTo) {
+  const auto [Known, New] = Mirror.CopiedUpTo.emplace(Era, CopiedUpTo);
+  Known->second = std::min(Known->second, CopiedUpTo);
+}
+
 } // namespace
 
 ChangedKeys applyEvents(StoreMirror &Mirror,
                         const std::vector<StoreItem> &Events,
-                        StoreRevision CompleteUpTo) {
+                        StorePosition CompleteUpTo, StoreRevision CopiedUpTo) {
+  recordEra(Mirror, CompleteUpTo.Era,
+            CopiedUpTo != 0 ? CopiedUpTo : CompleteUpTo.Revision);
   ChangedKeys Changed;
   for (const StoreItem &Event : Events)
     if (applyItem(Mirror, Event))
       Changed.push_back(Event.Key);
-  Mirror.Revision = std::max(Mirror.Revision, CompleteUpTo);
+  Mirror.Position = std::max(Mirror.Position, CompleteUpTo);
   return Changed;
 }
 
@@ -73,8 +103,10 @@
 
 ChangedKeys applyListing(StoreMirror &Mirror,
                          const std::vector<StoreItem> &Listed,
-                         StoreRevision ListingRevision, bool AfterOutage,
+                         StorePosition ListedAt, bool AfterOutage,
                          TimePoint Now) {
+  const bool Restored = ListedAt.Era > Mirror.Position.Era;
+  recordEra(Mirror, ListedAt.Era, ListedAt.Revision);
   ChangedKeys Changed;
   std::set<std::string_view> Present;
   for (const StoreItem &Item : Listed) {
@@ -85,23 +117,29 @@
   }
   for (auto Item = Mirror.Items.begin(); Item != Mirror.Items.end();) {
     // An item that changed while the listing was read may be on no page.
-    if (Present.contains(Item->first) ||
-        Item->second.ChangedRevision > ListingRevision) {
+    // One that the copy lacks is written again, unless it may expire.
+    const bool IsLostWrite = Item->second.Era < ListedAt.Era &&
+                             (Mirror.Rules.MayExpire == nullptr ||
+                              !Mirror.Rules.MayExpire(Item->first));
+    if (Present.contains(Item->first) || positionOf(Item->second) > ListedAt ||
+        IsLostWrite) {
       ++Item;
       continue;
     }
-    if (AfterOutage) {
+    if (AfterOutage || Restored ||
+        Mirror.PendingRemovals.contains(Item->first)) {
       Mirror.PendingRemovals.try_emplace(Item->first,
                                          Now + Mirror.ExpiryGracePeriod);
       ++Item;
       continue;
     }
     Changed.push_back(Item->first);
-    recordRemoval(Mirror, {Item->first, {}, ListingRevision, true});
+    recordRemoval(Mirror,
+                  {Item->first, {}, ListedAt.Revision, true, ListedAt.Era});
     Mirror.PendingRemovals.erase(Item->first);
     Item = Mirror.Items.erase(Item);
   }
-  Mirror.Revision = std::max(Mirror.Revision, ListingRevision);
+  Mirror.Position = std::max(Mirror.Position, ListedAt);
   return Changed;
 }
 
@@ -114,23 +152,29 @@
     return true;
   });
   for (const std::string &Key : Changed) {
-    recordRemoval(Mirror, {Key, {}, Mirror.Revision, true});
+    recordRemoval(
+        Mirror, {Key, {}, Mirror.Position.Revision, true, Mirror.Position.Era});
     Mirror.Items.erase(Key);
   }
   return Changed;
 }
 
 std::vector<StoreItem> itemsAfter(const StoreMirror &Mirror,
-                                  StoreRevision After) {
+                                  StorePosition After) {
   std::vector<StoreItem> Result;
   const bool RemovalsIncomplete = After < Mirror.RemovalsCompleteAfter;
   for (const auto &[Key, Item] : Mirror.Items)
-    if (RemovalsIncomplete || Item.ChangedRevision > After)
+    if (RemovalsIncomplete || positionOf(Item) > After)
       Result.push_back(Item);
   for (const StoreItem &Removal : Mirror.Removals)
-    if (Removal.ChangedRevision > After)
+    if (positionOf(Removal) > After)
       Result.push_back(Removal);
   return Result;
 }
 
+StoreRevision copiedUpTo(const StoreMirror &Mirror) {
+  const auto Found = Mirror.CopiedUpTo.find(Mirror.Position.Era);
+  return Found == Mirror.CopiedUpTo.end() ? 0 : Found->second;
+}
+
 } // namespace marigoldyard
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -29,6 +29,7 @@
 class Handler(BaseHTTPRequestHandler):
     """Passes each request to the stand-in that owns the server."""
     protocol_version = "HTTP/1.1"
+    more_headers = {}  # of every answer
 
     def log_message(self, *_):
         pass
@@ -43,7 +44,7 @@
     def answer(self, status, body=b"", headers=None):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         self.send_response(status)
-        for name, value in (headers or {}).items():
+        for name, value in {**self.more_headers, **(headers or {})}.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
@@ -93,6 +94,7 @@
         self.calls = []  # client and path with query
         self.delays = {}  # seconds by which answers to a client are late
         self.forgotten = 0  # revision up to which the history is lost
+        self.era, self.away = 1, False
         super().__init__(host, STORE_PORT)
 
     def address_for(self, client):
@@ -124,9 +126,27 @@
             self.removed[key] = {"key": key, "revision": self.revision, "deleted": True}
             self.lock.notify_all()
 
+    def copy(self):
+        """The content as it is now, for restore()."""
+        with self.lock:
+            return dict(self.items), dict(self.removed), self.revision
+
+    def restore(self, copy, away_s=0.5):
+        """Goes away for a moment and comes back from a copy, in a new era with the revisions of the copy."""
+        with self.lock:
+            self.away = True
+            self.lock.notify_all()
+        time.sleep(away_s)
+        with self.lock:
+            (self.items, self.removed, self.revision), self.away = copy, False
+            self.era += 1
+
     def handle(self, request):
+        request.more_headers = {"Store-Era": str(self.era)}
         client = request.server.server_address[1] - STORE_PORT
         self.calls.append((client, request.path))
+        if self.away:
+            return request.cut()
         if client in self.silent:
             time.sleep(10)
             return request.cut()
@@ -142,13 +162,15 @@
                 found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
                 return request.answer(200, {"items": found, "truncated": False, "store_revision": self.revision})
             after = int(fields["after"])
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.revision:
                 return request.answer(410, {})
 
             def events():
                 changed = list(self.items.values()) + list(self.removed.values())
                 return [e for e in changed if e["revision"] > after and e["key"].startswith(prefix)]
-            self.lock.wait_for(events, int(fields["wait_ms"]) / 1000)
+            self.lock.wait_for(lambda: self.away or events(), int(fields["wait_ms"]) / 1000)
+            if self.away:
+                return request.cut()
             answer = {"events": events(), "store_revision": self.revision}
         time.sleep(self.delays.get(client, 0))
         return request.answer(200, answer)
--- a/tests/src/unit-coordination-store_mirror.cpp
+++ b/tests/src/unit-coordination-store_mirror.cpp
@@ -17,42 +17,64 @@
   return {std::move(Key), "", At, true};
 }
 
+/// Items of a store that was restored.
+StoreItem restored(std::string Key, StoreRevision At, std::string Value) {
+  return {std::move(Key), std::move(Value), At, false, 2};
+}
+
+/// A mirror with rules for values of one digit, of which the higher is newer;
+/// keys that begin with "s" may expire.
+StoreMirror makeMirror() {
+  StoreMirror Mirror;
+  Mirror.Rules.IsNewer = [](const StoreItem &Item, const StoreItem &Than) {
+    return !Item.Deleted && !Than.Deleted && Item.Value > Than.Value;
+  };
+  Mirror.Rules.MayExpire = [](std::string_view Key) {
+    return Key.starts_with("s");
+  };
+  return Mirror;
+}
+
+StoreItem known(std::string Key, StoreRevision At, std::string Value) {
+  return {std::move(Key), std::move(Value), At, false, 1};
+}
+
 } // namespace
 
 TEST_CASE("an older item never replaces a newer one") {
   StoreMirror Mirror;
-  CHECK(applyEvents(Mirror, {item("a", 5, "new")}, 5) == ChangedKeys{"a"});
-  CHECK(applyEvents(Mirror, {item("a", 4, "old")}, 4).empty());
-  CHECK(applyEvents(Mirror, {removal("a", 3)}, 3).empty());
+  CHECK(applyEvents(Mirror, {item("a", 5, "new")}, {0, 5}) == ChangedKeys{"a"});
+  CHECK(applyEvents(Mirror, {item("a", 4, "old")}, {0, 4}).empty());
+  CHECK(applyEvents(Mirror, {removal("a", 3)}, {0, 3}).empty());
   CHECK(Mirror.Items.at("a").Value == "new");
-  CHECK(Mirror.Revision == 5);
+  CHECK(Mirror.Position == StorePosition{0, 5});
 }
 
 TEST_CASE("a removed item is not brought back by a late relay") {
   StoreMirror Mirror;
-  applyEvents(Mirror, {item("a", 5)}, 5);
-  CHECK(applyEvents(Mirror, {removal("a", 8)}, 8) == ChangedKeys{"a"});
-  CHECK(applyEvents(Mirror, {item("a", 7)}, 7).empty());
+  applyEvents(Mirror, {item("a", 5)}, {0, 5});
+  CHECK(applyEvents(Mirror, {removal("a", 8)}, {0, 8}) == ChangedKeys{"a"});
+  CHECK(applyEvents(Mirror, {item("a", 7)}, {0, 7}).empty());
   CHECK(Mirror.Items.empty());
-  CHECK(applyEvents(Mirror, {item("a", 9)}, 9) == ChangedKeys{"a"});
+  CHECK(applyEvents(Mirror, {item("a", 9)}, {0, 9}) == ChangedKeys{"a"});
 }
 
 TEST_CASE("a listing removes what it lacks, but not what is newer than it") {
   StoreMirror Mirror;
-  applyEvents(Mirror, {item("a", 1), item("b", 2), item("c", 20)}, 20);
-  CHECK(applyListing(Mirror, {item("a", 1)}, 10, false, StartCommand) ==
+  applyEvents(Mirror, {item("a", 1), item("b", 2), item("c", 20)}, {0, 20});
+  CHECK(applyListing(Mirror, {item("a", 1)}, {0, 10}, false, StartCommand) ==
         ChangedKeys{"b"});
   CHECK(Mirror.Items.contains("a"));
   CHECK(Mirror.Items.contains("c"));
-  CHECK(Mirror.Revision == 20);
+  CHECK(Mirror.Position == StorePosition{0, 20});
 }
 
 TEST_CASE("what lapsed during an outage is held for two seconds") {
   StoreMirror Mirror;
-  applyEvents(Mirror, {item("a", 1), item("b", 2)}, 2);
-  CHECK(applyListing(Mirror, {}, 10, true, StartCommand).empty());
+  applyEvents(Mirror, {item("a", 1), item("b", 2)}, {0, 2});
+  CHECK(applyListing(Mirror, {}, {0, 10}, true, StartCommand).empty());
   CHECK(removeExpiredItems(Mirror, StartCommand + 1900ms).empty());
-  CHECK(applyEvents(Mirror, {item("b", 11)}, 11) == ChangedKeys{"b"});
+  CHECK(applyEvents(Mirror, {item("b", 11)}, {0, 11}) == ChangedKeys{"b"});
   CHECK(removeExpiredItems(Mirror, StartCommand + 2000ms) == ChangedKeys{"a"});
   CHECK(removeExpiredItems(Mirror, StartCommand + 9s).empty());
   CHECK(Mirror.Items.contains("b"));
@@ -60,25 +82,25 @@
 
 TEST_CASE("a relay holds what the other process lacks, removals included") {
   StoreMirror Mirror;
-  applyEvents(Mirror, {item("a", 1), item("b", 5), item("c", 6)}, 6);
-  applyEvents(Mirror, {removal("b", 7)}, 7);
-  const auto Lacking = itemsAfter(Mirror, 5);
+  applyEvents(Mirror, {item("a", 1), item("b", 5), item("c", 6)}, {0, 6});
+  applyEvents(Mirror, {removal("b", 7)}, {0, 7});
+  const auto Lacking = itemsAfter(Mirror, {0, 5});
   REQUIRE(Lacking.size() == 2);
   CHECK(Lacking[0].Key == "c");
   CHECK(Lacking[1] == removal("b", 7));
   StoreMirror Other;
-  applyEvents(Other, {item("a", 1), item("b", 5)}, 5);
-  applyEvents(Other, Lacking, Mirror.Revision);
+  applyEvents(Other, {item("a", 1), item("b", 5)}, {0, 5});
+  applyEvents(Other, Lacking, Mirror.Position);
   CHECK(Other.Items == Mirror.Items);
 }
 
 TEST_CASE("a receiver behind the remembered removals gets all items") {
   StoreMirror Mirror;
   Mirror.MaxRemovals = 1;
-  applyEvents(Mirror, {item("a", 1), item("b", 2), item("c", 3)}, 3);
-  applyEvents(Mirror, {removal("b", 4), removal("c", 5)}, 5);
-  CHECK(itemsAfter(Mirror, 3).size() == 2);
-  CHECK(itemsAfter(Mirror, 4).size() == 1);
+  applyEvents(Mirror, {item("a", 1), item("b", 2), item("c", 3)}, {0, 3});
+  applyEvents(Mirror, {removal("b", 4), removal("c", 5)}, {0, 5});
+  CHECK(itemsAfter(Mirror, {0, 3}).size() == 2);
+  CHECK(itemsAfter(Mirror, {0, 4}).size() == 1);
 }
 
 TEST_CASE("missing items lapsed only if the store was away for all") {
@@ -91,3 +113,83 @@
   // requests would reach it beyond the bound.
   CHECK_FALSE(mayHaveExpired(12s, 20));
 }
+
+// Guards against changes of a restored store that are ignored because its
+// revisions are lower than before.
+TEST_CASE("a change after a restore counts although its revision is lower") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("a", 90, "3")}, {1, 100}, false, StartCommand);
+  applyListing(Mirror, {restored("a", 10, "1")}, {2, 20}, false, StartCommand);
+  CHECK(Mirror.Position == StorePosition{2, 20});
+  CHECK(applyEvents(Mirror, {restored("a", 21, "4")}, {2, 21}) ==
+        ChangedKeys{"a"});
+  CHECK(Mirror.Items.at("a").Value == "4");
+}
+
+// Guards against acknowledged values that a restore takes back.
+TEST_CASE("an older value of the copy replaces no known one") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("a", 90, "3"), known("b", 91, "3")}, {1, 100},
+               false, StartCommand);
+  CHECK(applyListing(Mirror, {restored("a", 10, "1"), restored("b", 19, "4")},
+                     {2, 20}, false, StartCommand) == ChangedKeys{"b"});
+  CHECK(Mirror.Items.at("a").Value == "3");
+  CHECK(Mirror.Items.at("b").Value == "4");
+  // Listed again in the same era, the copy's value is still the older one.
+  CHECK(applyListing(Mirror, {restored("a", 10, "1"), restored("b", 19, "4")},
+                     {2, 30}, false, StartCommand)
+            .empty());
+}
+
+TEST_CASE("what the copy lacks stays until it is written again or expires") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("a", 90, "3"), known("s", 91, "3")}, {1, 100},
+               false, StartCommand);
+  CHECK(applyListing(Mirror, {}, {2, 20}, false, StartCommand).empty());
+  CHECK(applyListing(Mirror, {}, {2, 25}, false, StartCommand + 1s).empty());
+  CHECK(removeExpiredItems(Mirror, StartCommand + 2s) == ChangedKeys{"s"});
+  CHECK(applyListing(Mirror, {}, {2, 30}, false, StartCommand + 3s).empty());
+  CHECK(Mirror.Items.at("a").Value == "3");
+}
+
+// Guards against a server that left and is used again, because the copy is from
+// before it left.
+TEST_CASE("a removed item is not brought back by the copy") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 5, "3")}, {1, 50}, false, StartCommand);
+  applyEvents(Mirror, {{"s", "", 60, true, 1}}, {1, 60});
+  CHECK(applyListing(Mirror, {restored("s", 5, "3")}, {2, 20}, false,
+                     StartCommand)
+            .empty());
+  CHECK(Mirror.Items.empty());
+  CHECK(applyEvents(Mirror, {restored("s", 21, "3")}, {2, 21}) ==
+        ChangedKeys{"s"});
+}
+
+TEST_CASE("relays between processes that know different eras lose nothing") {
+  StoreMirror Current = makeMirror();
+  applyListing(Current, {known("a", 90, "3"), known("s", 91, "3")}, {1, 100},
+               false, StartCommand);
+  applyListing(Current, {restored("a", 10, "1"), restored("s", 11, "2")},
+               {2, 20}, false, StartCommand);
+  applyEvents(Current, {restored("s", 22, "3")}, {2, 22});
+  SUBCASE("to one that knows only the earlier era") {
+    StoreMirror Late = makeMirror();
+    applyListing(Late, {known("a", 95, "4"), known("s", 91, "3")}, {1, 120},
+                 false, StartCommand);
+    CHECK(applyEvents(Late, itemsAfter(Current, Late.Position),
+                      Current.Position,
+                      copiedUpTo(Current)) == ChangedKeys{"s"});
+    CHECK(Late.Position == StorePosition{2, 22});
+    CHECK(Late.Items.at("a").Value == "4");
+    CHECK(positionOf(Late.Items.at("s")) == StorePosition{2, 22});
+  }
+  SUBCASE("to one that started after the restore and knows the copy") {
+    StoreMirror Late = makeMirror();
+    applyListing(Late, {restored("a", 10, "1"), restored("s", 22, "3")},
+                 {2, 23}, false, StartCommand);
+    CHECK(applyEvents(Late, itemsAfter(Current, {}), Current.Position,
+                      copiedUpTo(Current)) == ChangedKeys{"a"});
+    CHECK(Late.Items.at("a").Value == "3");
+  }
+}
--- a/tests/src/unit-platform-store_format.cpp
+++ b/tests/src/unit-platform-store_format.cpp
@@ -137,7 +137,7 @@
   REQUIRE(Listed);
   CHECK(Listed->Items[0] == StoreItem{"a", "hi", 4, false});
   CHECK(Listed->Truncated);
-  CHECK(Listed->Revision == 9);
+  CHECK(Listed->Position == StorePosition{0, 9});
   const auto Watched = platform::parseStoreResponse(
       R"({"events":[{"key":"a","revision":5,"deleted":true}],
           "store_revision":10})");
@@ -149,6 +149,64 @@
   CHECK_FALSE(platform::parseStoreResponse(""));
 }
 
+TEST_CASE("a response of the store tells its era") {
+  const std::string Body =
+      R"({"items":[{"key":"a","value":"aGk=","revision":4}],
+          "store_revision":9})";
+  const auto Read = [&](HttpHeaders Headers) {
+    return platform::readStoreResponse({200, std::move(Headers), Body});
+  };
+  const auto Restored = Read({{"store-era", "3"}});
+  REQUIRE(Restored);
+  CHECK(Restored->Position == StorePosition{3, 9});
+  CHECK(positionOf(Restored->Items[0]) == StorePosition{3, 4});
+  REQUIRE(Read({}));
+  CHECK(Read({})->Position == StorePosition{0, 9});
+  for (const char *Invalid :
+       {"", "x", "-1", "2x", "1.5", "99999999999999999999"}) {
+    CAPTURE(Invalid);
+    CHECK_FALSE(Read({{"store-era", Invalid}}));
+  }
+}
+
+TEST_CASE("values tell which of two was written later") {
+  const auto IsLater = [](std::string Key, std::string Value,
+                          std::string Than) {
+    return platform::isWrittenLater({Key, std::move(Value), 1, false},
+                                    {Key, std::move(Than), 9, false});
+  };
+  const auto Configuration = [](int Version) {
+    return R"({"version":)" + std::to_string(Version) + "}";
+  };
+  CHECK(IsLater("op/config", Configuration(3), Configuration(2)));
+  CHECK_FALSE(IsLater("op/config", Configuration(2), Configuration(2)));
+  CHECK_FALSE(IsLater("op/config", Configuration(1), Configuration(2)));
+  CHECK_FALSE(IsLater("op/config", "{", Configuration(2)));
+  const auto Version = [](int Number) {
+    return R"({"model":"m","version":)" + std::to_string(Number) + "}";
+  };
+  CHECK(IsLater("op/version/m", Version(3), Version(2)));
+  CHECK_FALSE(IsLater("op/version/m", Version(2), Version(3)));
+  const auto ServerWith = [](const std::string &State, int Born) {
+    return R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":4,
+               "state":")" +
+           State + R"(","sequence":1,"born":)" + std::to_string(Born) + "}";
+  };
+  CHECK(IsLater("servers/i", ServerWith("ready", 6), ServerWith("ready", 5)));
+  CHECK(
+      IsLater("servers/i", ServerWith("ready", 6), ServerWith("draining", 5)));
+  CHECK(
+      IsLater("servers/i", ServerWith("draining", 5), ServerWith("ready", 5)));
+  CHECK_FALSE(
+      IsLater("servers/i", ServerWith("ready", 5), ServerWith("draining", 5)));
+  CHECK_FALSE(
+      IsLater("servers/i", ServerWith("draining", 4), ServerWith("ready", 5)));
+  CHECK_FALSE(platform::isWrittenLater({"op/config", Configuration(3), 1},
+                                       {"op/config", "", 9, true}));
+  CHECK(platform::mayExpire("servers/i"));
+  CHECK_FALSE(platform::mayExpire("op/config"));
+}
+
 TEST_CASE("an odd item hides no other item of a listing") {
   for (std::string_view Odd :
        {R"({"key":"b","value":"?","revision":4})",
