Take over what other gateways know and a restored store has lost

What callers saw: a gateway that started after a restore read the copy and had an older configuration in force than the others, until the operator wrote the newer one again; requests also went to servers with weights that were out of use.

The position of the store is the same for both processes, and what one of them learned before the restore is behind it, so it was never asked for.

Change: gateways report the revision of the configuration in force and the lowest versions of weights that may be used. A gateway that has lacked a reported configuration for a second requests everything that the other one knows. It takes over a required version unless it was itself in contact with the store when that version was declared. A declaration from before the restore does not count from the contact with the restored store, and one that is written again after a restore has no bound of its own.

--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -57,7 +57,8 @@
 MARIGOLDYARD_FIELDS(StoreItem, M.Key, M.Value, M.ChangedRevision, M.Deleted,
                     M.Era)
 MARIGOLDYARD_FIELDS(GatewayStatus, M.Sender, M.CallerAddress, M.Ready,
-                    M.Leaving, M.KnownUpto, M.Gateways)
+                    M.Leaving, M.KnownUpto, M.ConfigRevision, M.Required,
+                    M.Gateways)
 MARIGOLDYARD_FIELDS(EngineStatus, M.Sender, M.Server, M.StartedAtMs,
                     M.Accepting, M.Load, M.Weights)
 MARIGOLDYARD_FIELDS(StoreRelayRequest, M.After, M.Prefix)
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -202,8 +202,10 @@
   std::string CallerAddress; ///< "host:port" for callers
   bool Ready = false;
   bool Leaving = false;
-  StorePosition KnownUpto;           ///< of the store
-  std::vector<std::string> Gateways; ///< live ones that the sender knows
+  StorePosition KnownUpto;             ///< of the store
+  Revision ConfigRevision = 0;         ///< of the configuration in force
+  std::vector<LoadedWeights> Required; ///< lowest versions that may be used
+  std::vector<std::string> Gateways;   ///< live ones that the sender knows
 };
 
 /// @brief Stager to gateways and stagers: state of the server on its machine.
--- a/include/marigoldyard/state/store_item.hpp
+++ b/include/marigoldyard/state/store_item.hpp
@@ -21,10 +21,11 @@
   StoreEra Era = 0;
   StoreRevision Revision = 0;
 
-  // clang-tidy 14 reports names in the code that the compiler generates here.
-  // NOLINTNEXTLINE(readability-identifier-naming)
+  // clang-tidy 14 checks the code that the compiler generates here.
+  // NOLINTBEGIN(readability-identifier-naming, modernize-use-nullptr)
   friend auto operator<=>(const StorePosition &,
                           const StorePosition &) = default;
+  // NOLINTEND(readability-identifier-naming, modernize-use-nullptr)
 };
 
 /// @brief One key of the platform's store, or a tombstone of a deleted key.
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <unistd.h>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -250,6 +251,8 @@
   ContactedGateways[Peer] = {Status.CallerAddress, Status.Ready, Status.Leaving,
                              Status.KnownUpto};
   UncontactedGateways.erase(Peer);
+  if (Handlers.StatusReceived && Handlers.StatusReceived(Status))
+    AheadGateway = Peer;
   // The sender may know more gateways than this process does yet.
   Gateways.Settings.RemoteSuspicionTimeout =
       MissedReports *
@@ -297,9 +300,17 @@
   const TimePoint Now = now();
   // A process that has just started does not wait for the store's timeout.
   const bool Needed = !Store.isInitialized() || Store.isUnreachable(Now);
-  if (!Needed || Now - RelayRequestedAt < RelayInterval)
+  const bool IsBehind = Store.isInitialized() && !AheadGateway.empty();
+  if ((!Needed && !IsBehind) || Now - RelayRequestedAt < RelayInterval)
     return;
   RelayRequestedAt = Now;
+  if (IsBehind) {
+    // What it lacks may be older than its position: a store that was restored
+    // no longer has it.
+    const std::string Gateway = std::exchange(AheadGateway, {});
+    send(Gateway, StoreRelayRequest{{}, RelayPrefix});
+    return;
+  }
   std::string NewestGateway;
   StorePosition Newest = Store.mirror().Position;
   for (const auto &[Address, Gateway] : liveGateways())
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -49,6 +49,9 @@
   /// Called with a gateway's IP address when the gateway is contacted for the
   /// first time or has restarted.
   std::function<void(const std::string &)> GatewayJoined;
+  /// Called with the status of a gateway; returns whether that gateway knows
+  /// something of the store that this process lacks.
+  std::function<bool(const GatewayStatus &)> StatusReceived;
   /// Called with a peer's IP address when a connection to it closes.
   std::function<void(const std::string &)> PeerLost;
   std::function<void()> Tick;      ///< called at each tick of Timeouts
@@ -155,6 +158,8 @@
   void handleRelayRequest(const std::string &Peer,
                           const StoreRelayRequest &Request);
   void tick();
+  /// Requests what a gateway knows while the store is unreachable, or once
+  /// when a gateway knows what this process lacks.
   void requestRelay();
 
   const Member Self;
@@ -167,6 +172,7 @@
   std::unique_ptr<Mailbox> BulkMailbox;
   std::unique_ptr<HttpServer> OperatorServer;
   TimePoint RelayRequestedAt{};
+  std::string AheadGateway; ///< that knows more of the store; empty if none
 };
 
 } // namespace marigoldyard
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -73,6 +73,9 @@
   Handlers.Received = [this](const Message &Incoming) {
     handleMessage(Incoming);
   };
+  Handlers.StatusReceived = [this](const GatewayStatus &Status) {
+    return handleStatus(Status);
+  };
   Handlers.GatewayJoined = [this](const std::string &Peer) {
     Node.send(Peer, makeStatus());
     PromptPartReport News;
@@ -333,6 +336,14 @@
     handlePartReport(Incoming.Head.Sender, *News);
 }
 
+bool Gateway::handleStatus(const GatewayStatus &Status) {
+  for (const LoadedWeights &Each : Status.Required)
+    requireReported({Each.Model, Each.Version});
+  const Revision InForce = Routes ? Routes->Content.ConfigRevision : 0;
+  return isLeftBehind(ConfigurationCatchUp, InForce, Status.ConfigRevision,
+                      now());
+}
+
 void Gateway::handleEngineStatus(const std::string &Stager,
                                  const EngineStatus &Status) {
   const auto [Known, New] = Stagers.try_emplace(Stager);
@@ -559,6 +570,9 @@
   Status.Leaving = DrainProgress.Stage != DrainStage::Serving;
   Status.KnownUpto = Node.Store.isInitialized() ? Node.Store.mirror().Position
                                                 : StorePosition{};
+  Status.ConfigRevision = Routes ? Routes->Content.ConfigRevision : 0;
+  for (const auto &[Model, Version] : Servers.RequiredVersions)
+    Status.Required.push_back({Model, Version});
   for (const auto &[Address, Other] : Node.liveGateways())
     Status.Gateways.push_back(Address);
   return Status;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/coordination/catch_up.hpp"
 #include "marigoldyard/coordination/crash_suspects.hpp"
 #include "marigoldyard/coordination/dispatch_queue.hpp"
 #include "marigoldyard/coordination/drain.hpp"
@@ -188,6 +189,10 @@
   void recordDeclaredVersion(const StoreItem &Item);
   void logReadinessChange();
   void handleMessage(const Message &Incoming);
+  /// Takes over the versions that another gateway requires.
+  /// @return whether that gateway has a configuration in force that reading the
+  /// store did not bring
+  bool handleStatus(const GatewayStatus &Status);
   void handleEngineStatus(const std::string &Stager,
                           const EngineStatus &Status);
   void handlePoolQuery(const std::string &Stager, const PoolQuestion &Query);
@@ -222,6 +227,8 @@
   void addReported(const DeclaredVersion &Declared);
   void sendVersionDeclarations();
   void enforceVersions();
+  /// Requires a version whose bound has ended at another gateway.
+  void requireReported(const DeclaredVersion &Required);
   void withdrawUnstarted(TimePoint Now);
   VersionBoundSettings versionBound() const;
   bool cannotBeServed(const ServerRequirements &Query,
@@ -240,6 +247,7 @@
   SettingsFile<GatewaySettings> File;
   FleetNode Node;
   std::shared_ptr<const RouteTable> Routes;
+  CatchUp ConfigurationCatchUp;
   ServerTable Servers;
   DispatchQueue Queue;
   std::map<std::uint64_t, Waiter> Waiters; ///< by ticket
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -24,11 +24,18 @@
     Node.Log.write("version_refused", Version.error());
     return;
   }
-  DeclaredVersions[Version->Model] =
-      std::max(DeclaredVersions[Version->Model], Version->Version);
+  // After a restore of the store, declarations are written again.
+  std::uint64_t &Newest = DeclaredVersions[Version->Model];
+  if (Version->Version <= Newest)
+    return;
+  Newest = Version->Version;
   sendPoolDescriptions();
   DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(),
                                Node.Store.unavailableAt(), std::nullopt};
+  // A declaration from before a restore may have been acknowledged long before
+  // the contact with the restored store.
+  if (Item.Era < Node.Store.mirror().Position.Era)
+    Evidence.ConfirmedAt.reset();
   if (const auto Report = ReportedDeclarations.find(*Version);
       Report != ReportedDeclarations.end())
     Evidence.ReportedAt = latestReport(Report->second);
@@ -118,6 +125,30 @@
     Node.send(Address, Declarations);
 }
 
+void Gateway::requireReported(const DeclaredVersion &Required) {
+  const auto Known = Servers.RequiredVersions.find(Required.Model);
+  if (Known != Servers.RequiredVersions.end() &&
+      Known->second >= Required.Version)
+    return;
+  // A gateway that lost the store may require a version early; one that was in
+  // contact knows better.
+  if (std::any_of(PendingVersions.begin(), PendingVersions.end(),
+                  [&](const PendingVersion &Each) {
+                    return Each.Declared == Required &&
+                           wasInContact(Each.Evidence);
+                  }))
+    return;
+  std::uint64_t &Newest = DeclaredVersions[Required.Model];
+  Newest = std::max(Newest, Required.Version);
+  requireVersion(Servers, Required);
+  Node.Log.write({.Event = "version_required",
+                  .At = Step::ConfigurationAccept,
+                  .Fields = {{"model", Required.Model},
+                             {"version", std::to_string(Required.Version)},
+                             {"source", "gateway"}}});
+  sendPoolDescriptions();
+}
+
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
   withdrawUnstarted(Now);
--- a/tests/process/test_restored_store.py
+++ b/tests/process/test_restored_store.py
@@ -109,7 +109,42 @@
     added.close()
 
 
-CASES = [case_change_after_restore, case_withdrawn_key, case_server_left, case_server_joined]
+# Guards against a process that starts after a restore, reads the copy and puts an older configuration into force than
+# the other gateways have.
+def case_start_after_restore(fleet):
+    """a gateway that starts after a restore learns from the others what the copy lacks"""
+    copy = fleet.store.copy()
+    write_much(fleet)
+    fleet.configure(routes=routes_with("late"))
+    wait_served(fleet, "/late/1")
+    fleet.store.put("op/version/m", {"model": "m", "version": 2})
+    for engine in fleet.engines:
+        engine.models = {"m": 2}
+        engine.register()
+    wait_for(lambda: all("version_required" in g.log_text() for g in fleet.gateways), "version 2 is required", timeout=10)
+    fleet.store.restore(copy)
+    for engine in fleet.engines:
+        engine.models = {"m": 1}  # restarted with outdated weights; it may get no requests
+        engine.born += 1000
+        engine.register()
+    gateway = fleet.gateway(48)
+
+    def ready():
+        try:
+            return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
+        except OSError:
+            return False
+    wait_for(ready, "ready")
+    wait_for(lambda: call(gateway, "/late/1").status == 200, "the latest configuration is in force",
+             timeout=CONFIG_APPLY_S)
+    hold(2, lambda: call(gateway, "/late/1").status == 200, "it stays in force")
+    forget(fleet)
+    answer = call(gateway, "/stream/1", "POST", b"p")
+    check(answer.status == 503, f"no server has the required version: status {answer.status} {answer.body!r}")
+    check(not any(engine.seen for engine in fleet.engines), "a server with an older version gets no request")
+
+
+CASES = [case_change_after_restore, case_withdrawn_key, case_server_left, case_server_joined, case_start_after_restore]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -41,6 +41,8 @@
                         true,
                         false,
                         {2, 412},
+                        17,
+                        {{"model", 3}},
                         {"10.0.0.2", "10.0.0.3"}},
           EngineStatus{{"10.0.0.4", "10.0.0.4", MemberKind::Endpoint, "dar",
                         "dar-a", "", false},
