Reserve the other server before a silent one is given up

What callers saw: when a server with several streams paused and another one had a place for one of them, all streams were given up; one continued, the others were cut after a second in the queue. A single stream was cut when the other server took no late requests.

Cause: whether another server could take the request was asked without reserving the place or charging the retry, and without regard to whether the request is late. All streams of a server reach their timeouts in the same tick.

Change: at the timeout the run chooses the server, counts the request there and charges the retry; the next attempt uses this reservation. Without one the wait goes on. A server that goes on after a pause is in use again at its first event. A request that reaches the end of a planned stop while it waits is not sent any more.

--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -401,20 +401,27 @@
   return Found->second;
 }
 
-net::awaitable<ServerChoice> Gateway::acquireServer(
-    ServerRequirements Query, WaitingRequest Request,
-    const std::function<void(std::function<void()>)> &SetDisconnectHandler) {
-  const std::string Customer = Request.Customer;
-  const std::uint64_t Cost = Request.Cost;
+ServerChoice Gateway::acquireNow(ServerRequirements &Query,
+                                 const WaitingRequest &Request) {
   ServerChoice Choice{{}, ServerShortage::Full};
   Query.Late = now() > Request.TargetDeadline;
   if (!mustWait(Queue, Query.Pool, Request.Priority))
     Choice = chooseServer(Servers, Query, now(), Node.Generator);
   if (Choice.Shortage == ServerShortage::None) {
     recordRequestStart(Servers, Choice.Id, Query.PromptTokens);
-    recordUsage(Queue, Customer, Cost, now());
-    co_return Choice;
+    recordUsage(Queue, Request.Customer, Request.Cost, now());
   }
+  return Choice;
+}
+
+net::awaitable<ServerChoice> Gateway::acquireServer(
+    ServerRequirements Query, WaitingRequest Request,
+    const std::function<void(std::function<void()>)> &SetDisconnectHandler) {
+  const std::string Customer = Request.Customer;
+  const std::uint64_t Cost = Request.Cost;
+  const ServerChoice Choice = acquireNow(Query, Request);
+  if (Choice.Shortage == ServerShortage::None)
+    co_return Choice;
   if (cannotBeServed(Query, Request.ExpiresAt))
     co_return ServerChoice{{}, ServerShortage::Refusing};
   const auto Ticket = enqueue(Queue, std::move(Request));
@@ -439,13 +446,6 @@
   co_return Assignment;
 }
 
-bool Gateway::hasCapacity(const ServerRequirements &Query,
-                          std::uint32_t Priority) {
-  return !mustWait(Queue, Query.Pool, Priority) &&
-         chooseServer(Servers, Query, now(), Node.Generator).Shortage ==
-             ServerShortage::None;
-}
-
 void Gateway::finishPrefill(const std::string &Id, std::uint64_t PromptTokens) {
   recordPrefillEnd(Servers, Id, PromptTokens);
   const auto Found = Servers.Servers.find(Id);
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -72,10 +72,15 @@
   boost::asio::awaitable<ServerChoice> acquireServer(
       ServerRequirements Query, WaitingRequest Request,
       const std::function<void(std::function<void()>)> &SetDisconnectHandler);
-  /// @brief Whether acquireServer() would choose a server without a wait.
-  /// @param Query requirements on the server
-  /// @param Priority priority of the request in the queue
-  bool hasCapacity(const ServerRequirements &Query, std::uint32_t Priority);
+  /// @brief Chooses a server with free capacity as acquireServer() does, but
+  /// never waits.
+  /// @param Query requirements on the server; whether the request is late is
+  /// filled in
+  /// @param Request priority, cost and time limits of the request
+  /// @return the server, on which the request already counts as started, or the
+  /// reason why there is none
+  ServerChoice acquireNow(ServerRequirements &Query,
+                          const WaitingRequest &Request);
   /// @brief Records that a server finished the prefill of a prompt and
   /// dispatches queued requests.
   /// @param Id id of the server
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -92,6 +93,8 @@
 RequestRun::~RequestRun() {
   endStartWatch();
   Owner.removeRun(*this);
+  if (ReservedServer)
+    releaseUnsent(*ReservedServer);
   if (Admitted)
     recordWorkFinished(Owner.drainProgress());
 }
@@ -168,7 +171,11 @@
     if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
                                        RequestInfo.SharedParts, now()))
       co_return co_await rejectBlocked(*Blocked);
-    const ServerChoice Choice = co_await acquire();
+    ServerChoice Choice;
+    if (ReservedServer)
+      Choice = takeReservation();
+    else
+      Choice = co_await acquire();
     if (Session.disconnected()) {
       if (Choice.Shortage == ServerShortage::None)
         releaseUnsent(Choice.Id);
@@ -180,10 +187,7 @@
         log("stream_broken", serverShortageName(Choice.Shortage));
         co_return false;
       }
-      const bool NoneRun = std::all_of(AttemptOutcomes.begin(),
-                                       AttemptOutcomes.end(), provesNotRun);
-      LocalResponse Refusal =
-          NoneRun ? shortageResponse(Choice.Shortage) : failureResponse({});
+      LocalResponse Refusal = unservedResponse(Choice.Shortage);
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
     // A notice or a change of the store may have arrived since the choice.
@@ -191,6 +195,12 @@
       releaseUnsent(Choice.Id);
       continue;
     }
+    // The process may have begun to end while the request waited.
+    if (timeLeft() <= ResponseMargin && !HeadForwarded) {
+      releaseUnsent(Choice.Id);
+      LocalResponse Refusal = unservedResponse(ServerShortage::Full);
+      co_return co_await sendLocalResponse(std::move(Refusal));
+    }
     // The part may have been blocked while the request waited.
     if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
                                        RequestInfo.SharedParts, now())) {
@@ -202,11 +212,19 @@
       log("caller_left", "caller disconnected during the attempt");
       co_return false;
     }
-    if (!mayRetry(Result))
+    const bool HasReservation =
+        ReservedServer && Result.Fate != AttemptStatus::Completed;
+    if (!HasReservation && !mayRetry(Result))
       co_return co_await finish(std::move(Result));
   }
 }
 
+ServerChoice RequestRun::takeReservation() {
+  ServerChoice Choice{std::move(*ReservedServer), ServerShortage::None};
+  ReservedServer.reset();
+  return Choice;
+}
+
 void RequestRun::releaseUnsent(const std::string &Id) {
   Owner.finishPrefill(Id, RequestInfo.PromptTokens);
   Owner.releaseServer(Id);
@@ -319,7 +337,7 @@
       std::move(Query), std::move(QueueEntry), SetDisconnectHandler);
 }
 
-ExchangeLimits RequestRun::exchangeLimits(const std::string &Id) const {
+ExchangeLimits RequestRun::exchangeLimits(const std::string &Id) {
   ExchangeLimits Limits;
   Limits.Deadline = Deadline - ResponseMargin;
   Limits.MaxIdleAge = Duration::max();
@@ -327,7 +345,7 @@
       std::max(Duration(MinGapTimeout),
                TimeoutTargetMultiple * MatchedRoute->TargetEventGap);
   if (MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce) {
-    Limits.HasAlternative = [this] { return hasAlternative(); };
+    Limits.ReserveAlternative = [this] { return reserveAlternative(); };
     Limits.OnSilence = [this] { recordSilence(); };
   }
   switch (MatchedRoute->AllowedRetries) {
@@ -375,6 +393,7 @@
   PrefillRunning = true;
   EventReads = 0;
   ServerCrashed = false;
+  ServerSilent = false;
   ++Attempts;
 }
 
@@ -474,19 +493,27 @@
   return Query;
 }
 
-bool RequestRun::hasAlternative() const {
+bool RequestRun::reserveAlternative() {
   if (Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
       (HeadForwarded && !resumable()) ||
       findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
     return false;
-  const RetryDecision Decision = previewRetry(
-      Owner.retryBudget(Pool->Name),
-      retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout), now());
-  return Decision == RetryDecision::Retry &&
-         Owner.hasCapacity(serverRequirements(), waitingRequest().Priority);
+  RetryBudget &Budget = Owner.retryBudget(Pool->Name);
+  const RetryInputs Inputs =
+      retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout);
+  if (previewRetry(Budget, Inputs, now()) != RetryDecision::Retry)
+    return false;
+  ServerRequirements Query = serverRequirements();
+  ServerChoice Choice = Owner.acquireNow(Query, waitingRequest());
+  if (Choice.Shortage != ServerShortage::None)
+    return false;
+  decideRetry(Budget, Inputs, now());
+  ReservedServer = std::move(Choice.Id);
+  return true;
 }
 
-void RequestRun::recordSilence() const {
+void RequestRun::recordSilence() {
+  ServerSilent = true;
   recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::AnswerTimeout,
                       now());
   Owner.node().Log.write(
@@ -563,6 +590,13 @@
           {}};
 }
 
+RequestRun::LocalResponse
+RequestRun::unservedResponse(ServerShortage Shortage) const {
+  const bool NoneRun =
+      std::all_of(AttemptOutcomes.begin(), AttemptOutcomes.end(), provesNotRun);
+  return NoneRun ? shortageResponse(Shortage) : failureResponse({});
+}
+
 RequestRun::LocalResponse
 RequestRun::shortageResponse(ServerShortage Shortage) const {
   return {503,
@@ -647,6 +681,10 @@
 RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
   endPrefill();
   recordProgress();
+  // A sound server that only paused is in use again at once.
+  if (std::exchange(ServerSilent, false))
+    recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::Answered,
+                        now());
   std::string Text;
   bool InOrder = true;
   for (const StreamEvent &Event : Events) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -63,14 +63,18 @@
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
   bool mayRetry(const ExchangeResult &Last);
   RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
-  /// Whether the request, whose server is silent, could be sent to another one
-  /// now.
-  bool hasAlternative() const;
-  void recordSilence() const;
+  /// Reserves another server for the request, whose server is silent, and
+  /// charges the retry. Streams that were sent to one server fall silent
+  /// together, and none may be given up for a place that another one gets.
+  /// @return whether ReservedServer is set
+  bool reserveAlternative();
+  void recordSilence();
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
   LocalResponse failureResponse(const ExchangeResult &Last) const;
   LocalResponse shortageResponse(ServerShortage Shortage) const;
+  /// Response when no server gets the request any more.
+  LocalResponse unservedResponse(ServerShortage Shortage) const;
 
   StreamReceiver streamReceiver();
   boost::asio::awaitable<PartStatus>
@@ -86,9 +90,10 @@
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
   Duration retryAfter(RefusalCause Cause) const;
+  ServerChoice takeReservation();
   void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
-  ExchangeLimits exchangeLimits(const std::string &Id) const;
+  ExchangeLimits exchangeLimits(const std::string &Id);
   /// Time after which the caller abandons the request.
   Duration callerTimeout() const;
   WaitingRequest waitingRequest() const;
@@ -122,6 +127,9 @@
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
   std::string LastServer;
+  /// Server of the next attempt, on which the request counts as started.
+  std::optional<std::string> ReservedServer;
+  bool ServerSilent = false; ///< in the last attempt, and not given up
 };
 
 } // namespace marigoldyard
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -36,7 +36,8 @@
 constexpr std::size_t MaxEventBytes = 1UL << 20;
 /// Maximum size of interim and stale responses before the response.
 constexpr std::size_t MaxSkippedBytes = 64UL << 10;
-/// Interval of checks whether a request still waits at a busy server.
+/// Interval of checks whether a request still waits at a busy server, or can
+/// leave a silent one.
 constexpr std::chrono::milliseconds WaitCheckInterval{200};
 /// Longest wait for the body of a refusal.
 constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
@@ -126,7 +127,7 @@
   if (isWaitingAtServer()) {
     Until = std::min(Until, Limits.MaxWaitUntil);
   } else {
-    if (!Limits.HasAlternative || Limits.HasAlternative())
+    if (!Limits.ReserveAlternative || Limits.ReserveAlternative())
       return false;
     if (!std::exchange(SilenceReported, true) && Limits.OnSilence)
       Limits.OnSilence();
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -69,10 +69,10 @@
   /// first byte goes on up to MaxWaitUntil. Empty when that is never known.
   std::function<bool()> IsWaiting;
   TimePoint MaxWaitUntil{};
-  /// Whether another server could take the request now. Until then, a timeout
-  /// does not end the wait for a silent server, which may go on. Empty when a
-  /// timeout always ends it.
-  std::function<bool()> HasAlternative;
+  /// Called at each timeout of a silent server, which may go on; reserves
+  /// another server for the request. The wait goes on while there is none.
+  /// Empty when a timeout always ends the wait.
+  std::function<bool()> ReserveAlternative;
   /// Called at the first timeout that does not end the wait.
   std::function<void()> OnSilence;
 };
@@ -157,7 +157,8 @@
   bool Withdrawn = false;
   bool Expired = false;
   bool AwaitsFirstEvent = false; ///< the request was sent and has not started
-  bool AwaitsResponse = false;   ///< the request was sent and has not ended
+  /// The request was sent, and no refusal of it was read.
+  bool AwaitsResponse = false;
   bool SilenceReported = false;
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
--- a/tests/process/test_silent_servers.py
+++ b/tests/process/test_silent_servers.py
@@ -109,7 +109,60 @@
     wait_for(logged, "the attempt that was given up is logged", timeout=3)
 
 
-CASES = [case_stream_pauses, case_first_byte_pauses, case_other_server_takes_over]
+def pause_beside_busy_server(fleet, busy, pausing):
+    """Streams that pause at one server while the other one runs `busy` long streams; returns their answers."""
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", resume_streams=True,
+                                     target_gap_ms=300, timeout_ms=10000)])
+    paused, other = fleet.engines
+    for servers in ([paused, other], [other, paused]):
+        with OnlyServer(servers):  # a success ends the doubts that earlier cases left
+            wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p").status == 200, "it serves", timeout=6)
+    usual = paused.headers
+    paused.headers = lambda request: {**usual(request), "Server-Load": "0,0,4"}
+    other.headers = lambda request: {**usual(request), "Response-Signature": "sig." + other.id,
+                                     "Server-Load": f"{busy},0,4"}
+    long_answers, answers, threads = [], [], []
+
+    def start(count, path, target):
+        for _ in range(count):
+            threads.append(threading.Thread(target=lambda: target.append(
+                call(fleet.gateways[0], path, "POST", b"p", headers={"Deadline-Ms": "9000"}))))
+            threads[-1].start()
+    try:
+        with OnlyServer([other, paused]):
+            other.behaviours = [other.stream(70, pause=0.1)] * busy + [other.stream(EVENTS, pause=0.5)] * pausing
+            start(busy, "/stream/long", long_answers)
+            time.sleep(0.3)
+        with OnlyServer([paused, other]):
+            paused.behaviours = [pausing_stream(paused, 3, 3)] * pausing
+            start(pausing, "/stream/1", answers)
+            time.sleep(0.2)
+        for thread in threads:
+            thread.join()
+    finally:
+        del paused.headers, other.headers
+    check(all(answer.whole for answer in long_answers), "the long streams are whole")
+    return answers
+
+
+# Guards against a stream that is given up for a server which, for a request that is late, has no place.
+def case_other_server_nearly_full(fleet):
+    """a stream whose server pauses is not cut when the other server takes no late requests"""
+    answers = pause_beside_busy_server(fleet, 3, 1)
+    check(all(answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)) for answer in answers),
+          f"events {[event_ids(answer) for answer in answers]}")
+
+
+# Guards against several streams that are given up at once for the same place at another server.
+def case_one_place_for_many(fleet):
+    """no stream is cut when the server of several pauses and the other server has a place for one"""
+    answers = pause_beside_busy_server(fleet, 2, 3)
+    check(all(answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)) for answer in answers),
+          f"events {[event_ids(answer) for answer in answers]}")
+
+
+CASES = [case_stream_pauses, case_first_byte_pauses, case_other_server_takes_over, case_one_place_for_many,
+         case_other_server_nearly_full]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
