Tell the items of a copy from later writes, also in relays

Cause: every item of the first content of an era was taken for one of the copy, and a removal was never superseded by one. A heartbeat does not change a record, so no later event came.

Change: changes that were received are remembered by position; an item of the first content that is no change of an earlier era was written after the restore and counts, unless its writer states that it is older. Relays carry the position of the first content of each era, since a removal of an era in between was dropped; they send no removal of a key that has an item again. The grace for items that the copy lacks begins with the first own listing of an era and not with a relay that told of it before. An item of an earlier era that a relay brings after the own listing expires like others, because the store sends no event for it.

Failing on and passing now: case_registers_before_listing and 'an item written again before the first listing counts', 'a relay from a restored store does not end the grace of its items', 'a relay over two restores loses no change in between'. The two tests of relays are the reviewer's; they pass what a relay carries to the new function.

--- a/include/marigoldyard/coordination/store_mirror.hpp
+++ b/include/marigoldyard/coordination/store_mirror.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,10 @@
 /// Within an era, an item is replaced only by one with a higher revision, so
 /// that stale reads and delayed relays revert nothing. After a restore, the
 /// store may hold older items than this copy, which are not taken over: what
-/// was known stays until it is written again.
+/// was known stays until it is written again. Between eras, an item of the
+/// later one counts if it was written after its era's first content. One of
+/// that content counts if its writer states that it is newer, or if it is no
+/// change of an earlier era and the writer does not state that it is older.
 struct StoreMirror {
   RestoreRules Rules;
   /// Time for which an item that is missing from a listing after an outage is
@@ -35,13 +39,19 @@
   /// Limit for the removals kept for relays. A receiver that lacks older ones
   /// gets all items.
   std::size_t MaxRemovals = 4096;
+  /// Limit for the changes that are remembered to recognize those of a copy.
+  std::size_t MaxSeenChanges = 8192;
 
   std::map<std::string, StoreItem, std::less<>> Items;
-  std::deque<StoreItem> Removals; ///< oldest first
-  StorePosition Position;         ///< all changes up to it are applied
-  /// Revision of the first content that was received of an era, by era. An item
-  /// of the era up to this revision may be one of the copy.
+  std::deque<StoreItem> Removals;    ///< oldest first
+  StorePosition Position;            ///< all changes up to it are applied
+  std::optional<StoreEra> FirstEra;  ///< of the first content
+  std::optional<StoreEra> ListedEra; ///< of the last listing
+  /// Lowest known revision of an era at which its content was received, by era.
+  /// An item of the era up to this revision may be one of the copy.
   std::map<StoreEra, StoreRevision> CopiedUpTo;
+  /// Hashes of the items that were received, by position.
+  std::map<StorePosition, std::size_t> SeenChanges;
   /// Every removal after this position is in Removals.
   StorePosition RemovalsCompleteAfter;
   std::map<std::string, TimePoint, std::less<>>
@@ -51,15 +61,26 @@
 /// @brief Keys whose items were added, replaced or removed.
 using ChangedKeys = std::vector<std::string>;
 
-/// @brief Applies events of a watch or items of a relay.
+/// @brief Applies events of a watch.
 /// @param Events items and removals, in any sequence
 /// @param CompleteUpTo position up to which the events are complete
-/// @param CopiedUpTo of the sender of a relay, for the era of CompleteUpTo
 /// @complexity logarithmic in the number of items, for each event
 ChangedKeys applyEvents(StoreMirror &Mirror,
                         const std::vector<StoreItem> &Events,
-                        StorePosition CompleteUpTo,
-                        StoreRevision CopiedUpTo = 0);
+                        StorePosition CompleteUpTo);
+
+/// @brief Applies items that another process relayed.
+/// @param Items items and removals, in any sequence
+/// @param CompleteUpTo position up to which the items are complete
+/// @param CopiedUpTo copiedUpTo() of the sender
+/// @param Now an item that may expire and that a listing of a later era lacked
+/// is kept for ExpiryGracePeriod from now on
+/// @complexity logarithmic in the number of items, for each item
+ChangedKeys applyRelayedItems(StoreMirror &Mirror,
+                              const std::vector<StoreItem> &Items,
+                              StorePosition CompleteUpTo,
+                              const std::vector<StorePosition> &CopiedUpTo,
+                              TimePoint Now);
 
 /// @brief Whether items that a listing lacks may have expired because the store
 /// was unavailable. When other processes relayed its changes meanwhile, only
@@ -95,9 +116,8 @@
 std::vector<StoreItem> itemsAfter(const StoreMirror &Mirror,
                                   StorePosition After);
 
-/// @brief Returns the revision up to which items of the mirror's era may be
+/// @brief Returns for each known era the position up to which its items may be
 /// from a copy, for a relay to another process.
-/// @return the revision; 0 while no content is known
-StoreRevision copiedUpTo(const StoreMirror &Mirror);
+std::vector<StorePosition> copiedUpTo(const StoreMirror &Mirror);
 
 } // namespace marigoldyard
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -241,9 +241,9 @@
 struct StoreRelay {
   std::vector<StoreItem> Items;
   StorePosition Upto; ///< the items are complete up to here
-  /// Items of the era of Upto up to this revision may be from the copy from
+  /// For each era, the position up to which its items may be from the copy from
   /// which the store was restored.
-  StoreRevision CopiedUpTo = 0;
+  std::vector<StorePosition> CopiedUpTo;
 };
 
 /// @brief Stager to stager: asks for the chunks of a version, because the
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -52,8 +52,8 @@
 void StoreReader::applyRelay(const StoreRelay &Relay) {
   if (Relay.Upto > Mirror.Position)
     ++RelaysSinceResponse;
-  const ChangedKeys Keys =
-      applyEvents(Mirror, Relay.Items, Relay.Upto, Relay.CopiedUpTo);
+  const ChangedKeys Keys = applyRelayedItems(Mirror, Relay.Items, Relay.Upto,
+                                             Relay.CopiedUpTo, now());
   if (!Initialized) {
     Log.write({.Event = "store_known_by_relay",
                .At = Step::ConfigurationRelay,
--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -1,7 +1,9 @@
 #include "marigoldyard/coordination/store_mirror.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <set>
+#include <string_view>
 
 namespace marigoldyard {
 
@@ -17,14 +19,55 @@
   return Removed == Mirror.Removals.rend() ? nullptr : &*Removed;
 }
 
-/// Whether an item was certainly written in the era of its revision, and not
-/// taken over from the copy from which the store was restored.
-bool wasWrittenInEra(const StoreMirror &Mirror, const StoreItem &Item) {
+std::size_t hashOf(const StoreItem &Item) {
+  const std::hash<std::string_view> Hash;
+  const std::size_t Shift = 1;
+  return Hash(Item.Key) ^ (Hash(Item.Value) << Shift) ^
+         static_cast<std::size_t>(Item.Deleted);
+}
+
+/// Remembers a change, so that it is recognized in a copy.
+void recordSeen(StoreMirror &Mirror, const StoreItem &Item) {
+  Mirror.SeenChanges.insert_or_assign(positionOf(Item), hashOf(Item));
+  if (Mirror.SeenChanges.size() > Mirror.MaxSeenChanges)
+    Mirror.SeenChanges.erase(Mirror.SeenChanges.begin());
+}
+
+/// Whether the same change was received in an era before that of the item.
+bool wasSeenInEarlierEra(const StoreMirror &Mirror, const StoreItem &Item) {
+  return std::any_of(
+      Mirror.CopiedUpTo.begin(), Mirror.CopiedUpTo.lower_bound(Item.Era),
+      [&](const auto &Each) {
+        const auto Seen =
+            Mirror.SeenChanges.find({Each.first, Item.ChangedRevision});
+        return Seen != Mirror.SeenChanges.end() && Seen->second == hashOf(Item);
+      });
+}
+
+/// Whether an item was written after the copy from which the store was restored
+/// in the era of its revision.
+bool isAfterCopy(const StoreMirror &Mirror, const StoreItem &Item) {
   const auto Copied = Mirror.CopiedUpTo.find(Item.Era);
   return Copied != Mirror.CopiedUpTo.end() &&
          Item.ChangedRevision > Copied->second;
 }
 
+/// Whether an item of the first content of its era is not one of the copy, as
+/// far as is known. A process that knows no earlier era cannot tell.
+bool isUnknownToEarlierEras(const StoreMirror &Mirror, const StoreItem &Item) {
+  return Mirror.FirstEra && *Mirror.FirstEra < Item.Era &&
+         !wasSeenInEarlierEra(Mirror, Item);
+}
+
+bool isNewer(const StoreMirror &Mirror, const StoreItem &Item,
+             const StoreItem &Than) {
+  return Mirror.Rules.IsNewer != nullptr && Mirror.Rules.IsNewer(Item, Than);
+}
+
+bool mayExpire(const StoreMirror &Mirror, std::string_view Key) {
+  return Mirror.Rules.MayExpire != nullptr && Mirror.Rules.MayExpire(Key);
+}
+
 /// Whether an item replaces the known one of its key.
 bool supersedes(const StoreMirror &Mirror, const StoreItem &Item,
                 const StoreItem &Known) {
@@ -33,9 +76,10 @@
   const bool IsOfLaterEra = Item.Era > Known.Era;
   const StoreItem &Later = IsOfLaterEra ? Item : Known;
   const StoreItem &Earlier = IsOfLaterEra ? Known : Item;
-  const bool LaterIsNewer =
-      wasWrittenInEra(Mirror, Later) ||
-      (Mirror.Rules.IsNewer != nullptr && Mirror.Rules.IsNewer(Later, Earlier));
+  const bool LaterIsNewer = isAfterCopy(Mirror, Later) ||
+                            isNewer(Mirror, Later, Earlier) ||
+                            (isUnknownToEarlierEras(Mirror, Later) &&
+                             !isNewer(Mirror, Earlier, Later));
   return LaterIsNewer == IsOfLaterEra;
 }
 
@@ -51,7 +95,9 @@
 
 bool applyItem(StoreMirror &Mirror, const StoreItem &Event) {
   const StoreItem *Known = findKnown(Mirror, Event.Key);
-  if (Known != nullptr && !supersedes(Mirror, Event, *Known))
+  const bool IsNew = Known == nullptr || supersedes(Mirror, Event, *Known);
+  recordSeen(Mirror, Event);
+  if (!IsNew)
     return false;
   Mirror.PendingRemovals.erase(Event.Key);
   if (!Event.Deleted) {
@@ -62,19 +108,21 @@
   return Mirror.Items.erase(Event.Key) > 0;
 }
 
-/// Records content of an era that may be new.
-void recordEra(StoreMirror &Mirror, StoreEra Era, StoreRevision CopiedUpTo) {
-  const auto [Known, New] = Mirror.CopiedUpTo.emplace(Era, CopiedUpTo);
-  Known->second = std::min(Known->second, CopiedUpTo);
+/// Records that content of an era was received at a position. The lowest
+/// revision is closest to the copy.
+void recordContentAt(StoreMirror &Mirror, StorePosition At) {
+  if (!Mirror.FirstEra)
+    Mirror.FirstEra = At.Era;
+  const auto [Known, New] = Mirror.CopiedUpTo.emplace(At.Era, At.Revision);
+  Known->second = std::min(Known->second, At.Revision);
 }
 
 } // namespace
 
 ChangedKeys applyEvents(StoreMirror &Mirror,
                         const std::vector<StoreItem> &Events,
-                        StorePosition CompleteUpTo, StoreRevision CopiedUpTo) {
-  recordEra(Mirror, CompleteUpTo.Era,
-            CopiedUpTo != 0 ? CopiedUpTo : CompleteUpTo.Revision);
+                        StorePosition CompleteUpTo) {
+  recordContentAt(Mirror, CompleteUpTo);
   ChangedKeys Changed;
   for (const StoreItem &Event : Events)
     if (applyItem(Mirror, Event))
@@ -83,6 +131,25 @@
   return Changed;
 }
 
+ChangedKeys applyRelayedItems(StoreMirror &Mirror,
+                              const std::vector<StoreItem> &Items,
+                              StorePosition CompleteUpTo,
+                              const std::vector<StorePosition> &CopiedUpTo,
+                              TimePoint Now) {
+  recordContentAt(Mirror, CompleteUpTo);
+  for (const StorePosition &Each : CopiedUpTo)
+    recordContentAt(Mirror, Each);
+  const ChangedKeys Changed = applyEvents(Mirror, Items, CompleteUpTo);
+  // The store sends no event for a key that its copy lacks.
+  for (const std::string &Key : Changed) {
+    const auto Item = Mirror.Items.find(Key);
+    if (Item != Mirror.Items.end() && Mirror.ListedEra &&
+        Item->second.Era < *Mirror.ListedEra && mayExpire(Mirror, Key))
+      Mirror.PendingRemovals.try_emplace(Key, Now + Mirror.ExpiryGracePeriod);
+  }
+  return Changed;
+}
+
 bool mayHaveExpired(Duration TimeSinceResponse, std::size_t RelayCount) {
   // The store removes servers after three missed heartbeats, but a short outage
   // may begin just before the removal.
@@ -105,8 +172,10 @@
                          const std::vector<StoreItem> &Listed,
                          StorePosition ListedAt, bool AfterOutage,
                          TimePoint Now) {
-  const bool Restored = ListedAt.Era > Mirror.Position.Era;
-  recordEra(Mirror, ListedAt.Era, ListedAt.Revision);
+  // A relay may have told of the restore before.
+  const bool Restored = Mirror.ListedEra && ListedAt.Era > *Mirror.ListedEra;
+  recordContentAt(Mirror, ListedAt);
+  Mirror.ListedEra = ListedAt.Era;
   ChangedKeys Changed;
   std::set<std::string_view> Present;
   for (const StoreItem &Item : Listed) {
@@ -116,11 +185,10 @@
       Changed.push_back(Item.Key);
   }
   for (auto Item = Mirror.Items.begin(); Item != Mirror.Items.end();) {
+    // What the copy lacks is written again, unless it may expire.
+    const bool IsLostWrite =
+        Item->second.Era < ListedAt.Era && !mayExpire(Mirror, Item->first);
     // An item that changed while the listing was read may be on no page.
-    // One that the copy lacks is written again, unless it may expire.
-    const bool IsLostWrite = Item->second.Era < ListedAt.Era &&
-                             (Mirror.Rules.MayExpire == nullptr ||
-                              !Mirror.Rules.MayExpire(Item->first));
     if (Present.contains(Item->first) || positionOf(Item->second) > ListedAt ||
         IsLostWrite) {
       ++Item;
@@ -167,14 +235,16 @@
     if (RemovalsIncomplete || positionOf(Item) > After)
       Result.push_back(Item);
   for (const StoreItem &Removal : Mirror.Removals)
-    if (positionOf(Removal) > After)
+    if (positionOf(Removal) > After && !Mirror.Items.contains(Removal.Key))
       Result.push_back(Removal);
   return Result;
 }
 
-StoreRevision copiedUpTo(const StoreMirror &Mirror) {
-  const auto Found = Mirror.CopiedUpTo.find(Mirror.Position.Era);
-  return Found == Mirror.CopiedUpTo.end() ? 0 : Found->second;
+std::vector<StorePosition> copiedUpTo(const StoreMirror &Mirror) {
+  std::vector<StorePosition> Result;
+  for (const auto &[Era, Copied] : Mirror.CopiedUpTo)
+    Result.push_back({Era, Copied});
+  return Result;
 }
 
 } // namespace marigoldyard
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -131,15 +131,17 @@
         with self.lock:
             return dict(self.items), dict(self.removed), self.revision
 
-    def restore(self, copy, away_s=0.5):
-        """Goes away for a moment and comes back from a copy, in a new era with the revisions of the copy."""
+    def restore(self, copy, away_s=0.5, write=lambda: None):
+        """Goes away for a moment and comes back from a copy, in a new era with the revisions of the copy. `write` is
+        called before the first answer."""
         with self.lock:
             self.away = True
             self.lock.notify_all()
         time.sleep(away_s)
         with self.lock:
-            (self.items, self.removed, self.revision), self.away = copy, False
-            self.era += 1
+            self.items, self.removed, self.revision = copy
+            write()
+            self.era, self.away = self.era + 1, False
 
     def handle(self, request):
         request.more_headers = {"Store-Era": str(self.era)}
--- a/tests/process/test_restored_store.py
+++ b/tests/process/test_restored_store.py
@@ -144,7 +144,24 @@
     check(not any(engine.seen for engine in fleet.engines), "a server with an older version gets no request")
 
 
-CASES = [case_change_after_restore, case_withdrawn_key, case_server_left, case_server_joined, case_start_after_restore]
+# Guards against a server that registers again after a restore, before the gateways list the keys, and is taken for one of
+# the copy: its later heartbeats do not change its record.
+def case_registers_before_listing(fleet):
+    """a server that registers again before the first listing after a restore gets requests"""
+    stays, returns = fleet.plain
+    fleet.store.remove("servers/" + returns.id)
+    time.sleep(1)
+    copy = fleet.store.copy()
+    write_much(fleet)  # also registers the server
+    fleet.store.remove("servers/" + returns.id)
+    time.sleep(1)
+    forget(fleet)
+    fleet.store.restore(copy, write=returns.register)
+    wait_for(lambda: all_serve(fleet, "/read/1") and returns.seen, "it gets requests", timeout=3)
+
+
+CASES = [case_change_after_restore, case_withdrawn_key, case_server_left, case_server_joined, case_start_after_restore,
+         case_registers_before_listing]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
--- a/tests/src/unit-coordination-store_mirror.cpp
+++ b/tests/src/unit-coordination-store_mirror.cpp
@@ -177,9 +177,9 @@
     StoreMirror Late = makeMirror();
     applyListing(Late, {known("a", 95, "4"), known("s", 91, "3")}, {1, 120},
                  false, StartCommand);
-    CHECK(applyEvents(Late, itemsAfter(Current, Late.Position),
-                      Current.Position,
-                      copiedUpTo(Current)) == ChangedKeys{"s"});
+    CHECK(applyRelayedItems(Late, itemsAfter(Current, Late.Position),
+                            Current.Position, copiedUpTo(Current),
+                            StartCommand) == ChangedKeys{"s"});
     CHECK(Late.Position == StorePosition{2, 22});
     CHECK(Late.Items.at("a").Value == "4");
     CHECK(positionOf(Late.Items.at("s")) == StorePosition{2, 22});
@@ -188,8 +188,70 @@
     StoreMirror Late = makeMirror();
     applyListing(Late, {restored("a", 10, "1"), restored("s", 22, "3")},
                  {2, 23}, false, StartCommand);
-    CHECK(applyEvents(Late, itemsAfter(Current, {}), Current.Position,
-                      copiedUpTo(Current)) == ChangedKeys{"a"});
+    CHECK(applyRelayedItems(Late, itemsAfter(Current, {}), Current.Position,
+                            copiedUpTo(Current),
+                            StartCommand) == ChangedKeys{"a"});
     CHECK(Late.Items.at("a").Value == "3");
   }
 }
+
+// Guards against a server that is taken for gone although it registers again in
+// time, because a relay told of the restore before the first own listing.
+TEST_CASE("a relay from a restored store does not end the grace of its items") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 91, "3")}, {1, 100}, false, StartCommand);
+  applyRelayedItems(Mirror, {}, {2, 20}, {{1, 100}, {2, 20}}, StartCommand);
+  CHECK(applyListing(Mirror, {}, {2, 21}, false, StartCommand + 1s).empty());
+  CHECK(Mirror.Items.contains("s"));
+}
+
+// Guards against a change that a relay drops because the store was restored
+// once more after it.
+TEST_CASE("a relay over two restores loses no change in between") {
+  StoreMirror Current = makeMirror();
+  applyListing(Current, {known("s", 91, "3"), known("t", 92, "3")}, {1, 100},
+               false, StartCommand);
+  applyListing(Current, {restored("s", 10, "3"), restored("t", 11, "3")},
+               {2, 20}, false, StartCommand);
+  applyEvents(Current, {{"s", "", 25, true, 2}}, {2, 25});
+  applyListing(Current, {{"t", "3", 11, false, 3}}, {3, 22}, false,
+               StartCommand);
+  StoreMirror Late = makeMirror();
+  applyListing(Late, {known("s", 91, "3"), known("t", 92, "3")}, {1, 100},
+               false, StartCommand);
+  applyRelayedItems(Late, itemsAfter(Current, Late.Position), Current.Position,
+                    copiedUpTo(Current), StartCommand);
+  CHECK_FALSE(Late.Items.contains("s"));
+}
+
+// Guards against a live server that is ignored for good: it registered again
+// before the first listing after a restore, and its heartbeats change nothing.
+TEST_CASE("an item written again before the first listing counts") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 5, "3"), known("t", 6, "3")}, {1, 50}, false,
+               StartCommand);
+  applyEvents(Mirror, {{"s", "", 60, true, 1}, known("t", 61, "3")}, {1, 61});
+  CHECK(applyListing(Mirror, {restored("s", 19, "3"), restored("t", 18, "3")},
+                     {2, 20}, false, StartCommand) == ChangedKeys{"s", "t"});
+  CHECK(Mirror.Items.at("s").ChangedRevision == 19);
+}
+
+TEST_CASE("a relay adds no expired item of an earlier era for good") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {}, {2, 20}, false, StartCommand);
+  CHECK(applyRelayedItems(Mirror, {known("s", 5, "3"), known("a", 6, "3")},
+                          {2, 20}, {{1, 4}, {2, 20}},
+                          StartCommand) == ChangedKeys{"s", "a"});
+  CHECK(removeExpiredItems(Mirror, StartCommand + 2s) == ChangedKeys{"s"});
+  CHECK(Mirror.Items.contains("a"));
+}
+
+// Guards against a server that no longer drains and is left out for good.
+TEST_CASE("a write after the first content counts whatever it states") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 5, "3")}, {1, 50}, false, StartCommand);
+  applyListing(Mirror, {restored("s", 4, "2")}, {2, 20}, false, StartCommand);
+  CHECK(Mirror.Items.at("s").Value == "3");
+  CHECK(applyEvents(Mirror, {restored("s", 21, "1")}, {2, 21}) ==
+        ChangedKeys{"s"});
+}
--- a/tests/src/unit-platform-store_format.cpp
+++ b/tests/src/unit-platform-store_format.cpp
@@ -170,18 +170,18 @@
 }
 
 TEST_CASE("values tell which of two was written later") {
-  const auto IsLater = [](std::string Key, std::string Value,
+  const auto IsLater = [](const std::string &Key, std::string Value,
                           std::string Than) {
     return platform::isWrittenLater({Key, std::move(Value), 1, false},
                                     {Key, std::move(Than), 9, false});
   };
-  const auto Configuration = [](int Version) {
+  const auto ConfigurationOf = [](int Version) {
     return R"({"version":)" + std::to_string(Version) + "}";
   };
-  CHECK(IsLater("op/config", Configuration(3), Configuration(2)));
-  CHECK_FALSE(IsLater("op/config", Configuration(2), Configuration(2)));
-  CHECK_FALSE(IsLater("op/config", Configuration(1), Configuration(2)));
-  CHECK_FALSE(IsLater("op/config", "{", Configuration(2)));
+  CHECK(IsLater("op/config", ConfigurationOf(3), ConfigurationOf(2)));
+  CHECK_FALSE(IsLater("op/config", ConfigurationOf(2), ConfigurationOf(2)));
+  CHECK_FALSE(IsLater("op/config", ConfigurationOf(1), ConfigurationOf(2)));
+  CHECK_FALSE(IsLater("op/config", "{", ConfigurationOf(2)));
   const auto Version = [](int Number) {
     return R"({"model":"m","version":)" + std::to_string(Number) + "}";
   };
@@ -201,7 +201,7 @@
       IsLater("servers/i", ServerWith("ready", 5), ServerWith("draining", 5)));
   CHECK_FALSE(
       IsLater("servers/i", ServerWith("draining", 4), ServerWith("ready", 5)));
-  CHECK_FALSE(platform::isWrittenLater({"op/config", Configuration(3), 1},
+  CHECK_FALSE(platform::isWrittenLater({"op/config", ConfigurationOf(3), 1},
                                        {"op/config", "", 9, true}));
   CHECK(platform::mayExpire("servers/i"));
   CHECK_FALSE(platform::mayExpire("op/config"));
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -55,7 +55,7 @@
           StoreRelay{{{"op/a", std::string("\x00\xFF{}", 4), 412, false},
                       {"servers/i", "", 413, true, 2}},
                      {2, 413},
-                     400},
+                     {{1, 3}, {2, 400}}},
           DescriptorRequest{"model", 2},
           DescriptorReply{"model", 2, 32768, {Weights, Weights}},
           PoolQuestion{{"10.0.0.4", "10.0.0.4", MemberKind::Endpoint, "dar",
