Limit the time without progress of a write to a caller

What callers saw: a large response was cut although its caller read all the time, when the whole of it took longer than three seconds.

Cause: the write timeout counted for the whole response and not for the time without progress.

Change: each progress begins the three seconds anew; a write ends after 60 s in any case, since it holds the memory of its response.

--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -2,9 +2,9 @@
 
 #include "marigoldyard/transport/clock.hpp"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
@@ -18,8 +18,11 @@
 
 namespace {
 
-/// Write timeout, for callers that do not read their response.
+/// Longest time without progress of a write, for callers that do not read their
+/// response.
 constexpr std::chrono::seconds WriteTimeout{3};
+/// Longest time of one write, which holds the memory of a whole response.
+constexpr std::chrono::seconds MaxWriteTime{60};
 /// Timeout for the body, from the end of the header.
 constexpr std::chrono::seconds BodyTimeout{10};
 /// Time for the caller to read the last response before the connection is
@@ -139,9 +142,14 @@
 
 net::awaitable<bool> CallerSession::write(std::string_view Bytes) {
   error_code Failure;
-  Timer.expiresAt(now() + WriteTimeout);
-  co_await net::async_write(Socket, net::buffer(Bytes.data(), Bytes.size()),
-                            net::redirect_error(net::use_awaitable, Failure));
+  const TimePoint Limit = now() + MaxWriteTime;
+  while (!Bytes.empty() && !Failure) {
+    Timer.expiresAt(std::min<TimePoint>(now() + WriteTimeout, Limit));
+    const std::size_t Count = co_await Socket.async_write_some(
+        net::buffer(Bytes.data(), Bytes.size()),
+        net::redirect_error(net::use_awaitable, Failure));
+    Bytes.remove_prefix(Count);
+  }
   Timer.clear();
   if (!Failure)
     co_return true;
