--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -139,7 +139,7 @@
   recordContentAt(Mirror, CompleteUpTo);
   for (const StorePosition &Each : CopiedUpTo)
     recordContentAt(Mirror, Each);
-  const ChangedKeys Changed = applyEvents(Mirror, Items, CompleteUpTo);
+  ChangedKeys Changed = applyEvents(Mirror, Items, CompleteUpTo);
   // The store sends no event for a key that its copy lacks.
   for (const std::string &Key : Changed) {
     const auto Item = Mirror.Items.find(Key);
