Give up a silent server before the caller abandons the stream

Cause: since the wait for a silent server goes on up to the deadline when no other server can take the request. Callers abandon a stream earlier, and a server that is frozen or cut off does not hear of it.

A pause of a second or so is still waited for.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -25,8 +25,8 @@
 /// Shortest wait for the first event before a stream is retried at another
 /// server; callers disconnect after two seconds or more.
 constexpr milliseconds MinFirstEventTimeout{1200};
-/// A stream is retried this long before its caller abandons it, so that the
-/// next server can still begin.
+/// A silent server is given up this long before the caller abandons the stream,
+/// so that the next server can still begin and the caller gets an answer.
 constexpr milliseconds AbandonMargin{400};
 /// Shortest wait between events before a stream resumes at another server.
 constexpr milliseconds MinGapTimeout{1000};
@@ -347,6 +347,10 @@
   if (MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce) {
     Limits.ReserveAlternative = [this] { return reserveAlternative(); };
     Limits.OnSilence = [this] { recordSilence(); };
+    // A caller that leaves is not heard by a server that stands still, which
+    // would then work for nobody.
+    if (MatchedRoute->IsStreaming)
+      Limits.MaxSilence = callerTimeout() - AbandonMargin;
   }
   switch (MatchedRoute->AllowedRetries) {
   case RetryPolicy::AtMostOnce:
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -127,7 +127,8 @@
   if (isWaitingAtServer()) {
     Until = std::min(Until, Limits.MaxWaitUntil);
   } else {
-    if (!Limits.ReserveAlternative || Limits.ReserveAlternative())
+    const bool TooLong = Now - LastProgressAt >= Limits.MaxSilence;
+    if (TooLong || !Limits.ReserveAlternative || Limits.ReserveAlternative())
       return false;
     if (!std::exchange(SilenceReported, true) && Limits.OnSilence)
       Limits.OnSilence();
@@ -174,6 +175,7 @@
   }
   AwaitsFirstEvent = true;
   AwaitsResponse = true;
+  LastProgressAt = now();
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
   if (Reusable && HasId && *RequestWritten && !wasStopped()) {
@@ -433,7 +435,9 @@
       const PartStatus Status = co_await Receiver.OnEvents(std::move(Events));
       if (Status != PartStatus::Forwarded)
         co_return stoppedResult(Status);
-      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
+      LastProgressAt = now();
+      Timer.expiresAt(
+          std::min(Limits.Deadline, LastProgressAt + Limits.GapTimeout));
     }
     if (Failure)
       co_return failureResult(Failure);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -70,9 +70,12 @@
   std::function<bool()> IsWaiting;
   TimePoint MaxWaitUntil{};
   /// Called at each timeout of a silent server, which may go on; reserves
-  /// another server for the request. The wait goes on while there is none.
-  /// Empty when a timeout always ends the wait.
+  /// another server for the request. The wait goes on while there is none, up
+  /// to MaxSilence. Empty when a timeout always ends the wait.
   std::function<bool()> ReserveAlternative;
+  /// Longest silence of a server, since the request was sent or since its last
+  /// event.
+  Duration MaxSilence = Duration::max();
   /// Called at the first timeout that does not end the wait.
   std::function<void()> OnSilence;
 };
@@ -160,6 +163,7 @@
   /// The request was sent, and no refusal of it was read.
   bool AwaitsResponse = false;
   bool SilenceReported = false;
+  TimePoint LastProgressAt{}; ///< when the request was sent, or its last event
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
