--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,13 +11,14 @@
 from engines import ZONES, Engine, configuration  # noqa: E402
 
 REQUESTS, PIECES, CALLERS = 600, 21, 6
-GARBLED_EACH = 50  # one of so many streams of a server, a share of 0.02
+GARBLED_EACH = 50  # one of so many streams of a server that garbles, a share of 0.02
+GARBLING_SERVERS = 3  # of six, a share of 0.5
 PAUSE_S = 0.005
 
 
 class GarblingEngine(Engine):
     """A model server that flips one bit in every fiftieth stream: "id" of one event becomes "hd"."""
-    record = None
+    record, garbles = None, False
 
     def __init__(self, *arguments):
         self.streams, self.garbled = 0, 0
@@ -28,7 +29,7 @@
 
     def write_stream(self, request):
         self.streams += 1
-        garbled = TROUBLE and self.streams % GARBLED_EACH == 0
+        garbled = self.garbles and self.streams % GARBLED_EACH == 0
         self.garbled += garbled
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         wrong = (first + PIECES) // 2 if garbled else None
@@ -56,6 +57,8 @@
         GarblingEngine.record = record
         engines = [fleet.server(f"i-scribe-{n}", 20 + n, "engines", zones[n % 3], {"m": 1}, GarblingEngine)
                    for n in range(6)]
+        for engine in engines[:GARBLING_SERVERS]:
+            engine.garbles = TROUBLE
         fleet.store.put("op/config", configuration(1, fleet.origin))
         gateways = [fleet.gateway(40 + n, zones[n]) for n in range(2)]
         fleet.wait_ready(gateways)
