Refuse stream events that do not tell their place

Cause: acceptEvent() let every event without an id pass. An event whose id line was garbled ("hd: 11") was forwarded and did not move the place at which another server continues. The next event then did not continue the last known id, so the stream went on at another server after that id, which sent the piece again. The same held for other wrong bytes in the lines of an event: a garbled end joined two events to one that was forwarded with the id of the first.

Why the fix works: an event is forwarded only when its lines are those of an event stream or the platform's own field, with exactly one id that is a number and follows the last one, and with data. Otherwise the place is not known, and the event is taken as a broken answer of that server before a byte of it, or of the head if it is the first, is forwarded. The log of the send tells the event and the id before it. Comments pass as before.

--- a/include/marigoldyard/protocol/event_stream.hpp
+++ b/include/marigoldyard/protocol/event_stream.hpp
@@ -8,10 +8,18 @@
 
 namespace marigoldyard {
 
+/// @brief What the lines of an event make it.
+enum class EventKind : std::uint8_t {
+  Data,    ///< exactly one id that is a number, and data
+  Comment, ///< nothing but comments, or no lines
+  Invalid, ///< anything else, such as a line with an unknown field
+};
+
 /// @brief One event of a text/event-stream.
 struct StreamEvent {
   std::string Text; ///< as received, with the empty line that ends it
   std::optional<std::uint64_t> Id;
+  EventKind Kind = EventKind::Data;
 
   // clang-tidy 14 reports names in the code that the compiler generates here.
   // NOLINTNEXTLINE(readability-identifier-naming)
@@ -20,6 +28,8 @@
 
 /// @brief Splits the bytes of a stream into events.
 struct EventSplitter {
+  /// Field that events may have besides those of the format; may be empty.
+  std::string_view ExtraField;
   std::string Pending; ///< begin of an event that is not complete
 };
 
@@ -36,10 +46,13 @@
   std::optional<std::uint64_t> Last; ///< id of the newest event
 };
 
-/// @brief Accepts the next event of an answer.
-/// @param Order the order
+/// @brief Accepts the next event of an answer. All events but comments must
+/// have the id that follows the last one: after an event without a usable id,
+/// it would not be known where the stream continues.
+/// @param Order the order; unchanged when the event is refused
 /// @param Event the event
-/// @return false when an event before it is missing or it came already
+/// @return false when the event is invalid, an event before it is missing, or
+/// it came already
 bool acceptEvent(EventOrder &Order, const StreamEvent &Event);
 
 } // namespace marigoldyard
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -628,6 +628,9 @@
 
 StreamReceiver RequestRun::streamReceiver() {
   StreamReceiver Receiver;
+  Receiver.TakeInOrder = [this](std::vector<StreamEvent> &Events) {
+    return takeInOrder(Events);
+  };
   Receiver.OnHead = [this](const platform::Fields &Headers, unsigned Status,
                            const platform::ServerResponse &Head) {
     return forwardHead(Headers, Status, Head);
@@ -638,6 +641,23 @@
   return Receiver;
 }
 
+std::string RequestRun::takeInOrder(std::vector<StreamEvent> &Events) {
+  const auto Wrong = std::find_if(
+      Events.begin(), Events.end(),
+      [this](const StreamEvent &Each) { return !acceptEvent(Order, Each); });
+  if (Wrong == Events.end())
+    return {};
+  const auto Name = [](const std::optional<std::uint64_t> &Id) {
+    return Id ? std::to_string(*Id) : "none";
+  };
+  std::string Detail =
+      fmt::format("{} event with id {} after id {}",
+                  Wrong->Kind == EventKind::Invalid ? "invalid" : "unexpected",
+                  Name(Wrong->Id), Name(Order.Last));
+  Events.erase(Wrong, Events.end());
+  return Detail;
+}
+
 std::string RequestRun::formatHead(unsigned Status,
                                    const platform::Fields &Headers) const {
   std::string Text = fmt::format(
@@ -690,20 +710,11 @@
     recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::Answered,
                         now());
   std::string Text;
-  bool InOrder = true;
-  for (const StreamEvent &Event : Events) {
-    InOrder = acceptEvent(Order, Event);
-    if (!InOrder)
-      break;
+  for (const StreamEvent &Event : Events)
     Text += Event.Text;
-  }
-  const PartStatus Result =
-      InOrder ? PartStatus::Forwarded : PartStatus::Invalid;
-  if (Text.empty())
-    co_return Result;
   const std::string Chunk = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
   const bool Written = co_await Session.write(Chunk);
-  co_return Written ? Result : PartStatus::CallerLeft;
+  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
 }
 
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -77,6 +77,8 @@
   LocalResponse unservedResponse(ServerShortage Shortage) const;
 
   StreamReceiver streamReceiver();
+  /// See StreamReceiver::TakeInOrder.
+  std::string takeInOrder(std::vector<StreamEvent> &Events);
   boost::asio::awaitable<PartStatus>
   forwardHead(const platform::Fields &Headers, unsigned Status,
               const platform::ServerResponse &Head);
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -275,16 +275,22 @@
 }
 
 ExchangeResult ServerExchange::stoppedResult(PartStatus Status) const {
+  if (Status != PartStatus::CallerLeft)
+    return corruptResult("does not continue the stream");
   ExchangeResult Result = failureResult({});
   if (wasStopped())
     return Result;
-  if (Status == PartStatus::CallerLeft) {
-    Result.Reason = ErrorCode::Cancelled;
-    Result.Health = ServerOutcome::Answered;
-  } else {
-    Result.Reason = ErrorCode::StreamCorrupt;
-    Result.Detail = "does not continue the stream";
-  }
+  Result.Reason = ErrorCode::Cancelled;
+  Result.Health = ServerOutcome::Answered;
+  return Result;
+}
+
+ExchangeResult ServerExchange::corruptResult(std::string Detail) const {
+  ExchangeResult Result = failureResult({});
+  if (wasStopped())
+    return Result;
+  Result.Reason = ErrorCode::StreamCorrupt;
+  Result.Detail = std::move(Detail);
   return Result;
 }
 
@@ -321,12 +327,9 @@
       continue;
     }
     if (Meaning == ResponseMeaning::Invalid) {
-      ExchangeResult Result = failureResult({});
-      if (!wasStopped())
-        Result.Reason = ErrorCode::StreamCorrupt;
-      Result.Detail = Head.Signed ? "success that states that it did not run"
-                                  : "success without the server's signature";
-      co_return Result;
+      co_return corruptResult(Head.Signed
+                                  ? "success that states that it did not run"
+                                  : "success without the server's signature");
     }
     Connection->IdleTimeout = keepAliveTimeout(ResponseParser.get().base());
     if (Meaning == ResponseMeaning::Refusal)
@@ -415,6 +418,7 @@
                            const platform::ServerResponse &Head,
                            StreamReceiver &Receiver) {
   EventSplitter Splitter;
+  Splitter.ExtraField = platform::weightVersionEventField();
   ResponseReservation PendingMemory(Memory);
   bool HeadForwarded = false;
   Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
@@ -422,6 +426,7 @@
     std::string Chunk;
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
+    const std::string Disorder = Receiver.TakeInOrder(Events);
     if (!Events.empty()) {
       AwaitsFirstEvent = false;
       Timer.clear(); // the caller's connection has a write timeout
@@ -439,6 +444,8 @@
       Timer.expiresAt(
           std::min(Limits.Deadline, LastProgressAt + Limits.GapTimeout));
     }
+    if (!Disorder.empty())
+      co_return corruptResult(Disorder);
     if (Failure)
       co_return failureResult(Failure);
     if (Splitter.Pending.size() > MaxEventBytes ||
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -50,6 +50,10 @@
 /// @brief Callbacks for the parts of an event stream. The exchange ends when
 /// one returns anything but Forwarded.
 struct StreamReceiver {
+  /// Removes the first event that does not continue the stream, and all after
+  /// it, before anything of them is forwarded.
+  /// @return a description of the removed event; empty if there is none
+  std::function<std::string(std::vector<StreamEvent> &)> TakeInOrder;
   /// Head of a successful stream.
   std::function<boost::asio::awaitable<PartStatus>(
       const platform::Fields &, unsigned, const platform::ServerResponse &)>
@@ -148,6 +152,8 @@
   bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
   ExchangeResult stoppedResult(PartStatus Status) const;
+  /// Result of a response that breaks the rules of the protocol.
+  ExchangeResult corruptResult(std::string Detail) const;
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
--- a/src/protocol/event_stream.cpp
+++ b/src/protocol/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "marigoldyard/protocol/event_stream.hpp"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace marigoldyard {
@@ -12,21 +14,59 @@
   return Line;
 }
 
-std::optional<std::uint64_t> idOfLine(std::string_view Line) {
-  constexpr std::string_view Name = "id:";
-  if (!Line.starts_with(Name))
-    return std::nullopt;
-  Line.remove_prefix(Name.size());
-  if (!Line.empty() && Line.front() == ' ')
-    Line.remove_prefix(1);
+constexpr std::string_view IdField = "id";
+constexpr std::string_view DataField = "data";
+constexpr std::array<std::string_view, 4> StandardFields = {IdField, DataField,
+                                                            "event", "retry"};
+
+/// Fields of an event that is being read.
+struct EventFields {
+  std::size_t Lines = 0;
+  std::size_t Comments = 0;
+  std::size_t Ids = 0;
+  std::size_t DataLines = 0;
+  bool HasUnknownField = false;
+  std::optional<std::uint64_t> Id;
+};
+
+std::optional<std::uint64_t> parseId(std::string_view Value) {
+  if (!Value.empty() && Value.front() == ' ')
+    Value.remove_prefix(1);
   std::uint64_t Id = 0;
   const auto [End, Status] =
-      std::from_chars(Line.data(), Line.data() + Line.size(), Id);
-  if (Status != std::errc() || End != Line.data() + Line.size())
+      std::from_chars(Value.data(), Value.data() + Value.size(), Id);
+  if (Status != std::errc() || End != Value.data() + Value.size())
     return std::nullopt;
   return Id;
 }
 
+void addLine(EventFields &Fields, std::string_view Line,
+             std::string_view ExtraField) {
+  ++Fields.Lines;
+  const std::size_t Colon = std::min(Line.find(':'), Line.size());
+  const std::string_view Name = Line.substr(0, Colon);
+  if (Name.empty()) {
+    ++Fields.Comments;
+  } else if (Name == IdField) {
+    ++Fields.Ids;
+    Fields.Id = parseId(Line.substr(std::min(Colon + 1, Line.size())));
+  } else if (Name == DataField) {
+    ++Fields.DataLines;
+  } else if (Name != ExtraField &&
+             std::find(StandardFields.begin(), StandardFields.end(), Name) ==
+                 StandardFields.end()) {
+    Fields.HasUnknownField = true;
+  }
+}
+
+EventKind kindOf(const EventFields &Fields) {
+  if (Fields.Comments == Fields.Lines)
+    return EventKind::Comment;
+  const bool Valid = Fields.Ids == 1 && Fields.Id && Fields.DataLines > 0 &&
+                     !Fields.HasUnknownField;
+  return Valid ? EventKind::Data : EventKind::Invalid;
+}
+
 } // namespace
 
 std::vector<StreamEvent> splitEvents(EventSplitter &Splitter,
@@ -36,20 +76,20 @@
   std::vector<StreamEvent> Events;
   std::size_t EventStart = 0;
   std::size_t LineStart = 0;
-  std::optional<std::uint64_t> Id;
+  EventFields Fields;
   for (std::size_t End = Text.find('\n'); End != std::string_view::npos;
        End = Text.find('\n', LineStart)) {
     const std::string_view Line =
         withoutReturn(Text.substr(LineStart, End - LineStart));
     LineStart = End + 1;
     if (!Line.empty()) {
-      if (auto Found = idOfLine(Line))
-        Id = Found;
+      addLine(Fields, Line, Splitter.ExtraField);
       continue;
     }
     Events.push_back(
-        {std::string(Text.substr(EventStart, LineStart - EventStart)), Id});
-    Id.reset();
+        {std::string(Text.substr(EventStart, LineStart - EventStart)),
+         Fields.Id, kindOf(Fields)});
+    Fields = {};
     EventStart = LineStart;
   }
   Splitter.Pending.erase(0, EventStart);
@@ -57,9 +97,10 @@
 }
 
 bool acceptEvent(EventOrder &Order, const StreamEvent &Event) {
-  if (!Event.Id)
+  if (Event.Kind == EventKind::Comment)
     return true;
-  if (Order.Last && *Event.Id != *Order.Last + 1)
+  if (Event.Kind == EventKind::Invalid || !Event.Id ||
+      (Order.Last && *Event.Id != *Order.Last + 1))
     return false;
   Order.Last = Event.Id;
   return true;
