Plan transfers of weights by time, not by messages only

What callers saw: a version came into use seconds late where the origin had sent one corrupted piece and little else happened, so that requests were refused in between.

Cause: Stager::runTransferPlan() compared the time with the next plan computed from that same time, which is always later. So a plan was made only when a message or an answer arrived. A piece that must be read again after the backoff of 0.15 to 0.3 s waited for the next chunk map of a peer, five seconds later. All steps that depend on time had the same fault: backoffs, standby checks, probes of stalled imports, expiry of requests. The agent keeps the time of its next plan and is not affected.

Evidence: traces of a fleet with one reader of the origin: "chunk_corrupt" at 0.73 s, the next read of the piece at 5.37 s, with the next map.

Why the fix works: the time of the next plan is kept when a plan is made.

The simulated network of the unit tests plans at every step, so it could not show this; the process test can.

--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -147,6 +147,7 @@
   std::string LastLoadReceiver;
   bool StreamsCanResume = false; ///< on all routes to the local pool
   bool PlanDue = false;
+  TimePoint NextPlanAt{}; ///< of the transfer, if no event causes one earlier
   bool ReportPending = false;
   TimePoint StartedAt{};
   TimePoint ReportRequestedAt{};
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -179,7 +179,7 @@
   if (!Transfer)
     return;
   const TimePoint Now = now();
-  if (!PlanDue && Now < nextTransferPlanTime(*Transfer, Now))
+  if (!PlanDue && Now < NextPlanAt)
     return;
   PlanDue = false;
   const bool Empty = !Report || Report->Weights.empty();
@@ -188,6 +188,7 @@
   for (const TransferAction &Action :
        planTransfer(*Transfer, Now, Node.Generator))
     performAction(Action);
+  NextPlanAt = nextTransferPlanTime(*Transfer, Now);
 }
 
 void Stager::performAction(const TransferAction &Action) {
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -180,6 +180,7 @@
 
 class Backend(Standin):
     """A server of a pool. `behave` maps a request number to a behaviour; requests are recorded."""
+    zone = "z1"
 
     def __init__(self, store, name, host, pool, models=None):
         self.store, self.id, self.pool, self.models = store, name, pool, models
@@ -191,7 +192,7 @@
         self.register()
 
     def register(self, state="ready"):
-        record = {"service": self.pool, "address": self.address, "zone": "z1", "version": "v1", "slots": 4,
+        record = {"service": self.pool, "address": self.address, "zone": self.zone, "version": "v1", "slots": 4,
                   "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": self.born}
         if self.models is not None:
             record["models"] = [{"name": name, "version": version, "adapters": []}
@@ -335,15 +336,21 @@
     return hashlib.sha256(f"{model}/{version}/{index}".encode()).digest() * (PIECE_BYTES // 32)
 
 
+WRONG_PIECE = 5
+
+
 class Origin(Standin):
     """The origin of weights; counts the pieces that it sends."""
 
     def __init__(self, host):
         self.sent, self.down, self.corrupt = 0, False, 0
         self.limit = None  # pieces that it sends before it goes down
+        self.asked = []  # time and path of each call
+        self.wrong_manifests = 0  # manifests to come with one wrong digit in the digest of WRONG_PIECE
         super().__init__(host, ORIGIN_PORT)
 
     def handle(self, request):
+        self.asked.append((time.monotonic(), request.path))
         if self.down:
             return request.cut()
         path, _, query = request.path.partition("?")
@@ -351,6 +358,10 @@
         model, version = path.rpartition("/")[2], int(fields["version"])
         if "/manifest/" in path:
             digests = [hashlib.sha256(piece(model, version, i)).hexdigest() for i in range(PIECES)]
+            if self.wrong_manifests > 0:
+                self.wrong_manifests -= 1
+                first = digests[WRONG_PIECE][0]
+                digests[WRONG_PIECE] = ("1" if first == "0" else "0") + digests[WRONG_PIECE][1:]
             return request.answer(200, {"model": model, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 4,
                                         "digests": digests})
         if self.limit == 0:
@@ -398,7 +409,7 @@
         settings = {"name": f"{program}-{host}", "address": self.ip, "region": "r1", "failure_domain": "z1",
                     "peer_port": PEER_PORT, "bulk_port": BULK_PORT, "operator_port": OPERATOR_PORT,
                     "store": store.address_for(host), "seeds": [{"address": address(s, 1)} for s in seeds],
-                    "domains": [{"failure_domain": "z1", "region": "r1"}],
+                    "domains": [{"failure_domain": "z1", "region": "r1"}, {"failure_domain": "z2", "region": "r2"}],
                     "keys": [{"id": "k1", "secret": SECRET}], "version_limit_ms": 8000,
                     "drain_limit_s": 6, "link_mbps": 100, **more}
         path = os.path.join(folder, f"{program}-{host}.json")
@@ -443,10 +454,10 @@
         self.daemons.append(daemon)
         return daemon
 
-    def stager(self, backend):
+    def stager(self, backend, **more):
         host = int(backend.address.split(":")[0].rpartition(".")[2])
         daemon = Daemon("marigold-stager", host, self.store, self.folder, [40, 41],
-                        {"engine": backend.address, "pool": backend.pool})
+                        {"engine": backend.address, "pool": backend.pool, **more})
         self.daemons.append(daemon)
         return daemon
 
