Correct manifests of weights that hold a wrong digest

What callers saw: after a version was declared and two answers of the origin with its manifest had one wrong digit, no server ever loaded the version.

Cause: the first manifest that parses was used for good, from the origin and from peers, which take it over. A piece can never match a wrong digest; it was read from the origin again and again as corrupt. Nothing compared two manifests or read one again.

Why the fix works: bytes that match a digest prove it, so only digests of pieces that are not held are ever replaced, and only by proven ones. - A reader of the origin that gets the same wrong bytes for a piece twice reads the manifest again, since a transmission error does not repeat, and takes the digest over if it is that of the bytes. The bytes are used at once. - It offers the corrected manifest to its peers. A peer asks for the chunk map and takes over the digests of pieces that the sender holds and it does not. - While no piece arrives for a second, then ever more rarely, a stager compares its manifest with that of another reader, so a lost offer does no harm. All messages are of known types, so stagers of older builds can stay.

Related paths: the size of a piece in a manifest is not part of the version's digest and only scales waiting times, so a wrong one delays and blocks nothing; descriptors of the project's own store are checked against their digest.

--- a/include/marigoldyard/coordination/manifest_search.hpp
+++ b/include/marigoldyard/coordination/manifest_search.hpp
@@ -26,6 +26,8 @@
   /// Delay of a reader after its first failed read; twice as long after further
   /// ones.
   Duration ReaderBackoff = std::chrono::milliseconds(150);
+  /// Shortest interval between reads of a manifest that is known but in doubt.
+  Duration RereadInterval = std::chrono::milliseconds(500);
 };
 
 /// @brief State of the search for the manifest of one version.
@@ -37,6 +39,7 @@
   TimePoint NextOwnReadAt{};
   std::size_t Failures = 0;    ///< failed reads of the origin by this process
   bool ReadInProgress = false; ///< a read of the origin is in progress
+  TimePoint NextRereadAt{};    ///< earliest read of a manifest in doubt
 };
 
 /// @brief Starts a search.
@@ -53,7 +56,7 @@
   Wait,
   QueryReader, ///< query a process that reads the origin
   ReadOrigin,  ///< read the origin; a read stays in progress until
-               ///< manifestReadFailed or the end of the search
+               ///< manifestReadFailed or manifestReadEnded
 };
 
 /// @brief Returns the next action and records it as carried out.
@@ -64,6 +67,17 @@
 ManifestAction nextManifestAction(ManifestSearch &Search, bool Reader,
                                   TimePoint Now);
 
+/// @brief Begins another read of the origin after the search has ended, because
+/// the manifest is in doubt.
+/// @param Search search to update
+/// @param Now the time
+/// @return false if a read is in progress or the last one was too recent
+bool beginManifestReread(ManifestSearch &Search, TimePoint Now);
+
+/// @brief Records that a read of the origin returned a manifest.
+/// @param Search search to update
+void manifestReadEnded(ManifestSearch &Search);
+
 /// @brief Records a failed read of the origin and schedules the next attempt.
 /// @param Search search to update
 /// @param Now the time
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -176,6 +176,7 @@
     else if (auto Failure = chunkMapReceived(*Transfer, Peer, Map->Version,
                                              Map->Held, now()))
       Node.Log.write("chunk_map_refused", *Failure);
+    adoptOfferedManifest(Peer, *Map);
     if (Map->Asks)
       mapRequested(*Transfer, Peer, Map->Version);
   } else if (const auto *Request = std::get_if<ChunkRequest>(&Content)) {
@@ -293,6 +294,8 @@
   for (auto &[Version, State] : Versions)
     if (!OriginAddress.empty() && !State.Descriptor)
       requestManifest(State);
+    else
+      compareManifest(State);
   runTransferPlan();
   advanceVersions();
   if (Now >= NextMaintenanceAt) {
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/coordination/load_plan.hpp"
+#include "marigoldyard/coordination/manifest_check.hpp"
 #include "marigoldyard/coordination/manifest_search.hpp"
 #include "marigoldyard/coordination/rollout.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
@@ -43,6 +44,9 @@
     LoadState Load;
     std::optional<VersionDescriptor> Descriptor;
     ManifestSearch Manifest;
+    ManifestCheck Check;
+    /// Bytes that the origin repeated in place of those expected.
+    ChunkBytes RepeatedBytes;
     bool StagingAreaRead = false;          ///< read, or no longer needed
     std::vector<std::size_t> StagedToRead; ///< staged chunks to read at startup
     bool StagingCallPending = false;
@@ -84,8 +88,27 @@
   void makeTransferState(const std::string &StoreRegion);
   void requestManifest(VersionState &State);
   void fetchManifest(const VersionState &State);
+  /// Uses the first manifest of a version.
   void handleManifest(const DeclaredVersion &Target,
                       VersionDescriptor Descriptor);
+  /// Corrects the known manifest by one that the origin returned later.
+  void handleManifestReread(VersionState &State, const VersionDescriptor &Read);
+  /// Compares the known manifest with that of another reader of the origin
+  /// while no chunk arrives.
+  void compareManifest(VersionState &State);
+  /// Keeps the manifest of a peer that differs from the known one until the
+  /// peer tells which of its chunks it holds.
+  void handleOfferedManifest(VersionState &State, const std::string &Peer,
+                             VersionDescriptor Offered);
+  /// Sends the known manifest.
+  void offerManifest(const VersionState &State, const std::string &Peer);
+  /// Corrects known manifests by the one that the peer has offered.
+  void adoptOfferedManifest(const std::string &Peer, const ChunkMap &Map);
+  /// Restarts the transfer with corrected digests. Held chunks are kept.
+  void applyCorrectedManifest(VersionState &State, const std::string &Source);
+  std::vector<bool> heldChunks(const VersionDescriptor &Descriptor) const;
+  void recordChunkLocations(const DeclaredVersion &Target,
+                            const VersionDescriptor &Descriptor);
   void startTransfer(VersionState &State);
   void handleManifestFailure(const DeclaredVersion &Target,
                              const std::string &Cause);
@@ -95,6 +118,9 @@
   void fetchChunk(const Digest &Chunk);
   void handleChunk(const Digest &Chunk, const std::string &From,
                    std::string Bytes);
+  /// Reads the manifest again when the origin repeats bytes that do not match.
+  void handleOriginMismatch(const Digest &Chunk, const Digest &Received,
+                            std::string Bytes);
 
   // Model server on the local machine.
   void fetchReport();
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -5,6 +5,7 @@
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -78,6 +79,12 @@
         auto Descriptor = platform::parseManifest(Response->Body, Target);
         if (!Descriptor)
           return handleManifestFailure(Target, Descriptor.error().message());
+        VersionState *Known = findVersion(Target);
+        if (Known == nullptr)
+          return;
+        manifestReadEnded(Known->Manifest);
+        if (Known->Descriptor)
+          return handleManifestReread(*Known, *Descriptor);
         handleManifest(Target, std::move(*Descriptor));
       });
 }
@@ -100,14 +107,10 @@
 void Stager::handleManifest(const DeclaredVersion &Target,
                             VersionDescriptor Descriptor) {
   VersionState *State = findVersion(Target);
-  if (State == nullptr)
-    return;
-  State->Manifest.ReadInProgress = false;
-  if (State->Descriptor)
+  if (State == nullptr || State->Descriptor)
     return;
   skipOutdatedVersions(State->Load);
-  for (std::size_t Index = 0; Index < Descriptor.Chunks.size(); ++Index)
-    ChunkLocations[Descriptor.Chunks[Index].Id] = {Target, Index};
+  recordChunkLocations(Target, Descriptor);
   State->Descriptor = std::move(Descriptor);
   Node.Log.write(
       {.Event = "manifest_known",
@@ -119,6 +122,101 @@
   readStagedChunks(*State);
 }
 
+void Stager::recordChunkLocations(const DeclaredVersion &Target,
+                                  const VersionDescriptor &Descriptor) {
+  for (std::size_t Index = 0; Index < Descriptor.Chunks.size(); ++Index)
+    ChunkLocations[Descriptor.Chunks[Index].Id] = {Target, Index};
+}
+
+void Stager::handleManifestReread(VersionState &State,
+                                  const VersionDescriptor &Read) {
+  if (!adoptReadDigests(State.Check, *State.Descriptor, Read))
+    return;
+  if (const ChunkBytes Bytes = std::exchange(State.RepeatedBytes, nullptr)) {
+    const Digest Id = sha256Hex(*Bytes);
+    const auto &All = State.Descriptor->Chunks;
+    if (std::any_of(All.begin(), All.end(),
+                    [&](const Chunk &Each) { return Each.Id == Id; }))
+      Chunks[Id] = Bytes;
+  }
+  applyCorrectedManifest(State, "origin");
+  // Peers that took the wrong manifest over would notice only after a while.
+  for (const auto &[Address, Peer] : Peers)
+    offerManifest(State, Address);
+}
+
+void Stager::offerManifest(const VersionState &State, const std::string &Peer) {
+  const DeclaredVersion &Target = State.Load.Target;
+  DescriptorReply Reply{Target.Model, Target.Version, 0, {}};
+  for (const Chunk &Each : State.Descriptor->Chunks) {
+    Reply.ChunkBytes = Each.Size;
+    Reply.Chunks.push_back(Each.Id);
+  }
+  Node.send(Peer, std::move(Reply));
+}
+
+void Stager::compareManifest(VersionState &State) {
+  if (!State.Descriptor || !Transfer ||
+      versionComplete(*Transfer, State.Descriptor->Id))
+    return;
+  const TransferProgress Progress =
+      transferProgress(*Transfer, State.Descriptor->Id);
+  if (!isManifestComparisonDue(State.Check, Progress.Held, now()))
+    return;
+  std::vector<std::string> Readers = storeReaders(*Transfer);
+  std::erase(Readers, Settings.Process.Address);
+  if (!Readers.empty())
+    Node.send(
+        Readers[Node.Generator() % Readers.size()],
+        DescriptorRequest{State.Load.Target.Model, State.Load.Target.Version});
+}
+
+void Stager::handleOfferedManifest(VersionState &State, const std::string &Peer,
+                                   VersionDescriptor Offered) {
+  if (Offered.Id == State.Descriptor->Id)
+    return;
+  // The map of the peer shows which of its digests are proven.
+  Node.send(Peer, ChunkMap{Offered.Id, {}, true, true});
+  State.Check.Offered = std::move(Offered);
+  State.Check.OfferedBy = Peer;
+}
+
+void Stager::adoptOfferedManifest(const std::string &Peer,
+                                  const ChunkMap &Map) {
+  for (auto &[Target, State] : Versions)
+    if (State.Descriptor && State.Check.OfferedBy == Peer &&
+        State.Check.Offered.Id == Map.Version &&
+        adoptHeldDigests(*State.Descriptor, heldChunks(*State.Descriptor),
+                         State.Check.Offered, Map.Held))
+      applyCorrectedManifest(State, Peer);
+}
+
+std::vector<bool>
+Stager::heldChunks(const VersionDescriptor &Descriptor) const {
+  std::vector<bool> Held;
+  Held.reserve(Descriptor.Chunks.size());
+  for (const Chunk &Each : Descriptor.Chunks)
+    Held.push_back(Chunks.contains(Each.Id));
+  return Held;
+}
+
+void Stager::applyCorrectedManifest(VersionState &State,
+                                    const std::string &Source) {
+  VersionDescriptor &Descriptor = *State.Descriptor;
+  const Digest Replaced = std::exchange(Descriptor.Id, Digest());
+  Descriptor.Id = descriptorDigest(Descriptor);
+  recordChunkLocations(State.Load.Target, Descriptor);
+  Node.Log.write({.Level = LogLevel::Warning,
+                  .Event = "manifest_corrected",
+                  .At = Step::DescriptorFetch,
+                  .Peer = Source,
+                  .Fields = {{"model", State.Load.Target.Model},
+                             {"version", Descriptor.Version},
+                             {"digest", Descriptor.Id},
+                             {"replaced", Replaced}}});
+  startTransfer(State);
+}
+
 void Stager::startTransfer(VersionState &State) {
   std::vector<Digest> DesiredIds;
   for (const auto &[Other, Each] : Versions)
@@ -154,14 +252,8 @@
                                      const Body &Content) {
   if (const auto *Request = std::get_if<DescriptorRequest>(&Content)) {
     const VersionState *State = findVersion({Request->Model, Request->Version});
-    if (State == nullptr || !State->Descriptor)
-      return;
-    DescriptorReply Reply{Request->Model, Request->Version, 0, {}};
-    for (const Chunk &Each : State->Descriptor->Chunks) {
-      Reply.ChunkBytes = Each.Size;
-      Reply.Chunks.push_back(Each.Id);
-    }
-    Node.send(Peer, std::move(Reply));
+    if (State != nullptr && State->Descriptor)
+      offerManifest(*State, Peer);
     return;
   }
   const auto &Reply = std::get<DescriptorReply>(Content);
@@ -171,8 +263,13 @@
   for (const Digest &Id : Reply.Chunks)
     Descriptor.Chunks.push_back({Id, Reply.ChunkBytes});
   Descriptor.Id = descriptorDigest(Descriptor);
-  if (Transfer && !Descriptor.Chunks.empty())
-    handleManifest({Reply.Model, Reply.Version}, std::move(Descriptor));
+  if (!Transfer || Descriptor.Chunks.empty())
+    return;
+  const DeclaredVersion Target{Reply.Model, Reply.Version};
+  VersionState *State = findVersion(Target);
+  if (State != nullptr && State->Descriptor)
+    return handleOfferedManifest(*State, Peer, std::move(Descriptor));
+  handleManifest(Target, std::move(Descriptor));
 }
 
 void Stager::runTransferPlan() {
@@ -253,14 +350,41 @@
 void Stager::handleChunk(const Digest &Chunk, const std::string &From,
                          std::string Bytes) {
   PlanDue = true;
-  const bool Verified = sha256Hex(Bytes) == Chunk;
+  const Digest Received = sha256Hex(Bytes);
+  const bool Verified = Received == Chunk;
   if (!Verified)
     Node.Log.write("chunk_corrupt",
                    Error{ErrorCode::ChunkCorrupt, Step::ChunkVerify,
                          From.empty() ? "origin" : From, Chunk});
-  if (!chunkReceived(*Transfer, Chunk, From, Verified, now()))
+  const bool Kept = chunkReceived(*Transfer, Chunk, From, Verified, now());
+  if (!Verified && From.empty())
+    return handleOriginMismatch(Chunk, Received, std::move(Bytes));
+  if (Kept)
+    Chunks[Chunk] = std::make_shared<const std::string>(std::move(Bytes));
+}
+
+void Stager::handleOriginMismatch(const Digest &Chunk, const Digest &Received,
+                                  std::string Bytes) {
+  const auto Location = ChunkLocations.find(Chunk);
+  if (Location == ChunkLocations.end())
+    return;
+  const auto &[Target, Index] = Location->second;
+  VersionState *State = findVersion(Target);
+  if (State == nullptr || !State->Descriptor ||
+      !recordMismatch(State->Check, Index, Received) ||
+      !beginManifestReread(State->Manifest, now()))
     return;
-  Chunks[Chunk] = std::make_shared<const std::string>(std::move(Bytes));
+  State->RepeatedBytes = std::make_shared<const std::string>(std::move(Bytes));
+  Node.Log.write({.Level = LogLevel::Warning,
+                  .Event = "manifest_doubted",
+                  .At = Step::ChunkVerify,
+                  .Peer = "origin",
+                  .Fields = {{"model", Target.Model},
+                             {"version", std::to_string(Target.Version)},
+                             {"piece", std::to_string(Index)},
+                             {"expected", Chunk},
+                             {"received", Received}}});
+  fetchManifest(*State);
 }
 
 } // namespace marigoldyard
--- a/src/coordination/manifest_search.cpp
+++ b/src/coordination/manifest_search.cpp
@@ -33,6 +33,18 @@
   return ManifestAction::QueryReader;
 }
 
+bool beginManifestReread(ManifestSearch &Search, TimePoint Now) {
+  if (Search.ReadInProgress || Now < Search.NextRereadAt)
+    return false;
+  Search.ReadInProgress = true;
+  Search.NextRereadAt = Now + Search.Settings.RereadInterval;
+  return true;
+}
+
+void manifestReadEnded(ManifestSearch &Search) {
+  Search.ReadInProgress = false;
+}
+
 void manifestReadFailed(ManifestSearch &Search, TimePoint Now) {
   ++Search.Failures;
   Search.ReadInProgress = false;
--- a/tests/src/unit-coordination-manifest_search.cpp
+++ b/tests/src/unit-coordination-manifest_search.cpp
@@ -74,3 +74,17 @@
   CHECK(std::none_of(Reads.begin(), Reads.end(),
                      [](TimePoint At) { return At < StartCommand + 900ms; }));
 }
+
+TEST_CASE("a manifest in doubt is read again, one read at a time") {
+  Random Source(1);
+  ManifestSearch Search = beginManifestSearch({}, StartCommand, Source);
+  CHECK(nextManifestAction(Search, true, StartCommand) ==
+        ManifestAction::ReadOrigin);
+  CHECK_FALSE(beginManifestReread(Search, StartCommand));
+  manifestReadEnded(Search);
+  CHECK(beginManifestReread(Search, StartCommand));
+  CHECK_FALSE(beginManifestReread(Search, StartCommand + 10s));
+  manifestReadFailed(Search, StartCommand + 100ms);
+  CHECK_FALSE(beginManifestReread(Search, StartCommand + 100ms));
+  CHECK(beginManifestReread(Search, StartCommand + 500ms));
+}
