Limit answers to stagers by what each can hold

What callers would see: a model server or the origin that sends bytes without end fills the memory of the stager beside it, which ends; its server then gets no new versions.

Cause: every call to a model server and to the origin had the limit of the largest piece of any deployment, 64 MB, also those whose answer is a few bytes. A string that grows to it takes up to three times as much.

Why the fix works: each call has the limit of what its answer can hold: 1 MB for reports, orders and lists, 6 MB for a manifest, and for a piece 16 times its size in the manifest, of which a digit may be wrong, between 1 and 64 MB.

--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -121,9 +121,13 @@
     return startTransfer(*State);
   const std::size_t Index = State->StagedToRead.back();
   State->StagedToRead.pop_back();
+  // Chunks beyond the manifest belong to another version.
+  const auto &All = State->Descriptor->Chunks;
+  if (Index >= All.size())
+    return readNextStagedChunk(Target);
   EngineClient.call(
       platform::makeReadStagedChunkCall(addressText(Settings.Engine),
-                                        Target.Model, Index),
+                                        Target.Model, Index, All[Index].Size),
       [this, Target, Index](HttpResult Result) {
         const VersionState *Known = findVersion(Target);
         auto *Response = std::get_if<HttpResponse>(&Result);
@@ -161,7 +165,8 @@
     const std::size_t Index = *State.ChunksToVerify.begin();
     State.StagingCallPending = true;
     EngineClient.call(
-        platform::makeReadStagedChunkCall(Server, Target.Model, Index),
+        platform::makeReadStagedChunkCall(Server, Target.Model, Index,
+                                          State.Descriptor->Chunks[Index].Size),
         [this, Target, Index](const HttpResult &Result) {
           handleReadBack(Target, Index, Result);
         });
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -316,13 +316,17 @@
 
 void Stager::fetchChunk(const Digest &Chunk) {
   const auto Location = ChunkLocations.find(Chunk);
-  if (Location == ChunkLocations.end() || OriginAddress.empty()) {
+  const VersionState *State = Location == ChunkLocations.end()
+                                  ? nullptr
+                                  : findVersion(Location->second.first);
+  if (State == nullptr || !State->Descriptor || OriginAddress.empty()) {
     storeFetchFailed(*Transfer, Chunk, Duration::zero(), now());
     return;
   }
   const auto &[Version, Index] = Location->second;
   Node.Client.call(
-      platform::makeChunkCall(OriginAddress, Version, Index),
+      platform::makeChunkCall(OriginAddress, Version, Index,
+                              State->Descriptor->Chunks[Index].Size),
       [this, Chunk](HttpResult Result) {
         PlanDue = true;
         auto *Response = std::get_if<HttpResponse>(&Result);
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -50,6 +50,16 @@
         self.end_headers()
         self.wfile.write(data)
 
+    def write_without_end(self):
+        """A head, and a body until the peer closes."""
+        self.close_connection = True
+        try:
+            self.connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                self.connection.sendall(b"x" * 262144)
+        except OSError:
+            pass
+
     def cut(self):
         """Ends the connection without a further byte."""
         self.close_connection = True
@@ -188,6 +198,7 @@
         self.seen_at = []  # when each request in `seen` arrived
         self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
         self.loading_until, self.pending = 0, None
+        self.endless = None  # end of the paths whose answers never end
         super().__init__(host, SERVER_PORT)
         self.register()
 
@@ -289,6 +300,8 @@
 
     def handle_engine(self, request, path):
         self.finish_load()
+        if self.endless and self.endless in f"{request.command} {request.path}":
+            return request.write_without_end()
         query = dict(part.partition("=")[::2] for part in request.path.partition("?")[2].split("&"))
         if path.endswith("/report"):
             return request.answer(200, {
@@ -346,11 +359,14 @@
         self.sent, self.down, self.corrupt = 0, False, 0
         self.limit = None  # pieces that it sends before it goes down
         self.asked = []  # time and path of each call
+        self.endless = None  # part of the paths whose answers never end
         self.wrong_manifests = 0  # manifests to come with one wrong digit in the digest of WRONG_PIECE
         super().__init__(host, ORIGIN_PORT)
 
     def handle(self, request):
         self.asked.append((time.monotonic(), request.path))
+        if self.endless and self.endless in request.path:
+            return request.write_without_end()
         if self.down:
             return request.cut()
         path, _, query = request.path.partition("?")
--- a/tests/process/test_origin_faults.py
+++ b/tests/process/test_origin_faults.py
@@ -1,4 +1,5 @@
-"""Faults of the origin of weights: manifests that parse with a wrong digest, and corrupted pieces."""
+"""Wrong bytes of the origin of weights and of model servers: manifests that parse with a wrong digest, corrupted pieces,
+answers without end."""
 import collections
 import os
 import sys
@@ -12,6 +13,8 @@
 VERSION_LIMIT_S = 8
 # A piece that is read again delays its version, which has VERSION_LIMIT_S for all steps.
 REPEAT_LIMIT_S = VERSION_LIMIT_S / 4
+MEMORY_LIMIT_MB = 128  # of a machine beside a model server
+ENDLESS_S = 1.5
 
 
 def declare(fleet, wrong_manifests):
@@ -96,7 +99,36 @@
         check_loaded(fleet, version)
 
 
-CASES = [case_corrupt_piece, case_wrong_manifest, case_one_wrong_manifest]
+def peak_memory_mb(process):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
+        return int(next(line for line in source if line.startswith("VmHWM")).split()[1]) >> 10
+
+
+# Guards against bytes without end that a stager kept up to 64 MB of, for each call: it ran out of memory and ended.
+def case_endless_answers(fleet):
+    """a stager stays small while its server or the origin sends bytes without end, and goes on afterwards"""
+    for daemon in fleet.daemons[2:]:
+        daemon.stop()
+    stagers = [fleet.stager(engine) for engine in fleet.engines]
+    wait_for(lambda: all("version_wanted" in s.log_text() for s in stagers), "stagers know the version")
+    for name, place in (("a report", "GET /marigoldyard/report"), ("a list of staged pieces", "GET /marigoldyard/stage-get/m"),
+                        ("the answer to a staged piece", "PUT /marigoldyard/stage-put"),
+                        ("the answer to an order", "POST /marigoldyard/order"),
+                        ("a staged piece", "item_count="), ("a manifest", "/manifest/"), ("a piece", "/piece/")):
+        for standin in [*fleet.engines, fleet.origin]:
+            standin.endless = place
+        version = declare(fleet, 0)
+        time.sleep(ENDLESS_S)
+        for standin in [*fleet.engines, fleet.origin]:
+            standin.endless = None
+        peaks = [peak_memory_mb(stager.process) for stager in stagers]
+        print(f"{name} without end: at most {max(peaks)} MB so far")
+        check(max(peaks) < MEMORY_LIMIT_MB, f"{name} without end: {max(peaks)} MB")
+        check(all(stager.process.poll() is None for stager in stagers), f"{name} without end: the stagers run")
+        check_loaded(fleet, version)
+
+
+CASES = [case_corrupt_piece, case_wrong_manifest, case_one_wrong_manifest, case_endless_answers]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-platform-engine_format.cpp
+++ b/tests/src/unit-platform-engine_format.cpp
@@ -2,6 +2,7 @@
 #include "platform/engine_format.hpp"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 using namespace marigoldyard;
@@ -73,17 +74,44 @@
 }
 
 TEST_CASE("pieces are drawn, staged and read back by number") {
-  CHECK(platform::makeChunkCall("o:1", {"m", 2}, 5).Target ==
+  CHECK(platform::makeChunkCall("o:1", {"m", 2}, 5, 32768).Target ==
         "/marigoldyard/piece/m?item_count=5&version=2");
   CHECK(platform::makeManifestCall("o:1", {"m", 2}).Target ==
         "/marigoldyard/manifest/m?version=2");
   // Idle connections of a large fleet would use up those of the origin.
   CHECK_FALSE(platform::makeManifestCall("o:1", {"m", 2}).KeepConnection);
-  CHECK(platform::makeChunkCall("o:1", {"m", 2}, 5).KeepConnection);
+  CHECK(platform::makeChunkCall("o:1", {"m", 2}, 5, 32768).KeepConnection);
   CHECK(platform::makeStageChunkCall("s:1", "m", 5, "bytes").Method == "PUT");
-  CHECK(platform::makeReadStagedChunkCall("s:1", "m", 5).Target ==
+  CHECK(platform::makeReadStagedChunkCall("s:1", "m", 5, 32768).Target ==
         "/marigoldyard/stage-get/m?item_count=5");
   const auto Held = platform::parseStagedChunks(R"({"held":[0,3]})");
   REQUIRE(Held);
   CHECK(*Held == std::vector<std::size_t>{0, 3});
 }
+
+// Guards against bytes without end of a model server or the origin that fill
+// the memory of the process that reads them.
+TEST_CASE("responses are limited by what each can hold") {
+  constexpr std::size_t MB = 1UL << 20;
+  CHECK(platform::makeReportCall("s:1").MaxBodyBytes <= MB);
+  CHECK(platform::makeListStagedChunksCall("s:1", "m").MaxBodyBytes <= MB);
+  CHECK(platform::makeStageChunkCall("s:1", "m", 5, "bytes").MaxBodyBytes <=
+        MB);
+  CHECK(platform::makeLoadCall("s:1", {"m", 2}, true).MaxBodyBytes <= MB);
+  // 65,536 digests.
+  CHECK(platform::makeManifestCall("o:1", {"m", 2}).MaxBodyBytes > 65536 * 67);
+  CHECK(platform::makeManifestCall("o:1", {"m", 2}).MaxBodyBytes <= 8 * MB);
+  const auto ChunkLimit = [](std::uint64_t Bytes) {
+    const std::size_t Limit =
+        platform::makeChunkCall("o:1", {"m", 2}, 5, Bytes).MaxBodyBytes;
+    CHECK(
+        platform::makeReadStagedChunkCall("s:1", "m", 5, Bytes).MaxBodyBytes ==
+        Limit);
+    return Limit;
+  };
+  CHECK(ChunkLimit(32768) == MB);
+  // A digit of the size in the manifest may be wrong: 1 instead of 9.
+  CHECK(ChunkLimit(1 * MB) >= 9 * MB);
+  CHECK(ChunkLimit(64 * MB) == 64 * MB);
+  CHECK(ChunkLimit(std::numeric_limits<std::uint64_t>::max()) == 64 * MB);
+}
