Refuse a first stream event with an unexpected id

What callers would see: a piece is missing. A first event whose id was garbled to another number was taken as it came; the next one did not follow it, and another server continued the stream after the wrong id.

Cause: the same as for later events, the place at which a stream continues was taken from an event that did not prove it.

Why the fix works: gateways learn with which id the streams of a pool begin, as soon as two streams in a row agree, and refuse a first event with another one; nothing of it or of the head has been forwarded by then, so another server begins the stream anew.

Tests: the unit test now flips each bit, leaves out and doubles each byte of the first event too; case_garbled_event does so with eight wrong bytes in each of three events, and first failed on an error of this change, an event after an invalid one taken for the first.

--- a/include/marigoldyard/protocol/event_stream.hpp
+++ b/include/marigoldyard/protocol/event_stream.hpp
@@ -43,9 +43,23 @@
 
 /// @brief Order of the events of one answer, over all servers that gave them.
 struct EventOrder {
-  std::optional<std::uint64_t> Last; ///< id of the newest event
+  std::optional<std::uint64_t> Last;  ///< id of the newest event
+  std::optional<std::uint64_t> First; ///< id of the first event, if known
 };
 
+/// @brief Learns with which id the streams of a pool begin, so that a wrong id
+/// of a first event is noticed.
+struct FirstEventId {
+  std::optional<std::uint64_t> Expected; ///< empty until two streams agree
+  std::optional<std::uint64_t> LastSeen;
+};
+
+/// @brief Records the id with which a stream begins that continues no other.
+/// @param Known what is known of the pool; a new id counts from the second
+/// stream in a row on
+/// @param Id the id
+void recordFirstEvent(FirstEventId &Known, std::uint64_t Id);
+
 /// @brief Accepts the next event of an answer. All events but comments must
 /// have the id that follows the last one: after an event without a usable id,
 /// it would not be known where the stream continues.
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
 #include "marigoldyard/coordination/version_bound.hpp"
+#include "marigoldyard/protocol/event_stream.hpp"
 #include "programs/fleet/fleet_main.hpp"
 #include "programs/fleet/fleet_node.hpp"
 #include "programs/gateway/caller_session.hpp"
@@ -111,6 +112,10 @@
   /// @brief Retry budget of a pool; created at the first use.
   /// @param Pool name of the pool
   RetryBudget &retryBudget(const std::string &Pool);
+  /// With which id the streams of a pool begin.
+  FirstEventId &firstEventId(const std::string &Pool) {
+    return FirstEventIds[Pool];
+  }
 
   /// @brief A request that was sent to a model server and has not started, as
   /// far as is known.
@@ -258,7 +263,8 @@
   std::map<std::uint64_t, Waiter> Waiters; ///< by ticket
   ServerConnections Connections;
   ResponseMemory Responses;
-  std::map<std::string, RetryBudget> RetryBudgets; ///< by pool
+  std::map<std::string, RetryBudget> RetryBudgets;   ///< by pool
+  std::map<std::string, FirstEventId> FirstEventIds; ///< by pool
   RetryShare SharedRetries; ///< part of this gateway in the retries of all
   DrainState DrainProgress;
   std::set<RequestRun *> Runs; ///< in progress
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -642,6 +642,8 @@
 }
 
 std::string RequestRun::takeInOrder(std::vector<StreamEvent> &Events) {
+  if (!Order.Last)
+    checkFirstEvent(Events);
   const auto Wrong = std::find_if(
       Events.begin(), Events.end(),
       [this](const StreamEvent &Each) { return !acceptEvent(Order, Each); });
@@ -658,6 +660,17 @@
   return Detail;
 }
 
+void RequestRun::checkFirstEvent(const std::vector<StreamEvent> &Events) {
+  const auto First =
+      std::find_if(Events.begin(), Events.end(), [](const StreamEvent &Each) {
+        return Each.Kind != EventKind::Comment;
+      });
+  FirstEventId &Known = Owner.firstEventId(Pool->Name);
+  Order.First = Known.Expected;
+  if (First != Events.end() && First->Kind == EventKind::Data && First->Id)
+    recordFirstEvent(Known, *First->Id);
+}
+
 std::string RequestRun::formatHead(unsigned Status,
                                    const platform::Fields &Headers) const {
   std::string Text = fmt::format(
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -79,6 +79,8 @@
   StreamReceiver streamReceiver();
   /// See StreamReceiver::TakeInOrder.
   std::string takeInOrder(std::vector<StreamEvent> &Events);
+  /// Learns the id of a first event, and sets the one expected here.
+  void checkFirstEvent(const std::vector<StreamEvent> &Events);
   boost::asio::awaitable<PartStatus>
   forwardHead(const platform::Fields &Headers, unsigned Status,
               const platform::ServerResponse &Head);
--- a/src/protocol/event_stream.cpp
+++ b/src/protocol/event_stream.cpp
@@ -96,11 +96,20 @@
   return Events;
 }
 
+void recordFirstEvent(FirstEventId &Known, std::uint64_t Id) {
+  if (Known.LastSeen == Id)
+    Known.Expected = Id;
+  Known.LastSeen = Id;
+}
+
 bool acceptEvent(EventOrder &Order, const StreamEvent &Event) {
   if (Event.Kind == EventKind::Comment)
     return true;
-  if (Event.Kind == EventKind::Invalid || !Event.Id ||
-      (Order.Last && *Event.Id != *Order.Last + 1))
+  if (Event.Kind == EventKind::Invalid || !Event.Id)
+    return false;
+  const auto Expected =
+      Order.Last ? std::optional(*Order.Last + 1) : Order.First;
+  if (Expected && *Event.Id != *Expected)
     return false;
   Order.Last = Event.Id;
   return true;
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -470,9 +470,11 @@
               pf.route("r-single", "a.example", "/single/", "streaming", "engines", target_gap_ms=300)]
     use_routes(fleet, routes)
     last = 3
-    for number in (2, 3):
+    for _ in range(4):  # until each gateway knows with which id the streams begin
+        check(event_ids(call(fleet.gateways[0], "/stream/1", "POST", b"p")) == [1, 2, 3], "a sound stream")
+    for number in (1, 2, 3):
         for name, right, wrong in (("the name of the id", b"id: ", b"hd: "), ("its colon", b"id: ", b"id* "),
-                                   ("its value", b"id: ", b"id: x"), ("the name of the data", b"data", b"daua"),
+                                   ("its value", b"id: ", b"id: x"), ("a digit", b"id: ", b"id: 1"), ("the name of the data", b"data", b"daua"),
                                    ("the end of the id", b"\ndata", b"*data"), ("the end of the data", b"\n\n", b"*\n"),
                                    ("the end of the event", b"\n\n", b"\n*")):
             def garbled(server, request, number=number, right=right, wrong=wrong):
@@ -487,6 +489,9 @@
                 first_only(fleet.engines, garbled)
                 answer = call(fleet.gateways[0], path, "POST", b"p")
                 what = f"{path}, {name} of event {number}"
+                if number == 1 and not resumable:
+                    check(answer.status == 502, f"{what}: status {answer.status}")
+                    continue
                 expected = list(range(1, last + 1)) if resumable else list(range(1, number))
                 check(event_ids(answer) == expected, f"{what}: events {event_ids(answer)}, {answer.body!r}")
                 pieces = [line.rpartition("-")[2] for line in answer.body.decode().splitlines() if line.startswith("data: ")]
--- a/tests/src/unit-protocol-event_stream.cpp
+++ b/tests/src/unit-protocol-event_stream.cpp
@@ -130,7 +130,7 @@
   std::string Stream;
   for (std::uint64_t Id = 1; Id <= EventCount; ++Id)
     Stream += Id == CorruptedId ? Corrupted : eventText(Id);
-  EventOrder Order;
+  EventOrder Order{{}, 1};
   std::string Caller;
   if (!forward(Order, Stream, Caller)) {
     std::string Rest;
@@ -155,7 +155,7 @@
 // Guards against an event whose id was garbled: it was forwarded, and the
 // server that continued the stream sent it again.
 TEST_CASE("one wrong byte in a stream neither repeats nor loses an event") {
-  for (std::uint64_t Id = 2; Id <= EventCount; ++Id) {
+  for (std::uint64_t Id = 1; Id <= EventCount; ++Id) {
     const std::string Text = eventText(Id);
     for (std::size_t Place = 0; Place < Text.size(); ++Place) {
       for (int Bit = 0; Bit < 8; ++Bit) {
@@ -170,8 +170,27 @@
   }
 }
 
+// Guards against a garbled id of a first event, after which the stream was
+// continued at a wrong place.
+TEST_CASE("the first id is expected as soon as two streams agree on it") {
+  FirstEventId Known;
+  recordFirstEvent(Known, 1);
+  CHECK_FALSE(Known.Expected);
+  recordFirstEvent(Known, 1);
+  CHECK(Known.Expected == 1);
+  recordFirstEvent(Known, 3);
+  CHECK(Known.Expected == 1);
+  EventOrder Order{{}, Known.Expected};
+  CHECK_FALSE(acceptEvent(Order, {"", 3}));
+  CHECK(acceptEvent(Order, {"", 1}));
+  CHECK(acceptEvent(Order, {"", 2}));
+  recordFirstEvent(Known, 0);
+  recordFirstEvent(Known, 0);
+  CHECK(Known.Expected == 0);
+}
+
 TEST_CASE("a stream that continues begins after the last event") {
-  EventOrder Order{12};
+  EventOrder Order{12, {}};
   CHECK_FALSE(acceptEvent(Order, {"", 12}));
   CHECK(acceptEvent(Order, {"", 13}));
 }
