Skip staged pieces beyond the manifest without recursion

A list of staged pieces with many positions that the manifest does not have, as a longer earlier version leaves it, was skipped by one call inside another for each. Before, each such piece was read and dropped.

--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -117,14 +117,15 @@
   VersionState *State = findVersion(Target);
   if (State == nullptr || !State->Descriptor)
     return;
+  // Chunks beyond the manifest belong to another version.
+  const auto &All = State->Descriptor->Chunks;
+  while (!State->StagedToRead.empty() &&
+         State->StagedToRead.back() >= All.size())
+    State->StagedToRead.pop_back();
   if (State->StagedToRead.empty())
     return startTransfer(*State);
   const std::size_t Index = State->StagedToRead.back();
   State->StagedToRead.pop_back();
-  // Chunks beyond the manifest belong to another version.
-  const auto &All = State->Descriptor->Chunks;
-  if (Index >= All.size())
-    return readNextStagedChunk(Target);
   EngineClient.call(
       platform::makeReadStagedChunkCall(addressText(Settings.Engine),
                                         Target.Model, Index, All[Index].Size),
