Read the peak memory of a process in one place

test_origin_faults.py had a copy of the function of test_server_faults.py; it stands in platform_fleet.py now.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -517,6 +517,11 @@
         connection.close()
 
 
+def peak_memory_kb(process):
+    with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
+        return int(next(line for line in source if line.startswith("VmHWM")).split()[1])
+
+
 def check(condition, what):
     if not condition:
         raise FleetError("check failed: " + what)
--- a/tests/process/test_garbled_events.py
+++ b/tests/process/test_garbled_events.py
@@ -20,7 +20,8 @@
         check(event_ids(call(fleet.gateways[0], "/stream/1", "POST", b"p")) == [1, 2, 3], "a sound stream")
     for number in (1, 2, 3):
         for name, right, wrong in (("the name of the id", b"id: ", b"hd: "), ("its colon", b"id: ", b"id* "),
-                                   ("its value", b"id: ", b"id: x"), ("a digit", b"id: ", b"id: 1"), ("the name of the data", b"data", b"daua"),
+                                   ("its value", b"id: ", b"id: x"), ("a digit", b"id: ", b"id: 1"),
+                                   ("the name of the data", b"data", b"daua"),
                                    ("the end of the id", b"\ndata", b"*data"), ("the end of the data", b"\n\n", b"*\n"),
                                    ("the end of the event", b"\n\n", b"\n*")):
             def garbled(server, request, number=number, right=right, wrong=wrong):
--- a/tests/process/test_origin_faults.py
+++ b/tests/process/test_origin_faults.py
@@ -99,11 +99,6 @@
         check_loaded(fleet, version)
 
 
-def peak_memory_mb(process):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
-        return int(next(line for line in source if line.startswith("VmHWM")).split()[1]) >> 10
-
-
 # Guards against bytes without end that a stager kept up to 64 MB of, for each call: it ran out of memory and ended.
 def case_endless_answers(fleet):
     """a stager stays small while its server or the origin sends bytes without end, and goes on afterwards"""
@@ -121,7 +116,7 @@
         time.sleep(ENDLESS_S)
         for standin in [*fleet.engines, fleet.origin]:
             standin.endless = None
-        peaks = [peak_memory_mb(stager.process) for stager in stagers]
+        peaks = [pf.peak_memory_kb(stager.process) >> 10 for stager in stagers]
         print(f"{name} without end: at most {max(peaks)} MB so far")
         check(max(peaks) < MEMORY_LIMIT_MB, f"{name} without end: {max(peaks)} MB")
         check(all(stager.process.poll() is None for stager in stagers), f"{name} without end: the stagers run")
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -321,11 +321,6 @@
             check(took < 4, f"it ended after {took:.2f} s")
 
 
-def peak_memory_kb(process):
-    with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
-        return int(next(line for line in source if line.startswith("VmHWM")).split()[1])
-
-
 # Guards against memory that grows with the number of endless responses: 16 MB each.
 def case_memory_bound(fleet):
     """many responses without end at once are cut off before they fill the gateway's memory"""
@@ -348,7 +343,7 @@
         thread.start()
     for thread in threads:
         thread.join()
-    peak = peak_memory_kb(fleet.gateways[0].process)
+    peak = pf.peak_memory_kb(fleet.gateways[0].process)
     print(f"peak memory with {ENDLESS_RESPONSES} responses without end: {peak >> 10} MB")
     check(peak < MEMORY_LIMIT_KB, f"{peak >> 10} MB")
     check(set(answers) == {502}, f"the callers got {set(answers)}")
@@ -374,7 +369,7 @@
                 pass
             took = time.monotonic() - started
             check(took < NOTICE_LIMIT_S, f"{name}: the connection is closed after {took:.1f} s")
-            peak = peak_memory_kb(fleet.gateways[0].process)
+            peak = pf.peak_memory_kb(fleet.gateways[0].process)
             check(peak < MEMORY_LIMIT_KB, f"{name}: {peak >> 10} MB")
     check(not arrivals(fleet.plain), "no server got a request")
 
