Log the age of the oldest read-back with each load order

Users saw answers from weights of which a staged piece was corrupted when the server took it. The logs did not tell a read-back that grew old from one that was wrong or from an order that was accepted late: no event held the time of a read. order_given and order_refused now have oldest_read_s, the time since the oldest read of the staged pieces was sent.

--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -52,6 +52,8 @@
     bool StagingCallPending = false;
     std::set<std::size_t> ChunksToStage;  ///< chunks to write
     std::set<std::size_t> ChunksToVerify; ///< chunks to read back
+    /// When the call that last read a chunk back was sent, by index.
+    std::map<std::size_t, TimePoint> ReadBackAt;
     RolloutState Rollout;
   };
 
@@ -130,8 +132,11 @@
   void stageNextChunk(VersionState &State);
   void handleStagedChunk(const DeclaredVersion &Target, std::size_t Index,
                          const HttpResult &Result);
+  /// @param SentAt time at which the call was sent
   void handleReadBack(const DeclaredVersion &Target, std::size_t Index,
-                      const HttpResult &Result);
+                      TimePoint SentAt, const HttpResult &Result);
+  /// Time of the read that is longest ago; now if nothing was read.
+  static TimePoint oldestReadBack(const VersionState &State);
   void advanceVersions();
   void advanceVersion(VersionState &State);
   LoadConditions loadConditions(VersionState &State);
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -168,8 +168,8 @@
     EngineClient.call(
         platform::makeReadStagedChunkCall(Server, Target.Model, Index,
                                           State.Descriptor->Chunks[Index].Size),
-        [this, Target, Index](const HttpResult &Result) {
-          handleReadBack(Target, Index, Result);
+        [this, Target, Index, SentAt = now()](const HttpResult &Result) {
+          handleReadBack(Target, Index, SentAt, Result);
         });
   }
 }
@@ -187,7 +187,7 @@
 }
 
 void Stager::handleReadBack(const DeclaredVersion &Target, std::size_t Index,
-                            const HttpResult &Result) {
+                            TimePoint SentAt, const HttpResult &Result) {
   VersionState *State = findVersion(Target);
   if (State == nullptr || !State->Descriptor)
     return;
@@ -200,6 +200,7 @@
       sha256Hex(Response->Body) == State->Descriptor->Chunks[Index].Id;
   if (Matches) {
     State->ChunksToVerify.erase(Index);
+    State->ReadBackAt[Index] = SentAt;
   } else {
     Node.Log.write({.Level = LogLevel::Warning,
                     .Event = "staged_piece_bad",
@@ -355,6 +356,13 @@
     stageNextChunk(State);
 }
 
+TimePoint Stager::oldestReadBack(const VersionState &State) {
+  TimePoint Oldest = now();
+  for (const auto &[Index, SentAt] : State.ReadBackAt)
+    Oldest = std::min(Oldest, SentAt);
+  return Oldest;
+}
+
 void Stager::sendLoadOrder(VersionState &State) {
   const DeclaredVersion Target = State.Load.Target;
   EngineClient.call(
@@ -376,7 +384,9 @@
              .Fields = {{"version", std::to_string(Target.Version)},
                         {"status", Response != nullptr
                                        ? std::to_string(Response->Status)
-                                       : "none"}}});
+                                       : "none"},
+                        {"oldest_read_s",
+                         formatSeconds(now() - oldestReadBack(*Ordered))}}});
         // Without a response the order may still have been accepted, which the
         // next reports show.
         if (Response != nullptr && Refused)
