Order a load only over staged pieces that were read recently

Cause: each staged piece was read back once. The order followed when the server had its turn, its streams had ended or its stager woke, whatever had happened to the pieces since.

The fix checks the age of every read where the order's bytes are sent, so it holds whatever the time was spent on. HttpCallRequest::SendBefore keeps a call that waits for a connection from being sent later. An order that may have been accepted over 3 s after a read puts the server in use only after all pieces were read again.

The tests of load_plan set the new condition where they expect an order; they check what they did before.

--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -57,6 +57,8 @@
 struct LoadConditions {
   bool Complete = false;        ///< all chunks are held and verified
   bool Staged = false;          ///< all chunks were read back from the server
+  bool ReadsRecent = false;     ///< recently enough for an order
+  bool LoadDoubtful = false;    ///< what was loaded is not known to be sound
   bool Loaded = false;          ///< the server reports the version as loaded
   bool Busy = false;            ///< the server is executing an order
   bool NoVersionServed = false; ///< the server serves no version of the model
@@ -88,11 +90,16 @@
 
 /// @brief Moves to the next stage if the observations allow it. When a stage is
 /// entered, the caller must write the chunks and read them back (Staging),
-/// notify the gateways (Announced) or send the order (Loading).
+/// notify the gateways and repeat old reads (Announced) or send the order
+/// (Loading).
 /// @return true when the stage changed
 bool advanceLoad(LoadState &State, const LoadConditions &Conditions,
                  TimePoint Now);
 
+/// @brief Returns to Announced after an order that was not sent because the
+/// reads of the staged chunks had become too old.
+void returnToAnnounced(LoadState &State, TimePoint Now);
+
 /// @brief Returns to Fetching, so that the chunks are staged again after a
 /// refused order or corrupt staged chunks.
 void restartStaging(LoadState &State, TimePoint Now);
--- a/include/marigoldyard/transport/http_client.hpp
+++ b/include/marigoldyard/transport/http_client.hpp
@@ -31,6 +31,8 @@
   Duration Limit = std::chrono::seconds(10); ///< for the whole call; the
                                              ///< highest value means none
   Duration SilenceLimit = Duration::max();   ///< longest time without a byte
+  /// The call expires if its first byte is not sent before this time.
+  TimePoint SendBefore = TimePoint::max();
   std::size_t MaxBodyBytes = 1UL << 20; ///< of a whole response, or of one line
   bool ReuseConnection = true; ///< false opens a connection, so that a request
                                ///< never fails on one that the server closed
@@ -42,6 +44,7 @@
 struct HttpFailure {
   Error Cause;
   bool RequestBytesSent = false; ///< false proves that the peer got nothing
+  bool Expired = false;          ///< nothing was sent before SendBefore
 };
 
 /// @brief Result of a call: a response or a failure.
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/coordination/manifest_check.hpp"
 #include "marigoldyard/coordination/manifest_search.hpp"
 #include "marigoldyard/coordination/rollout.hpp"
+#include "marigoldyard/coordination/staged_chunks.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
 #include "platform/engine_format.hpp"
 #include "programs/fleet/fleet_main.hpp"
@@ -49,11 +50,14 @@
     ChunkBytes RepeatedBytes;
     bool StagingAreaRead = false;          ///< read, or no longer needed
     std::vector<std::size_t> StagedToRead; ///< staged chunks to read at startup
-    bool StagingCallPending = false;
-    std::set<std::size_t> ChunksToStage;  ///< chunks to write
-    std::set<std::size_t> ChunksToVerify; ///< chunks to read back
-    /// When the call that last read a chunk back was sent, by index.
-    std::map<std::size_t, TimePoint> ReadBackAt;
+    StagedChunks Staged;
+    TimePoint OldestReadAtOrder{}; ///< valid in stage Loading
+    /// Latest time at which the order may have been accepted, once known.
+    std::optional<TimePoint> AcceptedBy;
+    /// The order may have been accepted after chunks became corrupt; reads
+    /// after AcceptedBy decide.
+    bool AcceptedLate = false;
+    bool CorruptAfterLateOrder = false; ///< such a read was corrupt
     RolloutState Rollout;
   };
 
@@ -129,22 +133,30 @@
   void handleReport(const platform::EngineReport &Report);
   void readStagedChunks(VersionState &State);
   void readNextStagedChunk(const DeclaredVersion &Target);
-  void stageNextChunk(VersionState &State);
+  /// Reads that were sent before this are repeated; empty if the stage needs no
+  /// calls.
+  std::optional<TimePoint> rereadBefore(const VersionState &State) const;
+  void makeStagingCall(VersionState &State, TimePoint RereadBefore);
+  void writeStagedChunk(VersionState &State, std::size_t Index);
+  void readStagedChunkBack(const VersionState &State, std::size_t Index);
   void handleStagedChunk(const DeclaredVersion &Target, std::size_t Index,
                          const HttpResult &Result);
   /// @param SentAt time at which the call was sent
   void handleReadBack(const DeclaredVersion &Target, std::size_t Index,
                       TimePoint SentAt, const HttpResult &Result);
-  /// Time of the read that is longest ago; now if nothing was read.
-  static TimePoint oldestReadBack(const VersionState &State);
   void advanceVersions();
   void advanceVersion(VersionState &State);
   LoadConditions loadConditions(VersionState &State);
   bool hasRolloutTurn(VersionState &State);
+  bool servesNoVersion(const DeclaredVersion &Target) const;
   bool canStage(const DeclaredVersion &Target) const;
   void removeSupersededVersions();
   bool canContinueStreams(const DeclaredVersion &Target) const;
   void sendLoadOrder(VersionState &State);
+  void handleOrderResult(const DeclaredVersion &Target,
+                         const HttpResult &Result);
+  /// Records that the server has accepted the order by now.
+  void recordAcceptance(VersionState &State);
   EngineStatus localStatus() const;
   /// Sends a changed load to gateways of the local region, to some of them at a
   /// time and in turn.
@@ -173,6 +185,8 @@
   std::unordered_map<Digest, std::pair<DeclaredVersion, std::size_t>>
       ChunkLocations;
   std::optional<platform::EngineReport> Report;
+  /// Writes and reads in progress, of all versions.
+  std::size_t StagingCallsPending = 0;
   bool Accepting = true;
   std::map<std::string, std::uint32_t> ReportedLoads; ///< by gateway
   std::string LastLoadReceiver;
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -146,32 +146,61 @@
       });
 }
 
-void Stager::stageNextChunk(VersionState &State) {
-  if (State.StagingCallPending)
+std::optional<TimePoint> Stager::rereadBefore(const VersionState &State) const {
+  switch (State.Load.Stage) {
+  case LoadStage::Staging:
+    return TimePoint::min();
+  case LoadStage::Announced:
+    return now() - State.Staged.Settings.RefreshAge;
+  case LoadStage::Waiting: // without a version it needs no turn
+    if (servesNoVersion(State.Load.Target))
+      return now() - State.Staged.Settings.RefreshAge;
+    return std::nullopt;
+  case LoadStage::Loading:
+    return State.AcceptedLate ? State.AcceptedBy : std::nullopt;
+  case LoadStage::Serving:
+  case LoadStage::Fetching:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+void Stager::makeStagingCall(VersionState &State, TimePoint RereadBefore) {
+  const auto Next = nextStagingCall(State.Staged, RereadBefore, now());
+  if (!Next)
     return;
+  if (Next->Kind == StagingCallKind::Write)
+    writeStagedChunk(State, Next->Index);
+  else
+    readStagedChunkBack(State, Next->Index);
+}
+
+void Stager::writeStagedChunk(VersionState &State, std::size_t Index) {
   const DeclaredVersion Target = State.Load.Target;
-  const std::string Server = addressText(Settings.Engine);
-  if (!State.ChunksToStage.empty()) {
-    const std::size_t Index = *State.ChunksToStage.begin();
-    const auto Bytes = Chunks.find(State.Descriptor->Chunks[Index].Id);
-    if (Bytes == Chunks.end())
-      return restartStaging(State.Load, now());
-    State.StagingCallPending = true;
-    EngineClient.call(platform::makeStageChunkCall(Server, Target.Model, Index,
-                                                   *Bytes->second),
-                      [this, Target, Index](const HttpResult &Result) {
-                        handleStagedChunk(Target, Index, Result);
-                      });
-  } else if (!State.ChunksToVerify.empty()) {
-    const std::size_t Index = *State.ChunksToVerify.begin();
-    State.StagingCallPending = true;
-    EngineClient.call(
-        platform::makeReadStagedChunkCall(Server, Target.Model, Index,
-                                          State.Descriptor->Chunks[Index].Size),
-        [this, Target, Index, SentAt = now()](const HttpResult &Result) {
-          handleReadBack(Target, Index, SentAt, Result);
-        });
-  }
+  const auto Bytes = Chunks.find(State.Descriptor->Chunks[Index].Id);
+  if (Bytes == Chunks.end())
+    return restartStaging(State.Load, now());
+  ++StagingCallsPending;
+  EngineClient.call(platform::makeStageChunkCall(addressText(Settings.Engine),
+                                                 Target.Model, Index,
+                                                 *Bytes->second),
+                    [this, Target, Index](const HttpResult &Result) {
+                      --StagingCallsPending;
+                      handleStagedChunk(Target, Index, Result);
+                    });
+}
+
+void Stager::readStagedChunkBack(const VersionState &State, std::size_t Index) {
+  const DeclaredVersion Target = State.Load.Target;
+  ++StagingCallsPending;
+  EngineClient.call(
+      platform::makeReadStagedChunkCall(addressText(Settings.Engine),
+                                        Target.Model, Index,
+                                        State.Descriptor->Chunks[Index].Size),
+      [this, Target, Index, SentAt = now()](const HttpResult &Result) {
+        --StagingCallsPending;
+        handleReadBack(Target, Index, SentAt, Result);
+      });
 }
 
 void Stager::handleStagedChunk(const DeclaredVersion &Target, std::size_t Index,
@@ -179,10 +208,9 @@
   VersionState *State = findVersion(Target);
   if (State == nullptr)
     return;
-  State->StagingCallPending = false;
   const auto *Response = std::get_if<HttpResponse>(&Result);
-  if (Response != nullptr && Response->Status / 100 == 2)
-    State->ChunksToStage.erase(Index);
+  recordWrite(State->Staged, Index,
+              Response != nullptr && Response->Status / 100 == 2);
   advanceVersion(*State);
 }
 
@@ -191,27 +219,33 @@
   VersionState *State = findVersion(Target);
   if (State == nullptr || !State->Descriptor)
     return;
-  State->StagingCallPending = false;
   const auto *Response = std::get_if<HttpResponse>(&Result);
-  if (Response == nullptr)
-    return advanceVersion(*State);
-  const bool Matches =
-      Response->Status == StatusOk &&
-      sha256Hex(Response->Body) == State->Descriptor->Chunks[Index].Id;
-  if (Matches) {
-    State->ChunksToVerify.erase(Index);
-    State->ReadBackAt[Index] = SentAt;
-  } else {
+  ReadResult Read = ReadResult::None;
+  if (Response != nullptr) {
+    const bool Matches =
+        Response->Status == StatusOk &&
+        sha256Hex(Response->Body) == State->Descriptor->Chunks[Index].Id;
+    Read = Matches ? ReadResult::Sound : ReadResult::Corrupt;
+  }
+  recordRead(State->Staged, Index, SentAt, Read);
+  if (Read == ReadResult::Corrupt) {
+    State->CorruptAfterLateOrder |= State->AcceptedLate;
     Node.Log.write({.Level = LogLevel::Warning,
                     .Event = "staged_piece_bad",
                     .At = Step::ReadBack,
                     .Peer = addressText(Settings.Engine),
                     .Fields = {{"piece", std::to_string(Index)}}});
-    State->ChunksToStage.insert(Index);
   }
   advanceVersion(*State);
 }
 
+bool Stager::servesNoVersion(const DeclaredVersion &Target) const {
+  return Report && std::none_of(Report->Weights.begin(), Report->Weights.end(),
+                                [&](const LoadedWeights &Each) {
+                                  return Each.Model == Target.Model;
+                                });
+}
+
 LoadConditions Stager::loadConditions(VersionState &State) {
   LoadConditions Conditions;
   const DeclaredVersion &Target = State.Load.Target;
@@ -220,15 +254,19 @@
   Conditions.Complete =
       Conditions.Complete &&
       (State.Load.Stage != LoadStage::Fetching || canStage(Target));
-  Conditions.Staged =
-      State.ChunksToStage.empty() && State.ChunksToVerify.empty();
+  Conditions.Staged = isStaged(State.Staged);
+  Conditions.ReadsRecent = now() < orderDeadline(State.Staged);
+  Conditions.LoadDoubtful =
+      State.Load.Stage == LoadStage::Loading && State.AcceptedLate &&
+      !State.CorruptAfterLateOrder &&
+      !(isStaged(State.Staged) && oldestRead(State.Staged) >= State.AcceptedBy);
   if (Report) {
     const auto Held = std::find_if(
         Report->Weights.begin(), Report->Weights.end(),
         [&](const LoadedWeights &Each) { return Each.Model == Target.Model; });
     Conditions.Loaded =
         Held != Report->Weights.end() && Held->Version >= Target.Version;
-    Conditions.NoVersionServed = Held == Report->Weights.end();
+    Conditions.NoVersionServed = servesNoVersion(Target);
     Conditions.Busy = Report->Loading;
     Conditions.Idle = Report->Running + Report->Waiting == 0;
   }
@@ -240,13 +278,15 @@
 }
 
 // The staging area holds one version of a model and a load takes the server out
-// of service, so only one version is staged at a time.
+// of service, so only one version is staged at a time. A write in progress may
+// still replace a chunk.
 bool Stager::canStage(const DeclaredVersion &Target) const {
-  return std::none_of(Versions.begin(), Versions.end(), [&](const auto &Each) {
-    const LoadStage Stage = Each.second.Load.Stage;
-    return Each.first.Model == Target.Model && Each.first != Target &&
-           Stage != LoadStage::Serving && Stage != LoadStage::Fetching;
-  });
+  return StagingCallsPending == 0 &&
+         std::none_of(Versions.begin(), Versions.end(), [&](const auto &Each) {
+           const LoadStage Stage = Each.second.Load.Stage;
+           return Each.first.Model == Target.Model && Each.first != Target &&
+                  Stage != LoadStage::Serving && Stage != LoadStage::Fetching;
+         });
 }
 
 // A version is superseded when a newer one is loaded, or when a newer one is
@@ -318,6 +358,8 @@
 void Stager::advanceVersion(VersionState &State) {
   if (!Report)
     return;
+  if (State.Load.Stage == LoadStage::Loading && loadConditions(State).Loaded)
+    recordAcceptance(State);
   while (advanceLoad(State.Load, loadConditions(State), now())) {
     Node.Log.write(
         {.Event = "load_stage",
@@ -331,10 +373,7 @@
                                         .count())}}});
     switch (State.Load.Stage) {
     case LoadStage::Staging:
-      for (std::size_t I = 0; I < State.Descriptor->Chunks.size(); ++I) {
-        State.ChunksToStage.insert(I);
-        State.ChunksToVerify.insert(I);
-      }
+      State.Staged = makeStagedChunks(State.Descriptor->Chunks.size());
       break;
     case LoadStage::Announced:
       Accepting = false;
@@ -344,7 +383,9 @@
       sendLoadOrder(State);
       break;
     case LoadStage::Serving:
-      Accepting = true;
+      // A server takes a version only once, so only the next one replaces
+      // corrupt weights.
+      Accepting = !State.CorruptAfterLateOrder;
       announceStatus(true);
       break;
     case LoadStage::Fetching:
@@ -352,46 +393,71 @@
       break;
     }
   }
-  if (State.Load.Stage == LoadStage::Staging)
-    stageNextChunk(State);
-}
-
-TimePoint Stager::oldestReadBack(const VersionState &State) {
-  TimePoint Oldest = now();
-  for (const auto &[Index, SentAt] : State.ReadBackAt)
-    Oldest = std::min(Oldest, SentAt);
-  return Oldest;
+  if (const auto RereadBefore = rereadBefore(State))
+    makeStagingCall(State, *RereadBefore);
 }
 
 void Stager::sendLoadOrder(VersionState &State) {
   const DeclaredVersion Target = State.Load.Target;
-  EngineClient.call(
-      platform::makeLoadCall(addressText(Settings.Engine), Target,
-                             State.Load.AbortRunning),
-      [this, Target](const HttpResult &Result) {
-        VersionState *Ordered = findVersion(Target);
-        if (Ordered == nullptr)
-          return;
-        const auto *Response = std::get_if<HttpResponse>(&Result);
-        const bool Refused = Response == nullptr ||
-                             platform::parseOrderStatus(Response->Status) ==
+  State.OldestReadAtOrder = oldestRead(State.Staged);
+  State.AcceptedBy.reset();
+  State.AcceptedLate = State.CorruptAfterLateOrder = false;
+  HttpCallRequest Order = platform::makeLoadCall(
+      addressText(Settings.Engine), Target, State.Load.AbortRunning);
+  Order.SendBefore = orderDeadline(State.Staged);
+  EngineClient.call(std::move(Order), [this, Target](const HttpResult &Result) {
+    handleOrderResult(Target, Result);
+  });
+}
+
+void Stager::handleOrderResult(const DeclaredVersion &Target,
+                               const HttpResult &Result) {
+  VersionState *State = findVersion(Target);
+  if (State == nullptr)
+    return;
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  const auto *Failure = std::get_if<HttpFailure>(&Result);
+  const bool Refused =
+      Response == nullptr || platform::parseOrderStatus(Response->Status) ==
                                  platform::OrderStatus::Refused;
-        Node.Log.write(
-            {.Level = Refused ? LogLevel::Warning : LogLevel::Info,
-             .Event = Refused ? "order_refused" : "order_given",
-             .At = Step::Order,
-             .Peer = addressText(Settings.Engine),
-             .Fields = {{"version", std::to_string(Target.Version)},
-                        {"status", Response != nullptr
-                                       ? std::to_string(Response->Status)
-                                       : "none"},
-                        {"oldest_read_s",
-                         formatSeconds(now() - oldestReadBack(*Ordered))}}});
-        // Without a response the order may still have been accepted, which the
-        // next reports show.
-        if (Response != nullptr && Refused)
-          restartStaging(Ordered->Load, now());
-      });
+  Node.Log.write(
+      {.Level = Refused ? LogLevel::Warning : LogLevel::Info,
+       .Event = Refused ? "order_refused" : "order_given",
+       .At = Step::Order,
+       .Peer = addressText(Settings.Engine),
+       .Fields = {{"version", std::to_string(Target.Version)},
+                  {"status", Response != nullptr
+                                 ? std::to_string(Response->Status)
+                                 : "none"},
+                  {"detail", Failure != nullptr ? Failure->Cause.Detail : ""},
+                  {"oldest_read_s",
+                   formatSeconds(now() - State->OldestReadAtOrder)}}});
+  if (State->Load.Stage != LoadStage::Loading)
+    return; // a report came first
+  // Without a response the order may still have been accepted, which the next
+  // reports show.
+  if (Failure != nullptr && Failure->Expired)
+    returnToAnnounced(State->Load, now());
+  else if (Response != nullptr && Refused)
+    restartStaging(State->Load, now());
+  else if (Response != nullptr)
+    recordAcceptance(*State);
+}
+
+void Stager::recordAcceptance(VersionState &State) {
+  if (State.AcceptedBy)
+    return;
+  State.AcceptedBy = now();
+  State.AcceptedLate = isAcceptanceLate(State.Staged, State.OldestReadAtOrder,
+                                        *State.AcceptedBy);
+  if (State.AcceptedLate)
+    Node.Log.write({.Level = LogLevel::Warning,
+                    .Event = "order_accepted_late",
+                    .At = Step::Order,
+                    .Peer = addressText(Settings.Engine),
+                    .Fields = {{"oldest_read_s",
+                                formatSeconds(*State.AcceptedBy -
+                                              State.OldestReadAtOrder)}}});
 }
 
 } // namespace marigoldyard
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -10,7 +10,7 @@
 LoadStage nextStage(const LoadState &State, const LoadConditions &Conditions,
                     TimePoint Now) {
   if (Conditions.Loaded)
-    return LoadStage::Serving;
+    return Conditions.LoadDoubtful ? State.Stage : LoadStage::Serving;
   switch (State.Stage) {
   case LoadStage::Serving:
   case LoadStage::Fetching:
@@ -21,11 +21,11 @@
     if (Conditions.Busy)
       return LoadStage::Waiting;
     if (Conditions.NoVersionServed) // no gateway sends requests to the server
-      return LoadStage::Loading;
+      return Conditions.ReadsRecent ? LoadStage::Loading : LoadStage::Waiting;
     return Conditions.HasTurn ? LoadStage::Announced : LoadStage::Waiting;
   case LoadStage::Announced: {
     const Duration Elapsed = Now - State.StageEnteredAt;
-    if (Elapsed < State.Settings.AnnounceLeadTime)
+    if (Elapsed < State.Settings.AnnounceLeadTime || !Conditions.ReadsRecent)
       return LoadStage::Announced;
     const bool Drained =
         Conditions.Idle || Elapsed >= State.Settings.DrainTimeout;
@@ -73,6 +73,11 @@
   return true;
 }
 
+void returnToAnnounced(LoadState &State, TimePoint Now) {
+  State.Stage = LoadStage::Announced;
+  State.StageEnteredAt = Now;
+}
+
 void restartStaging(LoadState &State, TimePoint Now) {
   State.Stage = LoadStage::Fetching;
   State.StageEnteredAt = Now;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "marigoldyard/transport/http_client.hpp"
 
+#include "marigoldyard/transport/clock.hpp"
 #include "marigoldyard/transport/detail/http_call.hpp"
 #include "marigoldyard/transport/endpoint.hpp"
 
@@ -160,6 +161,10 @@
 void HttpCall::write() {
   if (Stopped) // its connection is closed
     return fail(Stopped->first, Stopped->second);
+  if (now() >= Request.SendBefore) {
+    Expired = true;
+    return fail(ErrorCode::DeadlineExceeded, "not sent in time");
+  }
   limitSilence();
   BytesSent = true;
   net::async_write(
@@ -306,6 +311,7 @@
                   Request.Peer.empty() ? Request.Address : Request.Peer,
                   Stopped ? Stopped->second : Detail};
   Result.RequestBytesSent = BytesSent;
+  Result.Expired = Expired;
   end(std::move(Result));
 }
 
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -188,6 +188,10 @@
         return request.answer(200, answer)
 
 
+# The rules allow a server to load a piece that was spoilt in this time.
+ROT_LIMIT_S = 3
+
+
 class Backend(Standin):
     """A server of a pool. `behave` maps a request number to a behaviour; requests are recorded."""
     zone = "z1"
@@ -199,6 +203,13 @@
         self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
         self.loading_until, self.pending = 0, None
         self.endless = None  # end of the paths whose answers never end
+        self.load_s, self.read_delay_s, self.order_delay_s = 0.3, 0, 0
+        self.reads = []  # indices of the staged pieces that were read
+        self.spoilt_at = {}  # when a staged piece was spoilt
+        self.just_spoilt = []  # for each order: pieces that were spoilt within ROT_LIMIT_S
+        self.rotten_orders = []  # pieces of orders that were spoilt before, with the seconds
+        self.rotten_runs = 0  # requests on weights of such an order
+        self.rotten = False  # whether the weights are of such an order
         super().__init__(host, SERVER_PORT)
         self.register()
 
@@ -210,9 +221,23 @@
                                 for name, version in self.models.items()]
         self.store.put("servers/" + self.id, record)
 
+    def spoil(self, index):
+        """Corrupts a staged piece."""
+        self.staged[index] = b"spoilt"
+        self.spoilt_at[index] = time.monotonic()
+
+    def accept_order(self, order):
+        now = time.monotonic()
+        ages = {index: now - at for index, at in self.spoilt_at.items()}
+        rotten = [(index, age) for index, age in ages.items() if age > ROT_LIMIT_S]
+        self.orders.append((now, order, dict(self.staged)))
+        self.just_spoilt.append({index for index, age in ages.items() if age <= ROT_LIMIT_S})
+        self.rotten_orders += rotten
+        self.pending, self.loading_until = (order["model"], order["version"], bool(rotten)), now + self.load_s
+
     def finish_load(self):
         if self.pending and time.monotonic() > self.loading_until:
-            (name, version), self.pending = self.pending, None
+            (name, version, self.rotten), self.pending = self.pending, None
             self.models = {name: version}
             self.register()
 
@@ -229,6 +254,7 @@
         return behaviour(request)
 
     def headers(self, request):
+        self.rotten_runs += self.rotten
         head = {"Attempt-Id": request.headers["Attempt-Id"], "Response-Signature": "sig." + self.id,
                 "Server-Load": "1,0,4", "Keep-Alive": "timeout=5"}
         if self.models:
@@ -309,22 +335,25 @@
                 "running": 0, "kv_used": 0, "kv_total": 9, "handles": 0, "born": self.born,
                 "models": [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]})
         if path.endswith("/order"):
-            order = json.loads(request.body)
-            self.orders.append((time.monotonic(), order, dict(self.staged)))
-            self.pending, self.loading_until = (order["model"], order["version"]), time.monotonic() + 0.3
+            time.sleep(self.order_delay_s)
+            self.accept_order(json.loads(request.body))
             return request.answer(202)
         if "item_count" not in query:
             return request.answer(200, {"held": sorted(self.staged)})
         index = int(query["item_count"])
         if request.command == "PUT":
             self.staged[index] = request.body
+            self.spoilt_at.pop(index, None)
             if self.behaviours and self.behaviours[0] == "spoil":
                 self.behaviours.pop(0)
                 self.staged[index] = b"spoilt"
             return request.answer(200)
         if index not in self.staged:
             return request.answer(404)
-        return request.answer(200, self.staged[index])
+        found = self.staged[index]
+        self.reads.append(index)
+        time.sleep(self.read_delay_s)
+        return request.answer(200, found)
 
 
 class Heartbeats:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -66,13 +66,23 @@
 
 def case_pieces():
     """an order over wrong pieces is noticed"""
-    world = blank_world()
+    good = {i: pf.piece("m", 2, i) for i in range(pf.PIECES)}
 
     class Engine:
-        id, orders = "e", [(0, {"model": "m", "version": 2}, {0: b"wrong"})]
+        id, just_spoilt, rotten_orders, rotten_runs = "e", [set()], [], 0
+        orders = [(0, {"model": "m", "version": 2}, good | {0: b"wrong"})]
+    world = blank_world()
     world.engines = [Engine]
     world.final_checks()
     assert world.broken, "wrong pieces are not noticed"
+    world = blank_world()
+    Engine.just_spoilt = [{0}]
+    world.engines = [Engine]
+    world.final_checks()
+    assert not world.broken, world.broken
+    Engine.rotten_runs = 1
+    world.final_checks()
+    assert world.broken, "requests on pieces that were corrupt for long are not noticed"
 
 
 def main():
--- /dev/null
+++ b/tests/process/test_staged_pieces.py
@@ -0,0 +1,140 @@
+"""Staged pieces that become corrupted after they were read back."""
+import os
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check, wait_for  # noqa: E402
+
+# Bound of a version, and of a load after that.
+VERSION_S = 8
+
+
+def declare(fleet):
+    """Declares the next version; returns its number."""
+    fleet.weights = getattr(fleet, "weights", 1) + 1
+    fleet.store.put("op/version/m", {"model": "m", "version": fleet.weights})
+    return fleet.weights
+
+
+def start_stagers(fleet):
+    """The stager of each engine, which knows of the others."""
+    if not hasattr(fleet, "stagers"):
+        fleet.stagers = {engine: fleet.stager(engine) for engine in fleet.engines}
+        wait_for(lambda: all("version_wanted" in s.log_text() for s in fleet.stagers.values()), "stagers know version 1")
+    for engine in fleet.engines:
+        engine.load_s, engine.read_delay_s, engine.order_delay_s = 0.3, 0, 0
+        engine.rotten_orders.clear()
+        engine.reads.clear()
+        engine.orders.clear()
+
+
+def wait_loaded(fleet, version, timeout=VERSION_S):
+    wait_for(lambda: all(e.models == {"m": version} for e in fleet.engines), f"version {version} is loaded", timeout)
+
+
+def waiting_engine(fleet, version, load_s):
+    """An engine that has staged a version and waits for the other one, whose load takes long."""
+    def stages(engine):
+        return [line for line in fleet.stagers[engine].log_text().splitlines()
+                if '"load_stage"' in line and f'"version":"{version}"' in line]
+    for engine in fleet.engines:
+        engine.load_s = load_s
+
+    def find():
+        first = [e for e in fleet.engines if e.orders]
+        second = [e for e in fleet.engines if not e.orders and any('"waiting"' in line for line in stages(e))]
+        return second[0] if first and second else None
+    return wait_for(find, "one engine loads and the other one waits")
+
+
+def check_recent(engine):
+    check(not engine.rotten_orders, f"pieces and seconds since they were corrupted: {engine.rotten_orders}")
+
+
+def check_sound(engine, version):
+    check_recent(engine)
+    staged = engine.orders[-1][2]
+    check(all(staged[i] == pf.piece("m", version, i) for i in range(pf.PIECES)), "the pieces that were loaded are sound")
+
+
+# Guards against an order over pieces that were read back before a long wait for the turn.
+def case_corrupted_while_waiting(fleet):
+    """a piece that becomes corrupted while a server waits for its turn is not loaded"""
+    start_stagers(fleet)
+    version = declare(fleet)
+    engine = waiting_engine(fleet, version, load_s=4.5)
+    engine.spoil(3)
+    wait_loaded(fleet, version, timeout=VERSION_S + 5)
+    check_sound(engine, version)
+
+
+# Guards against an order that follows a freeze of the stager at once.
+def case_corrupted_while_frozen(fleet):
+    """a piece that becomes corrupted while a stager stands still is not loaded"""
+    start_stagers(fleet)
+    version = declare(fleet)
+    engine = waiting_engine(fleet, version, load_s=1.5)
+    fleet.stagers[engine].process.send_signal(signal.SIGSTOP)
+    engine.spoil(0)
+    engine.spoil(pf.PIECES - 1)
+    time.sleep(pf.ROT_LIMIT_S + 1)
+    fleet.stagers[engine].process.send_signal(signal.SIGCONT)
+    wait_loaded(fleet, version)
+    check_sound(engine, version)
+
+
+# Guards against a read-back that is old when its last piece has been read.
+def case_slow_reads(fleet):
+    """a piece that becomes corrupted early in a slow read-back is not loaded late, on a server without weights"""
+    start_stagers(fleet)
+    version = declare(fleet)
+    wait_loaded(fleet, version)
+    engine = fleet.engines[0]
+    engine.orders.clear()
+    engine.reads.clear()
+    engine.read_delay_s = 0.25
+    engine.models, engine.born = {}, engine.born + 1000  # restarted
+    engine.register()
+    first = wait_for(lambda: engine.reads[:1], "a piece is read")[0]
+    time.sleep(2 * engine.read_delay_s)
+    engine.spoil(first)
+    wait_loaded(fleet, version, timeout=VERSION_S + 5)
+    check_recent(engine)
+
+
+# Guards against requests on weights that were corrupt when the order was accepted, later than the reads count.
+def case_late_acceptance(fleet):
+    """a server that accepts its order late serves only if its pieces are still sound"""
+    start_stagers(fleet)
+    for corrupt in (False, True):
+        version = declare(fleet)
+        engine = fleet.engines[0]
+        engine.orders.clear()
+        engine.order_delay_s = pf.ROT_LIMIT_S + 0.5
+        text = lambda: fleet.stagers[engine].log_text()
+        lates = text().count("order_accepted_late")
+        wait_for(lambda: f'"stage":"loading","model":"m","version":"{version}"' in text(), "the order is sent", VERSION_S)
+        if corrupt:
+            time.sleep(0.3)
+            engine.spoil(2)
+        wait_loaded(fleet, version, timeout=VERSION_S + 5)
+        wait_for(lambda: text().count("order_accepted_late") > lates, "the late order is noticed")
+        time.sleep(1.5)
+        engine.seen.clear()
+        for _ in range(20):
+            call(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(bool(engine.seen) != corrupt, f"{len(engine.seen)} requests after a late order, corrupt: {corrupt}")
+        engine.order_delay_s = 0
+    version = declare(fleet)
+    wait_loaded(fleet, version, timeout=VERSION_S + 5)
+    engine.seen.clear()
+    wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p") and engine.seen, "the next version serves again")
+
+
+CASES = [case_corrupted_while_waiting, case_corrupted_while_frozen, case_slow_reads, case_late_acceptance]
+
+if __name__ == "__main__":
+    pf.run_cases(CASES)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -104,6 +104,16 @@
     world.origin.down = False
 
 
+def pieces_spoilt(world, rng, wait):
+    """Staged pieces become corrupted, again and again, while a version is declared."""
+    declare_version(world)
+    for _ in range(rng.randint(2, 6)):
+        time.sleep(rng.uniform(0.1, 0.8))
+        for server in rng.sample(world.engines, rng.randint(1, len(world.engines))):
+            for index in rng.sample(sorted(server.staged), min(len(server.staged), rng.randint(1, 3))):
+                server.spoil(index)
+
+
 def configured(world, rng, wait):
     """Configurations follow each other quickly."""
     for _ in range(rng.randint(1, 4)):
@@ -132,7 +142,9 @@
 def inject(world, rng):
     """Faults that overlap; each is undone at its end."""
     plan = sorted((rng.uniform(0, FAULT_TIME_S - 1), rng.choice(FAULTS), rng.random()) for _ in range(FAULTS_PER_RUN))
-    guards = {fault: threading.Lock() for fault in FAULTS}  # one kind does not undo itself
+    # Drawn last, so that known seeds keep the faults that they had.
+    plan.append((rng.uniform(0, FAULT_TIME_S - 1), pieces_spoilt, rng.random()))
+    guards = {fault: threading.Lock() for fault in (*FAULTS, pieces_spoilt)}  # one kind does not undo itself
 
     def run(at, fault, seed):
         own = random.Random(seed)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -159,9 +159,12 @@
                 if kind == "once" and answer is not None and answer.status in (408, 421, 429, 503):
                     self.check(self.runs.get(attempt, 0) == 0, f"{attempt}: refused, but it ran later")
         for server in self.engines:
-            for _, order, staged in server.orders:
-                good = {i: pf.piece(order["model"], order["version"], i) for i in range(pf.PIECES)}
-                self.check({i: staged.get(i) for i in good} == good,
+            self.check(not server.rotten_runs, f"{server.id}: {server.rotten_runs} requests on weights of which a piece "
+                                               f"was corrupt for too long: {server.rotten_orders}")
+            rotten = {index for index, _ in server.rotten_orders}
+            for (_, order, staged), just_spoilt in zip(server.orders, server.just_spoilt):
+                wrong = [i for i in range(pf.PIECES) if staged.get(i) != pf.piece(order["model"], order["version"], i)]
+                self.check(set(wrong) <= just_spoilt | rotten,
                            f"{server.id}: version {order['version']} was ordered with wrong pieces")
 
     def close(self):
--- a/tests/src/unit-coordination-load_plan.cpp
+++ b/tests/src/unit-coordination-load_plan.cpp
@@ -43,7 +43,7 @@
 TEST_CASE("a server without weights loads at once") {
   LoadState State = waiting();
   LoadConditions Facts;
-  Facts.NoVersionServed = true;
+  Facts.NoVersionServed = Facts.ReadsRecent = true;
   CHECK(advanceLoad(State, Facts, StartCommand));
   CHECK(State.Stage == LoadStage::Loading);
   CHECK_FALSE(State.AbortRunning);
@@ -53,7 +53,7 @@
   LoadState State = waiting();
   LoadConditions Facts;
   CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 1s));
-  Facts.HasTurn = true;
+  Facts.HasTurn = Facts.ReadsRecent = true;
   CHECK(advanceLoad(State, Facts, StartCommand + 1s));
   CHECK(State.Stage == LoadStage::Announced);
   Facts.StreamsCanMove = true;
@@ -66,7 +66,7 @@
 TEST_CASE("streams are never cut where they cannot continue") {
   LoadState State = waiting();
   LoadConditions Facts;
-  Facts.HasTurn = true;
+  Facts.HasTurn = Facts.ReadsRecent = true;
   advanceLoad(State, Facts, StartCommand);
   CHECK(advanceLoad(State, Facts, StartCommand + 1s));
   CHECK(State.Stage == LoadStage::Loading);
@@ -76,7 +76,7 @@
 TEST_CASE("an idle server loads as soon as the gateways know") {
   LoadState State = waiting();
   LoadConditions Facts;
-  Facts.HasTurn = Facts.StreamsCanMove = Facts.Idle = true;
+  Facts.HasTurn = Facts.StreamsCanMove = Facts.Idle = Facts.ReadsRecent = true;
   advanceLoad(State, Facts, StartCommand);
   CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 39ms));
   CHECK(advanceLoad(State, Facts, StartCommand + 40ms));
@@ -86,7 +86,7 @@
 TEST_CASE("an order without effect is given again, after a new check") {
   LoadState State = waiting();
   LoadConditions Facts;
-  Facts.NoVersionServed = true;
+  Facts.NoVersionServed = Facts.ReadsRecent = true;
   advanceLoad(State, Facts, StartCommand);
   Facts.Busy = true;
   CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 6s));
@@ -95,6 +95,42 @@
   CHECK(State.Stage == LoadStage::Staging);
 }
 
+// Guards against orders over chunks that became corrupt while the server waited
+// for its turn or for its streams to end.
+TEST_CASE("no order is given while the read-back is old") {
+  LoadConditions Facts;
+  Facts.NoVersionServed = true;
+  LoadState State = waiting();
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 20s));
+  Facts.ReadsRecent = true;
+  CHECK(advanceLoad(State, Facts, StartCommand + 20s));
+
+  Facts = {};
+  Facts.HasTurn = Facts.Idle = true;
+  State = waiting();
+  CHECK(advanceLoad(State, Facts, StartCommand));
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 20s));
+  CHECK(State.Stage == LoadStage::Announced);
+  Facts.ReadsRecent = true;
+  CHECK(advanceLoad(State, Facts, StartCommand + 20s));
+  CHECK(State.Stage == LoadStage::Loading);
+  returnToAnnounced(State, StartCommand + 21s);
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 21s));
+  CHECK(advanceLoad(State, Facts, StartCommand + 21s + 40ms));
+}
+
+TEST_CASE("a version that may be corrupt does not serve") {
+  LoadState State = waiting();
+  LoadConditions Facts;
+  Facts.NoVersionServed = Facts.ReadsRecent = true;
+  advanceLoad(State, Facts, StartCommand);
+  Facts.Loaded = Facts.LoadDoubtful = true;
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 20s));
+  Facts.LoadDoubtful = false;
+  CHECK(advanceLoad(State, Facts, StartCommand + 20s));
+  CHECK(State.Stage == LoadStage::Serving);
+}
+
 TEST_CASE("a loaded version serves, whatever the stage was") {
   for (LoadState State : {loading(), waiting()}) {
     LoadConditions Facts;
--- a/tests/src/unit-transport-http.cpp
+++ b/tests/src/unit-transport-http.cpp
@@ -1,5 +1,9 @@
 #include "http_fixture.hpp"
 
+#include "marigoldyard/transport/clock.hpp"
+
+#include <atomic>
+
 using namespace marigoldyard;
 using namespace marigoldyard::test;
 using namespace std::chrono_literals;
@@ -28,6 +32,29 @@
   CHECK(Server->counters().Connections == 1);
 }
 
+// Guards against an order that is sent after what it depends on has expired,
+// because its call waited for a connection.
+TEST_CASE("a call that cannot be sent in time sends nothing") {
+  std::atomic<int> Received = 0;
+  auto Server = serve([&](HttpRequest &&, const Responder &Answer) {
+    ++Received;
+    Answer.send({200, {}, {}});
+  });
+  ClientThread Client;
+  HttpCallRequest Request = requestTo(addressOf(*Server));
+  Request.SendBefore = now() + 20s;
+  CHECK(std::holds_alternative<HttpResponse>(Client.call(Request)));
+  for (bool Reuse : {true, false}) {
+    Request.ReuseConnection = Reuse;
+    Request.SendBefore = now();
+    const HttpFailure Late = failureOf(Client.call(Request));
+    CHECK(Late.Cause.Code == ErrorCode::DeadlineExceeded);
+    CHECK(Late.Expired);
+    CHECK_FALSE(Late.RequestBytesSent);
+  }
+  CHECK(Received == 1);
+}
+
 TEST_CASE("a stream that breaks off is told apart from a whole one") {
   for (bool Whole : {true, false}) {
     auto Server = serve([Whole](HttpRequest &&, const Responder &Answer) {
