Let late timeouts fire only after sockets were read

What callers see: a gateway whose thread was blocked, or that stood still, gives up streams of servers that went on sending, because their timeouts fire before the bytes that have arrived are read. It is a hypothesis for the users' reports of LOST beside changes of the configuration, when all processes of a machine work at once; that it was the cause there is not shown.

Cause: a tick that became due while a handler ran is queued in front of the socket events that the next poll finds, and fires everything that is due by then.

A tick that comes over 100 ms late now fires nothing; the next one does, after the handlers of all sockets that were readable. Membership and store timeouts run on the same tick. At most one tick in a row is left out, so constant overload delays no timeout for long.

--- a/include/marigoldyard/transport/timeout_list.hpp
+++ b/include/marigoldyard/transport/timeout_list.hpp
@@ -18,10 +18,15 @@
   /// @brief Precision of timeouts; far below the bounds that they serve.
   static constexpr std::chrono::milliseconds Tick{20};
 
+  /// @brief A tick that is later than this shows that the thread was blocked or
+  /// the process stood still.
+  static constexpr std::chrono::milliseconds MaxTickDelay{100};
+
   /// @param Context runs the timer; must outlive the list
   explicit TimeoutList(boost::asio::io_context &Context);
 
-  /// @brief Starts the ticks.
+  /// @brief Starts the ticks. After a tick that is too late, timeouts fire at
+  /// the next one, so that bytes that have arrived meanwhile are read first.
   /// @param OnTick called at each tick, after expired timeouts
   void start(std::function<void()> OnTick);
 
@@ -37,6 +42,8 @@
   boost::asio::steady_timer Timer;
   std::function<void()> OnTick;
   std::list<Slot> Slots;
+  TimePoint LastTickAt{};
+  bool Deferred = false; ///< at the last tick
 };
 
 /// @brief One timeout of a TimeoutList.
--- a/src/transport/timeout_list.cpp
+++ b/src/transport/timeout_list.cpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/transport/clock.hpp"
 
+#include <utility>
 #include <vector>
 
 namespace marigoldyard {
@@ -10,6 +11,7 @@
 
 void TimeoutList::start(std::function<void()> Callback) {
   OnTick = std::move(Callback);
+  LastTickAt = now();
   schedule();
 }
 
@@ -25,6 +27,12 @@
 
 void TimeoutList::run() {
   const TimePoint Now = now();
+  const bool WasBlocked =
+      Now - std::exchange(LastTickAt, Now) > Tick + MaxTickDelay;
+  // Under constant overload every other tick still runs.
+  Deferred = WasBlocked && !Deferred;
+  if (Deferred)
+    return;
   // A callback may add and remove timeouts, so they are collected first.
   std::vector<std::function<void()>> Due;
   for (Slot &Each : Slots) {
