Log what ended the wait for a server

For the users' reports of LOST the logs did not tell a stream that reached its deadline from one whose server was silent or was given up for another server: all three are logged as "timed out", and no line says whether the stream had begun there. send_failed now has ended_by and event_reads; the detail stays as it is.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -804,6 +804,8 @@
                   {"fate", std::string(attemptStatusName(Result.Fate))},
                   {"reason", make_error_code(Result.Reason).message()},
                   {"detail", Result.Detail},
+                  {"ended_by", std::string(Result.EndedBy)},
+                  {"event_reads", std::to_string(EventReads)},
                   {"estimated_load",
                    Found == Owner.servers().Servers.end()
                        ? "gone"
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -121,15 +121,21 @@
 
 bool ServerExchange::prolongWait() {
   const TimePoint Now = now();
-  if (!AwaitsResponse || Now >= Limits.Deadline)
+  if (!AwaitsResponse || Now >= Limits.Deadline) {
+    EndedBy = Now >= Limits.Deadline ? "deadline" : "time_limit";
     return false;
+  }
   TimePoint Until = std::min(Now + WaitCheckInterval, Limits.Deadline);
   if (isWaitingAtServer()) {
     Until = std::min(Until, Limits.MaxWaitUntil);
   } else {
     const bool TooLong = Now - LastProgressAt >= Limits.MaxSilence;
-    if (TooLong || !Limits.ReserveAlternative || Limits.ReserveAlternative())
+    if (TooLong || !Limits.ReserveAlternative || Limits.ReserveAlternative()) {
+      EndedBy = TooLong                     ? "silence"
+                : Limits.ReserveAlternative ? "other_server_reserved"
+                                            : "time_limit";
       return false;
+    }
     if (!std::exchange(SilenceReported, true) && Limits.OnSilence)
       Limits.OnSilence();
   }
@@ -268,6 +274,7 @@
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
     Result.Detail = "timed out";
+    Result.EndedBy = Expired ? "end_of_process" : EndedBy;
   } else {
     Result.Reason = ErrorCode::StreamIncomplete;
   }
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -38,6 +38,8 @@
   std::optional<BufferedResponse>
       Response; ///< empty when a stream was forwarded
   std::string Detail;
+  /// What ended the wait for the server; empty unless it timed out.
+  std::string_view EndedBy;
 };
 
 /// @brief What the receiver of a stream did with a part of it.
@@ -169,6 +171,7 @@
   /// The request was sent, and no refusal of it was read.
   bool AwaitsResponse = false;
   bool SilenceReported = false;
+  std::string_view EndedBy;
   TimePoint LastProgressAt{}; ///< when the request was sent, or its last event
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
