--- /dev/null
+++ b/programs/gateway/request_attempts.cpp
@@ -0,0 +1,439 @@
+#include "marigoldyard/transport/clock.hpp"
+#include "programs/gateway/request_run.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace marigoldyard {
+
+namespace net = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Longest idle time of a connection for a request that must run at most once.
+/// Such a request cannot be retried when the server closes the connection while
+/// it is sent, so old connections are not reused.
+constexpr Duration MaxAtMostOnceIdleAge = std::chrono::seconds(1);
+/// Shortest wait for the first event before a stream is sent to another server
+/// too; callers disconnect after two seconds or more.
+constexpr milliseconds MinFirstEventTimeout{1200};
+/// Shortest wait between events before a stream is sent to another server too.
+constexpr milliseconds MinGapTimeout{1000};
+/// A request that waits at a busy server is sent to another one too this long
+/// before its caller leaves, so that the other one can still begin.
+constexpr milliseconds AbandonMargin{400};
+/// A request without a response is sent to another server after this many
+/// target latencies, a silent stream after as many target gaps.
+constexpr int TimeoutTargetMultiple = 3;
+
+/// Turns a response other than a stream into a failure, because it is neither
+/// the rest of a stream that has begun nor its end.
+void discardResponse(ExchangeResult &Result) {
+  Result.Fate = AttemptStatus::Failed;
+  Result.Reason = ErrorCode::EndpointFailed;
+  Result.Detail = fmt::format("status {} instead of the rest of the stream",
+                              Result.Response->Status);
+  Result.Response.reset();
+}
+
+} // namespace
+
+ExchangeLimits RequestRun::exchangeLimits(RequestAttempt &Attempt) {
+  ExchangeLimits Limits;
+  Limits.Deadline = Deadline - ResponseMargin;
+  Limits.MaxIdleAge = Duration::max();
+  Limits.GapTimeout =
+      std::max(Duration(MinGapTimeout),
+               TimeoutTargetMultiple * MatchedRoute->TargetEventGap);
+  if (MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce) {
+    Limits.OnSilence = [this, &Attempt](bool New) {
+      handleSilence(Attempt, New);
+    };
+    Limits.SilentUntil = [this] { return answerBy(); };
+  }
+  switch (MatchedRoute->AllowedRetries) {
+  case RetryPolicy::AtMostOnce:
+    Limits.FirstByteTimeout = Duration(std::chrono::hours(1));
+    Limits.MaxIdleAge = MaxAtMostOnceIdleAge;
+    Limits.GapTimeout = Limits.FirstByteTimeout;
+    break;
+  case RetryPolicy::Idempotent:
+    Limits.FirstByteTimeout =
+        TimeoutTargetMultiple * MatchedRoute->TargetLatency;
+    break;
+  case RetryPolicy::Resumable:
+    Limits.FirstByteTimeout =
+        std::max(Duration(MinFirstEventTimeout),
+                 TimeoutTargetMultiple * MatchedRoute->TargetLatency);
+    // Another busy server would let the request wait from the start again.
+    Limits.IsWaiting = [this, &Attempt] {
+      return !HeadForwarded &&
+             isBusy(Owner.servers(), Attempt.Server.Id, now());
+    };
+    Limits.MaxWaitUntil = ArrivalTime + callerTimeout() - AbandonMargin;
+    break;
+  }
+  return Limits;
+}
+
+platform::RequestMessage
+RequestRun::buildServerRequest(const std::string &Id) const {
+  platform::ServerRequest Content;
+  Content.ServerId = Id;
+  Content.Customer =
+      RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
+  Content.TimeLeft = std::max(Duration::zero(), timeLeft());
+  Content.Priority =
+      HeadForwarded ? 0 : requestPriority(*MatchedRoute, RequestCustomer);
+  Content.ResumeAfter = Order.Last;
+  if (HeadForwarded)
+    Content.RequiredVersion = Version;
+  return platform::buildServerRequest(Request, Content);
+}
+
+RequestAttempt &RequestRun::beginAttempt(const std::string &Id) {
+  const ServerState &Server = Owner.servers().Servers.at(Id);
+  TriedServers.insert(Id);
+  LastServer = Id;
+  addAttempt(Concurrent, ++Attempts);
+  auto OnResponseHead =
+      [this, Record = Server.Record](const platform::ServerResponse &Head) {
+        if (Head.Load)
+          recordReportedLoad(Owner.servers(), Record.Id,
+                             Head.Load->Running + Head.Load->Waiting);
+        Owner.handleNotice(Record, {Head.Leaving, Head.RefusesFor});
+      };
+  return Running.emplace_back(
+      Attempts, Server.Record, loadedVersion(Server, RequestInfo.Model), Order,
+      Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
+      Owner.responseMemory(), std::move(OnResponseHead));
+}
+
+net::awaitable<void> RequestRun::runAttempt(RequestAttempt &Attempt) {
+  ExchangeResult Result;
+  try {
+    Result = co_await sendTo(Attempt);
+  } catch (const std::exception &Cause) {
+    Result.Detail = Cause.what(); // logged with the result
+  }
+  endStartWatch(Attempt);
+  if (isLeaving(Owner.servers(), Attempt.Server.Id))
+    Owner.connections().closeAll(Attempt.Server.Address);
+  if (HeadForwarded && Result.Response)
+    discardResponse(Result);
+  const bool Completed = Result.Fate == AttemptStatus::Completed;
+  const bool Counts = isCandidate(Concurrent, Attempt.Number);
+  if (Counts && Completed) {
+    chooseAttempt(Concurrent, Attempt.Number);
+    stopSuperseded();
+  } else {
+    removeAttempt(Concurrent, Attempt.Number);
+  }
+  recordAttempt(Attempt, Result);
+  if (!RequestInfo.SharedParts.empty())
+    co_await recordPartOutcome(Attempt, Result);
+  if (Counts && Completed)
+    co_await forwardHeld(Attempt); // a failed write ends the session
+  if (Counts)
+    keepResult(std::move(Result));
+  endAttempt(Attempt);
+}
+
+net::awaitable<ExchangeResult> RequestRun::sendTo(RequestAttempt &Attempt) {
+  const ServerRecord &Server = Attempt.Server;
+  const platform::RequestMessage Outgoing = buildServerRequest(Server.Id);
+  StreamReceiver Receiver = streamReceiver(Attempt);
+  // The start of a buffered response is not visible, and work that runs at most
+  // once must not be cut off after it.
+  const bool CanWithdraw =
+      MatchedRoute->IsStreaming ||
+      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
+  if (Server.Weights && CanWithdraw)
+    Attempt.StartTicket = Owner.watchStart(
+        {Server.Id, RequestInfo.Model, Attempt.LoadedVersion,
+         [&Attempt] { Attempt.Exchange.stop(StopCause::VersionOutOfUse); }});
+  const ExchangeLimits Limits = exchangeLimits(Attempt);
+  ExchangeResult Result = co_await Attempt.Exchange.run(
+      Outgoing, Server.Address, RequestInfo.Id, Limits,
+      MatchedRoute->IsStreaming ? &Receiver : nullptr);
+  co_return Result;
+}
+
+void RequestRun::keepResult(ExchangeResult Result) {
+  // A failure that a server answered tells the caller more than a lost
+  // connection.
+  const bool Better = !LastResult.Response || Result.Response ||
+                      Result.Fate == AttemptStatus::Completed;
+  if (Better)
+    LastResult = std::move(Result);
+}
+
+void RequestRun::endAttempt(RequestAttempt &Attempt) {
+  std::erase_if(Running, [&Attempt](const RequestAttempt &Each) {
+    return Each.Number == Attempt.Number;
+  });
+  if (Running.empty() && AttemptsEnded != nullptr)
+    AttemptsEnded->cancel();
+}
+
+net::awaitable<void> RequestRun::runAttempts(const std::string &Id) {
+  LastResult = {};
+  ServerCrashed = false;
+  RequestAttempt &First = beginAttempt(Id);
+  co_await runAttempt(First);
+  if (Running.empty())
+    co_return;
+  net::steady_timer Ended(Owner.node().Context,
+                          net::steady_timer::time_point::max());
+  AttemptsEnded = &Ended;
+  boost::system::error_code Ignored; // the wait ends only by cancellation
+  co_await Ended.async_wait(net::redirect_error(net::use_awaitable, Ignored));
+  AttemptsEnded = nullptr;
+}
+
+void RequestRun::stopSuperseded() {
+  for (RequestAttempt &Each : Running)
+    if (!isCandidate(Concurrent, Each.Number))
+      Each.Exchange.stop(StopCause::OtherServerAnswers);
+}
+
+void RequestRun::stopAttempts(StopCause Cause) {
+  for (RequestAttempt &Each : Running)
+    Each.Exchange.stop(Cause);
+}
+
+void RequestRun::recordAttempt(RequestAttempt &Attempt,
+                               const ExchangeResult &Result) {
+  const std::string &Id = Attempt.Server.Id;
+  AttemptOutcomes.push_back(Result.Fate);
+  if (Result.Health)
+    recordServerOutcome(Owner.servers(), Id, *Result.Health, now());
+  if (Result.Fate == AttemptStatus::Completed)
+    recordServed(Owner.servers(), Id);
+  else if (Result.Fate == AttemptStatus::Refused &&
+           Result.Reason == ErrorCode::WrongWeights)
+    recordContradiction(Owner.servers(), Id, now());
+  logSend(Attempt, Result);
+  endPrefill(Attempt);
+  Owner.releaseServer(Id);
+}
+
+net::awaitable<void>
+RequestRun::recordPartOutcome(RequestAttempt &Attempt,
+                              const ExchangeResult &Result) {
+  // A rejection by the server, such as 400, is no sign that a request began.
+  const bool Served = Attempt.EventReads > 0 ||
+                      (Result.Response && Result.Response->Status / 100 == 2);
+  if (Result.Fate == AttemptStatus::Completed && Served)
+    Owner.recordBegun(RequestInfo.SharedParts);
+  const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
+                              Result.Reason == ErrorCode::StreamIncomplete;
+  // A server that leaves without a notice loses its record before it ends.
+  const std::string &Id = Attempt.Server.Id;
+  const bool MayHaveLeft =
+      isLeaving(Owner.servers(), Id) || !Owner.servers().Servers.contains(Id);
+  if (!ConnectionLost || Attempt.EventReads >= EventReadsToBegin || MayHaveLeft)
+    co_return;
+  const bool Crashed = co_await Owner.checkForCrash(
+      RequestInfo.Id, Attempt.Server.Address, RequestInfo.SharedParts);
+  ServerCrashed = ServerCrashed || Crashed;
+}
+
+void RequestRun::endStartWatch(RequestAttempt &Attempt) {
+  if (const auto Ticket = std::exchange(Attempt.StartTicket, std::nullopt))
+    Owner.endStartWatch(*Ticket);
+}
+
+void RequestRun::endPrefill(RequestAttempt &Attempt) {
+  if (std::exchange(Attempt.PrefillRunning, false))
+    Owner.finishPrefill(Attempt.Server.Id, RequestInfo.PromptTokens);
+}
+
+void RequestRun::handleSilence(RequestAttempt &Attempt, bool New) {
+  if (New)
+    recordSilence(Attempt);
+  const auto Server = reserveAlternative();
+  if (!Server)
+    return;
+  RequestAttempt &Alternative = beginAttempt(*Server);
+  net::co_spawn(Owner.node().Context, runAttempt(Alternative), net::detached);
+}
+
+std::optional<std::string> RequestRun::reserveAlternative() {
+  if (!mayAddAttempt(Concurrent) ||
+      Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
+      (HeadForwarded && !resumable()) ||
+      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
+    return std::nullopt;
+  RetryBudget &Budget = Owner.retryBudget(Pool->Name);
+  const RetryInputs Inputs =
+      retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout);
+  if (previewRetry(Budget, Inputs, now()) != RetryDecision::Retry)
+    return std::nullopt;
+  ServerRequirements Query = serverRequirements();
+  ServerChoice Choice = Owner.acquireNow(Query, waitingRequest());
+  if (Choice.Shortage != ServerShortage::None)
+    return std::nullopt;
+  decideRetry(Budget, Inputs, now());
+  return std::move(Choice.Id);
+}
+
+void RequestRun::recordSilence(const RequestAttempt &Attempt) {
+  recordServerOutcome(Owner.servers(), Attempt.Server.Id,
+                      ServerOutcome::AnswerTimeout, now());
+  Owner.node().Log.write(
+      {.Event = "server_silent",
+       .At = Step::Send,
+       .Request = RequestInfo.Id,
+       .Fields = {{"server", Attempt.Server.Id},
+                  {"begun", HeadForwarded ? "true" : "false"},
+                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
+}
+
+StreamReceiver RequestRun::streamReceiver(RequestAttempt &Attempt) {
+  StreamReceiver Receiver;
+  Receiver.TakeInOrder = [this, &Attempt](std::vector<StreamEvent> &Events) {
+    return takeInOrder(Attempt, Events);
+  };
+  Receiver.OnHead = [this, &Attempt](const platform::Fields &Headers,
+                                     unsigned Status,
+                                     const platform::ServerResponse &Head) {
+    return acceptHead(Attempt, Headers, Status, Head);
+  };
+  Receiver.OnEvents = [this, &Attempt](const std::vector<StreamEvent> &Events) {
+    return handleEvents(Attempt, Events);
+  };
+  return Receiver;
+}
+
+std::string RequestRun::takeInOrder(RequestAttempt &Attempt,
+                                    std::vector<StreamEvent> &Events) {
+  if (!Attempt.Order.Last)
+    checkFirstEvent(Attempt, Events);
+  const auto Wrong = std::find_if(Events.begin(), Events.end(),
+                                  [&Attempt](const StreamEvent &Each) {
+                                    return !acceptEvent(Attempt.Order, Each);
+                                  });
+  if (Wrong == Events.end())
+    return {};
+  const auto Name = [](const std::optional<std::uint64_t> &Id) {
+    return Id ? std::to_string(*Id) : "none";
+  };
+  std::string Detail =
+      fmt::format("{} event with id {} after id {}",
+                  Wrong->Kind == EventKind::Invalid ? "invalid" : "unexpected",
+                  Name(Wrong->Id), Name(Attempt.Order.Last));
+  Events.erase(Wrong, Events.end());
+  return Detail;
+}
+
+void RequestRun::checkFirstEvent(RequestAttempt &Attempt,
+                                 const std::vector<StreamEvent> &Events) {
+  const auto First =
+      std::find_if(Events.begin(), Events.end(), [](const StreamEvent &Each) {
+        return Each.Kind != EventKind::Comment;
+      });
+  FirstEventId &Known = Owner.firstEventId(Pool->Name);
+  Attempt.Order.First = Known.Expected;
+  if (First != Events.end() && First->Kind == EventKind::Data && First->Id)
+    recordFirstEvent(Known, *First->Id);
+}
+
+PartStatus RequestRun::acceptHead(RequestAttempt &Attempt,
+                                  const platform::Fields &Headers,
+                                  unsigned Status,
+                                  const platform::ServerResponse &Head) {
+  endStartWatch(Attempt);
+  if (Head.Version)
+    Owner.recordStart(RequestInfo.Id, Attempt.Server.Id, RequestInfo.Model,
+                      *Head.Version);
+  // A resumed stream keeps the head of its first server and must have the same
+  // version of the weights.
+  if (HeadForwarded)
+    return !Head.Version || !Version || *Head.Version == *Version
+               ? PartStatus::Forwarded
+               : PartStatus::Invalid;
+  Attempt.HeldHead = {formatHead(Status, Headers) +
+                          "Transfer-Encoding: chunked\r\n\r\n",
+                      Head.Version};
+  return PartStatus::Forwarded;
+}
+
+net::awaitable<PartStatus>
+RequestRun::handleEvents(RequestAttempt &Attempt,
+                         const std::vector<StreamEvent> &Events) {
+  endPrefill(Attempt);
+  if (++Attempt.EventReads == EventReadsToBegin)
+    Owner.recordBegun(RequestInfo.SharedParts);
+  // A sound server that only paused is in use again at once.
+  if (Attempt.Exchange.silent())
+    recordServerOutcome(Owner.servers(), Attempt.Server.Id,
+                        ServerOutcome::Answered, now());
+  for (const StreamEvent &Event : Events)
+    Attempt.HeldEvents += Event.Text;
+  switch (useEvents(Concurrent, Attempt.Number, Attempt.EventReads)) {
+  case EventUse::Discard:
+    co_return PartStatus::Superseded;
+  case EventUse::Hold:
+    co_return PartStatus::Forwarded;
+  case EventUse::Forward:
+    break;
+  }
+  stopSuperseded();
+  const bool Written = co_await forwardHeld(Attempt);
+  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
+}
+
+net::awaitable<bool> RequestRun::forwardHeld(RequestAttempt &Attempt) {
+  std::string Text;
+  if (Attempt.HeldHead) {
+    HeadForwarded = true;
+    Version = Attempt.HeldHead->Version;
+    FirstEventAt = now();
+    Text = std::move(Attempt.HeldHead->Text);
+    Attempt.HeldHead.reset();
+  }
+  if (!Attempt.HeldEvents.empty())
+    Text += fmt::format("{:x}\r\n{}\r\n", Attempt.HeldEvents.size(),
+                        Attempt.HeldEvents);
+  Attempt.HeldEvents.clear();
+  Order = Attempt.Order;
+  LastServer = Attempt.Server.Id;
+  if (Text.empty())
+    co_return true;
+  const bool Written = co_await Session.write(Text);
+  LastForwardedAt = now();
+  co_return Written;
+}
+
+void RequestRun::logSend(const RequestAttempt &Attempt,
+                         const ExchangeResult &Result) {
+  if (Result.Fate == AttemptStatus::Completed)
+    return; // the log event of the request covers it
+  const std::string &Id = Attempt.Server.Id;
+  const auto Found = Owner.servers().Servers.find(Id);
+  Owner.node().Log.write(
+      {.Event = "send_failed",
+       .At = Step::Send,
+       .Request = RequestInfo.Id,
+       .Fields = {{"server", Id},
+                  {"fate", std::string(attemptStatusName(Result.Fate))},
+                  {"reason", make_error_code(Result.Reason).message()},
+                  {"detail", Result.Detail},
+                  {"ended_by", std::string(Result.EndedBy)},
+                  {"event_reads", std::to_string(Attempt.EventReads)},
+                  {"estimated_load",
+                   Found == Owner.servers().Servers.end()
+                       ? "gone"
+                       : std::to_string(
+                             estimatedLoad(Owner.servers(), Found->second))},
+                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
+}
+
+} // namespace marigoldyard
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -16,23 +16,11 @@
 
 namespace {
 
-/// Time reserved before a route's timeout to send the response.
-constexpr milliseconds ResponseMargin{40};
-/// Longest idle time of a connection for a request that must run at most once.
-/// Such a request cannot be retried when the server closes the connection while
-/// it is sent, so old connections are not reused.
-constexpr Duration MaxAtMostOnceIdleAge = std::chrono::seconds(1);
-/// Shortest wait for the first event before a stream is retried at another
-/// server; callers disconnect after two seconds or more.
-constexpr milliseconds MinFirstEventTimeout{1200};
-/// A silent server is given up this long before the caller abandons the stream,
-/// so that the next server can still begin and the caller gets an answer.
-constexpr milliseconds AbandonMargin{400};
-/// Shortest wait between events before a stream resumes at another server.
-constexpr milliseconds MinGapTimeout{1000};
-/// A request without a response is retried after this many target latencies,
-/// a silent stream after as many target gaps.
-constexpr int TimeoutTargetMultiple = 3;
+/// Longest wait in the queue for a server that continues a stream.
+constexpr milliseconds MaxResumeWait{1000};
+/// A stream that no server continues ends this long before its caller abandons
+/// it, so that the caller gets an answer if the stream has not begun.
+constexpr milliseconds CallerMargin{400};
 /// Callers abandon a stream after the longest of two seconds, four target
 /// latencies and eight target gaps.
 constexpr milliseconds MinCallerTimeout{2000};
@@ -51,9 +39,6 @@
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
 constexpr std::uint64_t OutputTokenCost = 10;
-/// A stream counts as begun at its second read with events: a server may crash
-/// just after its first event.
-constexpr std::uint32_t EventReadsToBegin = 2;
 /// Time that a caller is taken to have while no route and no value of its own
 /// tell it.
 constexpr milliseconds DefaultCallerTime{2000};
@@ -70,31 +55,19 @@
              : "at_most_once";
 }
 
-/// Turns a response other than a stream into a failure, because it is neither
-/// the rest of a stream that has begun nor its end.
-void discardResponse(ExchangeResult &Result) {
-  Result.Fate = AttemptStatus::Failed;
-  Result.Reason = ErrorCode::EndpointFailed;
-  Result.Detail = fmt::format("status {} instead of the rest of the stream",
-                              Result.Response->Status);
-  Result.Response.reset();
-}
-
 } // namespace
 
 RequestRun::RequestRun(Gateway &OwningGateway, CallerSession &CallerConnection,
                        const platform::RequestMessage &ReceivedRequest)
     : Owner(OwningGateway), Session(CallerConnection), Request(ReceivedRequest),
       RequestInfo(platform::decodeCallerRequest(ReceivedRequest.base())),
-      Table(OwningGateway.routes()), ArrivalTime(now()) {
+      Table(OwningGateway.routes()), ArrivalTime(now()),
+      LastForwardedAt(ArrivalTime) {
   Order.Last = RequestInfo.ResumeAfter;
 }
 
 RequestRun::~RequestRun() {
-  endStartWatch();
   Owner.removeRun(*this);
-  if (ReservedServer)
-    releaseUnsent(*ReservedServer);
   if (Admitted)
     recordWorkFinished(Owner.drainProgress());
 }
@@ -102,10 +75,7 @@
 net::awaitable<bool> RequestRun::run() {
   if (auto Refusal = admit())
     co_return co_await sendLocalResponse(std::move(*Refusal));
-  Session.onDisconnect([this] {
-    if (ActiveExchange != nullptr)
-      ActiveExchange->cancel();
-  });
+  Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
   const bool KeepAlive = co_await serve();
   Session.onDisconnect(nullptr);
   co_return KeepAlive &&Owner.drainProgress().Stage == DrainStage::Serving;
@@ -158,8 +128,7 @@
   if (HeadForwarded || now() >= Deadline)
     return;
   Deadline = now();
-  if (ActiveExchange != nullptr)
-    ActiveExchange->expire();
+  stopAttempts(StopCause::EndOfProcess);
   if (EndQueueWait)
     EndQueueWait();
 }
@@ -171,11 +140,7 @@
     if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
                                        RequestInfo.SharedParts, now()))
       co_return co_await rejectBlocked(*Blocked);
-    ServerChoice Choice;
-    if (ReservedServer)
-      Choice = takeReservation();
-    else
-      Choice = co_await acquire();
+    const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
       if (Choice.Shortage == ServerShortage::None)
         releaseUnsent(Choice.Id);
@@ -207,24 +172,16 @@
       releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
-    ExchangeResult Result = co_await sendTo(Choice.Id);
+    co_await runAttempts(Choice.Id);
     if (Session.disconnected()) {
       log("caller_left", "caller disconnected during the attempt");
       co_return false;
     }
-    const bool HasReservation =
-        ReservedServer && Result.Fate != AttemptStatus::Completed;
-    if (!HasReservation && !mayRetry(Result))
-      co_return co_await finish(std::move(Result));
+    if (!mayRetry(LastResult))
+      co_return co_await finish(std::move(LastResult));
   }
 }
 
-ServerChoice RequestRun::takeReservation() {
-  ServerChoice Choice{std::move(*ReservedServer), ServerShortage::None};
-  ReservedServer.reset();
-  return Choice;
-}
-
 void RequestRun::releaseUnsent(const std::string &Id) {
   Owner.finishPrefill(Id, RequestInfo.PromptTokens);
   Owner.releaseServer(Id);
@@ -255,6 +212,13 @@
 
 Duration RequestRun::timeLeft() const { return Deadline - now(); }
 
+TimePoint RequestRun::answerBy() const {
+  return MatchedRoute->IsStreaming
+             ? std::min(Deadline,
+                        LastForwardedAt + callerTimeout() - CallerMargin)
+             : Deadline;
+}
+
 WaitingRequest RequestRun::waitingRequest() const {
   WaitingRequest Result;
   Result.Pool = Pool->Name;
@@ -294,7 +258,7 @@
       std::min(ArrivalTime + QueueWait, Deadline - ResponseMargin);
   if (HeadForwarded)
     Result.ExpiresAt =
-        std::min(now() + MinGapTimeout, Deadline - ResponseMargin);
+        std::min(now() + MaxResumeWait, answerBy() - ResponseMargin);
   return Result;
 }
 
@@ -327,8 +291,7 @@
       [this](std::function<void()> Leave) {
         EndQueueWait = Leave;
         Session.onDisconnect([this, End = std::move(Leave)] {
-          if (ActiveExchange != nullptr)
-            ActiveExchange->cancel();
+          stopAttempts(StopCause::CallerLeft);
           if (End)
             End();
         });
@@ -337,152 +300,6 @@
       std::move(Query), std::move(QueueEntry), SetDisconnectHandler);
 }
 
-ExchangeLimits RequestRun::exchangeLimits(const std::string &Id) {
-  ExchangeLimits Limits;
-  Limits.Deadline = Deadline - ResponseMargin;
-  Limits.MaxIdleAge = Duration::max();
-  Limits.GapTimeout =
-      std::max(Duration(MinGapTimeout),
-               TimeoutTargetMultiple * MatchedRoute->TargetEventGap);
-  if (MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce) {
-    Limits.ReserveAlternative = [this] { return reserveAlternative(); };
-    Limits.OnSilence = [this] { recordSilence(); };
-    // A caller that leaves is not heard by a server that stands still, which
-    // would then work for nobody.
-    if (MatchedRoute->IsStreaming)
-      Limits.MaxSilence = callerTimeout() - AbandonMargin;
-  }
-  switch (MatchedRoute->AllowedRetries) {
-  case RetryPolicy::AtMostOnce:
-    Limits.FirstByteTimeout = Duration(std::chrono::hours(1));
-    Limits.MaxIdleAge = MaxAtMostOnceIdleAge;
-    Limits.GapTimeout = Limits.FirstByteTimeout;
-    break;
-  case RetryPolicy::Idempotent:
-    Limits.FirstByteTimeout =
-        TimeoutTargetMultiple * MatchedRoute->TargetLatency;
-    break;
-  case RetryPolicy::Resumable:
-    Limits.FirstByteTimeout =
-        std::max(Duration(MinFirstEventTimeout),
-                 TimeoutTargetMultiple * MatchedRoute->TargetLatency);
-    // Another busy server would let the request wait from the start again.
-    Limits.IsWaiting = [this, Id] {
-      return !HeadForwarded && isBusy(Owner.servers(), Id, now());
-    };
-    Limits.MaxWaitUntil = ArrivalTime + callerTimeout() - AbandonMargin;
-    break;
-  }
-  return Limits;
-}
-
-platform::RequestMessage
-RequestRun::buildServerRequest(const std::string &Id) const {
-  platform::ServerRequest Content;
-  Content.ServerId = Id;
-  Content.Customer =
-      RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
-  Content.TimeLeft = std::max(Duration::zero(), timeLeft());
-  Content.Priority =
-      HeadForwarded ? 0 : requestPriority(*MatchedRoute, RequestCustomer);
-  Content.ResumeAfter = Order.Last;
-  if (HeadForwarded)
-    Content.RequiredVersion = Version;
-  return platform::buildServerRequest(Request, Content);
-}
-
-void RequestRun::beginAttempt(const std::string &Id) {
-  TriedServers.insert(Id);
-  LastServer = Id;
-  PrefillRunning = true;
-  EventReads = 0;
-  ServerCrashed = false;
-  ServerSilent = false;
-  ++Attempts;
-}
-
-net::awaitable<ExchangeResult> RequestRun::sendTo(const std::string &Id) {
-  const ServerState &Server = Owner.servers().Servers.at(Id);
-  const ServerRecord Record = Server.Record;
-  const std::uint64_t LoadedVersion = loadedVersion(Server, RequestInfo.Model);
-  const platform::RequestMessage Outgoing = buildServerRequest(Id);
-  const bool StreamBegun = HeadForwarded;
-  beginAttempt(Id);
-  ServerExchange Exchange(
-      Owner.node().Context, Owner.node().Timeouts, Owner.connections(),
-      Owner.responseMemory(),
-      [this, &Record](const platform::ServerResponse &Head) {
-        if (Head.Load)
-          recordReportedLoad(Owner.servers(), Record.Id,
-                             Head.Load->Running + Head.Load->Waiting);
-        Owner.handleNotice(Record, {Head.Leaving, Head.RefusesFor});
-      });
-  ActiveExchange = &Exchange;
-  StreamReceiver Receiver = streamReceiver();
-  // The start of a buffered response is not visible, and work that runs at most
-  // once must not be cut off after it.
-  const bool CanWithdraw =
-      MatchedRoute->IsStreaming ||
-      MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
-  if (Record.Weights && CanWithdraw)
-    StartTicket = Owner.watchStart({Id, RequestInfo.Model, LoadedVersion,
-                                    [&Exchange] { Exchange.withdraw(); }});
-  ExchangeResult Result = co_await Exchange.run(
-      Outgoing, Record.Address, RequestInfo.Id, exchangeLimits(Id),
-      MatchedRoute->IsStreaming ? &Receiver : nullptr);
-  ActiveExchange = nullptr;
-  endStartWatch();
-  if (isLeaving(Owner.servers(), Id))
-    Owner.connections().closeAll(Record.Address);
-  if (StreamBegun && Result.Response)
-    discardResponse(Result);
-  recordAttempt(Id, Result);
-  if (!RequestInfo.SharedParts.empty())
-    co_await recordPartOutcome(Result, Record);
-  co_return Result;
-}
-
-void RequestRun::recordAttempt(const std::string &Id,
-                               const ExchangeResult &Result) {
-  AttemptOutcomes.push_back(Result.Fate);
-  recordServerOutcome(Owner.servers(), Id, Result.Health, now());
-  if (Result.Fate == AttemptStatus::Completed)
-    recordServed(Owner.servers(), Id);
-  else if (Result.Fate == AttemptStatus::Refused &&
-           Result.Reason == ErrorCode::WrongWeights)
-    recordContradiction(Owner.servers(), Id, now());
-  logSend(Id, Result);
-  endPrefill();
-  Owner.releaseServer(Id);
-}
-
-net::awaitable<void> RequestRun::recordPartOutcome(const ExchangeResult &Result,
-                                                   const ServerRecord &Record) {
-  // A rejection by the server, such as 400, is no sign that a request began.
-  const bool Served =
-      EventReads > 0 || (Result.Response && Result.Response->Status / 100 == 2);
-  if (Result.Fate == AttemptStatus::Completed && Served)
-    Owner.recordBegun(RequestInfo.SharedParts);
-  const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
-                              Result.Reason == ErrorCode::StreamIncomplete;
-  // A server that leaves without a notice loses its record before it ends.
-  const bool MayHaveLeft = isLeaving(Owner.servers(), Record.Id) ||
-                           !Owner.servers().Servers.contains(Record.Id);
-  if (ConnectionLost && EventReads < EventReadsToBegin && !MayHaveLeft)
-    ServerCrashed = co_await Owner.checkForCrash(RequestInfo.Id, Record.Address,
-                                                 RequestInfo.SharedParts);
-}
-
-void RequestRun::endStartWatch() {
-  if (const auto Ticket = std::exchange(StartTicket, std::nullopt))
-    Owner.endStartWatch(*Ticket);
-}
-
-void RequestRun::endPrefill() {
-  if (std::exchange(PrefillRunning, false))
-    Owner.finishPrefill(LastServer, RequestInfo.PromptTokens);
-}
-
 RetryInputs RequestRun::retryInputs(AttemptStatus LastAttempt,
                                     ErrorCode Reason) const {
   RetryInputs Query;
@@ -493,42 +310,10 @@
                      !std::all_of(AttemptOutcomes.begin(),
                                   AttemptOutcomes.end(), provesNotRun);
   Query.Attempts = Attempts;
-  Query.TimeLeft = timeLeft() - ResponseMargin;
+  Query.TimeLeft = answerBy() - now() - ResponseMargin;
   return Query;
 }
 
-bool RequestRun::reserveAlternative() {
-  if (Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
-      (HeadForwarded && !resumable()) ||
-      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
-    return false;
-  RetryBudget &Budget = Owner.retryBudget(Pool->Name);
-  const RetryInputs Inputs =
-      retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout);
-  if (previewRetry(Budget, Inputs, now()) != RetryDecision::Retry)
-    return false;
-  ServerRequirements Query = serverRequirements();
-  ServerChoice Choice = Owner.acquireNow(Query, waitingRequest());
-  if (Choice.Shortage != ServerShortage::None)
-    return false;
-  decideRetry(Budget, Inputs, now());
-  ReservedServer = std::move(Choice.Id);
-  return true;
-}
-
-void RequestRun::recordSilence() {
-  ServerSilent = true;
-  recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::AnswerTimeout,
-                      now());
-  Owner.node().Log.write(
-      {.Event = "server_silent",
-       .At = Step::Send,
-       .Request = RequestInfo.Id,
-       .Fields = {{"server", LastServer},
-                  {"begun", HeadForwarded ? "true" : "false"},
-                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
-}
-
 bool RequestRun::mayRetry(const ExchangeResult &Last) {
   if (Last.Fate == AttemptStatus::Completed ||
       Attempts >= MatchedRoute->MaxAttemptsPerRequest)
@@ -626,51 +411,6 @@
   return *Until - Now + Duration(Spread(Owner.node().Generator));
 }
 
-StreamReceiver RequestRun::streamReceiver() {
-  StreamReceiver Receiver;
-  Receiver.TakeInOrder = [this](std::vector<StreamEvent> &Events) {
-    return takeInOrder(Events);
-  };
-  Receiver.OnHead = [this](const platform::Fields &Headers, unsigned Status,
-                           const platform::ServerResponse &Head) {
-    return forwardHead(Headers, Status, Head);
-  };
-  Receiver.OnEvents = [this](std::vector<StreamEvent> Events) {
-    return forwardEvents(std::move(Events));
-  };
-  return Receiver;
-}
-
-std::string RequestRun::takeInOrder(std::vector<StreamEvent> &Events) {
-  if (!Order.Last)
-    checkFirstEvent(Events);
-  const auto Wrong = std::find_if(
-      Events.begin(), Events.end(),
-      [this](const StreamEvent &Each) { return !acceptEvent(Order, Each); });
-  if (Wrong == Events.end())
-    return {};
-  const auto Name = [](const std::optional<std::uint64_t> &Id) {
-    return Id ? std::to_string(*Id) : "none";
-  };
-  std::string Detail =
-      fmt::format("{} event with id {} after id {}",
-                  Wrong->Kind == EventKind::Invalid ? "invalid" : "unexpected",
-                  Name(Wrong->Id), Name(Order.Last));
-  Events.erase(Wrong, Events.end());
-  return Detail;
-}
-
-void RequestRun::checkFirstEvent(const std::vector<StreamEvent> &Events) {
-  const auto First =
-      std::find_if(Events.begin(), Events.end(), [](const StreamEvent &Each) {
-        return Each.Kind != EventKind::Comment;
-      });
-  FirstEventId &Known = Owner.firstEventId(Pool->Name);
-  Order.First = Known.Expected;
-  if (First != Events.end() && First->Kind == EventKind::Data && First->Id)
-    recordFirstEvent(Known, *First->Id);
-}
-
 std::string RequestRun::formatHead(unsigned Status,
                                    const platform::Fields &Headers) const {
   std::string Text = fmt::format(
@@ -686,50 +426,6 @@
   return Text;
 }
 
-net::awaitable<PartStatus>
-RequestRun::forwardHead(const platform::Fields &Headers, unsigned Status,
-                        const platform::ServerResponse &Head) {
-  // The head is forwarded together with the first event.
-  endStartWatch();
-  if (Head.Version)
-    Owner.recordStart(RequestInfo.Id, LastServer, RequestInfo.Model,
-                      *Head.Version);
-  // A resumed stream keeps the head of its first server and must have the same
-  // version of the weights.
-  if (HeadForwarded)
-    co_return !Head.Version || !Version || *Head.Version == *Version
-        ? PartStatus::Forwarded
-        : PartStatus::Invalid;
-  HeadForwarded = true;
-  Version = Head.Version;
-  FirstEventAt = now();
-  const std::string Text =
-      formatHead(Status, Headers) + "Transfer-Encoding: chunked\r\n\r\n";
-  const bool Written = co_await Session.write(Text);
-  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
-}
-
-void RequestRun::recordProgress() {
-  if (++EventReads == EventReadsToBegin)
-    Owner.recordBegun(RequestInfo.SharedParts);
-}
-
-net::awaitable<PartStatus>
-RequestRun::forwardEvents(std::vector<StreamEvent> Events) {
-  endPrefill();
-  recordProgress();
-  // A sound server that only paused is in use again at once.
-  if (std::exchange(ServerSilent, false))
-    recordServerOutcome(Owner.servers(), LastServer, ServerOutcome::Answered,
-                        now());
-  std::string Text;
-  for (const StreamEvent &Event : Events)
-    Text += Event.Text;
-  const std::string Chunk = fmt::format("{:x}\r\n{}\r\n", Text.size(), Text);
-  const bool Written = co_await Session.write(Chunk);
-  co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
-}
-
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
   platform::removeRefusalTime(Response.Status, Response.Headers);
   std::string Text =
@@ -792,26 +488,4 @@
                        Outcome, Total);
 }
 
-void RequestRun::logSend(const std::string &Id, const ExchangeResult &Result) {
-  if (Result.Fate == AttemptStatus::Completed)
-    return; // the log event of the request covers it
-  const auto Found = Owner.servers().Servers.find(Id);
-  Owner.node().Log.write(
-      {.Event = "send_failed",
-       .At = Step::Send,
-       .Request = RequestInfo.Id,
-       .Fields = {{"server", Id},
-                  {"fate", std::string(attemptStatusName(Result.Fate))},
-                  {"reason", make_error_code(Result.Reason).message()},
-                  {"detail", Result.Detail},
-                  {"ended_by", std::string(Result.EndedBy)},
-                  {"event_reads", std::to_string(EventReads)},
-                  {"estimated_load",
-                   Found == Owner.servers().Servers.end()
-                       ? "gone"
-                       : std::to_string(
-                             estimatedLoad(Owner.servers(), Found->second))},
-                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
-}
-
 } // namespace marigoldyard
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "marigoldyard/coordination/concurrent_attempts.hpp"
 #include "marigoldyard/coordination/return_delay.hpp"
 #include "programs/gateway/gateway.hpp"
-#include "programs/gateway/server_exchange.hpp"
+#include "programs/gateway/request_attempt.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +17,10 @@
 
 /// @brief Handles one request of a caller: selects its route, forwards it to
 /// servers with retries and sends the response.
+///
+/// While a server is silent, the request may also be sent to another one. The
+/// silent server keeps it until the other one has begun; the first of the two
+/// that goes on answers, and the other attempt is stopped.
 class RequestRun {
 public:
   /// @param Owner the gateway; must outlive the run
@@ -37,6 +44,9 @@
   void recordCut();
 
 private:
+  /// Time reserved before a route's timeout to send the response.
+  static constexpr std::chrono::milliseconds ResponseMargin{40};
+
   /// A response that the gateway generates instead of forwarding one.
   struct LocalResponse {
     unsigned Status;
@@ -49,26 +59,56 @@
 
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
-  platform::RequestMessage buildServerRequest(const std::string &Id) const;
-  void beginAttempt(const std::string &Id);
-  boost::asio::awaitable<ExchangeResult> sendTo(const std::string &Id);
-  void recordAttempt(const std::string &Id, const ExchangeResult &Result);
-  boost::asio::awaitable<void> recordPartOutcome(const ExchangeResult &Result,
-                                                 const ServerRecord &Record);
   ServerRequirements serverRequirements() const;
   boost::asio::awaitable<ServerChoice> acquire();
-  void endPrefill();
-  void endStartWatch();
-  void recordProgress();
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
+
+  platform::RequestMessage buildServerRequest(const std::string &Id) const;
+  ExchangeLimits exchangeLimits(RequestAttempt &Attempt);
+  /// Adds an attempt at a server on which the request counts as started.
+  RequestAttempt &beginAttempt(const std::string &Id);
+  /// Sends the request and forwards the events of its response, until the
+  /// attempt has ended.
+  boost::asio::awaitable<void> runAttempt(RequestAttempt &Attempt);
+  boost::asio::awaitable<ExchangeResult> sendTo(RequestAttempt &Attempt);
+  void endAttempt(RequestAttempt &Attempt);
+  /// Runs an attempt, and those that its silence starts, until all have ended.
+  /// LastResult is set then.
+  boost::asio::awaitable<void> runAttempts(const std::string &Id);
+  /// Stops the attempts that do not answer the request any more.
+  void stopSuperseded();
+  void stopAttempts(StopCause Cause);
+  void recordAttempt(RequestAttempt &Attempt, const ExchangeResult &Result);
+  boost::asio::awaitable<void> recordPartOutcome(RequestAttempt &Attempt,
+                                                 const ExchangeResult &Result);
+  /// Keeps the result that decides on the request when all attempts ended.
+  void keepResult(ExchangeResult Result);
+  void endPrefill(RequestAttempt &Attempt);
+  void endStartWatch(RequestAttempt &Attempt);
+
+  /// Sends the request to another server too, if one can take it now.
+  void handleSilence(RequestAttempt &Attempt, bool New);
+  /// Reserves another server and charges the retry.
+  std::optional<std::string> reserveAlternative();
+  void recordSilence(const RequestAttempt &Attempt);
+
+  StreamReceiver streamReceiver(RequestAttempt &Attempt);
+  /// See StreamReceiver::TakeInOrder.
+  std::string takeInOrder(RequestAttempt &Attempt,
+                          std::vector<StreamEvent> &Events);
+  /// Learns the id of a first event, and sets the one expected here.
+  void checkFirstEvent(RequestAttempt &Attempt,
+                       const std::vector<StreamEvent> &Events);
+  PartStatus acceptHead(RequestAttempt &Attempt,
+                        const platform::Fields &Headers, unsigned Status,
+                        const platform::ServerResponse &Head);
+  boost::asio::awaitable<PartStatus>
+  handleEvents(RequestAttempt &Attempt, const std::vector<StreamEvent> &Events);
+  /// Writes what is held of an attempt that was chosen.
+  boost::asio::awaitable<bool> forwardHeld(RequestAttempt &Attempt);
+
   bool mayRetry(const ExchangeResult &Last);
   RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
-  /// Reserves another server for the request, whose server is silent, and
-  /// charges the retry. Streams that were sent to one server fall silent
-  /// together, and none may be given up for a place that another one gets.
-  /// @return whether ReservedServer is set
-  bool reserveAlternative();
-  void recordSilence();
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
   boost::asio::awaitable<bool> finishStream(const ExchangeResult &Last);
   LocalResponse failureResponse(const ExchangeResult &Last) const;
@@ -76,16 +116,6 @@
   /// Response when no server gets the request any more.
   LocalResponse unservedResponse(ServerShortage Shortage) const;
 
-  StreamReceiver streamReceiver();
-  /// See StreamReceiver::TakeInOrder.
-  std::string takeInOrder(std::vector<StreamEvent> &Events);
-  /// Learns the id of a first event, and sets the one expected here.
-  void checkFirstEvent(const std::vector<StreamEvent> &Events);
-  boost::asio::awaitable<PartStatus>
-  forwardHead(const platform::Fields &Headers, unsigned Status,
-              const platform::ServerResponse &Head);
-  boost::asio::awaitable<PartStatus>
-  forwardEvents(std::vector<StreamEvent> Events);
   boost::asio::awaitable<bool> forwardResponse(BufferedResponse Response);
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
@@ -94,16 +124,17 @@
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
   Duration retryAfter(RefusalCause Cause) const;
-  ServerChoice takeReservation();
   void releaseUnsent(const std::string &Id);
   Duration timeLeft() const;
-  ExchangeLimits exchangeLimits(const std::string &Id);
+  /// Time after which no server can serve the caller: the deadline, or shortly
+  /// before the caller abandons a stream.
+  TimePoint answerBy() const;
   /// Time after which the caller abandons the request.
   Duration callerTimeout() const;
   WaitingRequest waitingRequest() const;
   bool resumable() const;
   void log(std::string_view Outcome, std::string_view Detail);
-  void logSend(const std::string &Id, const ExchangeResult &Result);
+  void logSend(const RequestAttempt &Attempt, const ExchangeResult &Result);
 
   Gateway &Owner;
   CallerSession &Session;
@@ -121,19 +152,17 @@
   std::uint32_t Attempts = 0;
   std::set<std::string> TriedServers;
   std::vector<AttemptStatus> AttemptOutcomes;
-  ServerExchange *ActiveExchange = nullptr;
-  bool PrefillRunning = false;              ///< at LastServer
-  std::optional<std::uint64_t> StartTicket; ///< set until the request starts
+  std::list<RequestAttempt> Running; ///< also stopped ones that have not ended
+  ConcurrentAttempts Concurrent;
+  boost::asio::steady_timer *AttemptsEnded = nullptr; ///< set while waited for
+  ExchangeResult LastResult;  ///< of the attempts that ended
+  bool ServerCrashed = false; ///< in an attempt, before the request began
   bool HeadForwarded = false;
-  std::uint32_t EventReads = 0; ///< reads with events in the last attempt
-  bool ServerCrashed = false;   ///< in the last attempt, before it began
-  EventOrder Order;
+  EventOrder Order; ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
+  TimePoint LastForwardedAt; ///< or the arrival of the request
   std::string LastServer;
-  /// Server of the next attempt, on which the request counts as started.
-  std::optional<std::string> ReservedServer;
-  bool ServerSilent = false; ///< in the last attempt, and not given up
 };
 
 } // namespace marigoldyard
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -89,18 +89,9 @@
           abortConnection();
       }) {}
 
-void ServerExchange::cancel() {
-  Cancelled = true;
-  abortConnection();
-}
-
-void ServerExchange::expire() {
-  Expired = true;
-  abortConnection();
-}
-
-void ServerExchange::withdraw() {
-  Withdrawn = true;
+void ServerExchange::stop(StopCause Cause) {
+  if (!wasStopped())
+    Stopped = Cause;
   abortConnection();
 }
 
@@ -128,16 +119,15 @@
   TimePoint Until = std::min(Now + WaitCheckInterval, Limits.Deadline);
   if (isWaitingAtServer()) {
     Until = std::min(Until, Limits.MaxWaitUntil);
+  } else if (!Limits.OnSilence) {
+    EndedBy = "time_limit";
+    return false;
+  } else if (Now >= Limits.SilentUntil()) {
+    EndedBy = "silence";
+    return false;
   } else {
-    const bool TooLong = Now - LastProgressAt >= Limits.MaxSilence;
-    if (TooLong || !Limits.ReserveAlternative || Limits.ReserveAlternative()) {
-      EndedBy = TooLong                     ? "silence"
-                : Limits.ReserveAlternative ? "other_server_reserved"
-                                            : "time_limit";
-      return false;
-    }
-    if (!std::exchange(SilenceReported, true) && Limits.OnSilence)
-      Limits.OnSilence();
+    Limits.OnSilence(!std::exchange(Silent, true));
+    Until = std::min(Until, Limits.SilentUntil());
   }
   Timer.expiresAt(Until);
   return true;
@@ -151,21 +141,21 @@
   Limits = RequestedLimits;
   // Without an id, a late response to another request could not be recognized.
   const bool HasId = !RequestId.empty();
-  if (HasId)
+  if (HasId && !wasStopped())
     Connection = Connections.take(Address, now(), Limits.MaxIdleAge);
   ExchangeResult Result;
-  if (!Connection) {
-    const bool Connected = co_await connect(Address);
-    if (!Connected || wasStopped()) {
-      Result = failureResult({});
-      Result.Fate = AttemptStatus::NeverSent;
-      if (!wasStopped()) {
-        Result.Reason = ErrorCode::PeerUnreachable;
-        Result.Health = ServerOutcome::Unreachable;
-      }
-      Result.Detail = "no connection";
-      co_return Result;
+  bool Connected = Connection != nullptr;
+  if (!Connected && !wasStopped())
+    Connected = co_await connect(Address);
+  if (!Connected || wasStopped()) {
+    Result = failureResult({});
+    Result.Fate = AttemptStatus::NeverSent;
+    if (!wasStopped()) {
+      Result.Reason = ErrorCode::PeerUnreachable;
+      Result.Health = ServerOutcome::Unreachable;
     }
+    Result.Detail = "no connection";
+    co_return Result;
   }
   const Duration FirstByteTimeout =
       std::min(Limits.FirstByteTimeout, Limits.Deadline - now());
@@ -181,7 +171,6 @@
   }
   AwaitsFirstEvent = true;
   AwaitsResponse = true;
-  LastProgressAt = now();
   Result = co_await receive(RequestId, Receiver);
   Timer.clear();
   if (Reusable && HasId && *RequestWritten && !wasStopped()) {
@@ -263,18 +252,32 @@
 ExchangeResult ServerExchange::failureResult(const error_code &Cause) const {
   ExchangeResult Result;
   Result.Detail = Cause.message();
-  if (Cancelled) {
+  switch (Stopped) {
+  case StopCause::CallerLeft:
     Result.Reason = ErrorCode::Cancelled;
     Result.Health = ServerOutcome::Answered;
-  } else if (Withdrawn) {
+    return Result;
+  case StopCause::OtherServerAnswers:
+    // A silence was recorded when it began.
+    Result.Reason = Silent ? ErrorCode::PeerTimeout : ErrorCode::Cancelled;
+    Result.Health.reset();
+    Result.Detail = Silent ? "timed out" : "another server answers";
+    Result.EndedBy = "other_server_answers";
+    return Result;
+  case StopCause::VersionOutOfUse:
     Result.Reason = ErrorCode::WrongWeights;
     Result.Health = ServerOutcome::Answered;
     Result.Detail = "not started before the version went out of use";
-  } else if (Expired || Timer.expired()) {
+    return Result;
+  case StopCause::EndOfProcess:
+  case StopCause::None:
+    break;
+  }
+  if (wasStopped() || Timer.expired()) {
     Result.Reason = ErrorCode::PeerTimeout;
     Result.Health = ServerOutcome::AnswerTimeout;
     Result.Detail = "timed out";
-    Result.EndedBy = Expired ? "end_of_process" : EndedBy;
+    Result.EndedBy = wasStopped() ? "end_of_process" : EndedBy;
   } else {
     Result.Reason = ErrorCode::StreamIncomplete;
   }
@@ -282,7 +285,7 @@
 }
 
 ExchangeResult ServerExchange::stoppedResult(PartStatus Status) const {
-  if (Status != PartStatus::CallerLeft)
+  if (Status == PartStatus::Invalid)
     return corruptResult("does not continue the stream");
   ExchangeResult Result = failureResult({});
   if (wasStopped())
@@ -439,17 +442,16 @@
       Timer.clear(); // the caller's connection has a write timeout
       if (!std::exchange(HeadForwarded, true)) {
         const PartStatus Status =
-            co_await Receiver.OnHead(ResponseParser.get().base(),
-                                     ResponseParser.get().result_int(), Head);
+            Receiver.OnHead(ResponseParser.get().base(),
+                            ResponseParser.get().result_int(), Head);
         if (Status != PartStatus::Forwarded)
           co_return stoppedResult(Status);
       }
-      const PartStatus Status = co_await Receiver.OnEvents(std::move(Events));
+      const PartStatus Status = co_await Receiver.OnEvents(Events);
       if (Status != PartStatus::Forwarded)
         co_return stoppedResult(Status);
-      LastProgressAt = now();
-      Timer.expiresAt(
-          std::min(Limits.Deadline, LastProgressAt + Limits.GapTimeout));
+      Silent = false;
+      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
     }
     if (!Disorder.empty())
       co_return corruptResult(Disorder);
@@ -463,7 +465,7 @@
     co_return failureResult(
         http::make_error_code(http::error::partial_message));
   if (!HeadForwarded) {
-    const PartStatus Status = co_await Receiver.OnHead(
+    const PartStatus Status = Receiver.OnHead(
         ResponseParser.get().base(), ResponseParser.get().result_int(), Head);
     if (Status != PartStatus::Forwarded)
       co_return stoppedResult(Status);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -34,7 +34,8 @@
 struct ExchangeResult {
   AttemptStatus Fate = AttemptStatus::Lost;
   ErrorCode Reason = ErrorCode::EndpointFailed;
-  ServerOutcome Health = ServerOutcome::InvalidAnswer;
+  /// What the attempt shows of the server; empty if it was ended before that.
+  std::optional<ServerOutcome> Health = ServerOutcome::InvalidAnswer;
   std::optional<BufferedResponse>
       Response; ///< empty when a stream was forwarded
   std::string Detail;
@@ -46,7 +47,17 @@
 enum class PartStatus : std::uint8_t {
   Forwarded,
   CallerLeft,
-  Invalid, ///< does not continue what the caller got; another server may
+  Invalid,    ///< does not continue what the caller got; another server may
+  Superseded, ///< another attempt answers the request
+};
+
+/// @brief Why an exchange is ended from outside.
+enum class StopCause : std::uint8_t {
+  None,
+  CallerLeft,
+  EndOfProcess,
+  VersionOutOfUse,    ///< the request must not start at this server any more
+  OtherServerAnswers, ///< another attempt of the request was chosen
 };
 
 /// @brief Callbacks for the parts of an event stream. The exchange ends when
@@ -57,11 +68,12 @@
   /// @return a description of the removed event; empty if there is none
   std::function<std::string(std::vector<StreamEvent> &)> TakeInOrder;
   /// Head of a successful stream.
-  std::function<boost::asio::awaitable<PartStatus>(
-      const platform::Fields &, unsigned, const platform::ServerResponse &)>
+  std::function<PartStatus(const platform::Fields &, unsigned,
+                           const platform::ServerResponse &)>
       OnHead;
-  /// Complete events.
-  std::function<boost::asio::awaitable<PartStatus>(std::vector<StreamEvent>)>
+  /// Complete events; they must stay valid until the call ends.
+  std::function<boost::asio::awaitable<PartStatus>(
+      const std::vector<StreamEvent> &)>
       OnEvents;
 };
 
@@ -75,15 +87,12 @@
   /// first byte goes on up to MaxWaitUntil. Empty when that is never known.
   std::function<bool()> IsWaiting;
   TimePoint MaxWaitUntil{};
-  /// Called at each timeout of a silent server, which may go on; reserves
-  /// another server for the request. The wait goes on while there is none, up
-  /// to MaxSilence. Empty when a timeout always ends the wait.
-  std::function<bool()> ReserveAlternative;
-  /// Longest silence of a server, since the request was sent or since its last
-  /// event.
-  Duration MaxSilence = Duration::max();
-  /// Called at the first timeout that does not end the wait.
-  std::function<void()> OnSilence;
+  /// Called at each timeout of a silent server, which may go on, with whether
+  /// this silence is new. The wait goes on up to SilentUntil. Empty when a
+  /// timeout ends the wait.
+  std::function<void(bool)> OnSilence;
+  /// Returns when the wait for a silent server ends.
+  std::function<TimePoint()> SilentUntil;
 };
 
 /// @brief Sends one request to one server and reads the response.
@@ -113,13 +122,12 @@
       const std::string &RequestId, const ExchangeLimits &Limits,
       StreamReceiver *Receiver);
 
-  /// @brief Closes the connection, so that the server stops its work.
-  void cancel();
-  /// @brief Ends the exchange as at its deadline.
-  void expire();
-  /// @brief Closes the connection because the request must not start at the
-  /// server any more; another server may run it.
-  void withdraw();
+  /// @brief Closes the connection, so that the server stops its work. The first
+  /// cause counts.
+  /// @param Cause why the exchange ends
+  void stop(StopCause Cause);
+  /// @return whether the server is silent for longer than a timeout
+  bool silent() const { return Silent; }
 
 private:
   using Parser =
@@ -128,8 +136,7 @@
   /// Closes the connection and discards bytes that were not delivered yet.
   void abortConnection();
   /// Prolongs the wait for the first byte or event of a request that waits at
-  /// its server, and the wait for a silent server while no other one can take
-  /// the request.
+  /// its server, and the wait for a silent server.
   /// @return whether the wait goes on
   bool prolongWait();
   bool isWaitingAtServer() const;
@@ -150,7 +157,7 @@
   readStream(Parser &ResponseParser, const platform::ServerResponse &Head,
              StreamReceiver &Receiver);
   /// Whether the exchange was ended from outside.
-  bool wasStopped() const { return Cancelled || Withdrawn || Expired; }
+  bool wasStopped() const { return Stopped != StopCause::None; }
   bool mayReuse(const Parser &ResponseParser) const;
   ExchangeResult failureResult(const boost::system::error_code &Cause) const;
   ExchangeResult stoppedResult(PartStatus Status) const;
@@ -164,15 +171,12 @@
   Timeout Timer;
   ExchangeLimits Limits;
   std::shared_ptr<ServerConnection> Connection;
-  bool Cancelled = false;
-  bool Withdrawn = false;
-  bool Expired = false;
+  StopCause Stopped = StopCause::None;
+  bool Silent = false;           ///< a timeout is over since the last events
   bool AwaitsFirstEvent = false; ///< the request was sent and has not started
   /// The request was sent, and no refusal of it was read.
   bool AwaitsResponse = false;
-  bool SilenceReported = false;
   std::string_view EndedBy;
-  TimePoint LastProgressAt{}; ///< when the request was sent, or its last event
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
