End a silent stream only when its caller is about to leave

What callers would see: a stream whose only server paused for 1.7 s and went on was cut after 1.6 s, or got 502 if it had not begun.

Cause: the wait ended 0.4 s before the caller would abandon the stream, so that a next server could still begin. Callers of routes with short gaps leave after 2 s. The time was counted from each send, although the caller counts from its request or its last event.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds MaxResumeWait{1000};
 /// A stream that no server continues ends this long before its caller abandons
 /// it, so that the caller gets an answer if the stream has not begun.
-constexpr milliseconds CallerMargin{400};
+constexpr milliseconds CallerMargin{100};
 /// Callers abandon a stream after the longest of two seconds, four target
 /// latencies and eight target gaps.
 constexpr milliseconds MinCallerTimeout{2000};
--- a/tests/process/test_silent_servers.py
+++ b/tests/process/test_silent_servers.py
@@ -83,6 +83,22 @@
               f"whole: {answer.whole}, events {event_ids(answer)}")
 
 
+# Guards against a stream that is cut long before its caller would leave, on routes with the shortest time of callers.
+def case_short_gaps(fleet):
+    """a stream of a route with short gaps is not cut when its only server pauses"""
+    fleet.configure(routes=[pf.route("r-stream", "a.example", "/stream/", "streaming", "engines", resume_streams=True,
+                                     target_gap_ms=47, timeout_ms=6000)])
+    time.sleep(0.5)
+    for pause_after in (0, 3):
+        with OnlyServer(fleet.engines) as server:
+            server.behaviours = [pausing_stream(server, pause_after, PAUSE_S)]
+            answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
+        check(answer.status == 200 and answer.whole and event_ids(answer) == list(range(1, EVENTS + 1)),
+              f"pause after {pause_after}: status {answer.status}, events {event_ids(answer)}")
+    fleet.configure()
+    time.sleep(0.5)
+
+
 # Guards against a request that ends with a failure while its server pauses although no other server can take it.
 def case_first_byte_pauses(fleet):
     """a request whose server pauses before its response is not given up when no other server can take it"""
@@ -178,7 +194,7 @@
               f"status {answer.status}, whole: {answer.whole}")
 
 
-CASES = [case_stream_pauses, case_first_byte_pauses, case_other_server_takes_over, case_one_place_for_many,
+CASES = [case_stream_pauses, case_short_gaps, case_first_byte_pauses, case_other_server_takes_over, case_one_place_for_many,
          case_other_server_nearly_full, case_given_up_before_caller_leaves]
 
 if __name__ == "__main__":
