Start no attempt for a request that was stopped already

Found by reading: a stopped exchange keeps its timeout until its read returns. If that timeout fires in between, the silence of a server whose request was stopped would start an attempt at another one after the caller had left. A stopped exchange now reports no silence, and an attempt continues after the last event that its order was checked against.

--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -83,15 +83,15 @@
 }
 
 platform::RequestMessage
-RequestRun::buildServerRequest(const std::string &Id) const {
+RequestRun::buildServerRequest(const RequestAttempt &Attempt) const {
   platform::ServerRequest Content;
-  Content.ServerId = Id;
+  Content.ServerId = Attempt.Server.Id;
   Content.Customer =
       RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
   Content.TimeLeft = std::max(Duration::zero(), timeLeft());
   Content.Priority =
       HeadForwarded ? 0 : requestPriority(*MatchedRoute, RequestCustomer);
-  Content.ResumeAfter = Order.Last;
+  Content.ResumeAfter = Attempt.Order.Last;
   if (HeadForwarded)
     Content.RequiredVersion = Version;
   return platform::buildServerRequest(Request, Content);
@@ -147,7 +147,7 @@
 
 net::awaitable<ExchangeResult> RequestRun::sendTo(RequestAttempt &Attempt) {
   const ServerRecord &Server = Attempt.Server;
-  const platform::RequestMessage Outgoing = buildServerRequest(Server.Id);
+  const platform::RequestMessage Outgoing = buildServerRequest(Attempt);
   StreamReceiver Receiver = streamReceiver(Attempt);
   // The start of a buffered response is not visible, and work that runs at most
   // once must not be cut off after it.
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -63,7 +63,8 @@
   boost::asio::awaitable<ServerChoice> acquire();
   boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
 
-  platform::RequestMessage buildServerRequest(const std::string &Id) const;
+  platform::RequestMessage
+  buildServerRequest(const RequestAttempt &Attempt) const;
   ExchangeLimits exchangeLimits(RequestAttempt &Attempt);
   /// Adds an attempt at a server on which the request counts as started.
   RequestAttempt &beginAttempt(const std::string &Id);
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -112,6 +112,8 @@
 
 bool ServerExchange::prolongWait() {
   const TimePoint Now = now();
+  if (wasStopped())
+    return false;
   if (!AwaitsResponse || Now >= Limits.Deadline) {
     EndedBy = Now >= Limits.Deadline ? "deadline" : "time_limit";
     return false;
