Release held events before they are late, and keep a rejection from ending a request

- The first event of the other server was held until its second read, however late that came: with a gap of 0.3 s the caller left without an event that had arrived 0.25 s before, and an event was held on although the silent server had closed.
Now it is forwarded after 0.2 s, shortly before the caller would leave, and at once when the other attempt ends.
The read that waits is cancelled for that, so that one coroutine writes to the caller.
- A rejection with 4xx by the other server ended an idempotent request that its own server answered 200 a moment later.
While both run, only a success decides.
- A silent server's request was sent to a third server although the second one had crashed on it; a crash now forbids a further attempt beside one as after one, also while the crash is being checked.
- An exception after a send left a request without an end.
The attempt ends now, and the error is logged as attempt_failed.

Evidence: test_silent_takeover.py, four new cases. The exception has no test.

--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -116,33 +116,58 @@
 }
 
 net::awaitable<void> RequestRun::runAttempt(RequestAttempt &Attempt) {
-  ExchangeResult Result;
   try {
-    Result = co_await sendTo(Attempt);
+    co_await completeAttempt(Attempt);
   } catch (const std::exception &Cause) {
-    Result.Detail = Cause.what(); // logged with the result
+    Owner.node().Log.write(
+        {.Level = LogLevel::Error,
+         .Event = "attempt_failed",
+         .At = Step::Send,
+         .Request = RequestInfo.Id,
+         .Fields = {{"server", Attempt.Server.Id}, {"cause", Cause.what()}}});
   }
+  endAttempt(Attempt);
+}
+
+net::awaitable<void> RequestRun::completeAttempt(RequestAttempt &Attempt) {
+  ExchangeResult Result = co_await sendTo(Attempt);
   endStartWatch(Attempt);
   if (isLeaving(Owner.servers(), Attempt.Server.Id))
     Owner.connections().closeAll(Attempt.Server.Address);
   if (HeadForwarded && Result.Response)
     discardResponse(Result);
-  const bool Completed = Result.Fate == AttemptStatus::Completed;
   const bool Counts = isCandidate(Concurrent, Attempt.Number);
-  if (Counts && Completed) {
+  const bool Decides = Counts && decidesRequest(Result);
+  if (Decides) {
     chooseAttempt(Concurrent, Attempt.Number);
     stopSuperseded();
   } else {
     removeAttempt(Concurrent, Attempt.Number);
+    releaseLastCandidate();
   }
   recordAttempt(Attempt, Result);
   if (!RequestInfo.SharedParts.empty())
     co_await recordPartOutcome(Attempt, Result);
-  if (Counts && Completed)
+  if (Decides)
     co_await forwardHeld(Attempt); // a failed write ends the session
   if (Counts)
     keepResult(std::move(Result));
-  endAttempt(Attempt);
+}
+
+bool RequestRun::decidesRequest(const ExchangeResult &Result) const {
+  if (Result.Fate != AttemptStatus::Completed)
+    return false;
+  // The other server may still serve what this one rejected.
+  const bool Succeeded = !Result.Response || Result.Response->Status / 100 == 2;
+  return Succeeded || Concurrent.Candidates.size() == 1;
+}
+
+void RequestRun::releaseLastCandidate() {
+  if (Concurrent.Candidates.size() != 1)
+    return;
+  for (RequestAttempt &Each : Running)
+    if (isCandidate(Concurrent, Each.Number))
+      Each.Exchange.release();
 }
 
 net::awaitable<ExchangeResult> RequestRun::sendTo(RequestAttempt &Attempt) {
@@ -166,8 +191,7 @@
 }
 
 void RequestRun::keepResult(ExchangeResult Result) {
-  // A failure that a server answered tells the caller more than a lost
-  // connection.
+  // What a server answered tells the caller more than a lost connection.
   const bool Better = !LastResult.Response || Result.Response ||
                       Result.Fate == AttemptStatus::Completed;
   if (Better)
@@ -240,8 +264,10 @@
       isLeaving(Owner.servers(), Id) || !Owner.servers().Servers.contains(Id);
   if (!ConnectionLost || Attempt.EventReads >= EventReadsToBegin || MayHaveLeft)
     co_return;
+  ++CrashChecks;
   const bool Crashed = co_await Owner.checkForCrash(
       RequestInfo.Id, Attempt.Server.Address, RequestInfo.SharedParts);
+  --CrashChecks;
   ServerCrashed = ServerCrashed || Crashed;
 }
 
@@ -268,7 +294,7 @@
 std::optional<std::string> RequestRun::reserveAlternative() {
   if (!mayAddAttempt(Concurrent) ||
       Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
-      (HeadForwarded && !resumable()) ||
+      (HeadForwarded && !resumable()) || crashForbidsAttempt() ||
       findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
     return std::nullopt;
   RetryBudget &Budget = Owner.retryBudget(Pool->Name);
@@ -284,6 +310,12 @@
   return std::move(Choice.Id);
 }
 
+bool RequestRun::crashForbidsAttempt() const {
+  return CrashChecks > 0 ||
+         (ServerCrashed &&
+          !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts));
+}
+
 void RequestRun::recordSilence(const RequestAttempt &Attempt) {
   recordServerOutcome(Owner.servers(), Attempt.Server.Id,
                       ServerOutcome::AnswerTimeout, now());
@@ -309,6 +341,7 @@
   Receiver.OnEvents = [this, &Attempt](const std::vector<StreamEvent> &Events) {
     return handleEvents(Attempt, Events);
   };
+  Receiver.OnRelease = [this, &Attempt] { return releaseHeld(Attempt); };
   return Receiver;
 }
 
@@ -381,11 +414,21 @@
   case EventUse::Discard:
     co_return PartStatus::Superseded;
   case EventUse::Hold:
-    co_return PartStatus::Forwarded;
+    co_return PartStatus::Held;
   case EventUse::Forward:
     break;
   }
+  const PartStatus Status = co_await releaseHeld(Attempt);
+  co_return Status;
+}
+
+net::awaitable<PartStatus> RequestRun::releaseHeld(RequestAttempt &Attempt) {
+  if (!chooseAttempt(Concurrent, Attempt.Number))
+    co_return PartStatus::Superseded;
   stopSuperseded();
+  // What another attempt left does not answer a stream that has begun.
+  if (LastResult.Response)
+    LastResult = {};
   const bool Written = co_await forwardHeld(Attempt);
   co_return Written ? PartStatus::Forwarded : PartStatus::CallerLeft;
 }
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -320,8 +320,7 @@
     return false;
   if (HeadForwarded && !resumable())
     return false;
-  if (ServerCrashed &&
-      !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts))
+  if (crashForbidsAttempt())
     return false;
   const RetryDecision Verdict =
       decideRetry(Owner.retryBudget(Pool->Name),
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -71,7 +71,13 @@
   /// Sends the request and forwards the events of its response, until the
   /// attempt has ended.
   boost::asio::awaitable<void> runAttempt(RequestAttempt &Attempt);
+  boost::asio::awaitable<void> completeAttempt(RequestAttempt &Attempt);
   boost::asio::awaitable<ExchangeResult> sendTo(RequestAttempt &Attempt);
+  /// Whether an attempt that ended answers the request, also while another one
+  /// runs.
+  bool decidesRequest(const ExchangeResult &Result) const;
+  /// Forwards what is held of the only attempt that is left.
+  void releaseLastCandidate();
   void endAttempt(RequestAttempt &Attempt);
   /// Runs an attempt, and those that its silence starts, until all have ended.
   /// LastResult is set then.
@@ -105,9 +111,13 @@
                         const platform::ServerResponse &Head);
   boost::asio::awaitable<PartStatus>
   handleEvents(RequestAttempt &Attempt, const std::vector<StreamEvent> &Events);
+  /// Chooses an attempt and forwards what is held of it.
+  boost::asio::awaitable<PartStatus> releaseHeld(RequestAttempt &Attempt);
   /// Writes what is held of an attempt that was chosen.
   boost::asio::awaitable<bool> forwardHeld(RequestAttempt &Attempt);
 
+  /// Whether servers may crash on the request, or that is being found out.
+  bool crashForbidsAttempt() const;
   bool mayRetry(const ExchangeResult &Last);
   RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
@@ -156,8 +166,9 @@
   std::list<RequestAttempt> Running; ///< also stopped ones that have not ended
   ConcurrentAttempts Concurrent;
   boost::asio::steady_timer *AttemptsEnded = nullptr; ///< set while waited for
-  ExchangeResult LastResult;  ///< of the attempts that ended
-  bool ServerCrashed = false; ///< in an attempt, before the request began
+  ExchangeResult LastResult;     ///< of the attempts that ended
+  bool ServerCrashed = false;    ///< in an attempt, before the request began
+  std::uint32_t CrashChecks = 0; ///< in progress
   bool HeadForwarded = false;
   EventOrder Order; ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -39,6 +39,9 @@
 /// Interval of checks whether a request still waits at a busy server, or can
 /// leave a silent one.
 constexpr std::chrono::milliseconds WaitCheckInterval{200};
+/// Longest time for which the first events of a stream are held. A server that
+/// fails at the first event does so sooner.
+constexpr std::chrono::milliseconds MaxHoldTime{200};
 /// Longest wait for the body of a refusal.
 constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
 constexpr unsigned FirstServerError = 500;
@@ -83,11 +86,8 @@
     ServerConnections &IdleConnections, ResponseMemory &SharedMemory,
     std::function<void(const platform::ServerResponse &)> HeadHandler)
     : Context(IoContext), Connections(IdleConnections), Memory(SharedMemory),
-      OnResponseHead(std::move(HeadHandler)), Timer(Timeouts, [this] {
-        // Cancelling has no effect on a read that never has to wait for bytes.
-        if (!prolongWait())
-          abortConnection();
-      }) {}
+      OnResponseHead(std::move(HeadHandler)),
+      Timer(Timeouts, [this] { handleTimeout(); }) {}
 
 void ServerExchange::stop(StopCause Cause) {
   if (!wasStopped())
@@ -95,6 +95,27 @@
   abortConnection();
 }
 
+void ServerExchange::release() {
+  if (Holding)
+    Timer.expiresAt(now());
+}
+
+void ServerExchange::handleTimeout() {
+  if (Holding && !wasStopped() && now() < Limits.Deadline) {
+    // Cancelling the read would also cancel the rest of a long request body.
+    if (!*RequestWritten)
+      return Timer.expiresAt(now() + WaitCheckInterval);
+    Holding = false;
+    ReleaseDue = true;
+    error_code Ignored; // without a pending read, the next one releases them
+    Connection->Socket.cancel(Ignored);
+    return;
+  }
+  // Cancelling has no effect on a read that never has to wait for bytes.
+  if (!prolongWait())
+    abortConnection();
+}
+
 void ServerExchange::abortConnection() {
   if (!Connection)
     return;
@@ -105,6 +126,11 @@
   Connection->Socket.close(Ignored);
 }
 
+TimePoint ServerExchange::nextTimeout() const {
+  return Holding ? std::min(now() + MaxHoldTime, Limits.SilentUntil())
+                 : now() + Limits.GapTimeout;
+}
+
 bool ServerExchange::isWaitingAtServer() const {
   return AwaitsFirstEvent && Limits.IsWaiting && now() < Limits.MaxWaitUntil &&
          Limits.IsWaiting();
@@ -436,7 +462,16 @@
   Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
   while (!ResponseParser.is_done()) {
     std::string Chunk;
-    const error_code Failure = co_await readChunk(ResponseParser, Chunk);
+    error_code Failure = co_await readChunk(ResponseParser, Chunk);
+    if (std::exchange(ReleaseDue, false) && !wasStopped() &&
+        (!Failure || Failure == net::error::operation_aborted)) {
+      Failure = {};
+      Timer.clear();
+      const PartStatus Status = co_await Receiver.OnRelease();
+      if (Status != PartStatus::Forwarded)
+        co_return stoppedResult(Status);
+      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
+    }
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     const std::string Disorder = Receiver.TakeInOrder(Events);
     if (!Events.empty()) {
@@ -450,10 +485,11 @@
           co_return stoppedResult(Status);
       }
       const PartStatus Status = co_await Receiver.OnEvents(Events);
-      if (Status != PartStatus::Forwarded)
+      Holding = Status == PartStatus::Held;
+      if (!Holding && Status != PartStatus::Forwarded)
         co_return stoppedResult(Status);
       Silent = false;
-      Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
+      Timer.expiresAt(std::min(Limits.Deadline, nextTimeout()));
     }
     if (!Disorder.empty())
       co_return corruptResult(Disorder);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -46,6 +46,7 @@
 /// @brief What the receiver of a stream did with a part of it.
 enum class PartStatus : std::uint8_t {
   Forwarded,
+  Held, ///< kept until the next events, StreamReceiver::OnRelease or the end
   CallerLeft,
   Invalid,    ///< does not continue what the caller got; another server may
   Superseded, ///< another attempt answers the request
@@ -61,7 +62,7 @@
 };
 
 /// @brief Callbacks for the parts of an event stream. The exchange ends when
-/// one returns anything but Forwarded.
+/// one returns anything but Forwarded or Held.
 struct StreamReceiver {
   /// Removes the first event that does not continue the stream, and all after
   /// it, before anything of them is forwarded.
@@ -75,6 +76,8 @@
   std::function<boost::asio::awaitable<PartStatus>(
       const std::vector<StreamEvent> &)>
       OnEvents;
+  /// Forwards the events that are held.
+  std::function<boost::asio::awaitable<PartStatus>()> OnRelease;
 };
 
 /// @brief Time limits of one attempt.
@@ -126,6 +129,9 @@
   /// cause counts.
   /// @param Cause why the exchange ends
   void stop(StopCause Cause);
+  /// @brief Ends the time for which events are held. Has no effect while none
+  /// are.
+  void release();
   /// @return whether the server is silent for longer than a timeout
   bool silent() const { return Silent; }
 
@@ -133,6 +139,7 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  void handleTimeout();
   /// Closes the connection and discards bytes that were not delivered yet.
   void abortConnection();
   /// Prolongs the wait for the first byte or event of a request that waits at
@@ -140,6 +147,8 @@
   /// @return whether the wait goes on
   bool prolongWait();
   bool isWaitingAtServer() const;
+  /// Time of the next timeout after events were read.
+  TimePoint nextTimeout() const;
   boost::asio::awaitable<bool> connect(const std::string &Address);
   boost::asio::awaitable<bool> send(const platform::RequestMessage &Request);
   boost::asio::awaitable<ExchangeResult> receive(const std::string &RequestId,
@@ -172,7 +181,9 @@
   ExchangeLimits Limits;
   std::shared_ptr<ServerConnection> Connection;
   StopCause Stopped = StopCause::None;
-  bool Silent = false;           ///< a timeout is over since the last events
+  bool Silent = false;     ///< a timeout is over since the last events
+  bool Holding = false;    ///< the receiver holds events, until the timeout
+  bool ReleaseDue = false; ///< the read was cancelled to release them
   bool AwaitsFirstEvent = false; ///< the request was sent and has not started
   /// The request was sent, and no refusal of it was read.
   bool AwaitsResponse = false;
--- a/tests/process/test_silent_takeover.py
+++ b/tests/process/test_silent_takeover.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
 from platform_fleet import call, check, wait_for  # noqa: E402
-from test_silent_servers import EVENTS, event_ids, pausing_stream  # noqa: E402
+from test_silent_servers import CALLER_TIMEOUT_S, EVENTS, event_ids, pausing_stream  # noqa: E402
 
 ALL_EVENTS = list(range(1, EVENTS + 1))
 SILENT_S = 1.7
@@ -174,6 +174,100 @@
               f"pause {pause:.2f} s: whole {answer.whole}, events {event_ids(answer)} of {senders}, at {arrivals}")
 
 
+def slow_stream(before, gap):
+    """A stream that begins after `before` seconds, with a pause of `gap` after each event."""
+    def make(server):
+        def run(request):
+            time.sleep(before)
+            server.stream(EVENTS, pause=gap)(request)
+        return run
+    return make
+
+
+def timed_events(fleet, first, other, limit):
+    """Ids of the events that a caller gets until it leaves, `limit` seconds after its request, each with its time."""
+    serve_anew(fleet, fleet.engines, "/stream/1")
+    FirstAndOther(fleet.engines, first, other)
+    connection = http.client.HTTPConnection(fleet.gateways[0].ip, pf.CALLER_PORT, timeout=limit)
+    begun = time.monotonic()
+    connection.request("POST", "/stream/1", b"p", {"Host": "a.example", "Attempt-Id": f"timed-{begun}", "Model": "m",
+                                                   "Authorization": "Bearer key-1", "Token-Counts": "100,10", **DEADLINE})
+    found = []
+    try:
+        response = connection.getresponse()
+        while time.monotonic() < begun + limit:
+            connection.sock.settimeout(begun + limit - time.monotonic())
+            line = response.readline()
+            if line.startswith(b"id: "):
+                found.append((int(line[4:]), time.monotonic() - begun))
+    except (OSError, ValueError, http.client.HTTPException):
+        pass
+    finally:
+        connection.close()
+    return found
+
+
+# Guards against an event that is held for so long that its caller leaves without it.
+def case_held_event(fleet):
+    """a first event at the other server reaches the caller in time though the next one is slow"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    for before, gap in ((0.1, 1.5), (1.0, 0.4)):  # the other server is asked after 1.2 s
+        found = timed_events(fleet, lambda s: s.hang, slow_stream(before, gap), CALLER_TIMEOUT_S)
+        check(found and found[0][0] == 1, f"begun {before} s after it was asked, gap {gap} s: {found}")
+
+
+# Guards against an event that is held although no other server can answer any more.
+def case_last_candidate(fleet):
+    """a first event at the other server is forwarded at once when the silent server closes"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    found = timed_events(fleet, silent_then_closes, slow_stream(SILENT_S - 1.2 - 0.15, 1.5), CALLER_TIMEOUT_S)
+    check(found and found[0][1] < SILENT_S + 0.1, f"events {found}")
+
+
+def rejection(status):
+    return lambda server: lambda request: request.answer(status, b"no", {"Attempt-Id": request.headers["Attempt-Id"]})
+
+
+# Guards against a rejection by one server that ends a request which its own server would serve.
+def case_other_server_rejects(fleet):
+    """an idempotent request is served by its own server when the other one rejects it, and rejected when both do"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    for status in (400, 404):
+        answer, arrivals = ask_in_row(fleet, fleet.plain, "/read/1", lambda s: delayed_answer(s, 1.0), rejection(status))
+        check(answer.status == 200 and len(arrivals) == 2, f"status {answer.status} instead of 200, at {arrivals}")
+    answer, arrivals = ask_in_row(fleet, fleet.plain, "/read/1", silent_then_closes, rejection(404))
+    check(answer.status == 404 and len(arrivals) == 2, f"status {answer.status} instead of 404, at {arrivals}")
+
+
+# Guards against an attempt that begins after the caller of a silent request has left.
+def case_caller_leaves_at_timeout(fleet):
+    """no further server gets a request whose caller left in the moment in which its server counts as silent"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    gateway = fleet.gateways[0]
+    for number in range(6):
+        serve_anew(fleet, fleet.plain, "/read/1")
+        for server in fleet.plain:
+            server.gone.clear()
+        order = FirstAndOther(fleet.plain, lambda s: s.hang, lambda s: s.hang)
+        connection = http.client.HTTPConnection(gateway.ip, pf.CALLER_PORT)
+        begun = time.monotonic()
+        connection.request("POST", "/read/1", b"p", {"Host": "a.example", "Attempt-Id": f"at-timeout-{number}",
+                                                     "Authorization": "Bearer key-1", **DEADLINE})
+        time.sleep(max(0, begun + 0.575 - time.monotonic()))
+        gateway.process.send_signal(signal.SIGSTOP)  # so that the close and the timeout are handled together
+        connection.sock.shutdown(socket.SHUT_RDWR)
+        connection.close()
+        time.sleep(0.06)
+        gateway.process.send_signal(signal.SIGCONT)
+        time.sleep(READ_S)
+        ended = sum(len(server.gone) for server in fleet.plain)
+        check(ended == len(order.arrivals), f"trial {number}: {ended} of {len(order.arrivals)} servers heard of it")
+
+
 # Guards against work that goes on at one of two servers after the caller has left.
 def case_caller_leaves(fleet):
     """both servers of a request hear that its caller has left"""
@@ -226,7 +320,8 @@
 
 
 CASES = [case_other_server_refuses, case_other_server_refuses_late, case_stream_not_begun, case_idempotent_request,
-         case_both_go_on, case_caller_leaves, case_attempts_are_bounded, case_planned_stop]
+         case_both_go_on, case_held_event, case_last_candidate, case_other_server_rejects, case_caller_leaves,
+         case_caller_leaves_at_timeout, case_attempts_are_bounded, case_planned_stop]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
