Judge early ends in the soak by what the servers did

The soak did not find streams that were given up while their sound server paused: no server of it paused, and a stream that ended early, or a request that got 502 or 504, was not judged.

New fault: sound servers pause once for 0.9 to 1.7 s and go on, others refuse, and configurations and versions follow each other meanwhile.

New check (early_ends.py): an idempotent request or a stream that gets 502 or 504, no answer or a part of one, although a server that had it neither refused nor failed, is a broken promise. Excuses, each printed with its count: - a fault of a link of a server that had it, or a kill or pause of its gateway, by overlap of times; 0.2 s and 0.3 s later for bytes and timers that are behind - the end of a planned stop, the time limit of 3 s, the silence of 2.4 s that a caller bears (less 0.2 s), and an answer that its server broke off The rule excuses the same. A link that refuses connections, a load of a version and a fault of the store excuse nothing, since they end no request here.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,21 +1,26 @@
 """A short seeded run of the fault soak, and proof that each of its checks can fail."""
+import itertools
 import os
 import sys
 import threading
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
-import soak  # noqa: E402  the path is set above
+import early_ends  # noqa: E402  the path is set above
+import soak  # noqa: E402
 from world import EVENTS, World, body_of, pf  # noqa: E402
 
 # Seeds that failed once are added here with a line on the cause.
-SEEDS = (1, 28)
+# 1: a stream was cut for a server that refused, while its sound server paused. 2: a read got 502 in the same way.
+# 1 again: a stream got 502 although its first event had arrived, held while another server had the request too.
+SEEDS = (1, 2, 28)
 
 
 def blank_world():
     """A world without processes, to judge made-up answers."""
     world = World.__new__(World)
     world.lock, world.broken, world.sent, world.runs = threading.RLock(), [], {"a": "once"}, {}
-    world.answers, world.engines = [], []
+    world.answers, world.engines, world.record = [], [], early_ends.Record()
     return world
 
 
@@ -85,9 +90,103 @@
     assert world.broken, "requests on pieces that were corrupt for long are not noticed"
 
 
+# When the made-up requests begin, and how long after it a server has them.
+BEGUN, ARRIVAL_S = 100.0, 0.1
+CUT_STREAM, FAILED = answer(200, events([1]), whole=False), answer(502)
+
+
+def sound_run(world, server="i-1", events_at=(1.0,), cut_at=None):
+    """A run of the request "a" at a server that went on; times count from the start of the request."""
+    run = early_ends.Run(server, BEGUN + ARRIVAL_S)
+    run.events_at, run.cut_at = [BEGUN + at for at in events_at], cut_at
+    world.record.runs["a"].append(run)
+    return run
+
+
+def is_broken(kind="read", ended=1.5, got=FAILED, spans=(), prepare=sound_run):
+    """Whether the check tells an early end of the request "a" at gateway 40. Spans: kind, what it touched, begin, end."""
+    world = blank_world()
+    prepare(world)
+    world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                          for name, touched, first, last in spans]
+    world.answers = [(BEGUN, BEGUN + ended, kind, "a", 40, got)]
+    world.final_checks()
+    return bool(world.broken)
+
+
+def case_early_ends():
+    """an early end is noticed although a sound server was cut or completed, and complete answers are not"""
+    for kind, got in itertools.product(("read", "stream"), (FAILED, answer(504), CUT_STREAM, None)):
+        assert is_broken(kind, got=got), f"not noticed: {kind}, {got and got.status}"
+        assert is_broken(kind, got=got, prepare=lambda world: sound_run(world, cut_at=BEGUN + 2)), \
+            f"a cut is not noticed: {kind}, {got and got.status}"
+    for kind, got in (("read", answer(200)), ("read", answer(503)), ("stream", answer(200)), ("once", FAILED)):
+        assert not is_broken(kind, got=got), f"noticed: {kind}, {got.status}"
+
+
+def case_excuses():
+    """each excuse of an early end holds for what its fault touched only"""
+    excusing = {"own link": ("link_silent", "i-1", 1.0, 1.4), "link just before": ("link_delay", "i-1", -1.0, 0.0),
+                "reset": ("link_reset", "i-1", 1.4, 1.4), "kill": ("gateway_killed", 40, 1.4, 2.0),
+                "pause just before": ("gateway_paused", 40, -1.0, -0.1),
+                "end of a planned stop": ("planned_stop", 40, -5.0, 2.0)}
+    for what, span in excusing.items():
+        assert not is_broken(spans=[span]), f"does not excuse: {what}"
+    strange = {"link of another server": ("link_silent", "i-2", 1.0, 1.4),
+               "link long before": ("link_delay", "i-1", -2.0, -0.2), "reset afterwards": ("link_reset", "i-1", 1.6, 1.6),
+               "another gateway": ("gateway_killed", 41, 1.4, 2.0), "pause long before": ("gateway_paused", 40, -2.0, -0.4),
+               "pause afterwards": ("gateway_paused", 40, 1.6, 2.0),
+               "planned stop before its end": ("planned_stop", 40, -1.0, 2.0)}
+    for what, span in strange.items():
+        assert is_broken(spans=[span]), f"excuses: {what}"
+
+
+def case_limits():
+    """the time limit and the silence that a caller bears excuse an early end, and shorter times do not"""
+    assert is_broken(ended=2.7) and not is_broken(ended=2.9)
+    assert is_broken("stream", ended=2.7, got=CUT_STREAM)
+    assert not is_broken("stream", ended=2.7, got=CUT_STREAM, prepare=lambda world: sound_run(world, events_at=[0.4]))
+    for ended, broken in ((2.1, True), (2.3, False)):
+        assert is_broken("stream", ended=ended, prepare=lambda world: sound_run(world, events_at=[])) == broken, ended
+
+
+def case_servers_at_fault():
+    """servers that refused or failed excuse an early end, unless a sound one had the request too"""
+    def fails(fault):
+        return lambda world: sound_run(world).fail(fault)
+
+    def one_of_two(fault):
+        def prepare(world):
+            sound_run(world)
+            sound_run(world, "i-2").fail(fault)
+        return prepare
+    assert not is_broken(prepare=lambda world: None), "a request that no server had"
+    assert not is_broken(prepare=lambda world: sound_run(world).refuse()), "a refusal"
+    assert not is_broken(prepare=fails("lose")), "a failure of the only server"
+    assert is_broken(prepare=one_of_two("lose")), "a failure beside a sound server excuses"
+    assert is_broken(prepare=one_of_two("truncate")), "an answer that is no part of it excuses"
+    assert not is_broken(got=answer(200, whole=False), prepare=one_of_two("truncate")), "the server broke its answer off"
+
+
+def case_runs_are_recorded():
+    """a write to a gateway that has closed is recorded as such, and the last byte as the end"""
+    run = early_ends.Run("i-1", time.monotonic())
+    try:
+        with run.writing():
+            raise BrokenPipeError
+    except BrokenPipeError:
+        pass
+    assert run.cut_at and not run.ended_at and run.sound()
+    run = early_ends.Run("i-1", time.monotonic())
+    with run.writing():
+        pass
+    assert run.ended_at and not run.cut_at and run.sound()
+
+
 def main():
     failed = 0
-    for case in (case_checks, case_runs, case_pieces):
+    for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
+                 case_runs_are_recorded):
         try:
             case()
             print(f"case passed: {case.__doc__}", flush=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,11 +41,12 @@
 def process_killed(world, rng, wait):
     """Some gateways are killed and started again."""
     hosts = rng.sample(w.GATEWAYS, rng.randint(1, len(w.GATEWAYS)))
-    for host in hosts:
-        world.gateways[host].stop()
-    time.sleep(rng.uniform(0.1, 0.8))
-    for host in hosts:
-        world.gateways[host] = world.fleet.gateway(host)
+    with world.record.span("gateway_killed", hosts):
+        for host in hosts:
+            world.gateways[host].stop()
+        time.sleep(rng.uniform(0.1, 0.8))
+        for host in hosts:
+            world.gateways[host] = world.fleet.gateway(host)
 
 
 def stager_killed(world, rng, wait):
@@ -60,29 +61,34 @@
     """Gateways and stagers are paused."""
     daemons = [d for d in [*world.gateways.values(), *world.stagers.values()] if d.process.poll() is None]
     chosen = rng.sample(daemons, rng.randint(1, 3))
-    for daemon in chosen:
-        daemon.process.send_signal(signal.SIGSTOP)
-    wait()
-    for daemon in chosen:
-        if daemon.process.poll() is None:
-            daemon.process.send_signal(signal.SIGCONT)
+    with world.record.span("gateway_paused", [d.host for d in chosen if d.host in w.GATEWAYS]):
+        for daemon in chosen:
+            daemon.process.send_signal(signal.SIGSTOP)
+        wait()
+        for daemon in chosen:
+            if daemon.process.poll() is None:
+                daemon.process.send_signal(signal.SIGCONT)
 
 
 def link_fault(world, rng, wait):
     """Connections to some servers are delayed, silenced, cut one way or refused."""
     servers = rng.sample(world.plain + world.engines, rng.randint(1, 4))
     mode = rng.choice(("delay", "silent", "to_target", "to_client", "refuse"))
-    for server in servers:
-        server.proxy.delay_s, server.proxy.mode = rng.uniform(0.02, 0.3), mode
-    wait()
-    for server in servers:
-        server.proxy.mode = "pass"
+    # A link that refuses new connections harms none of the requests that a server has.
+    with world.record.span("link_" + mode, [server.id for server in servers if mode != "refuse"]):
+        for server in servers:
+            server.proxy.delay_s, server.proxy.mode = rng.uniform(0.02, 0.3), mode
+        wait()
+        for server in servers:
+            server.proxy.mode = "pass"
 
 
 def links_reset(world, rng, wait):
     """All connections to some servers are reset."""
-    for server in rng.sample(world.plain + world.engines, rng.randint(1, 4)):
-        server.proxy.reset_all()
+    servers = rng.sample(world.plain + world.engines, rng.randint(1, 4))
+    with world.record.span("link_reset", [server.id for server in servers]):
+        for server in servers:
+            server.proxy.reset_all()
 
 
 def servers_fail(world, rng, wait):
@@ -121,6 +127,19 @@
         time.sleep(rng.uniform(0.05, 0.4))
 
 
+def servers_pause(world, rng, wait):
+    """Sound servers pause and go on, others refuse, and configurations and versions follow each other meanwhile."""
+    pausing = [*rng.sample(world.plain, rng.randint(1, 2)), *rng.sample(world.engines, rng.randint(1, 2))]
+    for server in world.plain + world.engines:
+        server.pauses, server.refuses = server in pausing, server not in pausing
+    for _ in range(rng.randint(3, 6)):
+        rng.choice((configure, declare_version))(world)
+        time.sleep(rng.uniform(0.2, 0.8))
+    wait()
+    for server in world.plain + world.engines:
+        server.pauses = server.refuses = False
+
+
 FAULTS = (store_away, store_forgets, process_killed, stager_killed, process_paused, link_fault, links_reset,
           servers_fail, origin_fails, configured)
 
@@ -142,9 +161,10 @@
 def inject(world, rng):
     """Faults that overlap; each is undone at its end."""
     plan = sorted((rng.uniform(0, FAULT_TIME_S - 1), rng.choice(FAULTS), rng.random()) for _ in range(FAULTS_PER_RUN))
-    # Drawn last, so that known seeds keep the faults that they had.
-    plan.append((rng.uniform(0, FAULT_TIME_S - 1), pieces_spoilt, rng.random()))
-    guards = {fault: threading.Lock() for fault in (*FAULTS, pieces_spoilt)}  # one kind does not undo itself
+    # Drawn last, in the order in which they were added, so that known seeds keep the faults that they had.
+    for added in (pieces_spoilt, servers_pause):
+        plan.append((rng.uniform(0, FAULT_TIME_S - 1), added, rng.random()))
+    guards = {fault: threading.Lock() for fault in (*FAULTS, pieces_spoilt, servers_pause)}  # one kind does not undo itself
 
     def run(at, fault, seed):
         own = random.Random(seed)
@@ -225,10 +245,11 @@
     for thread in threads:
         thread.start()
     time.sleep(0.1)
-    leaving.process.send_signal(signal.SIGTERM)
-    for thread in threads:
-        thread.join()
-    leaving.process.wait()
+    with world.record.span("planned_stop", [host]):
+        leaving.process.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        leaving.process.wait()
     world.check(leaving.process.returncode == 0, f"termination: exit code {leaving.process.returncode}")
     cut = [a for at, _, kind, _, where, a in list(world.answers)
            if begun <= at < begun + 0.1 and where == host and (a is None or (a.status == 200 and not a.whole))]
@@ -259,7 +280,8 @@
     if world.broken:
         world.keep_logs(keep)
     served = sum(1 for *_, a in world.answers if a is not None and a.status == 200 and a.whole)
-    print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}", flush=True)
+    print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}\n"
+          f"  early ends by excuse: {dict(world.early_ends)}", flush=True)
     return world.broken
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
 from fleet import wait_for  # noqa: E402
+from early_ends import Record  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 # Bounds that the users state for their sites.
@@ -19,6 +20,9 @@
 GATEWAYS, PLAIN, ENGINES = (40, 41, 42), (10, 11, 12), (20, 21, 22)
 EVENTS = 8
 PATHS = {"read": "/read/", "once": "/once/", "stream": "/stream/"}
+# A pause of a sound server: about as long as a gateway waits before it asks another one, and longer.
+PAUSE_S = (0.9, 1.7)
+PAUSED_SHARE, REFUSED_SHARE = 0.5, 0.7
 
 
 class Server(pf.Backend):
@@ -26,6 +30,8 @@
 
     def __init__(self, world, store, name, host, pool, models=None):
         self.world, self.faults, self.rng = world, [], random.Random(f"{world.seed}-{name}")
+        # Own numbers, so that known seeds keep the failures that they had.
+        self.pauses, self.refuses, self.pause_rng = False, False, random.Random(f"{world.seed}-{name}-pause")
         self.arrived = []
         self.proxy = None
         super().__init__(store, name, host, pool, models)
@@ -42,29 +48,57 @@
         super().close()
 
     def plain(self, request):
-        request.answer(200, body_of(request.headers["Attempt-Id"]), self.headers(request))
+        with request.run.writing():
+            request.answer(200, body_of(request.headers["Attempt-Id"]), self.headers(request))
+
+    def events(self, request, pause_after, pause):
+        """A stream with one pause after an event; 0 pauses before the head."""
+        head = {**self.headers(request), "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        with request.run.writing():
+            if pause_after < first:
+                time.sleep(pause)
+            request.send_response(200)
+            for name, value in head.items():
+                request.send_header(name, value)
+            request.end_headers()
+            for number in range(first, EVENTS + 1):
+                text = f"id: {number}\ndata: {self.id}-{number}\n\n"
+                request.wfile.write(f"{len(text):x}\r\n{text}\r\n".encode())
+                request.run.events_at.append(time.monotonic())
+                time.sleep(pause if number == pause_after else 0.02)
+            request.wfile.write(b"0\r\n\r\n")
 
     def handle(self, request):
         if request.path.startswith("/marigoldyard/"):
             return super().handle(request)
+        attempt = request.headers.get("Attempt-Id", "")
+        request.run = self.world.record.run(attempt, self.id)
         if request.headers.get("Expect-Instance", self.id) != self.id:
+            request.run.refuse()
             return request.answer(421, b"", {"Instance-Id": self.id})
-        attempt = request.headers.get("Attempt-Id", "")
         with self.world.lock:
             self.arrived.append((time.monotonic(), attempt))
             self.world.check("Authorization" not in request.headers, f"{attempt}: the key reached a server")
             self.world.check(request.headers.get("Tenant") == "north", f"{attempt}: wrong customer")
             self.world.check(attempt in self.world.sent, f"{attempt}: no caller sent it")
         fault = self.rng.choice(self.faults) if self.faults and self.rng.random() < 0.2 else None
-        if fault == "shed":
+        refused = self.refuses and self.pause_rng.random() < REFUSED_SHARE
+        if fault == "shed" or refused:
+            request.run.refuse()
             return self.shed(request)
         with self.world.lock:
             self.world.runs[attempt] = self.world.runs.get(attempt, 0) + 1
         if fault is not None:
+            if fault != "slow":  # a slow server is sound
+                request.run.fail(fault)
             return getattr(self, fault)(request)
+        paused = self.pauses and self.pause_rng.random() < PAUSED_SHARE
+        pause, pause_after = self.pause_rng.uniform(*PAUSE_S) if paused else 0, self.pause_rng.randrange(EVENTS)
         if self.models is None:
+            time.sleep(pause)
             return self.plain(request)
-        return self.stream(EVENTS, pause=0.02)(request)
+        return self.events(request, pause_after, pause)
 
 
 def body_of(attempt):
@@ -77,6 +111,7 @@
     def __init__(self, seed):
         self.seed, self.rng, self.lock = seed, random.Random(seed), threading.RLock()
         self.broken, self.sent, self.runs, self.answers = [], {}, {}, []
+        self.record, self.early_ends = Record(), {}
         self.stop_callers, self.version, self.weights, self.keys = threading.Event(), 1, 1, ("key-1",)
         self.fleet = pf.PlatformFleet.__new__(pf.PlatformFleet)
         self.fleet.folder = pf.tempfile.mkdtemp(prefix="marigoldyard-soak-")
@@ -158,6 +193,9 @@
             for _, _, kind, attempt, _, answer in self.answers:
                 if kind == "once" and answer is not None and answer.status in (408, 421, 429, 503):
                     self.check(self.runs.get(attempt, 0) == 0, f"{attempt}: refused, but it ran later")
+        self.early_ends, ended_early = self.record.judge(self.answers)
+        for promise in ended_early:
+            self.check(False, promise)
         for server in self.engines:
             self.check(not server.spoilt_runs, f"{server.id}: {server.spoilt_runs} requests on weights of which a piece was "
                                                f"corrupt for too long: {server.spoilt_in_order}")
