Give a server whose refusal or error does not end a backoff

Cause: a refusal counted as Answered whether or not its body ended. Its connection was closed after 64 KB or 50 ms, and the server, which looked idle and sound, drew the next request. Two such refusals use up the sends of a request. Errors and late responses without end gave no backoff either.

Change: the new ServerOutcome EndlessAnswer backs a server off like one that is unreachable. It is recorded for a refusal of more than 64 KB or 50 ms, a server error of more than 1 MB, and more than 64 KB of interim and late responses. The fate of a refusal stays Refused. A body that ends within the bounds keeps its connection; one that is cut short by the deadline, a stop or the server's close counts as before. So does a success that is too large, which a caller could ask of each server in turn.

The unit test of server_table passes.

Why it works: after the first such answer the server is no candidate for 0.5 s and then gets one probe at a time, so the second send reaches a sound server.

test_server_faults.py: two cases failed with the change, because they assumed that a server which just answered without end gets the next request at once, also when both servers of the pool have done so. The servers now restart before each kind and before the case of memory, which ends the backoff; no check changes. All 12 cases pass.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -233,6 +233,9 @@
   InvalidAnswer, ///< the answer was truncated or malformed
   AnswerTimeout, ///< no answer in time
   Unreachable,   ///< the connection failed
+  /// a refusal, a server error or a late response that does not end; the server
+  /// looks idle, so that it would draw one request after the other
+  EndlessAnswer,
 };
 
 /// @brief Updates the failure rate and the backoff of a server after a request.
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -39,8 +39,10 @@
 /// Interval of checks whether a request still waits at a busy server, or can
 /// leave a silent one.
 constexpr std::chrono::milliseconds WaitCheckInterval{200};
-/// Longest wait for the body of a refusal.
+/// Longest wait for the body of a refusal, and its maximum size. Refusals carry
+/// a line of text, and a longer read would only serve to keep the connection.
 constexpr std::chrono::milliseconds RefusalBodyTimeout{50};
+constexpr std::size_t MaxRefusalBytes = 64UL << 10;
 constexpr unsigned FirstServerError = 500;
 
 bool succeeded(unsigned Status) { return Status / 100 == 2; }
@@ -304,6 +306,14 @@
   return Result;
 }
 
+ExchangeResult ServerExchange::endlessResult() const {
+  ExchangeResult Result =
+      failureResult(http::make_error_code(http::error::body_limit));
+  if (!wasStopped())
+    Result.Health = ServerOutcome::EndlessAnswer;
+  return Result;
+}
+
 net::awaitable<ExchangeResult>
 ServerExchange::receive(const std::string &RequestId,
                         StreamReceiver *Receiver) {
@@ -315,7 +325,7 @@
     if (Failure)
       co_return failureResult(Failure);
     if (SkippedBytes > MaxSkippedBytes)
-      co_return failureResult(http::make_error_code(http::error::body_limit));
+      co_return endlessResult();
     const unsigned Status = ResponseParser.get().result_int();
     if (Status / 100 == 1)
       continue;
@@ -331,7 +341,9 @@
       // one.
       FirstOnConnection = false;
       const error_code SkipFailure =
-          co_await skipBody(ResponseParser, SkippedBytes);
+          co_await skipBody(ResponseParser, SkippedBytes, MaxSkippedBytes);
+      if (SkipFailure == http::error::body_limit)
+        co_return endlessResult();
       if (SkipFailure || ResponseParser.get().need_eof())
         co_return failureResult(http::make_error_code(http::error::bad_value));
       continue;
@@ -352,14 +364,15 @@
 }
 
 net::awaitable<error_code> ServerExchange::skipBody(Parser &ResponseParser,
-                                                    std::size_t &BytesRead) {
+                                                    std::size_t &BytesRead,
+                                                    std::size_t MaxBytes) {
   std::string Chunk;
   while (!ResponseParser.is_done()) {
     const error_code Failure = co_await readChunk(ResponseParser, Chunk);
     if (Failure)
       co_return Failure;
     BytesRead += Chunk.size();
-    if (BytesRead > MaxSkippedBytes)
+    if (BytesRead > MaxBytes)
       co_return http::make_error_code(http::error::body_limit);
   }
   co_return error_code();
@@ -372,13 +385,24 @@
                             const platform::ServerResponse &Head) {
   AwaitsFirstEvent = false;
   AwaitsResponse = false;
-  Timer.expiresAt(std::min(Limits.Deadline, now() + RefusalBodyTimeout));
+  const TimePoint BodyLimit = now() + RefusalBodyTimeout;
+  Timer.expiresAt(std::min(Limits.Deadline, BodyLimit));
   std::size_t BytesRead = 0;
-  const error_code Failure = co_await skipBody(ResponseParser, BytesRead);
+  const error_code Failure =
+      co_await skipBody(ResponseParser, BytesRead, MaxRefusalBytes);
   Reusable = !Failure && mayReuse(ResponseParser);
+  // A body that is cut short by the deadline, by a stop or by the server's
+  // close says nothing about its length.
+  const bool TooLong = Failure == http::error::body_limit;
+  const bool TooSlow = Failure && !wasStopped() && Timer.expired() &&
+                       BodyLimit <= Limits.Deadline;
   ExchangeResult Result;
   Result.Fate = AttemptStatus::Refused;
   Result.Health = ServerOutcome::Answered;
+  if (TooLong || TooSlow) {
+    Result.Health = ServerOutcome::EndlessAnswer;
+    Result.Detail = "refusal without end";
+  }
   Result.Reason =
       Head.WrongServer ? ErrorCode::WrongWeights : ErrorCode::QueueFull;
   co_return Result;
@@ -400,6 +424,7 @@
   Timer.expiresAt(Limits.Deadline);
   const std::size_t MaxBytes =
       succeeded(Response.Status) ? MaxResponseBytes : MaxErrorBytes;
+  const bool ServerError = Response.Status >= FirstServerError;
   bool TooLarge = ResponseParser.content_length().value_or(0) > MaxBytes;
   while (!TooLarge && !ResponseParser.is_done()) {
     std::string Chunk;
@@ -410,12 +435,15 @@
     TooLarge = Response.BodySize > MaxBytes ||
                !Response.Memory.resize(Response.BodySize);
   }
+  // A caller can ask for a success that is too large of each server in turn,
+  // and the memory of the gateway may be short; neither is the server's fault.
+  if (TooLarge && ServerError && Response.BodySize > MaxBytes)
+    co_return endlessResult();
   if (TooLarge)
     co_return failureResult(http::make_error_code(http::error::body_limit));
   Reusable = mayReuse(ResponseParser);
   Response.Headers = ResponseParser.get().base();
   ExchangeResult Result;
-  const bool ServerError = Response.Status >= FirstServerError;
   Result.Fate = ServerError ? AttemptStatus::Failed : AttemptStatus::Completed;
   Result.Health =
       ServerError ? ServerOutcome::ServerError : ServerOutcome::Answered;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -149,7 +149,8 @@
   boost::asio::awaitable<boost::system::error_code>
   readChunk(Parser &ResponseParser, std::string &Chunk);
   boost::asio::awaitable<boost::system::error_code>
-  skipBody(Parser &ResponseParser, std::size_t &BytesRead);
+  skipBody(Parser &ResponseParser, std::size_t &BytesRead,
+           std::size_t MaxBytes);
   boost::asio::awaitable<ExchangeResult>
   readRefusal(Parser &ResponseParser, const platform::ServerResponse &Head);
   boost::asio::awaitable<ExchangeResult> readBuffered(Parser &ResponseParser);
@@ -163,6 +164,8 @@
   ExchangeResult stoppedResult(PartStatus Status) const;
   /// Result of a response that breaks the rules of the protocol.
   ExchangeResult corruptResult(std::string Detail) const;
+  /// Result of bytes that go on beyond what a sound server sends.
+  ExchangeResult endlessResult() const;
 
   boost::asio::io_context &Context;
   ServerConnections &Connections;
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -561,6 +561,14 @@
         server.behaviours.clear()
 
 
+def restart_servers(servers):
+    """Lets servers start again under the same ids, so that gateways drop what they know of earlier faults."""
+    for server in servers:
+        server.born += 1000
+        server.register()
+    time.sleep(0.8)  # until the gateways have applied the change
+
+
 def run_cases(cases):
     """Runs cases in order, each with the same fleet; exits with 1 when one failed."""
     failed = 0
--- a/tests/process/test_server_faults.py
+++ b/tests/process/test_server_faults.py
@@ -254,6 +254,7 @@
         forget(fleet)
         for server in fleet.plain:
             server.gone.clear()
+        pf.restart_servers(fleet.plain)  # the kind before may have led to a backoff
         first_only(fleet.plain, behaviour)
         answer, started, took = call_timed(fleet.gateways[0], "/read/1")
         check(answer.status == 200 and answer.whole, f"{name}: status {answer.status}")
@@ -267,6 +268,7 @@
         forget(fleet)
         for server in fleet.plain:
             server.gone.clear()
+        pf.restart_servers(fleet.plain)  # the kind before may have led to a backoff
         first_only(fleet.plain, behaviour)
         answer, started, took = call_timed(fleet.gateways[0], "/once/1", "POST", b"b")
         expected = 503 if "refusal" in name else 502
@@ -324,6 +326,7 @@
 # Guards against memory that grows with the number of endless responses: 16 MB each.
 def case_memory_bound(fleet):
     """many responses without end at once are cut off before they fill the gateway's memory"""
+    pf.restart_servers(fleet.plain)  # faults of earlier cases would let one request at a time through
     for server in fleet.plain:
         fleet.store.put("servers/" + server.id, {
             "service": server.pool, "address": server.address, "zone": "z1", "version": "v1",
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -200,6 +200,17 @@
   }
 }
 
+// Guards against a server that refuses without end and draws request after
+// request: its failure rate alone lets it be chosen while others have load.
+TEST_CASE("a server whose answer has no end gets no request at once") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  recordRequestStart(Table, "2", 0);
+  recordServerOutcome(Table, "1", ServerOutcome::EndlessAnswer, StartCommand);
+  CHECK(choose(Table).Id == "2");
+  CHECK(choose(Table, {}, StartCommand + 499ms).Id == "2");
+  CHECK(choose(Table, {}, StartCommand + 500ms).Id == "1");
+}
+
 TEST_CASE("an unreachable server is paused for longer each time") {
   ServerTable Table = tableWith({record("1")});
   recordServerOutcome(Table, "1", ServerOutcome::Unreachable, StartCommand);
