Replace a manifest that is wrong in more than a digest

No server was on the version after 24 s, so requests that require it got 503.

Cause: a manifest was used and passed on as soon as it parsed. The corrections compare it digest by digest and give up when the numbers of pieces differ. Bytes that are held prove a digest and the size of a piece, but never the number of digests: only another reading does.

Change: a manifest is used after two readings of the origin in succession agree. This costs one small answer for each reader and one round trip. A comparison when nothing moves would miss a manifest that lacks its last digest. If both readings were wrong alike, repeated wrong bytes, an offer that differs as a whole or a second without progress of a reader put it in doubt; it is read again every 0.5 s until two readings agree, and replaced as a whole if the number or size of pieces differs. A verified piece corrects the size. A peer that holds all pieces of another manifest replaces that of an incomplete version without the origin. Pieces in both manifests stay held.

Not closed: last digests that are left out alike in two readings in succession, and wrong positions of digests whose pieces all come from peers.

--- a/include/marigoldyard/coordination/manifest_check.hpp
+++ b/include/marigoldyard/coordination/manifest_check.hpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/state/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,15 +21,20 @@
 };
 
 /// @brief Evidence about the manifest of one version. The origin and peers may
-/// send a manifest in which a digest is wrong. It parses, but the chunk can
-/// never be verified, so the version would never be complete. Only digests of
-/// chunks that are not held are ever replaced: bytes that match a digest prove
-/// it.
+/// send a manifest that parses although a digest, the number of digests or the
+/// size of the chunks is wrong, and the version would never be complete. Bytes
+/// that match a digest prove it and the size, so digests of chunks that are
+/// held are not replaced one by one. Nothing that is held proves the number of
+/// digests; only another reading does, which replaces the manifest as a whole.
 struct ManifestCheck {
   ManifestCheckSettings Settings;
   /// By position of the chunk: digest of the last bytes from the origin that
   /// did not match the manifest.
   std::map<std::size_t, Digest> Mismatches;
+  VersionDescriptor LastRead; ///< last manifest that the origin returned
+  std::size_t Reads = 0;      ///< manifests that the origin returned
+  /// The manifest in use is to be read again until two readings agree.
+  bool Doubted = false;
   VersionDescriptor Offered; ///< last manifest of a peer that differs
   std::string OfferedBy;     ///< that peer
   std::size_t Held = 0;      ///< chunks held at the last progress
@@ -36,6 +42,43 @@
   Duration CompareDelay{};
 };
 
+/// @brief Records a manifest that the origin returned. A manifest is used only
+/// after two readings in succession agree, since a transmission error does not
+/// repeat.
+/// @param Check the evidence
+/// @param Read manifest that the origin returned
+/// @return whether the previous reading was the same
+/// @complexity linear in the chunks
+bool recordReading(ManifestCheck &Check, const VersionDescriptor &Read);
+
+/// @brief Returns whether two manifests differ in what cannot be corrected
+/// chunk by chunk: the number of digests or the size of the chunks.
+/// @param Current one manifest
+/// @param Other the other one
+/// @complexity constant
+bool differsAsWhole(const VersionDescriptor &Current,
+                    const VersionDescriptor &Other);
+
+/// @brief Returns whether a manifest of a peer replaces one with another number
+/// of digests while the version is incomplete: the peer holds all its chunks.
+/// @param Current manifest in use
+/// @param Offered manifest of the peer
+/// @param PeerHeld one bit per chunk of Offered
+/// @complexity linear in the chunks
+bool isProvenByPeer(const VersionDescriptor &Current,
+                    const VersionDescriptor &Offered,
+                    const std::vector<bool> &PeerHeld);
+
+/// @brief Corrects the size of the chunks by that of a verified one. The last
+/// chunk may be shorter, so it proves no size.
+/// @param Current manifest to correct
+/// @param Index position of the verified chunk
+/// @param Bytes its size
+/// @return whether the size was corrected
+/// @complexity linear in the chunks
+bool adoptVerifiedSize(VersionDescriptor &Current, std::size_t Index,
+                       std::uint64_t Bytes);
+
 /// @brief Records bytes from the origin that do not match the manifest.
 /// @param Check the evidence
 /// @param Index position of the chunk in the manifest
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -100,7 +100,14 @@
   void handleManifest(const DeclaredVersion &Target,
                       VersionDescriptor Descriptor);
   /// Corrects the known manifest by one that the origin returned later.
-  void handleManifestReread(VersionState &State, const VersionDescriptor &Read);
+  /// @param Agreed whether the previous reading was the same
+  void handleManifestReread(VersionState &State, const VersionDescriptor &Read,
+                            bool Agreed);
+  /// Uses another manifest. Chunks that are in both stay held.
+  void replaceManifest(VersionState &State,
+                       const VersionDescriptor &Replacement,
+                       const std::string &Source);
+  void offerCorrectedManifest(const VersionState &State);
   /// Compares the known manifest with that of another reader of the origin
   /// while no chunk arrives.
   void compareManifest(VersionState &State);
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -13,6 +13,9 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr std::uint64_t BitsPerByte = 8;
+/// Readings of a manifest in immediate succession until two agree; further ones
+/// wait as after a failed read.
+constexpr std::size_t MaxImmediateReads = 4;
 /// Time to wait for the chunk maps of peers after startup.
 constexpr Duration StartupMapWait = std::chrono::milliseconds(350);
 constexpr Duration StartupPeriod = std::chrono::seconds(3);
@@ -82,9 +85,15 @@
         VersionState *Known = findVersion(Target);
         if (Known == nullptr)
           return;
+        const bool Agreed = recordReading(Known->Check, *Descriptor);
+        if (!Known->Descriptor && !Agreed) {
+          if (Known->Check.Reads % MaxImmediateReads != 0)
+            return fetchManifest(*Known);
+          return handleManifestFailure(Target, "readings differ");
+        }
         manifestReadEnded(Known->Manifest);
         if (Known->Descriptor)
-          return handleManifestReread(*Known, *Descriptor);
+          return handleManifestReread(*Known, *Descriptor, Agreed);
         handleManifest(Target, std::move(*Descriptor));
       });
 }
@@ -129,7 +138,16 @@
 }
 
 void Stager::handleManifestReread(VersionState &State,
-                                  const VersionDescriptor &Read) {
+                                  const VersionDescriptor &Read, bool Agreed) {
+  // A version whose chunks are all held may be in the staging area already.
+  if (State.Load.Stage != LoadStage::Fetching)
+    return;
+  if (Agreed && differsAsWhole(*State.Descriptor, Read)) {
+    replaceManifest(State, Read, "origin");
+    return offerCorrectedManifest(State);
+  }
+  if (Agreed)
+    State.Check.Doubted = false;
   if (!adoptReadDigests(State.Check, *State.Descriptor, Read))
     return;
   if (const ChunkBytes Bytes = std::exchange(State.RepeatedBytes, nullptr)) {
@@ -140,6 +158,24 @@
       Chunks[Id] = Bytes;
   }
   applyCorrectedManifest(State, "origin");
+  offerCorrectedManifest(State);
+}
+
+void Stager::replaceManifest(VersionState &State,
+                             const VersionDescriptor &Replacement,
+                             const std::string &Source) {
+  State.Check.Mismatches.clear();
+  State.Check.Doubted = false;
+  State.RepeatedBytes = nullptr;
+  // Positions of the replaced manifest may lie beyond the end of the new one.
+  std::erase_if(ChunkLocations, [&](const auto &Each) {
+    return Each.second.first == State.Load.Target;
+  });
+  State.Descriptor->Chunks = Replacement.Chunks;
+  applyCorrectedManifest(State, Source);
+}
+
+void Stager::offerCorrectedManifest(const VersionState &State) {
   // Peers that took the wrong manifest over would notice only after a while.
   for (const auto &[Address, Peer] : Peers)
     offerManifest(State, Address);
@@ -161,10 +197,17 @@
     return;
   const TransferProgress Progress =
       transferProgress(*Transfer, State.Descriptor->Id);
-  if (!isManifestComparisonDue(State.Check, Progress.Held, now()))
-    return;
   std::vector<std::string> Readers = storeReaders(*Transfer);
-  std::erase(Readers, Settings.Process.Address);
+  const bool Due = isManifestComparisonDue(State.Check, Progress.Held, now());
+  const bool IsReader = std::erase(Readers, Settings.Process.Address) > 0;
+  // Only readers read the origin again when nothing arrives, so that a whole
+  // fleet does not do so while the origin is slow.
+  State.Check.Doubted |= Due && IsReader;
+  if (State.Check.Doubted && !OriginAddress.empty() &&
+      beginManifestReread(State.Manifest, now()))
+    fetchManifest(State);
+  if (!Due)
+    return;
   if (!Readers.empty())
     Node.send(
         Readers[Node.Generator() % Readers.size()],
@@ -175,6 +218,9 @@
                                    VersionDescriptor Offered) {
   if (Offered.Id == State.Descriptor->Id)
     return;
+  // Chunk by chunk, only manifests of the same length can be compared.
+  if (differsAsWhole(*State.Descriptor, Offered))
+    State.Check.Doubted = true;
   // The map of the peer shows which of its digests are proven.
   Node.send(Peer, ChunkMap{Offered.Id, {}, true, true});
   State.Check.Offered = std::move(Offered);
@@ -183,12 +229,18 @@
 
 void Stager::adoptOfferedManifest(const std::string &Peer,
                                   const ChunkMap &Map) {
-  for (auto &[Target, State] : Versions)
-    if (State.Descriptor && State.Check.OfferedBy == Peer &&
-        State.Check.Offered.Id == Map.Version &&
-        adoptHeldDigests(*State.Descriptor, heldChunks(*State.Descriptor),
-                         State.Check.Offered, Map.Held))
+  for (auto &[Target, State] : Versions) {
+    if (!State.Descriptor || State.Check.OfferedBy != Peer ||
+        State.Check.Offered.Id != Map.Version ||
+        State.Load.Stage != LoadStage::Fetching)
+      continue;
+    const VersionDescriptor &Offered = State.Check.Offered;
+    if (adoptHeldDigests(*State.Descriptor, heldChunks(*State.Descriptor),
+                         Offered, Map.Held))
       applyCorrectedManifest(State, Peer);
+    else if (isProvenByPeer(*State.Descriptor, Offered, Map.Held))
+      replaceManifest(State, Offered, Peer);
+  }
 }
 
 std::vector<bool>
@@ -363,8 +415,16 @@
   const bool Kept = chunkReceived(*Transfer, Chunk, From, Verified, now());
   if (!Verified && From.empty())
     return handleOriginMismatch(Chunk, Received, std::move(Bytes));
-  if (Kept)
-    Chunks[Chunk] = std::make_shared<const std::string>(std::move(Bytes));
+  if (!Kept)
+    return;
+  const std::size_t Size = Bytes.size();
+  Chunks[Chunk] = std::make_shared<const std::string>(std::move(Bytes));
+  if (const auto Location = ChunkLocations.find(Chunk);
+      Location != ChunkLocations.end())
+    if (VersionState *State = findVersion(Location->second.first);
+        State != nullptr && State->Descriptor &&
+        adoptVerifiedSize(*State->Descriptor, Location->second.second, Size))
+      applyCorrectedManifest(*State, From.empty() ? "origin" : From);
 }
 
 void Stager::handleOriginMismatch(const Digest &Chunk, const Digest &Received,
@@ -375,8 +435,10 @@
   const auto &[Target, Index] = Location->second;
   VersionState *State = findVersion(Target);
   if (State == nullptr || !State->Descriptor ||
-      !recordMismatch(State->Check, Index, Received) ||
-      !beginManifestReread(State->Manifest, now()))
+      !recordMismatch(State->Check, Index, Received))
+    return;
+  State->Check.Doubted = true;
+  if (!beginManifestReread(State->Manifest, now()))
     return;
   State->RepeatedBytes = std::make_shared<const std::string>(std::move(Bytes));
   Node.Log.write({.Level = LogLevel::Warning,
--- a/src/coordination/manifest_check.cpp
+++ b/src/coordination/manifest_check.cpp
@@ -4,6 +4,39 @@
 
 namespace marigoldyard {
 
+bool recordReading(ManifestCheck &Check, const VersionDescriptor &Read) {
+  ++Check.Reads;
+  if (Check.LastRead == Read)
+    return true;
+  Check.LastRead = Read;
+  return false;
+}
+
+bool differsAsWhole(const VersionDescriptor &Current,
+                    const VersionDescriptor &Other) {
+  if (Current.Chunks.size() != Other.Chunks.size())
+    return true;
+  return !Current.Chunks.empty() &&
+         Current.Chunks.front().Size != Other.Chunks.front().Size;
+}
+
+bool isProvenByPeer(const VersionDescriptor &Current,
+                    const VersionDescriptor &Offered,
+                    const std::vector<bool> &PeerHeld) {
+  return Offered.Chunks.size() != Current.Chunks.size() &&
+         PeerHeld.size() == Offered.Chunks.size() &&
+         std::find(PeerHeld.begin(), PeerHeld.end(), false) == PeerHeld.end();
+}
+
+bool adoptVerifiedSize(VersionDescriptor &Current, std::size_t Index,
+                       std::uint64_t Bytes) {
+  if (Index + 1 >= Current.Chunks.size() || Current.Chunks[Index].Size == Bytes)
+    return false;
+  for (Chunk &Each : Current.Chunks)
+    Each.Size = Bytes;
+  return true;
+}
+
 bool recordMismatch(ManifestCheck &Check, std::size_t Index,
                     const Digest &Received) {
   const auto [Found, New] = Check.Mismatches.try_emplace(Index, Received);
--- a/src/coordination/transfer.cpp
+++ b/src/coordination/transfer.cpp
@@ -16,11 +16,20 @@
 
 namespace {
 
+void setChunkSize(TransferState &State, ChunkIndex Index, std::uint64_t Size) {
+  detail::ChunkSlot &Slot = State.Chunks[Index];
+  if (State.Held.test(Index))
+    State.HeldBytes += Size - Slot.Size;
+  Slot.Size = Size;
+}
+
 ChunkIndex referenceChunk(TransferState &State, const Digest &Id,
                           std::uint64_t Size) {
   const auto Known = State.ChunkById.find(Id);
   if (Known != State.ChunkById.end()) {
     ++State.Chunks[Known->second].References;
+    // A corrected manifest may correct the size.
+    setChunkSize(State, Known->second, Size);
     return Known->second;
   }
   auto Index = static_cast<ChunkIndex>(State.Chunks.size());
@@ -255,8 +264,13 @@
     return Error{ErrorCode::ChunkUnavailable, Step::DescriptorFetch, "",
                  "descriptor " + Descriptor.Id + " is not wanted"};
   VersionSlot &Version = Found->second;
-  if (Version.Described)
+  if (Version.Described) {
+    // The digest of a descriptor does not cover the sizes, which may have been
+    // corrected.
+    for (std::size_t Part = 0; Part < Version.Chunks.size(); ++Part)
+      setChunkSize(State, Version.Chunks[Part], Descriptor.Chunks[Part].Size);
     return std::nullopt;
+  }
   const std::uint64_t Bytes = wantedBytes(State, Descriptor);
   if (State.ChunkById.size() + Descriptor.Chunks.size() >
           State.Settings.MaxChunks ||
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -379,6 +379,12 @@
 WRONG_PIECE = 5
 
 
+def wrong_digest(manifest):
+    """Changes one digit in the digest of WRONG_PIECE."""
+    digest = manifest["digests"][WRONG_PIECE]
+    manifest["digests"][WRONG_PIECE] = ("1" if digest[0] == "0" else "0") + digest[1:]
+
+
 class Origin(Standin):
     """The origin of weights; counts the pieces that it sends."""
 
@@ -387,7 +393,8 @@
         self.limit = None  # pieces that it sends before it goes down
         self.asked = []  # time and path of each call
         self.endless = None  # part of the paths whose answers never end
-        self.wrong_manifests = 0  # manifests to come with one wrong digit in the digest of WRONG_PIECE
+        self.wrong_manifests = 0  # manifests to come that are wrong
+        self.wrong_manifest = wrong_digest  # makes a manifest wrong
         super().__init__(host, ORIGIN_PORT)
 
     def handle(self, request):
@@ -401,12 +408,11 @@
         model, version = path.rpartition("/")[2], int(fields["version"])
         if "/manifest/" in path:
             digests = [hashlib.sha256(piece(model, version, i)).hexdigest() for i in range(PIECES)]
+            manifest = {"model": model, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 4, "digests": digests}
             if self.wrong_manifests > 0:
                 self.wrong_manifests -= 1
-                first = digests[WRONG_PIECE][0]
-                digests[WRONG_PIECE] = ("1" if first == "0" else "0") + digests[WRONG_PIECE][1:]
-            return request.answer(200, {"model": model, "version": version, "chunk_bytes": PIECE_BYTES, "layers": 4,
-                                        "digests": digests})
+                self.wrong_manifest(manifest)
+            return request.answer(200, manifest)
         if self.limit == 0:
             self.down = True
             return request.cut()
--- a/tests/src/unit-coordination-manifest_check.cpp
+++ b/tests/src/unit-coordination-manifest_check.cpp
@@ -94,3 +94,55 @@
       Due.push_back(Passed);
   CHECK(Due == std::vector<Duration>{1s, 3s, 7s, 15s, 23s});
 }
+
+// Guards against a manifest that was used as soon as it parsed: no chunk that
+// is held proves the number of digests.
+TEST_CASE("a manifest is used after two readings in succession agree") {
+  ManifestCheck Check;
+  const VersionDescriptor Right = describe({"a", "b", "c"});
+  const VersionDescriptor Short = describe({"a", "c"});
+  VersionDescriptor Large = Right;
+  Large.Chunks.front().Size = 10 * ChunkBytes;
+  CHECK_FALSE(recordReading(Check, Short));
+  CHECK_FALSE(recordReading(Check, Right));
+  CHECK_FALSE(recordReading(Check, Large));
+  CHECK_FALSE(recordReading(Check, Right));
+  CHECK(recordReading(Check, Right));
+  CHECK(Check.Reads == 5);
+}
+
+TEST_CASE("only the number of digests and the size differ as a whole") {
+  const VersionDescriptor Right = describe({"a", "b", "c"});
+  CHECK_FALSE(differsAsWhole(Right, Right));
+  CHECK_FALSE(differsAsWhole(Right, describe({"a", "x", "c"})));
+  CHECK(differsAsWhole(Right, describe({"a", "c"})));
+  CHECK(differsAsWhole(Right, describe({"a", "b", "b", "c"})));
+  VersionDescriptor Large = Right;
+  for (Chunk &Each : Large.Chunks)
+    Each.Size *= 10;
+  CHECK(differsAsWhole(Right, Large));
+}
+
+// Guards against a stager that keeps a manifest with a wrong number of digests
+// when the origin is gone, and against one that takes such a manifest over.
+TEST_CASE("a peer that holds every chunk proves another number of digests") {
+  const VersionDescriptor Right = describe({"a", "b", "c"});
+  const VersionDescriptor Short = describe({"a", "c"});
+  CHECK(isProvenByPeer(Short, Right, {true, true, true}));
+  CHECK_FALSE(isProvenByPeer(Short, Right, {true, false, true}));
+  CHECK_FALSE(isProvenByPeer(Short, Right, {true, true}));
+  CHECK_FALSE(isProvenByPeer(Short, Right, {}));
+  CHECK_FALSE(
+      isProvenByPeer(Right, describe({"a", "x", "c"}), {true, true, true}));
+}
+
+TEST_CASE("a verified chunk proves the size of all but the last one") {
+  VersionDescriptor Current = describe({"a", "b", "c"});
+  CHECK_FALSE(adoptVerifiedSize(Current, 0, ChunkBytes));
+  CHECK_FALSE(adoptVerifiedSize(Current, 2, 100));
+  CHECK_FALSE(adoptVerifiedSize(Current, 3, 100));
+  CHECK(Current == describe({"a", "b", "c"}));
+  CHECK(adoptVerifiedSize(Current, 1, 100));
+  for (const Chunk &Each : Current.Chunks)
+    CHECK(Each.Size == 100);
+}
