Let streams end where they run if the other servers are full

Cause: a server aborted its running streams (start_mode truncate) as soon as a quarter of the region's servers had the older version. Whether these had room was not asked. Stagers told each other their loads but did not keep them, and did not know the number of slots.

Change: the free slots of the others that accept requests for an older version must be enough for the requests of the server, and of others that are about to load too. Otherwise the order has start_mode queue. areOthersFull decides from a plain struct; the slots come from the configuration of the pool. With an unknown number of slots nothing changes.

Unit tests of coordination (281) and of the protocol (55) pass.

--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// At least one in this many servers of the region must still serve the older
+/// version, so that there is capacity for the streams that are aborted.
+constexpr std::size_t ContinueDivisor = 4;
+
 LoadStage nextStage(const LoadState &State, const LoadConditions &Conditions,
                     TimePoint Now) {
   if (Conditions.Loaded)
@@ -50,6 +54,20 @@
   return Names[static_cast<std::size_t>(StageToName)];
 }
 
+bool hasOlderServers(const StreamRoom &Room) {
+  return !Room.OlderLoads.empty() &&
+         Room.OlderLoads.size() * ContinueDivisor >= Room.RegionServers;
+}
+
+bool areOthersFull(const StreamRoom &Room) {
+  if (Room.Slots == 0)
+    return false;
+  std::uint64_t Free = 0;
+  for (const std::uint32_t Load : Room.OlderLoads)
+    Free += Room.Slots - std::min(Room.Slots, Load);
+  return Free < Room.Load + Room.LeavingLoad;
+}
+
 LoadState makeLoad(LoadPlanSettings Settings, DeclaredVersion Target,
                    TimePoint Now) {
   LoadState State;
@@ -69,7 +87,8 @@
   State.Stage = Next;
   State.StageEnteredAt = Now;
   State.AbortRunning = Next == LoadStage::Loading &&
-                       Conditions.StreamsCanMove && !Conditions.Idle;
+                       Conditions.StreamsCanMove && !Conditions.OthersFull &&
+                       !Conditions.Idle;
   return true;
 }
 
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -202,6 +202,7 @@
         self.seen_at = []  # when each request in `seen` arrived
         self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
         self.loading_until, self.pending = 0, None
+        self.running = 0  # requests that it reports as running
         self.endless = None  # end of the paths whose answers never end
         self.load_s, self.read_delay_s, self.order_delay_s = 0.3, 0, 0
         self.reads = []  # indices of the staged pieces that were read
@@ -330,7 +331,7 @@
         if path.endswith("/report"):
             return request.answer(200, {
                 "stage": "mixed", "busy": self.pending is not None, "sequence": len(self.orders), "waiting": 0,
-                "running": 0, "kv_used": 0, "kv_total": 9, "handles": 0, "born": self.born,
+                "running": self.running, "kv_used": 0, "kv_total": 9, "handles": 0, "born": self.born,
                 "models": [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]})
         if path.endswith("/order"):
             time.sleep(self.order_delay_s)
