--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace marigoldyard {
 
@@ -65,21 +64,7 @@
   bool NoVersionServed = false; ///< the server serves no version of the model
   bool HasTurn = false;         ///< it is the server's turn
   bool Idle = false;            ///< the server runs no requests
-  bool StreamsCanMove = false;  ///< others serve what the streams began with
-  bool OthersFull = false;      ///< those others have no room for the streams
-};
-
-/// @brief Servers of a region that could continue the streams of a server that
-/// is about to load.
-struct StreamRoom {
-  std::uint32_t Slots = 0; ///< of one server; 0: unknown
-  std::uint32_t Load = 0;  ///< requests at the server that is about to load
-  std::size_t RegionServers = 1; ///< including that server
-  /// Requests at each other server that accepts requests for an older version.
-  std::vector<std::uint32_t> OlderLoads;
-  /// Requests at the others that have an older version and are about to load.
-  /// Their streams may have to move at the same time.
-  std::uint64_t LeavingLoad = 0;
+  bool StreamsCanMove = false;  ///< interrupted streams can continue elsewhere
 };
 
 /// @brief State of loading one version on one server.
@@ -97,16 +82,6 @@
   bool AbortRunning = false;
 };
 
-/// @brief Whether enough servers have an older version for streams to continue
-/// there.
-bool hasOlderServers(const StreamRoom &Room);
-
-/// @brief Whether the servers with an older version have fewer free slots than
-/// there are requests to move. Some of these would have to wait for a slot, or
-/// would be cut.
-/// @return false if the number of slots is unknown
-bool areOthersFull(const StreamRoom &Room);
-
 /// @brief Starts to load a version.
 /// @param Now used as the time of the declaration
 /// @return state in stage Fetching
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -68,7 +68,7 @@
                     asDigest(M.Chunks))
 MARIGOLDYARD_FIELDS(PoolMember, M.Address, M.Region)
 MARIGOLDYARD_FIELDS(PoolConfiguration, M.Pool, M.ConfigRevision,
-                    M.OriginAddress, M.OriginFailureDomain, M.Models, M.Slots,
+                    M.OriginAddress, M.OriginFailureDomain, M.Models,
                     M.StreamsResumable, M.Members, M.Declared)
 MARIGOLDYARD_FIELDS(PoolQuestion, M.Sender, M.Pool)
 MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -113,7 +113,6 @@
   std::string OriginAddress;   ///< origin of weights; empty: not configured
   std::string OriginFailureDomain;
   std::vector<std::string> Models; ///< models that the servers load
-  std::uint32_t Slots = 0;         ///< of one server; 0: unknown
   bool StreamsResumable = false;   ///< on every route to the pool
   std::vector<PoolMember> Members; ///< empty: unknown
   std::vector<LoadedWeights>
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -193,15 +193,8 @@
                                 const EngineStatus &Status) {
   recordPeerContact(Peer, Status.Sender.Region);
   PeerState &Known = Peers[Peer];
-  const bool AboutToLoad = Known.Accepting && !Status.Accepting;
   Known.Weights = Status.Weights;
   Known.Accepting = Status.Accepting;
-  Known.Load = Status.Load;
-  // The peer decides by the loads of the others whether its streams can move,
-  // and the periodic status is seconds old.
-  if (AboutToLoad && Known.Region == Settings.Process.Region && Report &&
-      now() - ReportReceivedAt <= ReportLifetime)
-    Node.send(Peer, localStatus());
 }
 
 void Stager::recordPeerContact(const std::string &Peer,
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -69,7 +69,6 @@
     TimePoint LastReceivedAt{};
     std::vector<LoadedWeights> Weights;
     bool Accepting = true;
-    std::uint32_t Load = 0; ///< requests at its server
   };
 
   // Pool members and configuration.
@@ -163,7 +162,7 @@
   bool servesNoVersion(const DeclaredVersion &Target) const;
   bool canStage(const DeclaredVersion &Target) const;
   void removeSupersededVersions();
-  StreamRoom streamRoom(const DeclaredVersion &Target) const;
+  bool canContinueStreams(const DeclaredVersion &Target) const;
   void sendLoadOrder(VersionState &State);
   /// @param OldestRead oldestRead() when the order was sent
   /// @param EarlierUnresolved whether an earlier order was unresolved then
@@ -205,7 +204,6 @@
   std::map<std::string, std::uint32_t> ReportedLoads; ///< by gateway
   std::string LastLoadReceiver;
   bool StreamsCanResume = false; ///< on all routes to the local pool
-  std::uint32_t PoolSlots = 0;   ///< of each server; 0: unknown
   bool PlanDue = false;
   TimePoint NextPlanAt{}; ///< of the transfer, if no event causes one earlier
   bool ReportPending = false;
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -20,6 +20,10 @@
 /// The same interval while the server loads, so that it serves again sooner.
 constexpr std::chrono::milliseconds LoadingReportInterval{40};
 
+/// At least one in this many servers of the region must still serve the older
+/// version, so that there is capacity for the streams that are aborted.
+constexpr std::size_t ContinueDivisor = 4;
+
 /// Digest that identifies a version in the rollout decision.
 Digest versionDigest(const std::string &Model, std::uint64_t Version) {
   return sha256Hex(Model + "\n" + std::to_string(Version));
@@ -278,11 +282,8 @@
     Conditions.Busy = Report->Loading;
     Conditions.Idle = Report->Running + Report->Waiting == 0;
   }
-  if (State.Load.Stage == LoadStage::Announced) {
-    const StreamRoom Room = streamRoom(Target);
-    Conditions.StreamsCanMove = StreamsCanResume && hasOlderServers(Room);
-    Conditions.OthersFull = areOthersFull(Room);
-  }
+  if (State.Load.Stage == LoadStage::Announced)
+    Conditions.StreamsCanMove = StreamsCanResume && canContinueStreams(Target);
   if (State.Load.Stage == LoadStage::Waiting)
     Conditions.HasTurn = hasRolloutTurn(State);
   return Conditions;
@@ -344,25 +345,21 @@
 }
 
 // Streams can continue only on the weights that they started with.
-StreamRoom Stager::streamRoom(const DeclaredVersion &Target) const {
-  StreamRoom Room;
-  Room.Slots = PoolSlots;
-  Room.Load = Report ? Report->Running + Report->Waiting : 0;
+bool Stager::canContinueStreams(const DeclaredVersion &Target) const {
+  std::size_t RegionServers = 1;
+  std::size_t OlderServers = 0;
   for (const auto &[Address, Peer] : Peers) {
     if (Peer.Region != Settings.Process.Region)
       continue;
-    ++Room.RegionServers;
+    ++RegionServers;
     const bool Older = std::any_of(Peer.Weights.begin(), Peer.Weights.end(),
                                    [&](const LoadedWeights &Each) {
                                      return Each.Model == Target.Model &&
                                             Each.Version < Target.Version;
                                    });
-    if (Older && Peer.Accepting)
-      Room.OlderLoads.push_back(Peer.Load);
-    else if (Older)
-      Room.LeavingLoad += Peer.Load;
+    OlderServers += Older && Peer.Accepting ? 1 : 0;
   }
-  return Room;
+  return OlderServers >= 1 && OlderServers * ContinueDivisor >= RegionServers;
 }
 
 void Stager::advanceVersions() {
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -96,7 +96,6 @@
     FactsRevision = Facts.ConfigRevision;
     OriginAddress = Facts.OriginAddress;
     StreamsCanResume = Facts.StreamsResumable;
-    PoolSlots = Facts.Slots;
     const auto Region =
         Settings.Process.RegionOf.find(Facts.OriginFailureDomain);
     if (!Transfer)
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// At least one in this many servers of the region must still serve the older
-/// version, so that there is capacity for the streams that are aborted.
-constexpr std::size_t ContinueDivisor = 4;
-
 LoadStage nextStage(const LoadState &State, const LoadConditions &Conditions,
                     TimePoint Now) {
   if (Conditions.Loaded)
@@ -54,20 +50,6 @@
   return Names[static_cast<std::size_t>(StageToName)];
 }
 
-bool hasOlderServers(const StreamRoom &Room) {
-  return !Room.OlderLoads.empty() &&
-         Room.OlderLoads.size() * ContinueDivisor >= Room.RegionServers;
-}
-
-bool areOthersFull(const StreamRoom &Room) {
-  if (Room.Slots == 0)
-    return false;
-  std::uint64_t Free = 0;
-  for (const std::uint32_t Load : Room.OlderLoads)
-    Free += Room.Slots - std::min(Room.Slots, Load);
-  return Free < Room.Load + Room.LeavingLoad;
-}
-
 LoadState makeLoad(LoadPlanSettings Settings, DeclaredVersion Target,
                    TimePoint Now) {
   LoadState State;
@@ -87,8 +69,7 @@
   State.Stage = Next;
   State.StageEnteredAt = Now;
   State.AbortRunning = Next == LoadStage::Loading &&
-                       Conditions.StreamsCanMove && !Conditions.OthersFull &&
-                       !Conditions.Idle;
+                       Conditions.StreamsCanMove && !Conditions.Idle;
   return true;
 }
 
--- a/src/coordination/pool_facts.cpp
+++ b/src/coordination/pool_facts.cpp
@@ -23,10 +23,8 @@
     Result.OriginFailureDomain = Configuration.Origin->FailureDomain;
   }
   if (const auto Found = Configuration.Pools.find(Pool);
-      Found != Configuration.Pools.end()) {
+      Found != Configuration.Pools.end())
     Result.Models = Found->second.Models;
-    Result.Slots = Found->second.Slots;
-  }
   Result.StreamsResumable =
       std::all_of(Configuration.Routes.begin(), Configuration.Routes.end(),
                   [Pool](const Route &Each) {
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -66,7 +66,6 @@
                       "10.0.0.9:8006",
                       "dar-a",
                       {"model", "other"},
-                      8,
                       true,
                       {{"10.0.0.4:90", "dar"}, {"10.0.0.5:90", "arusha"}},
                       {{"model", 3}}}},
