Release what an attempt holds also when it ends by an exception

Found by reading the change again: after an exception the place at the server, the watch of the start and the candidate of the attempt stayed, so that the server counted as busier than it is. endAttempt() releases them; in all other cases that was done before and has no effect. No test throws there; five cases of test_silent_takeover.py that run two attempts pass.

--- a/programs/gateway/request_attempt.hpp
+++ b/programs/gateway/request_attempt.hpp
@@ -36,6 +36,7 @@
   std::uint64_t LoadedVersion;
   EventOrder Order; ///< of the events that were read
   ServerExchange Exchange;
+  bool PlaceTaken = true; ///< at the server
   bool PrefillRunning = true;
   std::optional<std::uint64_t> StartTicket; ///< set until the request starts
   std::uint32_t EventReads = 0;             ///< reads with events
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -199,6 +199,10 @@
 }
 
 void RequestRun::endAttempt(RequestAttempt &Attempt) {
+  // These have an effect only after an exception.
+  endStartWatch(Attempt);
+  releasePlace(Attempt);
+  removeAttempt(Concurrent, Attempt.Number);
   std::erase_if(Running, [&Attempt](const RequestAttempt &Each) {
     return Each.Number == Attempt.Number;
   });
@@ -244,8 +248,7 @@
            Result.Reason == ErrorCode::WrongWeights)
     recordContradiction(Owner.servers(), Id, now());
   logSend(Attempt, Result);
-  endPrefill(Attempt);
-  Owner.releaseServer(Id);
+  releasePlace(Attempt);
 }
 
 net::awaitable<void>
@@ -276,6 +279,13 @@
     Owner.endStartWatch(*Ticket);
 }
 
+void RequestRun::releasePlace(RequestAttempt &Attempt) {
+  if (!std::exchange(Attempt.PlaceTaken, false))
+    return;
+  endPrefill(Attempt);
+  Owner.releaseServer(Attempt.Server.Id);
+}
+
 void RequestRun::endPrefill(RequestAttempt &Attempt) {
   if (std::exchange(Attempt.PrefillRunning, false))
     Owner.finishPrefill(Attempt.Server.Id, RequestInfo.PromptTokens);
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -90,6 +90,7 @@
                                                  const ExchangeResult &Result);
   /// Keeps the result that decides on the request when all attempts ended.
   void keepResult(ExchangeResult Result);
+  void releasePlace(RequestAttempt &Attempt);
   void endPrefill(RequestAttempt &Attempt);
   void endStartWatch(RequestAttempt &Attempt);
 
