End the wait for each of two silent servers before the caller leaves

What callers saw: nothing.

Cause: the second server's first timeout was a whole time limit after its own send, and the end of the wait is looked at only when a timeout is over.

Change: the first timeout is not later than the end of the wait.

Evidence: case_both_silent failed before (502 after 2.42 s) and passes now.

--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -128,6 +128,13 @@
   Connection->Socket.close(Ignored);
 }
 
+TimePoint ServerExchange::firstByteTimeout() const {
+  const TimePoint End = Limits.SilentUntil
+                            ? std::min(Limits.Deadline, Limits.SilentUntil())
+                            : Limits.Deadline;
+  return std::min(End, now() + Limits.FirstByteTimeout);
+}
+
 TimePoint ServerExchange::nextTimeout() const {
   return Holding ? std::min(now() + MaxHoldTime, Limits.SilentUntil())
                  : now() + Limits.GapTimeout;
@@ -187,9 +194,7 @@
     Result.Detail = "no connection";
     co_return Result;
   }
-  const Duration FirstByteTimeout =
-      std::min(Limits.FirstByteTimeout, Limits.Deadline - now());
-  Timer.expiresAt(now() + FirstByteTimeout);
+  Timer.expiresAt(firstByteTimeout());
   const bool Written = co_await send(Request);
   if (!Written) {
     Result = failureResult({});
@@ -487,7 +492,7 @@
   Splitter.ExtraField = platform::weightVersionEventField();
   ResponseReservation PendingMemory(Memory);
   bool HeadForwarded = false;
-  Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.FirstByteTimeout));
+  Timer.expiresAt(firstByteTimeout());
   while (!ResponseParser.is_done()) {
     std::string Chunk;
     error_code Failure = co_await readChunk(ResponseParser, Chunk);
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -147,6 +147,8 @@
   /// @return whether the wait goes on
   bool prolongWait();
   bool isWaitingAtServer() const;
+  /// Time of the first timeout, from now on.
+  TimePoint firstByteTimeout() const;
   /// Time of the next timeout after events were read.
   TimePoint nextTimeout() const;
   boost::asio::awaitable<bool> connect(const std::string &Address);
--- a/tests/process/test_silent_takeover.py
+++ b/tests/process/test_silent_takeover.py
@@ -226,6 +226,20 @@
     check(found and found[0][1] < SILENT_S + 0.1, f"events {found}")
 
 
+# Guards against a stream without an answer because the second of two silent servers has its own time limit.
+def case_both_silent(fleet):
+    """a stream that neither of two servers begins is answered before its caller leaves"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    serve_anew(fleet, fleet.engines, "/stream/1")
+    order = FirstAndOther(fleet.engines, lambda s: s.hang, lambda s: s.hang)
+    begun = time.monotonic()
+    answer = call(fleet.gateways[0], "/stream/1", "POST", b"p", headers=DEADLINE)
+    took = time.monotonic() - begun
+    check(answer.status == 502 and took < CALLER_TIMEOUT_S and len(order.arrivals) == 2,
+          f"status {answer.status} after {took:.2f} s, at {order.arrivals}")
+
+
 def rejection(status):
     return lambda server: lambda request: request.answer(status, b"no", {"Attempt-Id": request.headers["Attempt-Id"]})
 
@@ -320,7 +334,7 @@
 
 
 CASES = [case_other_server_refuses, case_other_server_refuses_late, case_stream_not_begun, case_idempotent_request,
-         case_both_go_on, case_held_event, case_last_candidate, case_other_server_rejects, case_caller_leaves,
+         case_both_go_on, case_both_silent, case_held_event, case_last_candidate, case_other_server_rejects, case_caller_leaves,
          case_caller_leaves_at_timeout, case_attempts_are_bounded, case_planned_stop]
 
 if __name__ == "__main__":
