Move streams to another server before theirs loads a version

Cause: a load order with start_mode truncate ended all running streams as soon as a quarter of the region's servers had the older version. Nobody asked whether one of these would take a stream, and none had begun with it.

Change: load orders never abort. When a stager announces a load, gateways send the streams of its server to servers with a free slot, before queued requests. The stream is held until the other server has begun with it, and then continues there exactly where it was held; if the other one refuses, fails or has not begun 0.6 s after the last event, the stream goes on at its server. The order is sent when the server is idle, after 0.5 s at the latest, as before.

--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -24,8 +24,9 @@
   /// Least time between the announcement and the order. Gateways stop sending
   /// in this time, so that the server refuses fewer requests.
   Duration AnnounceLeadTime = std::chrono::milliseconds(40);
-  /// Longest wait for running streams to end. The remaining streams continue on
-  /// other servers, which must repeat their prefill.
+  /// Longest time in which gateways move running streams to other servers
+  /// before the order is sent. The server loads when the remaining ones have
+  /// moved or ended, and accepts nothing meanwhile.
   Duration DrainTimeout = std::chrono::milliseconds(500);
   /// Least share of a version's chunks, 0 to 1, held here or by peers for the
   /// version to be completed although a newer one is declared. From this share
@@ -46,8 +47,8 @@
   Fetching,  ///< chunks are missing
   Staging,   ///< chunks are written to the server and read back
   Waiting,   ///< staged; waits for its turn among the region's servers
-  Announced, ///< gateways are notified; running streams end
-  Loading,   ///< the load order was sent
+  Announced, ///< gateways are notified and move running streams
+  Loading,   ///< the load order was sent; the server loads once it is idle
 };
 
 /// @brief Name of a stage for logs, in lower case.
@@ -64,7 +65,7 @@
   bool NoVersionServed = false; ///< the server serves no version of the model
   bool HasTurn = false;         ///< it is the server's turn
   bool Idle = false;            ///< the server runs no requests
-  bool StreamsCanMove = false;  ///< interrupted streams can continue elsewhere
+  bool StreamsCanMove = false;  ///< running streams can continue elsewhere
 };
 
 /// @brief State of loading one version on one server.
@@ -77,9 +78,6 @@
   /// the first version that was skipped or is not loaded yet.
   TimePoint OutdatedSince{};
   TimePoint StageEnteredAt{}; ///< time at which Stage was entered
-  /// Whether the order aborts running requests; otherwise the server waits for
-  /// them to end. Valid in stage Loading.
-  bool AbortRunning = false;
 };
 
 /// @brief Starts to load a version.
--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -264,6 +264,12 @@
 /// @param Id server id; an unknown one is not busy
 bool isBusy(const ServerTable &Table, const std::string &Id, TimePoint Now);
 
+/// @brief Whether a server is about to load weights or loads them, by the last
+/// status of its stager.
+/// @param Id server id; an unknown one is not
+bool isAboutToLoad(const ServerTable &Table, const std::string &Id,
+                   TimePoint Now);
+
 /// @brief Returns the newest version of a model that a server is known to have
 /// loaded.
 /// @return the version; 0 when the model is not loaded
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -355,9 +355,45 @@
                                 Status.Accepting, Status.Load, Status.Weights};
   if (!applyEngineStatus(Servers, News, now()))
     return;
+  if (!Status.Accepting)
+    moveStreamsFrom(Servers.IdByAddress.at(Status.Server));
   dispatchQueued();
 }
 
+void Gateway::moveStreamsFrom(const std::string &Server) {
+  std::vector<RequestRun *> Leaving;
+  for (RequestRun *Run : Runs)
+    if (Run->mayMoveFrom(Server))
+      Leaving.push_back(Run);
+  std::sort(Leaving.begin(), Leaving.end(),
+            [](const RequestRun *Left, const RequestRun *Right) {
+              return Left->arrivalTime() < Right->arrivalTime();
+            });
+  for (RequestRun *Run : Leaving)
+    addLeavingStream(*Run);
+}
+
+void Gateway::addLeavingStream(RequestRun &Run) {
+  if (std::find(LeavingStreams.begin(), LeavingStreams.end(), &Run) ==
+      LeavingStreams.end())
+    LeavingStreams.push_back(&Run);
+}
+
+void Gateway::removeRun(RequestRun &Run) {
+  Runs.erase(&Run);
+  std::erase(LeavingStreams, &Run);
+}
+
+void Gateway::moveStreams(const std::string &Pool) {
+  bool IsFull = false;
+  std::erase_if(LeavingStreams, [&](RequestRun *Run) {
+    if (IsFull || Run->poolName() != Pool)
+      return false;
+    IsFull = Run->moveStream() == MoveStatus::Waiting;
+    return !IsFull;
+  });
+}
+
 void Gateway::handlePoolQuery(const std::string &Stager,
                               const PoolQuestion &Query) {
   Stagers[Stager] = {now(), Query.Sender.Region, Query.Pool};
@@ -403,10 +439,15 @@
 
 ServerChoice Gateway::acquireNow(ServerRequirements &Query,
                                  const WaitingRequest &Request) {
-  ServerChoice Choice{{}, ServerShortage::Full};
   Query.Late = now() > Request.TargetDeadline;
-  if (!mustWait(Queue, Query.Pool, Request.Priority))
-    Choice = chooseServer(Servers, Query, now(), Node.Generator);
+  if (mustWait(Queue, Query.Pool, Request.Priority))
+    return {{}, ServerShortage::Full};
+  return acquireForMove(Query, Request);
+}
+
+ServerChoice Gateway::acquireForMove(const ServerRequirements &Query,
+                                     const WaitingRequest &Request) {
+  ServerChoice Choice = chooseServer(Servers, Query, now(), Node.Generator);
   if (Choice.Shortage == ServerShortage::None) {
     recordRequestStart(Servers, Choice.Id, Query.PromptTokens);
     recordUsage(Queue, Request.Customer, Request.Cost, now());
@@ -514,11 +555,14 @@
   std::set<std::string> Pools;
   for (const auto &[Ticket, Request] : Queue.Waiting)
     Pools.insert(Request.Pool);
+  for (const RequestRun *Run : LeavingStreams)
+    Pools.insert(Run->poolName());
   for (const std::string &Pool : Pools)
     dispatchQueued(Pool);
 }
 
 void Gateway::dispatchQueued(const std::string &Pool) {
+  moveStreams(Pool);
   const TimePoint Now = now();
   while (const WaitingRequest *Next = nextRequest(Queue, Pool, Now)) {
     const std::uint64_t Ticket = Next->Ticket;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -82,6 +82,16 @@
   /// reason why there is none
   ServerChoice acquireNow(ServerRequirements &Query,
                           const WaitingRequest &Request);
+  /// @brief Chooses a server with free capacity for a stream that is to leave
+  /// its server. It goes before queued requests: its server loads only when all
+  /// its streams have ended.
+  /// @copydetails acquireNow
+  ServerChoice acquireForMove(const ServerRequirements &Query,
+                              const WaitingRequest &Request);
+  /// @brief Moves a stream to another server as soon as one has a free slot.
+  /// @param Run removed with removeRun() before it is destroyed; one that is
+  /// already known has no effect
+  void addLeavingStream(RequestRun &Run);
   /// @brief Records that a server finished the prefill of a prompt and
   /// dispatches queued requests.
   /// @param Id id of the server
@@ -104,7 +114,7 @@
   void addRun(RequestRun &Run) { Runs.insert(&Run); }
   /// @brief Removes a request in progress.
   /// @param Run an unknown one has no effect
-  void removeRun(RequestRun &Run) { Runs.erase(&Run); }
+  void removeRun(RequestRun &Run);
   /// @return time at which requests without a response get a final one, because
   /// the process is about to end; TimePoint::max() unless it is leaving
   TimePoint lastResponseAt() const;
@@ -205,6 +215,11 @@
   bool handleStatus(const GatewayStatus &Status);
   void handleEngineStatus(const std::string &Stager,
                           const EngineStatus &Status);
+  /// Begins to move the streams of a server that is about to load, in the order
+  /// in which they arrived.
+  void moveStreamsFrom(const std::string &Server);
+  /// Moves streams of a pool as far as servers have free slots.
+  void moveStreams(const std::string &Pool);
   void handlePoolQuery(const std::string &Stager, const PoolQuestion &Query);
   /// Checks for a crash after a pause: a process that ends may close its
   /// connections before its listening socket.
@@ -268,7 +283,9 @@
   RetryShare SharedRetries; ///< part of this gateway in the retries of all
   DrainState DrainProgress;
   std::set<RequestRun *> Runs; ///< in progress
-  bool LoggedReady = false;    ///< readiness as last logged
+  /// Streams at servers that are about to load, oldest first.
+  std::vector<RequestRun *> LeavingStreams;
+  bool LoggedReady = false; ///< readiness as last logged
   /// A stager from which a message arrived recently.
   struct KnownStager {
     TimePoint LastMessageAt{};
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -28,6 +28,10 @@
 /// A request that waits at a busy server is sent to another one too this long
 /// before its caller leaves, so that the other one can still begin.
 constexpr milliseconds AbandonMargin{400};
+/// Shortest time without an event after which a stream stays at its server
+/// because the other one has not begun. The prefill at a busy server takes most
+/// of it, and callers disconnect after two seconds or more.
+constexpr milliseconds MinMoveTime{600};
 /// A request without a response is sent to another server after this many
 /// target latencies, a silent stream after as many target gaps.
 constexpr int TimeoutTargetMultiple = 3;
@@ -294,30 +298,77 @@
 void RequestRun::handleSilence(RequestAttempt &Attempt, bool New) {
   if (New)
     recordSilence(Attempt);
-  const auto Server = reserveAlternative();
-  if (!Server)
+  if (!mayAddAlternative())
     return;
-  RequestAttempt &Alternative = beginAttempt(*Server);
+  const ServerChoice Choice = reserveAlternative(false);
+  if (Choice.Shortage == ServerShortage::None)
+    beginAlternative(Choice.Id);
+}
+
+void RequestRun::beginAlternative(const std::string &Server) {
+  RequestAttempt &Alternative = beginAttempt(Server);
   net::co_spawn(Owner.node().Context, runAttempt(Alternative), net::detached);
 }
 
-std::optional<std::string> RequestRun::reserveAlternative() {
-  if (!mayAddAttempt(Concurrent) ||
-      Attempts >= MatchedRoute->MaxAttemptsPerRequest ||
-      (HeadForwarded && !resumable()) || crashForbidsAttempt() ||
-      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now()))
-    return std::nullopt;
+bool RequestRun::mayAddAlternative() const {
+  return mayAddAttempt(Concurrent) &&
+         Attempts < MatchedRoute->MaxAttemptsPerRequest &&
+         (!HeadForwarded || resumable()) && !crashForbidsAttempt() &&
+         !findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts,
+                          now());
+}
+
+ServerChoice RequestRun::reserveAlternative(bool IsMove) {
   RetryBudget &Budget = Owner.retryBudget(Pool->Name);
   const RetryInputs Inputs =
       retryInputs(AttemptStatus::Lost, ErrorCode::PeerTimeout);
   if (previewRetry(Budget, Inputs, now()) != RetryDecision::Retry)
-    return std::nullopt;
+    return {};
   ServerRequirements Query = serverRequirements();
-  ServerChoice Choice = Owner.acquireNow(Query, waitingRequest());
+  Query.MayQueueAtServer |= IsMove;
+  ServerChoice Choice = IsMove ? Owner.acquireForMove(Query, waitingRequest())
+                               : Owner.acquireNow(Query, waitingRequest());
+  if (Choice.Shortage == ServerShortage::None)
+    decideRetry(Budget, Inputs, now());
+  return Choice;
+}
+
+const RequestAttempt *RequestRun::onlyCandidate() const {
+  if (Concurrent.Candidates.size() != 1)
+    return nullptr;
+  const auto Found = std::find_if(Running.begin(), Running.end(),
+                                  [this](const RequestAttempt &Each) {
+                                    return isCandidate(Concurrent, Each.Number);
+                                  });
+  return Found == Running.end() ? nullptr : &*Found;
+}
+
+bool RequestRun::mayMoveFrom(const std::string &Server) const {
+  const RequestAttempt *Attempt = onlyCandidate();
+  return Attempt != nullptr && Attempt->Server.Id == Server && HeadForwarded &&
+         mayAddAlternative() && !Session.disconnected();
+}
+
+MoveStatus RequestRun::moveStream() {
+  const RequestAttempt *Leaving = onlyCandidate();
+  if (Leaving == nullptr || !mayMoveFrom(Leaving->Server.Id) ||
+      !isAboutToLoad(Owner.servers(), Leaving->Server.Id, now()))
+    return MoveStatus::Denied;
+  const ServerChoice Choice = reserveAlternative(true);
+  if (Choice.Shortage == ServerShortage::Full)
+    return MoveStatus::Waiting;
   if (Choice.Shortage != ServerShortage::None)
-    return std::nullopt;
-  decideRetry(Budget, Inputs, now());
-  return std::move(Choice.Id);
+    return MoveStatus::Denied;
+  Owner.node().Log.write(
+      {.Event = "stream_moves",
+       .At = Step::Send,
+       .Request = RequestInfo.Id,
+       .Fields = {{"from", Leaving->Server.Id}, {"to", Choice.Id}}});
+  beginMove(Concurrent,
+            LastForwardedAt +
+                std::max(Duration(MinMoveTime), MatchedRoute->TargetEventGap));
+  beginAlternative(Choice.Id);
+  return MoveStatus::Begun;
 }
 
 bool RequestRun::crashForbidsAttempt() const {
@@ -420,7 +471,7 @@
                         ServerOutcome::Answered, now());
   for (const StreamEvent &Event : Events)
     Attempt.HeldEvents += Event.Text;
-  switch (useEvents(Concurrent, Attempt.Number, Attempt.EventReads)) {
+  switch (useEvents(Concurrent, Attempt.Number, Attempt.EventReads, now())) {
   case EventUse::Discard:
     co_return PartStatus::Superseded;
   case EventUse::Hold:
@@ -449,6 +500,8 @@
     HeadForwarded = true;
     Version = Attempt.HeldHead->Version;
     FirstEventAt = now();
+    if (isAboutToLoad(Owner.servers(), Attempt.Server.Id, now()))
+      Owner.addLeavingStream(*this);
     Text = std::move(Attempt.HeldHead->Text);
     Attempt.HeldHead.reset();
   }
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -15,12 +15,20 @@
 
 namespace marigoldyard {
 
+/// @brief Result of RequestRun::moveStream().
+enum class MoveStatus : std::uint8_t {
+  Begun,   ///< another server has got the stream
+  Waiting, ///< no other server has a free slot
+  Denied,  ///< the stream ends at its server
+};
+
 /// @brief Handles one request of a caller: selects its route, forwards it to
 /// servers with retries and sends the response.
 ///
 /// While a server is silent, the request may also be sent to another one. The
 /// silent server keeps it until the other one has begun; the first of the two
-/// that goes on answers, and the other attempt is stopped.
+/// that goes on answers, and the other attempt is stopped. A stream whose
+/// server is about to load moves to another one in the same way.
 class RequestRun {
 public:
   /// @param Owner the gateway; must outlive the run
@@ -43,6 +51,19 @@
   /// @brief Logs that the process ends before the request does.
   void recordCut();
 
+  /// @return name of the pool that serves the request
+  const std::string &poolName() const { return Pool->Name; }
+  /// @return time at which the request was read
+  TimePoint arrivalTime() const { return ArrivalTime; }
+  /// @brief Whether this is a stream in progress at a server that another one
+  /// may continue.
+  /// @param Server id of the server
+  bool mayMoveFrom(const std::string &Server) const;
+  /// @brief Sends the stream to another server if its own is about to load and
+  /// another one has a free slot now. Its own one keeps it until the other one
+  /// has begun.
+  MoveStatus moveStream();
+
 private:
   /// Time reserved before a route's timeout to send the response.
   static constexpr std::chrono::milliseconds ResponseMargin{40};
@@ -96,8 +117,15 @@
 
   /// Sends the request to another server too, if one can take it now.
   void handleSilence(RequestAttempt &Attempt, bool New);
+  /// Whether the route and earlier attempts allow another one beside those that
+  /// run.
+  bool mayAddAlternative() const;
   /// Reserves another server and charges the retry.
-  std::optional<std::string> reserveAlternative();
+  /// @param IsMove whether the stream leaves a server that goes on
+  ServerChoice reserveAlternative(bool IsMove);
+  void beginAlternative(const std::string &Server);
+  /// The only attempt that may answer the request; null if there are several.
+  const RequestAttempt *onlyCandidate() const;
   void recordSilence(const RequestAttempt &Attempt);
 
   StreamReceiver streamReceiver(RequestAttempt &Attempt);
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds LoadingReportInterval{40};
 
 /// At least one in this many servers of the region must still serve the older
-/// version, so that there is capacity for the streams that are aborted.
+/// version, so that there is capacity for the streams that move.
 constexpr std::size_t ContinueDivisor = 4;
 
 /// Digest that identifies a version in the rollout decision.
@@ -427,8 +427,8 @@
   }
   State.AcceptedBy.reset();
   State.AcceptedLate = false;
-  HttpCallRequest Order = platform::makeLoadCall(
-      addressText(Settings.Engine), Target, State.Load.AbortRunning);
+  HttpCallRequest Order =
+      platform::makeLoadCall(addressText(Settings.Engine), Target);
   Order.SendBefore = orderDeadline(State.Staged);
   EngineClient.call(
       std::move(Order),
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -68,8 +68,6 @@
     return false;
   State.Stage = Next;
   State.StageEnteredAt = Now;
-  State.AbortRunning = Next == LoadStage::Loading &&
-                       Conditions.StreamsCanMove && !Conditions.Idle;
   return true;
 }
 
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -465,6 +465,12 @@
          Now - Server.EngineReportedAt < Table.Settings.StatusLifetime;
 }
 
+bool isAboutToLoad(const ServerTable &Table, const std::string &Id,
+                   TimePoint Now) {
+  const auto Found = Table.Servers.find(Id);
+  return Found != Table.Servers.end() && Now < Found->second.LoadingUntil;
+}
+
 std::uint64_t loadedVersion(const ServerState &Server, std::string_view Model) {
   for (const LoadedWeights &Loaded : Server.Weights)
     if (Loaded.Model == Model)
