Refuse requests at servers with other weights than expected

Cause: beliefs about servers come from records and stagers, ordered by a time of day, and only grow. Nothing checked them at the server, though it refuses requests that expect another version; only resumed streams said so.

Change: each request to a server whose version is known names it. The server refuses (421, not run) if it has another one; it then gets no requests until its state is reported anew, as before for resumed streams.

Test: case_wrong_belief_is_refused of test_versions.py. On the request ran (status 200); now no server runs it (503). The stand-in of a server refuses by this header as the platform's do; case_wrong_belief keeps the check of the log with a server that ignores it. test_platform.py demanded that first attempts do not name a version; it now demands that all do.

--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -96,8 +96,11 @@
   Content.Priority =
       HeadForwarded ? 0 : requestPriority(*MatchedRoute, RequestCustomer);
   Content.ResumeAfter = Attempt.Order.Last;
+  // A server that has other weights than it is believed to have refuses.
   if (HeadForwarded)
     Content.RequiredVersion = Version;
+  else if (Attempt.LoadedVersion != 0)
+    Content.RequiredVersion = Attempt.LoadedVersion;
   return platform::buildServerRequest(Request, Content);
 }
 
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -1,5 +1,6 @@
 """Stand-ins that speak the platform's protocol, and gateways and stagers in front of them, on loopback addresses."""
 import base64
+import contextlib
 import hashlib
 import http.client
 import json
@@ -203,6 +204,7 @@
         self.staged, self.born, self.orders = {}, int(time.time() * 1000), []
         self.loading_until, self.pending = 0, None
         self.active = []  # requests in progress
+        self.ignores_version = False  # runs requests that expect other weights
         self.running = 0  # requests that it reports as running
         self.endless = None  # end of the paths whose answers never end
         self.load_s, self.read_delay_s, self.order_delay_s = 0.3, 0, 0
@@ -252,18 +254,35 @@
             return self.handle_engine(request, path)
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return request.answer(421, b"", {"Instance-Id": self.id})
+        if self.has_other_version(request):
+            return self.refuse_version(request)
         self.seen.append((request.command, request.path, dict(request.headers), request.body))
         self.seen_at.append(time.monotonic())
         if self.pending:
             return self.shed(request)  # accepts nothing before it has loaded
         usual = self.plain if self.models is None else self.stream(3)
         behaviour = self.behaviours.pop(0) if self.behaviours else usual
+        with self.running_request(request):
+            return behaviour(request)
+
+    @contextlib.contextmanager
+    def running_request(self, request):
+        """Counts the request among those in progress."""
         self.active.append(request)
         try:
-            return behaviour(request)
+            yield
         finally:
             self.active.remove(request)
 
+    def has_other_version(self, request):
+        expected = request.headers.get("Expect-Version")
+        return bool(expected and self.models) and not self.ignores_version \
+            and expected != str(next(iter(self.models.values())))
+
+    def refuse_version(self, request):
+        request.answer(421, b"", {"Attempt-Id": request.headers["Attempt-Id"], "Not-Executed": "1",
+                                  "Instance-Id": self.id})
+
     def headers(self, request):
         self.spoilt_runs += self.spoilt_weights
         head = {"Attempt-Id": request.headers["Attempt-Id"], "Response-Signature": "sig." + self.id,
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -113,7 +113,7 @@
     answer = call(fleet.gateways[0], "/stream/1", "POST", b"p")
     ids = [int(line[4:]) for line in answer.body.decode().splitlines() if line.startswith("id: ")]
     check(answer.whole and ids == list(range(1, 9)), f"events {ids}")
-    check({entry[2].get("Expect-Version") for s in fleet.engines for entry in s.seen} == {None, "1"},
+    check({entry[2].get("Expect-Version") for s in fleet.engines for entry in s.seen} == {"1"},
           "it continued on the same weights")
 
 
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -89,6 +89,22 @@
     check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
+# Guards against a request on weights that are out of use, because the server is believed to have newer ones.
+def case_wrong_belief_is_refused(fleet):
+    """a server that has older weights than it is believed to have runs nothing"""
+    gateway = fleet.gateways[0]
+    required = newest(fleet)
+    for server in fleet.engines:
+        server.models = {"m": required - 1}
+    answer = call(gateway, "/stream/1", "POST", b"p")
+    ran = sum(len(server.seen) for server in fleet.engines)
+    for server in fleet.engines:
+        server.models = {"m": required}
+    pf.restart_servers(fleet.engines)
+    check((answer.status, ran) == (503, 0), f"status {answer.status}, {ran} requests ran")
+    check(call(gateway, "/stream/1", "POST", b"p").status == 200, "with the weights it is served")
+
+
 # Guards against starts on old weights that no log shows, because the server is believed to have newer ones.
 def case_wrong_belief(fleet):
     """a start on a version that went out of use is logged with the version of the response"""
@@ -100,10 +116,10 @@
     time.sleep(1)  # until requests that were sent before have started
     required = newest(fleet)
     for server in fleet.engines:
-        server.models = {"m": required - 1}
+        server.models, server.ignores_version = {"m": required - 1}, True
     call(gateway, "/stream/1", "POST", b"p")
     for server in fleet.engines:
-        server.models = {"m": required}
+        server.models, server.ignores_version = {"m": required}, False
     lines = wait_for(lambda: [line for line in gateway.log_text().splitlines() if "started_on_old_version" in line],
                      "the start is logged")
     event = json.loads(lines[-1])
@@ -201,7 +217,7 @@
     check(ends == ["reset"], f"the connection ends with {ends}")
 
 
-CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_late_answer_of_store,
+CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused, case_late_answer_of_store,
          case_sent_before_declaration, case_head_before_start, case_given_up_request, case_record_gone]
 
 
