Count the bound of a version from what no delay can move

What callers saw: requests began on an older version up to 8.5 s after a newer one was acknowledged (bound 8 s), sent by a gateway that had not been ready shortly after the acknowledgement (VERSION).

Cause, one class: the bound rested on times that are no lower bounds of the acknowledgement. The age in another gateway's report counted from the arrival of the message, and the latest of all senders won; a gateway that stood still thus believed a report that had waited for it, and its sender, killed since, corrected nothing. And a time without contact with the store counted as evidence that the version came later, while the store may turn gateways away and serve the operator.

Change: gateways ask each other for ages, and an age in an answer counts from when its question was sent, which no delay can make later than the truth. Failed calls are no evidence. A version that a newer one hides is bounded by the last contact before both. Reports need no allowance for their delay any more. Message type VersionDeclarations is no longer sent; gateways of older builds do not answer the new question, and nothing waits for them.

A unit test demanded that an outage extends the bound; it now demands that it does not. Those for the least delayed report are replaced by tests of the questions.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -2,9 +2,9 @@
 
 #include "marigoldyard/state/time.hpp"
 
-#include <map>
+#include <cstdint>
+#include <deque>
 #include <optional>
-#include <string>
 
 namespace marigoldyard {
 
@@ -22,8 +22,6 @@
   Duration StartMargin = std::chrono::milliseconds(300);
   /// Largest fraction of Limit that a margin may take up if Limit is short.
   double MarginShare = 0.15;
-  /// Time that a report of another gateway may have taken to arrive.
-  Duration ReportDelay = std::chrono::milliseconds(300);
   /// Time for which older versions are used if nothing is known about the age
   /// of the declaration. A process that has just started is exempt from the
   /// bound for three seconds.
@@ -41,37 +39,50 @@
                            Duration Wait, bool HasChanges);
 
 /// @brief What a gateway knows about the time at which a declaration was
-/// acknowledged. Each time is a lower bound of it.
+/// acknowledged. The optional times are lower bounds of it.
+///
+/// That the store did not answer this gateway is no evidence: it may have
+/// answered others and acknowledged the declaration meanwhile.
 struct DeclarationEvidence {
   TimePoint LearnedAt; ///< when the gateway learned of the declaration
   /// The gateway had all changes up to then, but not the declaration.
   std::optional<TimePoint> ConfirmedAt;
-  /// The store was last seen unavailable by this gateway.
-  std::optional<TimePoint> UnavailableAt;
-  /// Latest lower bound of another gateway that was in contact with the store.
+  /// Latest lower bound in an answer of another gateway.
   std::optional<TimePoint> ReportedAt;
 };
 
-/// @brief Reports of other gateways on the acknowledgement of a declaration.
-struct DeclarationReports {
-  /// Lower bounds by sender, too late by the delay of the report.
-  std::map<std::string, TimePoint> BySender;
-};
+/// @brief Returns the latest lower bound of the acknowledgement; empty if
+/// nothing is known.
+std::optional<TimePoint> acknowledgedAfter(const DeclarationEvidence &Evidence);
 
-/// @brief Adds a report. The least delayed report of each sender counts.
-/// @param Sender gateway that was in contact with the store
-/// @param At arrival of the report less the reported age
-void addReport(DeclarationReports &Reports, const std::string &Sender,
-               TimePoint At);
+/// @brief Questions to other gateways about the ages of declarations.
+///
+/// An age in an answer counts from when its question was sent. That was before
+/// the answer was made, so no delay of the question, of the answer, or of a
+/// process that stood still makes a declaration look younger than it is.
+struct AgeQuestions {
+  struct Sent {
+    std::uint64_t Number = 0;
+    TimePoint At{};
+  };
+  std::deque<Sent> Recent; ///< oldest first
+};
 
-/// @brief Returns the closest lower bound of all senders.
-/// @param Reports at least one report
-TimePoint latestReport(const DeclarationReports &Reports);
+/// @brief Records a question that is being sent.
+/// @param Questions the questions; the oldest are forgotten
+/// @param Number number of the question; not used before, also by an earlier
+/// process on this VM
+/// @param Now time before the question is sent
+void recordQuestion(AgeQuestions &Questions, std::uint64_t Number,
+                    TimePoint Now);
 
-/// @brief Whether the gateway was in contact with the store when the version
-/// was declared, so that ConfirmedAt is close to the acknowledgement and may be
-/// reported to other gateways.
-bool wasInContact(const DeclarationEvidence &Evidence);
+/// @brief Returns the time that lies an age before an answer.
+/// @param Questions the questions
+/// @param Number number of the question that was answered
+/// @param Age upper bound of the age when the answer was made
+/// @return a lower bound; empty for an unknown question
+std::optional<TimePoint> answeredBound(const AgeQuestions &Questions,
+                                       std::uint64_t Number, Duration Age);
 
 /// @brief Times at which an older version goes out of use.
 struct VersionDeadlines {
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -218,19 +218,32 @@
   std::vector<LoadedWeights> Weights;
 };
 
-/// @brief Age of a declaration, as a gateway knows it that was in contact with
-/// the store.
+/// @brief Age of a declaration, as a gateway knows it.
 struct DeclarationAge {
   std::string Model;
   std::uint64_t Version = 0;
   std::chrono::milliseconds Age{}; ///< upper bound
 };
 
-/// @brief Gateway to gateways: recent declarations of versions.
+/// @brief Gateway to gateways: recent declarations of versions. No longer sent,
+/// since the receiver cannot tell how old the message is; keeps its type
+/// number.
 struct VersionDeclarations {
   std::vector<DeclarationAge> Recent;
 };
 
+/// @brief Gateway to gateways: asks which versions were declared and required.
+struct VersionQuestion {
+  std::uint64_t Number = 0; ///< repeated in the answer
+};
+
+/// @brief Gateway to gateway: answer to a VersionQuestion.
+struct VersionAnswer {
+  std::uint64_t Number = 0; ///< of the question
+  std::vector<DeclarationAge> Recent;  ///< ages when the answer was made
+  std::vector<LoadedWeights> Required; ///< lowest versions that may be used
+};
+
 /// @brief Asks a gateway for what the platform's store holds.
 struct StoreRelayRequest {
   StorePosition After; ///< everything up to here is known
@@ -283,13 +296,15 @@
 
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body = std::variant<
-    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
-    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
-    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
-    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
-    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply,
-    PoolQuestion, PoolAnswer, VersionDeclarations, PromptPartReport>;
+using Body =
+    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
+                 CancelWork, OperationOpen, OperationOpened, OperationRun,
+                 OperationResult, Report, ConfigurationOffer,
+                 ConfigurationRequest, ConfigurationValues, ChunkMap,
+                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
+                 EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
+                 DescriptorReply, PoolQuestion, PoolAnswer, VersionDeclarations,
+                 PromptPartReport, VersionQuestion, VersionAnswer>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -329,9 +329,11 @@
     handleEngineStatus(Incoming.Head.Sender, *Status);
   else if (const auto *Query = std::get_if<PoolQuestion>(&Incoming.Content))
     handlePoolQuery(Incoming.Head.Sender, *Query);
-  else if (const auto *Declarations =
-               std::get_if<VersionDeclarations>(&Incoming.Content))
-    handleVersionDeclarations(Incoming.Head.Sender, *Declarations);
+  else if (const auto *Question =
+               std::get_if<VersionQuestion>(&Incoming.Content))
+    handleVersionQuestion(Incoming.Head.Sender, *Question);
+  else if (const auto *Answer = std::get_if<VersionAnswer>(&Incoming.Content))
+    handleVersionAnswer(*Answer);
   else if (const auto *News = std::get_if<PromptPartReport>(&Incoming.Content))
     handlePartReport(Incoming.Head.Sender, *News);
 }
@@ -641,7 +643,7 @@
       Node.send(Address, Status);
   if (AllRegions) {
     LastRemoteStatusAt = Now;
-    sendVersionDeclarations();
+    askLiveGateways();
   }
   if (Now - LastStagerStatusAt < StagerStatusInterval)
     return;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -247,10 +247,14 @@
   /// no newer one is declared.
   std::optional<TimePoint> startDeadline(const std::string &Model,
                                          std::uint64_t Version) const;
-  void handleVersionDeclarations(const std::string &Sender,
-                                 const VersionDeclarations &Declarations);
+  void handleVersionQuestion(const std::string &Sender,
+                             const VersionQuestion &Question);
+  void handleVersionAnswer(const VersionAnswer &Answer);
+  void recordReported(const DeclaredVersion &Declared, TimePoint At);
   void addReported(const DeclaredVersion &Declared);
-  void sendVersionDeclarations();
+  /// Asks gateways for the ages of the declarations that they know.
+  void askVersions(const std::set<std::string> &Gateways);
+  void askLiveGateways();
   void enforceVersions();
   /// Requires a version whose bound has ended at another gateway.
   void requireReported(const DeclaredVersion &Required);
@@ -298,12 +302,18 @@
   struct PendingVersion {
     DeclaredVersion Declared;
     DeclarationEvidence Evidence;
+    /// Whether it stands for several declarations that a newer one hid. Reports
+    /// on one of them say nothing about the others.
+    bool CoversSeveral = false;
     bool Required = false; ///< older versions get no requests
   };
+  void addPending(PendingVersion Pending);
   void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
-  /// Reports of other gateways, which may arrive before the declaration itself.
-  std::map<DeclaredVersion, DeclarationReports> ReportedDeclarations;
+  /// Lower bounds of acknowledgements in answers of other gateways, which may
+  /// arrive before the declaration itself.
+  std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
+  AgeQuestions Questions;
   std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
   std::uint64_t LastStartTicket = 0;
   CrashSuspects Suspects;
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -15,6 +15,9 @@
 
 /// Reported declarations that are kept; older ones are dropped first.
 constexpr std::size_t MaxReportedDeclarations = 256;
+/// Time for which other gateways are asked for the age of a declaration. Those
+/// that learn of it later know no more about its age.
+constexpr milliseconds AgeQuestionPeriod{1500};
 
 } // namespace
 
@@ -28,20 +31,29 @@
   std::uint64_t &Newest = DeclaredVersions[Version->Model];
   if (Version->Version <= Newest)
     return;
-  Newest = Version->Version;
+  const std::uint64_t KnownBefore = std::exchange(Newest, Version->Version);
   sendPoolDescriptions();
-  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(),
-                               Node.Store.unavailableAt(), std::nullopt};
+  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(), std::nullopt};
   // A declaration from before a restore may have been acknowledged long before
   // the contact with the restored store.
   if (Item.Era < Node.Store.mirror().Position.Era)
     Evidence.ConfirmedAt.reset();
-  if (const auto Report = ReportedDeclarations.find(*Version);
-      Report != ReportedDeclarations.end())
-    Evidence.ReportedAt = latestReport(Report->second);
-  PendingVersions.push_back({*Version, Evidence});
+  // The store holds the newest declaration only. Those between were also made
+  // since the last contact.
+  if (KnownBefore != 0 && Version->Version > KnownBefore + 1)
+    addPending({{Version->Model, Version->Version - 1},
+                Evidence,
+                Version->Version > KnownBefore + 2});
+  addPending({*Version, Evidence});
+  askLiveGateways();
+}
+
+void Gateway::addPending(PendingVersion Pending) {
+  if (const auto Report = ReportedDeclarations.find(Pending.Declared);
+      Report != ReportedDeclarations.end() && !Pending.CoversSeveral)
+    Pending.Evidence.ReportedAt = Report->second;
+  PendingVersions.push_back(std::move(Pending));
   logDeclaration("version_declared", PendingVersions.back());
-  sendVersionDeclarations();
 }
 
 void Gateway::logDeclaration(std::string_view Event,
@@ -59,7 +71,6 @@
            {"version", std::to_string(Pending.Declared.Version)},
            {"learned_s_ago", Ago(Pending.Evidence.LearnedAt)},
            {"confirmed_s_ago", Ago(Pending.Evidence.ConfirmedAt)},
-           {"unavailable_s_ago", Ago(Pending.Evidence.UnavailableAt)},
            {"reported_s_ago", Ago(Pending.Evidence.ReportedAt)},
            {"required_in_s", formatSeconds(Deadlines.RequiredAt - now())}}});
 }
@@ -81,48 +92,71 @@
   const auto Newest = DeclaredVersions.find(Declared.Model);
   if (!IsRequired && !IsKnown && Newest != DeclaredVersions.end() &&
       Newest->second > Declared.Version)
-    PendingVersions.push_back(
-        {Declared, {now(), std::nullopt, std::nullopt, std::nullopt}});
+    addPending({Declared, {now(), std::nullopt, std::nullopt}});
 }
 
-void Gateway::handleVersionDeclarations(
-    const std::string &Sender, const VersionDeclarations &Declarations) {
+void Gateway::handleVersionQuestion(const std::string &Sender,
+                                    const VersionQuestion &Question) {
+  VersionAnswer Answer;
+  Answer.Number = Question.Number;
   const TimePoint Now = now();
-  for (const DeclarationAge &Each : Declarations.Recent) {
-    const DeclaredVersion Declared{Each.Model, Each.Version};
-    const TimePoint At = Now - std::max(milliseconds::zero(), Each.Age);
-    DeclarationReports &Reports = ReportedDeclarations[Declared];
-    addReport(Reports, Sender, At);
-    addReported(Declared);
-    for (PendingVersion &Pending : PendingVersions) {
-      if (Pending.Declared != Declared)
-        continue;
-      const bool FirstReport = !Pending.Evidence.ReportedAt;
-      Pending.Evidence.ReportedAt = latestReport(Reports);
-      if (FirstReport)
-        logDeclaration("version_age_reported", Pending);
-    }
+  for (const PendingVersion &Each : PendingVersions)
+    if (const auto Bound = acknowledgedAfter(Each.Evidence);
+        Bound && !Each.CoversSeveral)
+      Answer.Recent.push_back({Each.Declared.Model, Each.Declared.Version,
+                               std::chrono::ceil<milliseconds>(Now - *Bound)});
+  for (const auto &[Model, Version] : Servers.RequiredVersions)
+    Answer.Required.push_back({Model, Version});
+  Node.send(Sender, std::move(Answer));
+}
+
+void Gateway::handleVersionAnswer(const VersionAnswer &Answer) {
+  for (const LoadedWeights &Each : Answer.Required)
+    requireReported({Each.Model, Each.Version});
+  for (const DeclarationAge &Each : Answer.Recent)
+    if (const auto At = answeredBound(Questions, Answer.Number, Each.Age))
+      recordReported({Each.Model, Each.Version}, *At);
+}
+
+void Gateway::recordReported(const DeclaredVersion &Declared, TimePoint At) {
+  TimePoint &Known =
+      ReportedDeclarations.try_emplace(Declared, At).first->second;
+  Known = std::max(Known, At);
+  addReported(Declared);
+  for (PendingVersion &Pending : PendingVersions) {
+    if (Pending.Declared != Declared || Pending.CoversSeveral)
+      continue;
+    const bool FirstReport = !Pending.Evidence.ReportedAt;
+    Pending.Evidence.ReportedAt = Known;
+    if (FirstReport)
+      logDeclaration("version_age_reported", Pending);
   }
-  while (ReportedDeclarations.size() > MaxReportedDeclarations)
+  if (ReportedDeclarations.size() > MaxReportedDeclarations)
     ReportedDeclarations.erase(std::min_element(
         ReportedDeclarations.begin(), ReportedDeclarations.end(),
-        [](const auto &A, const auto &B) {
-          return latestReport(A.second) < latestReport(B.second);
-        }));
+        [](const auto &A, const auto &B) { return A.second < B.second; }));
+}
+
+void Gateway::askVersions(const std::set<std::string> &Gateways) {
+  if (Gateways.empty())
+    return;
+  const VersionQuestion Question{Node.Generator()};
+  recordQuestion(Questions, Question.Number, now());
+  for (const std::string &Address : Gateways)
+    Node.send(Address, Question);
 }
 
-void Gateway::sendVersionDeclarations() {
-  VersionDeclarations Declarations;
+void Gateway::askLiveGateways() {
   const TimePoint Now = now();
-  for (const PendingVersion &Each : PendingVersions)
-    if (wasInContact(Each.Evidence))
-      Declarations.Recent.push_back(
-          {Each.Declared.Model, Each.Declared.Version,
-           std::chrono::ceil<milliseconds>(Now - *Each.Evidence.ConfirmedAt)});
-  if (Declarations.Recent.empty())
+  if (std::none_of(PendingVersions.begin(), PendingVersions.end(),
+                   [Now](const PendingVersion &Each) {
+                     return Now - Each.Evidence.LearnedAt < AgeQuestionPeriod;
+                   }))
     return;
+  std::set<std::string> Live;
   for (const auto &[Address, Other] : Node.liveGateways())
-    Node.send(Address, Declarations);
+    Live.insert(Address);
+  askVersions(Live);
 }
 
 void Gateway::requireReported(const DeclaredVersion &Required) {
@@ -130,12 +164,12 @@
   if (Known != Servers.RequiredVersions.end() &&
       Known->second >= Required.Version)
     return;
-  // A gateway that lost the store may require a version early; one that was in
-  // contact knows better.
+  // A gateway that lost the store may require a version early; one that knows a
+  // bound need not follow it.
   if (std::any_of(PendingVersions.begin(), PendingVersions.end(),
                   [&](const PendingVersion &Each) {
                     return Each.Declared == Required &&
-                           wasInContact(Each.Evidence);
+                           acknowledgedAfter(Each.Evidence);
                   }))
     return;
   std::uint64_t &Newest = DeclaredVersions[Required.Model];
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -6,19 +6,8 @@
 
 namespace {
 
-/// Returns the latest valid lower bound of the acknowledgement; empty if
-/// nothing is known.
-std::optional<TimePoint> latestBound(const VersionBoundSettings &Settings,
-                                     const DeclarationEvidence &Evidence) {
-  // An outage that another gateway did not see was one of this VM alone and
-  // says nothing about the declaration.
-  if (Evidence.ReportedAt)
-    return std::max(
-        Evidence.ConfirmedAt,
-        std::optional(std::min(*Evidence.ReportedAt - Settings.ReportDelay,
-                               Evidence.LearnedAt)));
-  return std::max(Evidence.ConfirmedAt, Evidence.UnavailableAt);
-}
+/// Number of questions whose answers may still arrive.
+constexpr std::size_t MaxQuestions = 64;
 
 Duration margin(const VersionBoundSettings &Settings, Duration Value) {
   return std::min(Value, std::chrono::duration_cast<Duration>(
@@ -33,27 +22,37 @@
   return WaitedInFull ? SentAt + Wait : SentAt;
 }
 
-void addReport(DeclarationReports &Reports, const std::string &Sender,
-               TimePoint At) {
-  const auto [Known, New] = Reports.BySender.try_emplace(Sender, At);
-  Known->second = std::min(Known->second, At);
+std::optional<TimePoint>
+acknowledgedAfter(const DeclarationEvidence &Evidence) {
+  if (!Evidence.ReportedAt)
+    return Evidence.ConfirmedAt;
+  return std::max(
+      Evidence.ConfirmedAt,
+      std::optional(std::min(*Evidence.ReportedAt, Evidence.LearnedAt)));
 }
 
-TimePoint latestReport(const DeclarationReports &Reports) {
-  TimePoint Latest = TimePoint::min();
-  for (const auto &[Sender, At] : Reports.BySender)
-    Latest = std::max(Latest, At);
-  return Latest;
+void recordQuestion(AgeQuestions &Questions, std::uint64_t Number,
+                    TimePoint Now) {
+  if (Questions.Recent.size() >= MaxQuestions)
+    Questions.Recent.pop_front();
+  Questions.Recent.push_back({Number, Now});
 }
 
-bool wasInContact(const DeclarationEvidence &Evidence) {
-  return Evidence.ConfirmedAt && Evidence.UnavailableAt.value_or(
-                                     TimePoint::min()) <= *Evidence.ConfirmedAt;
+std::optional<TimePoint> answeredBound(const AgeQuestions &Questions,
+                                       std::uint64_t Number, Duration Age) {
+  const auto Found =
+      std::find_if(Questions.Recent.begin(), Questions.Recent.end(),
+                   [Number](const AgeQuestions::Sent &Each) {
+                     return Each.Number == Number;
+                   });
+  if (Found == Questions.Recent.end())
+    return std::nullopt;
+  return Found->At - std::max(Duration::zero(), Age);
 }
 
 VersionDeadlines versionDeadlines(const VersionBoundSettings &Settings,
                                   const DeclarationEvidence &Evidence) {
-  const auto Bound = latestBound(Settings, Evidence);
+  const auto Bound = acknowledgedAfter(Evidence);
   if (!Bound) {
     const TimePoint RequiredAt =
         Evidence.LearnedAt + std::min(Settings.UnknownAgeLimit, Settings.Limit);
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -1,6 +1,8 @@
 """Bounds after the declaration of a version: no request may start on an older one after it."""
+import http.client
 import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -19,14 +21,59 @@
     return time.monotonic()
 
 
-def load_declared(fleet):
-    """Lets all servers report the version that declare_next() declared."""
-    version = newest(fleet) + 1
+def load_declared(fleet, count=1):
+    """Lets all servers report the version that the last of `count` calls of declare_next() declared."""
+    version = newest(fleet) + count
     for server in fleet.engines:
         server.models = {"m": version}
         server.register()
 
 
+class Requests:
+    """Sends requests to a gateway all the time; tells how late the last one reached a server."""
+
+    def __init__(self, fleet, gateway):
+        self.fleet, self.gateway, self.ended = fleet, gateway, threading.Event()
+        for server in fleet.engines:
+            server.seen_at.clear()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while not self.ended.wait(0.05):
+            threading.Thread(target=self.call_once, daemon=True).start()
+
+    def call_once(self):
+        try:
+            call(self.gateway, "/stream/1", "POST", b"p")
+        except (OSError, http.client.HTTPException):
+            pass  # the gateway is not running, or stands still
+
+    def check_last(self, acknowledged):
+        """Waits until the bound of the version is over, and checks that the last request came before it."""
+        time.sleep(max(0, acknowledged + VERSION_LIMIT_S + 2 - time.monotonic()))
+        self.ended.set()
+        late = [at - acknowledged for server in self.fleet.engines for at in server.seen_at]
+        check(late, "requests were served before")
+        check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
+
+
+def restart(fleet, gateway):
+    """Starts a gateway anew in place of one that was killed."""
+    number = fleet.gateways.index(gateway)
+    gateway.stop()
+    fleet.gateways[number] = fleet.gateway(gateway.host)
+    return fleet.gateways[number]
+
+
+def wait_ready(gateway):
+    def ready():
+        try:
+            return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
+        except OSError:
+            return False
+    wait_for(ready, "the gateway is ready")
+
+
 def newest(fleet):
     return max(next(iter(server.models.values())) for server in fleet.engines)
 
@@ -89,6 +136,57 @@
     check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
+# Guards against a bound that begins again after an outage which the operator did not see.
+def case_store_turns_gateways_away(fleet):
+    """nothing is sent to older versions after the bound when the store turned the gateways away and served the operator"""
+    hosts = {gateway.host for gateway in fleet.gateways}
+    requests = Requests(fleet, fleet.gateways[0])
+    fleet.store.turned_away |= hosts
+    time.sleep(0.3)
+    acknowledged = declare_next(fleet)
+    time.sleep(3)
+    fleet.store.turned_away -= hosts
+    requests.check_last(acknowledged)
+    load_declared(fleet)
+
+
+# Guards against a bound that moves by the time that a message waited for a process that stood still.
+def case_message_waits_for_frozen_gateway(fleet):
+    """a gateway that stood still sends nothing to older versions after the bound, whatever messages waited for it"""
+    frozen, other = fleet.gateways
+    requests = Requests(fleet, frozen)
+    frozen.process.send_signal(signal.SIGSTOP)
+    time.sleep(0.3)
+    acknowledged = declare_next(fleet)
+    time.sleep(1.0)
+    other.stop()
+    time.sleep(1.5)
+    frozen.process.send_signal(signal.SIGCONT)
+    requests.check_last(acknowledged)
+    load_declared(fleet)
+    wait_ready(restart(fleet, other))
+
+
+# Guards against a version that a newer one hides from a gateway without contact, while another one that knows of it has
+# started too late to know its age.
+def case_hidden_version(fleet):
+    """a gateway that sees only the second of two versions applies the bound of the first one"""
+    cut_off, other = fleet.gateways
+    other.stop()
+    requests = Requests(fleet, cut_off)
+    fleet.store.turned_away.add(cut_off.host)
+    time.sleep(0.3)
+    acknowledged = declare_next(fleet)
+    time.sleep(6.5)
+    other = restart(fleet, other)
+    time.sleep(0.7)
+    fleet.store.put("op/version/m", {"model": "m", "version": newest(fleet) + 2})
+    fleet.store.turned_away.clear()
+    requests.check_last(acknowledged)
+    load_declared(fleet, count=2)
+    wait_ready(other)
+
+
 # Guards against a request on weights that are out of use, because the server is believed to have newer ones.
 def case_wrong_belief_is_refused(fleet):
     """a server that has older weights than it is believed to have runs nothing"""
@@ -217,8 +315,10 @@
     check(ends == ["reset"], f"the connection ends with {ends}")
 
 
-CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused, case_late_answer_of_store,
-         case_sent_before_declaration, case_head_before_start, case_given_up_request, case_record_gone]
+CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused,
+         case_store_turns_gateways_away, case_message_waits_for_frozen_gateway, case_hidden_version,
+         case_late_answer_of_store, case_sent_before_declaration, case_head_before_start, case_given_up_request,
+         case_record_gone]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -11,7 +11,7 @@
 
 /// Evidence of a gateway that was in contact with the store.
 DeclarationEvidence evidenceInContact(Duration Delay) {
-  return {Start + Delay, Start, std::nullopt, std::nullopt};
+  return {Start + Delay, Start, std::nullopt};
 }
 
 } // namespace
@@ -47,61 +47,53 @@
   CHECK(Deadlines.StartBy < Start + 9s);
 }
 
-// Guards against refusals of everything after an outage of the store for all:
-// the bound counts only while the store works.
-TEST_CASE("an outage that no other gateway saw through extends the bound") {
-  DeclarationEvidence Evidence{Start + 9s, Start, Start + 8s, std::nullopt};
-  CHECK(!wasInContact(Evidence));
-  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 8s + 7500ms);
+// Guards against the use of old weights while the store turns away gateways
+// and serves the operator: what one gateway cannot see is no outage for all.
+TEST_CASE("a time without contact does not extend the bound") {
+  const DeclarationEvidence Evidence{Start + 9s, Start, std::nullopt};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 7500ms);
 }
 
-// Guards against the use of old weights after a cut of one gateway from the
-// store while the others were in contact.
-TEST_CASE("a report of another gateway goes before an outage of this one") {
-  DeclarationEvidence Evidence{Start + 9s, Start, Start + 8s, Start + 2s};
-  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
-        Start + 2s - 300ms + 7500ms);
-  // The own lower bound may be later than the reported one.
+// Guards against refusals by a gateway that was cut off from the store while
+// the others were in contact.
+TEST_CASE("the latest lower bound counts, whoever knows it") {
+  DeclarationEvidence Evidence{Start + 9s, Start, Start + 2s};
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 2s + 7500ms);
   Evidence.ConfirmedAt = Start + 3s;
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 3s + 7500ms);
-}
-
-TEST_CASE("an outage before the last response does not matter") {
-  DeclarationEvidence Evidence{Start + 1s, Start, Start - 3s, std::nullopt};
-  CHECK(wasInContact(Evidence));
-  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 7500ms);
-}
-
-// Guards against refusals of everything by a gateway whose calls were over the
-// rate limit until after the declaration.
-TEST_CASE("a report counts for a gateway without news from the store") {
-  DeclarationEvidence Evidence{Start + 9s, Start, std::nullopt, Start + 8s};
-  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
-        Start + 8s - 300ms + 7500ms);
   // The declaration is no younger than the own knowledge of it.
   Evidence.ReportedAt = Start + 12s;
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 9s + 7500ms);
 }
 
-// Guards against a bound that moves with each report that arrives late.
-TEST_CASE("the least delayed report of each sender counts") {
-  DeclarationReports Reports;
-  addReport(Reports, "a", Start + 3s);
-  CHECK(latestReport(Reports) == Start + 3s);
-  addReport(Reports, "a", Start + 1s);
-  addReport(Reports, "a", Start + 2s);
-  CHECK(latestReport(Reports) == Start + 1s);
-  addReport(Reports, "b", Start + 1500ms);
-  CHECK(latestReport(Reports) == Start + 1500ms);
+// Guards against a bound that moves by the time that a message waited, on its
+// way or before a process that stood still.
+TEST_CASE("an age counts from when its question was sent") {
+  AgeQuestions Questions;
+  recordQuestion(Questions, 17, Start);
+  recordQuestion(Questions, 18, Start + 1s);
+  CHECK(answeredBound(Questions, 17, 400ms) == Start - 400ms);
+  CHECK(answeredBound(Questions, 18, 0ms) == Start + 1s);
+  CHECK(answeredBound(Questions, 18, -5s) == Start + 1s);
+  // An answer to an earlier process has a number that is not known.
+  CHECK_FALSE(answeredBound(Questions, 19, 400ms));
+}
+
+TEST_CASE("old questions are forgotten") {
+  AgeQuestions Questions;
+  for (std::uint64_t Number = 1; Number <= 1000; ++Number)
+    recordQuestion(Questions, Number, Start);
+  CHECK(Questions.Recent.size() <= 64);
+  CHECK_FALSE(answeredBound(Questions, 1, 0ms));
+  CHECK(answeredBound(Questions, 1000, 0ms));
 }
 
 TEST_CASE("a process that has just started trusts reports, or little time") {
-  DeclarationEvidence Evidence{Start, std::nullopt, std::nullopt, std::nullopt};
+  DeclarationEvidence Evidence{Start, std::nullopt, std::nullopt};
   CHECK(versionDeadlines({}, Evidence).RequiredAt == Start + 2500ms);
   CHECK(versionDeadlines({}, Evidence).StartBy == Start + 2500ms);
   Evidence.ReportedAt = Start - 1s;
-  CHECK(versionDeadlines({}, Evidence).RequiredAt ==
-        Start - 1s - 300ms + 7500ms);
+  CHECK(versionDeadlines({}, Evidence).RequiredAt == Start - 1s + 7500ms);
 }
 
 TEST_CASE("margins take up a limited part of short bounds") {
@@ -111,6 +103,6 @@
   CHECK(Deadlines.RequiredAt == Start + 1700ms);
   CHECK(Deadlines.StartBy == Start + 1700ms);
   Settings.Limit = 1s;
-  const DeclarationEvidence Unknown{Start, {}, {}, {}};
+  const DeclarationEvidence Unknown{Start, {}, {}};
   CHECK(versionDeadlines(Settings, Unknown).RequiredAt <= Start + 1s);
 }
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -73,7 +73,11 @@
           PromptPartReport{"10.0.0.4:90",
                            {"5c1e07a2", "91bd3f06"},
                            {"e4402b7d"},
-                           {"0000000a", "0000000b"}}};
+                           {"0000000a", "0000000b"}},
+          VersionQuestion{0xFEDCBA9876543210},
+          VersionAnswer{0xFEDCBA9876543210,
+                        {{"model", 3, std::chrono::milliseconds(250)}},
+                        {{"model", 2}}}};
 }
 
 /// One message of each type, with every member set.
