Ask the other gateways before using model servers after a start

What callers saw: a gateway that was restarted sent requests to versions that all others had required long ago, until their status messages arrived.

Cause: the store holds the newest version of a model only, and not when it was declared. A started gateway gave itself 2.5 s with older versions, on the ground that a process is exempt from the bound for 3 s after its start.

Change: after the start a gateway asks the others which versions are out of use (startup_survey), and sends nothing to model servers until one that knows has answered, or all others have just started too, for 1 s at most. It is not ready before. Requests that arrive meanwhile wait in its queue.

Test: case_started_gateway of test_versions.py.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -108,6 +108,9 @@
   std::map<std::string, std::set<std::string>, std::less<>> ByPool;
   std::map<std::string, std::string, std::less<>> IdByAddress;
   std::map<std::string, std::uint64_t, std::less<>> RequiredVersions;
+  /// Whether RequiredVersions can be relied on; until then no request is sent
+  /// to a model server.
+  bool RequiredVersionsKnown = true;
   std::deque<AbsentServer> AbsentServers; ///< oldest first
 };
 
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -75,7 +75,7 @@
 MARIGOLDYARD_FIELDS(DeclarationAge, M.Model, M.Version, M.Age)
 MARIGOLDYARD_FIELDS(VersionDeclarations, M.Recent)
 MARIGOLDYARD_FIELDS(VersionQuestion, M.Number)
-MARIGOLDYARD_FIELDS(VersionAnswer, M.Number, M.Recent, M.Required)
+MARIGOLDYARD_FIELDS(VersionAnswer, M.Number, M.Informed, M.Recent, M.Required)
 MARIGOLDYARD_FIELDS(PromptPartReport, M.CrashedServer, M.Suspected, M.Begun,
                     M.Blocked)
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -240,6 +240,9 @@
 /// @brief Gateway to gateway: answer to a VersionQuestion.
 struct VersionAnswer {
   std::uint64_t Number = 0; ///< of the question
+  /// Whether the sender knows which versions are out of use; false if it has
+  /// just started itself.
+  bool Informed = false;
   std::vector<DeclarationAge> Recent;  ///< ages when the answer was made
   std::vector<LoadedWeights> Required; ///< lowest versions that may be used
 };
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -63,6 +63,8 @@
   SharedRetries.Limit = {Settings.RetryShare, Settings.RetryReserve};
   SharedRetries.StartedAt = now();
   DrainProgress.Process = Settings.Process.Name;
+  Survey.StartedAt = now();
+  Servers.RequiredVersionsKnown = false;
 }
 
 std::optional<Error> Gateway::start() {
@@ -220,7 +222,7 @@
 }
 
 bool Gateway::ready() const {
-  return Node.Store.isInitialized() && Routes &&
+  return Node.Store.isInitialized() && Routes && Survey.Complete &&
          DrainProgress.Stage == DrainStage::Serving;
 }
 
@@ -333,7 +335,7 @@
                std::get_if<VersionQuestion>(&Incoming.Content))
     handleVersionQuestion(Incoming.Head.Sender, *Question);
   else if (const auto *Answer = std::get_if<VersionAnswer>(&Incoming.Content))
-    handleVersionAnswer(*Answer);
+    handleVersionAnswer(Incoming.Head.Sender, *Answer);
   else if (const auto *News = std::get_if<PromptPartReport>(&Incoming.Content))
     handlePartReport(Incoming.Head.Sender, *News);
 }
@@ -581,6 +583,7 @@
 
 void Gateway::tick() {
   const TimePoint Now = now();
+  runSurvey();
   enforceVersions();
   blockSuspectParts();
   for (const std::uint64_t Ticket : expireRequests(Queue, Now))
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "marigoldyard/coordination/retry_share.hpp"
 #include "marigoldyard/coordination/route_table.hpp"
 #include "marigoldyard/coordination/server_table.hpp"
+#include "marigoldyard/coordination/startup_survey.hpp"
 #include "marigoldyard/coordination/version_bound.hpp"
 #include "marigoldyard/protocol/event_stream.hpp"
 #include "programs/fleet/fleet_main.hpp"
@@ -249,12 +250,15 @@
                                          std::uint64_t Version) const;
   void handleVersionQuestion(const std::string &Sender,
                              const VersionQuestion &Question);
-  void handleVersionAnswer(const VersionAnswer &Answer);
+  void handleVersionAnswer(const std::string &Sender,
+                           const VersionAnswer &Answer);
   void recordReported(const DeclaredVersion &Declared, TimePoint At);
   void addReported(const DeclaredVersion &Declared);
   /// Asks gateways for the ages of the declarations that they know.
   void askVersions(const std::set<std::string> &Gateways);
   void askLiveGateways();
+  /// Asks the other gateways which versions are out of use, after the start.
+  void runSurvey();
   void enforceVersions();
   /// Requires a version whose bound has ended at another gateway.
   void requireReported(const DeclaredVersion &Required);
@@ -314,6 +318,8 @@
   /// arrive before the declaration itself.
   std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
   AgeQuestions Questions;
+  StartupSurvey Survey;
+  TimePoint LastSurveyQuestionAt{};
   std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
   std::uint64_t LastStartTicket = 0;
   CrashSuspects Suspects;
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -18,6 +18,8 @@
 /// Time for which other gateways are asked for the age of a declaration. Those
 /// that learn of it later know no more about its age.
 constexpr milliseconds AgeQuestionPeriod{1500};
+/// Interval of questions after the start; a message may be lost.
+constexpr milliseconds SurveyInterval{100};
 
 } // namespace
 
@@ -99,6 +101,7 @@
                                     const VersionQuestion &Question) {
   VersionAnswer Answer;
   Answer.Number = Question.Number;
+  Answer.Informed = Survey.Complete && Node.Store.isInitialized();
   const TimePoint Now = now();
   for (const PendingVersion &Each : PendingVersions)
     if (const auto Bound = acknowledgedAfter(Each.Evidence);
@@ -110,12 +113,15 @@
   Node.send(Sender, std::move(Answer));
 }
 
-void Gateway::handleVersionAnswer(const VersionAnswer &Answer) {
+void Gateway::handleVersionAnswer(const std::string &Sender,
+                                  const VersionAnswer &Answer) {
   for (const LoadedWeights &Each : Answer.Required)
     requireReported({Each.Model, Each.Version});
   for (const DeclarationAge &Each : Answer.Recent)
     if (const auto At = answeredBound(Questions, Answer.Number, Each.Age))
       recordReported({Each.Model, Each.Version}, *At);
+  if (!Survey.Complete)
+    recordSurveyAnswer(Survey, Sender, Answer.Informed);
 }
 
 void Gateway::recordReported(const DeclaredVersion &Declared, TimePoint At) {
@@ -159,6 +165,29 @@
   askVersions(Live);
 }
 
+void Gateway::runSurvey() {
+  if (Servers.RequiredVersionsKnown)
+    return;
+  const TimePoint Now = now();
+  const std::set<std::string> Gateways = Node.gatewayAddresses();
+  updateSurvey(Survey, Gateways, Now);
+  if (Survey.Complete) {
+    Servers.RequiredVersionsKnown = true;
+    Node.Log.write(
+        {.Event = "versions_surveyed",
+         .At = Step::ConfigurationAccept,
+         .Fields = {{"gateways", std::to_string(Gateways.size())},
+                    {"uninformed", std::to_string(Survey.Uninformed.size())},
+                    {"waited_s", formatSeconds(Now - Survey.StartedAt)}}});
+    logReadinessChange();
+    return;
+  }
+  if (Now - LastSurveyQuestionAt < SurveyInterval)
+    return;
+  LastSurveyQuestionAt = Now;
+  askVersions(Gateways);
+}
+
 void Gateway::requireReported(const DeclaredVersion &Required) {
   const auto Known = Servers.RequiredVersions.find(Required.Model);
   if (Known != Servers.RequiredVersions.end() &&
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -48,7 +48,7 @@
                 const ServerRequirements &Requirements, TimePoint Now) {
   if (!Server.Record.Weights || Requirements.Model.empty())
     return true;
-  if (Now < Server.LoadingUntil)
+  if (Now < Server.LoadingUntil || !Table.RequiredVersionsKnown)
     return false;
   const std::uint64_t Version = loadedVersion(Server, Requirements.Model);
   if (Requirements.ExactVersion)
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -187,6 +187,32 @@
     wait_ready(other)
 
 
+# Guards against a gateway that sends requests to versions which the others know to be out of use, because it has just
+# started.
+def case_started_gateway(fleet):
+    """a gateway that starts asks the others before it sends requests to model servers"""
+    started, other = fleet.gateways
+    declare_next(fleet)
+    version = newest(fleet) + 1
+    wait_for(lambda: any('"version_required"' in line and f'"version":"{version}"' in line
+                         for line in other.log_text().splitlines()), "the version is required", timeout=VERSION_LIMIT_S + 1)
+    started.stop()
+    time.sleep(0.5)
+    for server in fleet.engines:
+        server.seen.clear()
+    begun = time.monotonic()
+    started = restart(fleet, started)
+    requests = Requests(fleet, started)
+    wait_ready(started)
+    took = time.monotonic() - begun
+    time.sleep(3)
+    requests.ended.set()
+    sent = sum(len(server.seen) for server in fleet.engines)
+    load_declared(fleet)
+    check(sent == 0, f"{sent} requests were sent to a version that is out of use")
+    check(took < 1.5, f"the gateway was ready after {took:.2f} s")
+
+
 # Guards against a request on weights that are out of use, because the server is believed to have newer ones.
 def case_wrong_belief_is_refused(fleet):
     """a server that has older weights than it is believed to have runs nothing"""
@@ -316,7 +342,7 @@
 
 
 CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused,
-         case_store_turns_gateways_away, case_message_waits_for_frozen_gateway, case_hidden_version,
+         case_store_turns_gateways_away, case_message_waits_for_frozen_gateway, case_hidden_version, case_started_gateway,
          case_late_answer_of_store, case_sent_before_declaration, case_head_before_start, case_given_up_request,
          case_record_gone]
 
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -76,6 +76,7 @@
                            {"0000000a", "0000000b"}},
           VersionQuestion{0xFEDCBA9876543210},
           VersionAnswer{0xFEDCBA9876543210,
+                        true,
                         {{"model", 3, std::chrono::milliseconds(250)}},
                         {{"model", 2}}}};
 }
