Keep the list of leaving streams valid while a move ends at once

Found by reading: a move whose attempt ends before it is first suspended, for example at a server with an invalid address, releases its slot, which dispatches and walks the same list again. The list is now changed before the move begins.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -61,6 +61,7 @@
 /// the answer was made, so no delay of the question, of the answer, or of a
 /// process that stood still makes a declaration look younger than it is.
 struct AgeQuestions {
+  /// A question that was sent.
   struct Sent {
     std::uint64_t Number = 0;
     TimePoint At{};
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -389,13 +389,20 @@
 }
 
 void Gateway::moveStreams(const std::string &Pool) {
-  bool IsFull = false;
-  std::erase_if(LeavingStreams, [&](RequestRun *Run) {
-    if (IsFull || Run->poolName() != Pool)
-      return false;
-    IsFull = Run->moveStream() == MoveStatus::Waiting;
-    return !IsFull;
-  });
+  const auto Next = [&] {
+    return std::find_if(
+        LeavingStreams.begin(), LeavingStreams.end(),
+        [&](const RequestRun *Run) { return Run->poolName() == Pool; });
+  };
+  for (auto First = Next(); First != LeavingStreams.end(); First = Next()) {
+    // A move that fails at once releases its slot, which calls this function.
+    RequestRun *Run = *First;
+    LeavingStreams.erase(First);
+    if (Run->moveStream() == MoveStatus::Waiting) {
+      LeavingStreams.insert(LeavingStreams.begin(), Run);
+      return;
+    }
+  }
 }
 
 void Gateway::handlePoolQuery(const std::string &Stager,
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -86,7 +86,10 @@
   /// @brief Chooses a server with free capacity for a stream that is to leave
   /// its server. It goes before queued requests: its server loads only when all
   /// its streams have ended.
-  /// @copydetails acquireNow
+  /// @param Query requirements on the server
+  /// @param Request cost of the request and customer
+  /// @return the server, on which the request already counts as started, or the
+  /// reason why there is none
   ServerChoice acquireForMove(const ServerRequirements &Query,
                               const WaitingRequest &Request);
   /// @brief Moves a stream to another server as soon as one has a free slot.
