Count an outage of the store as far as stagers saw it too

Cause: no gateway can tell an outage for all from a store that turns gateways away.

Change: a gateway that saw an outage before a declaration asks the stagers, whose VMs reach the store on other ways (OutageQuestion). The outage counts up to the time until which all that answer saw it too, if at least half of them answer. Requests to model servers wait for the answers for 0.3 s when the bound would be over already.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace marigoldyard {
 
@@ -41,7 +43,7 @@
 /// @brief What a gateway knows about the time at which a declaration was
 /// acknowledged. The optional times are lower bounds of it.
 ///
-/// That the store did not answer this gateway is no evidence: it may have
+/// That the store did not answer this gateway alone is no evidence: it may have
 /// answered others and acknowledged the declaration meanwhile.
 struct DeclarationEvidence {
   TimePoint LearnedAt; ///< when the gateway learned of the declaration
@@ -49,8 +51,43 @@
   std::optional<TimePoint> ConfirmedAt;
   /// Latest lower bound in an answer of another gateway.
   std::optional<TimePoint> ReportedAt;
+  /// End of an outage of the store, from ConfirmedAt on, that others saw too.
+  std::optional<TimePoint> OutageEndedAt;
 };
 
+/// @brief Contact of a process with the store before it learned of a
+/// declaration.
+struct StoreContact {
+  std::optional<TimePoint> ConfirmedAt;   ///< as in DeclarationEvidence
+  std::optional<TimePoint> UnavailableAt; ///< last call that failed
+};
+
+/// @brief Whether the process had lost the contact that it once had.
+bool sawOutage(const StoreContact &Contact);
+
+/// @brief An outage of the store that a gateway has seen, and the stagers that
+/// it asked. Their VMs reach the store on other ways.
+struct OutageInquiry {
+  std::uint64_t Number = 0; ///< of the question
+  TimePoint AskedAt{};
+  TimePoint SeenUntil{}; ///< last call of the gateway itself that failed
+  std::size_t Asked = 0; ///< number of stagers
+  /// By stager: the time up to which it may have had contact with the store at
+  /// the latest, or up to which it saw the outage.
+  std::map<std::string, TimePoint> Answers;
+};
+
+/// @brief Records the answer of a stager. Its age counts from when the question
+/// was sent.
+/// @param Stager its IP address
+/// @param Age age in the answer
+void recordOutageAnswer(OutageInquiry &Inquiry, const std::string &Stager,
+                        Duration Age);
+
+/// @brief Returns up to when all that answered saw the outage.
+/// @return the time; empty until half of the stagers have answered
+std::optional<TimePoint> sharedOutageEnd(const OutageInquiry &Inquiry);
+
 /// @brief Returns the latest lower bound of the acknowledgement; empty if
 /// nothing is known.
 std::optional<TimePoint> acknowledgedAfter(const DeclarationEvidence &Evidence);
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -76,6 +76,8 @@
 MARIGOLDYARD_FIELDS(VersionDeclarations, M.Recent)
 MARIGOLDYARD_FIELDS(VersionQuestion, M.Number)
 MARIGOLDYARD_FIELDS(VersionAnswer, M.Number, M.Informed, M.Recent, M.Required)
+MARIGOLDYARD_FIELDS(OutageQuestion, M.Number, M.Model, M.Version)
+MARIGOLDYARD_FIELDS(OutageAnswer, M.Number, M.Age)
 MARIGOLDYARD_FIELDS(PromptPartReport, M.CrashedServer, M.Suspected, M.Begun,
                     M.Blocked)
 
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -247,6 +247,22 @@
   std::vector<LoadedWeights> Required; ///< lowest versions that may be used
 };
 
+/// @brief Gateway to stager: asks whether the stager saw the outage of the
+/// store before a declaration too.
+struct OutageQuestion {
+  std::uint64_t Number = 0; ///< repeated in the answer
+  std::string Model;
+  std::uint64_t Version = 0;
+};
+
+/// @brief Stager to gateway: answer to an OutageQuestion.
+struct OutageAnswer {
+  std::uint64_t Number = 0; ///< of the question
+  /// Upper bound of the time since the stager's last contact with the store
+  /// without the declaration, or since it last saw the store unavailable.
+  std::chrono::milliseconds Age{};
+};
+
 /// @brief Asks a gateway for what the platform's store holds.
 struct StoreRelayRequest {
   StorePosition After; ///< everything up to here is known
@@ -299,15 +315,14 @@
 
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body =
-    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
-                 CancelWork, OperationOpen, OperationOpened, OperationRun,
-                 OperationResult, Report, ConfigurationOffer,
-                 ConfigurationRequest, ConfigurationValues, ChunkMap,
-                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
-                 EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
-                 DescriptorReply, PoolQuestion, PoolAnswer, VersionDeclarations,
-                 PromptPartReport, VersionQuestion, VersionAnswer>;
+using Body = std::variant<
+    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
+    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
+    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
+    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
+    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply,
+    PoolQuestion, PoolAnswer, VersionDeclarations, PromptPartReport,
+    VersionQuestion, VersionAnswer, OutageQuestion, OutageAnswer>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusTooManyRequests = 429;
 constexpr std::chrono::milliseconds MinBackoff{100};
 /// A store that recovers is detected within this time.
 constexpr std::chrono::milliseconds MaxBackoff{600};
@@ -205,6 +206,7 @@
                .Peer = "store",
                .Number = Mirror.Position.Revision});
   ContactLost = false;
+  ConsecutiveFailures = 0;
   Backoff = {};
   LastResponseAt = now();
   RelaysSinceResponse = 0;
@@ -220,6 +222,12 @@
                .Number = Mirror.Position.Revision});
     return scheduleCall({}, &StoreReader::requestListing);
   }
+  // The first failure may be that of a kept connection. The call after it opens
+  // a new one. Calls over the rate limit say nothing about the store.
+  const bool OverRateLimit =
+      Response != nullptr && Response->Status == StatusTooManyRequests;
+  if (!OverRateLimit && ++ConsecutiveFailures > 1)
+    UnavailableAt = CallSentAt;
   const std::string Cause = Response != nullptr
                                 ? "status " + std::to_string(Response->Status)
                                 : std::get<HttpFailure>(Result).Cause.message();
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -75,6 +75,10 @@
   /// not cover the response that brought the change. Empty until the store has
   /// responded to this process.
   std::optional<TimePoint> confirmedAt() const { return ConfirmedAt; }
+  /// @return time at which the store was last seen to be unavailable; empty if
+  /// it never was. A single call that fails on a kept connection does not
+  /// count.
+  std::optional<TimePoint> unavailableAt() const { return UnavailableAt; }
   /// @return the current copy of the store's items
   const StoreMirror &mirror() const { return Mirror; }
 
@@ -109,6 +113,8 @@
   std::size_t RelaysSinceResponse = 0; ///< only relays with changes
   TimePoint CallSentAt{};              ///< of a listing, its first page
   std::optional<TimePoint> ConfirmedAt;
+  std::optional<TimePoint> UnavailableAt;
+  std::size_t ConsecutiveFailures = 0;
   std::chrono::milliseconds Backoff{};
   bool ContactLost = false; ///< set once the loss of contact is logged
 };
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -336,6 +336,8 @@
     handleVersionQuestion(Incoming.Head.Sender, *Question);
   else if (const auto *Answer = std::get_if<VersionAnswer>(&Incoming.Content))
     handleVersionAnswer(Incoming.Head.Sender, *Answer);
+  else if (const auto *Seen = std::get_if<OutageAnswer>(&Incoming.Content))
+    handleOutageAnswer(Incoming.Head.Sender, *Seen);
   else if (const auto *News = std::get_if<PromptPartReport>(&Incoming.Content))
     handlePartReport(Incoming.Head.Sender, *News);
 }
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -255,6 +255,8 @@
                              const VersionQuestion &Question);
   void handleVersionAnswer(const std::string &Sender,
                            const VersionAnswer &Answer);
+  void handleOutageAnswer(const std::string &Stager,
+                          const OutageAnswer &Answer);
   void recordReported(const DeclaredVersion &Declared, TimePoint At);
   void addReported(const DeclaredVersion &Declared);
   /// Asks gateways for the ages of the declarations that they know.
@@ -312,9 +314,13 @@
     /// Whether it stands for several declarations that a newer one hid. Reports
     /// on one of them say nothing about the others.
     bool CoversSeveral = false;
+    /// Set if the store was unavailable before the declaration.
+    std::optional<OutageInquiry> Outage;
     bool Required = false; ///< older versions get no requests
   };
   void addPending(PendingVersion Pending);
+  /// Asks stagers whether they saw the outage that this gateway saw.
+  void askAboutOutage(PendingVersion &Pending);
   void logDeclaration(std::string_view Event, const PendingVersion &Pending);
   std::vector<PendingVersion> PendingVersions;
   /// Lower bounds of acknowledgements in answers of other gateways, which may
@@ -322,6 +328,7 @@
   std::map<DeclaredVersion, TimePoint> ReportedDeclarations;
   AgeQuestions Questions;
   StartupSurvey Survey;
+  bool SurveyEnded = false;
   TimePoint LastSurveyQuestionAt{};
   std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
   std::uint64_t LastStartTicket = 0;
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -18,6 +18,13 @@
 /// Time for which other gateways are asked for the age of a declaration. Those
 /// that learn of it later know no more about its age.
 constexpr milliseconds AgeQuestionPeriod{1500};
+/// Time for which requests to model servers are held for the answers of others,
+/// when a declaration is learned after its bound.
+constexpr milliseconds AnswerTime{300};
+/// Stagers that are asked about an outage. More would not tell more.
+constexpr std::size_t MaxOutageWitnesses = 16;
+/// A stager that sent nothing for this long may not run.
+constexpr std::chrono::seconds WitnessTimeout{5};
 /// Interval of questions after the start; a message may be lost.
 constexpr milliseconds SurveyInterval{100};
 
@@ -35,7 +42,8 @@
     return;
   const std::uint64_t KnownBefore = std::exchange(Newest, Version->Version);
   sendPoolDescriptions();
-  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(), std::nullopt};
+  DeclarationEvidence Evidence{now(), Node.Store.confirmedAt(), std::nullopt,
+                               std::nullopt};
   // A declaration from before a restore may have been acknowledged long before
   // the contact with the restored store.
   if (Item.Era < Node.Store.mirror().Position.Era)
@@ -48,16 +56,49 @@
                 Version->Version > KnownBefore + 2});
   addPending({*Version, Evidence});
   askLiveGateways();
+  enforceVersions();
 }
 
 void Gateway::addPending(PendingVersion Pending) {
   if (const auto Report = ReportedDeclarations.find(Pending.Declared);
       Report != ReportedDeclarations.end() && !Pending.CoversSeveral)
     Pending.Evidence.ReportedAt = Report->second;
+  askAboutOutage(Pending);
   PendingVersions.push_back(std::move(Pending));
   logDeclaration("version_declared", PendingVersions.back());
 }
 
+void Gateway::askAboutOutage(PendingVersion &Pending) {
+  const StoreContact Contact{Pending.Evidence.ConfirmedAt,
+                             Node.Store.unavailableAt()};
+  if (!sawOutage(Contact))
+    return;
+  const OutageQuestion Question{Node.Generator(), Pending.Declared.Model,
+                                Pending.Declared.Version};
+  const TimePoint Now = now();
+  Pending.Outage = OutageInquiry{Question.Number, Now, *Contact.UnavailableAt};
+  for (const auto &[Address, Stager] : Stagers) {
+    if (Now - Stager.LastMessageAt > WitnessTimeout)
+      continue;
+    Node.send(Address, Question);
+    if (++Pending.Outage->Asked == MaxOutageWitnesses)
+      return;
+  }
+}
+
+void Gateway::handleOutageAnswer(const std::string &Stager,
+                                 const OutageAnswer &Answer) {
+  for (PendingVersion &Each : PendingVersions) {
+    if (!Each.Outage || Each.Outage->Number != Answer.Number)
+      continue;
+    recordOutageAnswer(*Each.Outage, Stager, Answer.Age);
+    const bool First = !Each.Evidence.OutageEndedAt;
+    Each.Evidence.OutageEndedAt = sharedOutageEnd(*Each.Outage);
+    if (First && Each.Evidence.OutageEndedAt)
+      logDeclaration("version_outage_shared", Each);
+  }
+}
+
 void Gateway::logDeclaration(std::string_view Event,
                              const PendingVersion &Pending) {
   const auto Ago = [Now = now()](const std::optional<TimePoint> &At) {
@@ -74,6 +115,7 @@
            {"learned_s_ago", Ago(Pending.Evidence.LearnedAt)},
            {"confirmed_s_ago", Ago(Pending.Evidence.ConfirmedAt)},
            {"reported_s_ago", Ago(Pending.Evidence.ReportedAt)},
+           {"outage_ended_s_ago", Ago(Pending.Evidence.OutageEndedAt)},
            {"required_in_s", formatSeconds(Deadlines.RequiredAt - now())}}});
 }
 
@@ -94,7 +136,7 @@
   const auto Newest = DeclaredVersions.find(Declared.Model);
   if (!IsRequired && !IsKnown && Newest != DeclaredVersions.end() &&
       Newest->second > Declared.Version)
-    addPending({Declared, {now(), std::nullopt, std::nullopt}});
+    addPending({Declared, {now(), std::nullopt, std::nullopt, std::nullopt}});
 }
 
 void Gateway::handleVersionQuestion(const std::string &Sender,
@@ -166,13 +208,13 @@
 }
 
 void Gateway::runSurvey() {
-  if (Servers.RequiredVersionsKnown)
+  if (SurveyEnded)
     return;
   const TimePoint Now = now();
   const std::set<std::string> Gateways = Node.gatewayAddresses();
   updateSurvey(Survey, Gateways, Now);
   if (Survey.Complete) {
-    Servers.RequiredVersionsKnown = true;
+    SurveyEnded = true;
     Node.Log.write(
         {.Event = "versions_surveyed",
          .At = Step::ConfigurationAccept,
@@ -215,15 +257,23 @@
 void Gateway::enforceVersions() {
   const TimePoint Now = now();
   withdrawUnstarted(Now);
+  bool AwaitsAnswers = false;
   std::erase_if(PendingVersions, [&](PendingVersion &Each) {
     const VersionDeadlines Deadlines =
         versionDeadlines(versionBound(), Each.Evidence);
-    if (Now >= Deadlines.RequiredAt && !std::exchange(Each.Required, true)) {
+    const bool IsOver = Now >= Deadlines.RequiredAt;
+    if (IsOver && !Each.Required &&
+        Now - Each.Evidence.LearnedAt < AnswerTime) {
+      AwaitsAnswers = true;
+      return false;
+    }
+    if (IsOver && !std::exchange(Each.Required, true)) {
       requireVersion(Servers, Each.Declared);
       logDeclaration("version_required", Each);
     }
     return Now >= Deadlines.StartBy && Each.Required;
   });
+  Servers.RequiredVersionsKnown = Survey.Complete && !AwaitsAnswers;
 }
 
 std::optional<TimePoint> Gateway::startDeadline(const std::string &Model,
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -44,6 +44,8 @@
 /// A member whose turn takes longer than this is skipped: the time of a drain
 /// and a load.
 constexpr std::chrono::milliseconds TurnTimeout{2500};
+/// Declarations for which the contact before them is kept.
+constexpr std::size_t MaxKnownContacts = 64;
 
 } // namespace
 
@@ -111,6 +113,10 @@
                   .At = Step::ConfigurationAccept,
                   .Fields = {{"model", Version.Model},
                              {"version", std::to_string(Version.Version)}}});
+  ContactBefore[Version] = {Node.Store.confirmedAt(),
+                            Node.Store.unavailableAt()};
+  if (ContactBefore.size() > MaxKnownContacts)
+    ContactBefore.erase(ContactBefore.begin());
   VersionState State;
   LoadPlanSettings PlanSettings;
   PlanSettings.OldVersionDeadline = Settings.Process.VersionLimit;
@@ -128,6 +134,26 @@
     requestManifest(Versions.at(Version));
 }
 
+void Stager::handleOutageQuestion(const std::string &Gateway,
+                                  const OutageQuestion &Question) {
+  // A version that a newer one hid was unknown when the newer one was learned.
+  const auto Known =
+      ContactBefore.lower_bound({Question.Model, Question.Version});
+  const bool IsKnown =
+      Known != ContactBefore.end() && Known->first.Model == Question.Model;
+  const StoreContact Contact =
+      IsKnown
+          ? Known->second
+          : StoreContact{Node.Store.confirmedAt(), Node.Store.unavailableAt()};
+  if (!Contact.ConfirmedAt)
+    return; // nothing is known of the time before the start
+  const TimePoint Until =
+      sawOutage(Contact) ? *Contact.UnavailableAt : *Contact.ConfirmedAt;
+  Node.send(Gateway, OutageAnswer{Question.Number,
+                                  std::chrono::ceil<std::chrono::milliseconds>(
+                                      now() - Until)});
+}
+
 void Stager::skipOutdatedVersions(LoadState &Newer) {
   std::erase_if(Versions, [&](const auto &Each) {
     const auto &[Older, State] = Each;
@@ -163,6 +189,8 @@
   if (std::holds_alternative<DescriptorRequest>(Content) ||
       std::holds_alternative<DescriptorReply>(Content))
     return handleDescriptorMessage(Peer, Content);
+  if (const auto *Question = std::get_if<OutageQuestion>(&Content))
+    return handleOutageQuestion(Peer, *Question);
   if (const auto *Response = std::get_if<PoolAnswer>(&Content))
     return applyPoolFacts(Response->Facts);
   if (const auto *HelloMessage = std::get_if<Hello>(&Content))
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -6,6 +6,7 @@
 #include "marigoldyard/coordination/rollout.hpp"
 #include "marigoldyard/coordination/staged_chunks.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
+#include "marigoldyard/coordination/version_bound.hpp"
 #include "platform/engine_format.hpp"
 #include "programs/fleet/fleet_main.hpp"
 #include "programs/fleet/fleet_node.hpp"
@@ -74,6 +75,8 @@
   // Pool members and configuration.
   void handleStoreChange(const ChangedKeys &Keys);
   void handleVersionDeclaration(const DeclaredVersion &Version);
+  void handleOutageQuestion(const std::string &Gateway,
+                            const OutageQuestion &Question);
   /// Stops fetching older versions whose remaining chunks would only delay a
   /// newer one.
   void skipOutdatedVersions(LoadState &Newer);
@@ -191,7 +194,9 @@
   std::string OriginAddress;  ///< empty until known
   Revision FactsRevision = 0; ///< configuration revision of the facts
   std::map<DeclaredVersion, VersionState> Versions; ///< oldest first
-  std::map<std::string, PeerState> Peers;           ///< by IP address
+  /// Contact with the store before each version was learned.
+  std::map<DeclaredVersion, StoreContact> ContactBefore;
+  std::map<std::string, PeerState> Peers; ///< by IP address
   std::optional<TransferState> Transfer;
   std::unordered_map<Digest, ChunkBytes> Chunks;
   /// Version and index under which the origin serves a chunk.
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -24,11 +24,30 @@
 
 std::optional<TimePoint>
 acknowledgedAfter(const DeclarationEvidence &Evidence) {
-  if (!Evidence.ReportedAt)
-    return Evidence.ConfirmedAt;
-  return std::max(
-      Evidence.ConfirmedAt,
-      std::optional(std::min(*Evidence.ReportedAt, Evidence.LearnedAt)));
+  // An empty optional is less than any time.
+  const auto Own = std::max(Evidence.ConfirmedAt, Evidence.OutageEndedAt);
+  return Evidence.ReportedAt
+             ? std::max(Own, std::optional(std::min(*Evidence.ReportedAt,
+                                                    Evidence.LearnedAt)))
+             : Own;
+}
+
+bool sawOutage(const StoreContact &Contact) {
+  return Contact.ConfirmedAt && Contact.UnavailableAt > Contact.ConfirmedAt;
+}
+
+void recordOutageAnswer(OutageInquiry &Inquiry, const std::string &Stager,
+                        Duration Age) {
+  Inquiry.Answers[Stager] = Inquiry.AskedAt - std::max(Duration::zero(), Age);
+}
+
+std::optional<TimePoint> sharedOutageEnd(const OutageInquiry &Inquiry) {
+  if (Inquiry.Answers.empty() || 2 * Inquiry.Answers.size() < Inquiry.Asked)
+    return std::nullopt;
+  TimePoint End = Inquiry.SeenUntil;
+  for (const auto &[Stager, Until] : Inquiry.Answers)
+    End = std::min(End, Until);
+  return End;
 }
 
 void recordQuestion(AgeQuestions &Questions, std::uint64_t Number,
