Pass on the end of an outage only when its inquiry is closed

Found by reading: a gateway told others of the end of an outage as soon as half of the stagers had answered. An answer that came later could take it back there, but not at the others, which keep the latest bound that they were told. With a store that turned away gateways and half of the stagers, the order of answers would decide. The end is passed on when all have answered or the time for it is over. Unit test: an outage counts as far as others saw it.

--- a/include/marigoldyard/coordination/version_bound.hpp
+++ b/include/marigoldyard/coordination/version_bound.hpp
@@ -75,6 +75,7 @@
   /// By stager: the time up to which it may have had contact with the store at
   /// the latest, or up to which it saw the outage.
   std::map<std::string, TimePoint> Answers;
+  TimePoint ClosesAt{}; ///< time for which answers are waited for
 };
 
 /// @brief Records the answer of a stager. Its age counts from when the question
@@ -84,6 +85,10 @@
 void recordOutageAnswer(OutageInquiry &Inquiry, const std::string &Stager,
                         Duration Age);
 
+/// @brief Whether answers may still change what the inquiry tells. Until then
+/// it must not be passed on, because others cannot take it back.
+bool isOpen(const OutageInquiry &Inquiry, TimePoint Now);
+
 /// @brief Returns up to when all that answered saw the outage.
 /// @return the time; empty until half of the stagers have answered
 std::optional<TimePoint> sharedOutageEnd(const OutageInquiry &Inquiry);
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -77,6 +77,7 @@
                                 Pending.Declared.Version};
   const TimePoint Now = now();
   Pending.Outage = OutageInquiry{Question.Number, Now, *Contact.UnavailableAt};
+  Pending.Outage->ClosesAt = Now + AnswerTime;
   for (const auto &[Address, Stager] : Stagers) {
     if (Now - Stager.LastMessageAt > WitnessTimeout)
       continue;
@@ -147,7 +148,8 @@
   const TimePoint Now = now();
   for (const PendingVersion &Each : PendingVersions)
     if (const auto Bound = acknowledgedAfter(Each.Evidence);
-        Bound && !Each.CoversSeveral)
+        Bound && !Each.CoversSeveral &&
+        !(Each.Outage && isOpen(*Each.Outage, Now)))
       Answer.Recent.push_back({Each.Declared.Model, Each.Declared.Version,
                                std::chrono::ceil<milliseconds>(Now - *Bound)});
   for (const auto &[Model, Version] : Servers.RequiredVersions)
--- a/src/coordination/version_bound.cpp
+++ b/src/coordination/version_bound.cpp
@@ -41,6 +41,10 @@
   Inquiry.Answers[Stager] = Inquiry.AskedAt - std::max(Duration::zero(), Age);
 }
 
+bool isOpen(const OutageInquiry &Inquiry, TimePoint Now) {
+  return Now < Inquiry.ClosesAt && Inquiry.Answers.size() < Inquiry.Asked;
+}
+
 std::optional<TimePoint> sharedOutageEnd(const OutageInquiry &Inquiry) {
   if (Inquiry.Answers.empty() || 2 * Inquiry.Answers.size() < Inquiry.Asked)
     return std::nullopt;
--- a/tests/src/unit-coordination-version_bound.cpp
+++ b/tests/src/unit-coordination-version_bound.cpp
@@ -64,6 +64,7 @@
   CHECK_FALSE(sawOutage({Start, Start - 8s}));
   CHECK_FALSE(sawOutage({std::nullopt, Start}));
   OutageInquiry Inquiry{17, Start + 9s, Start + 8s, 4, {}};
+  Inquiry.ClosesAt = Start + 10s;
   CHECK_FALSE(sharedOutageEnd(Inquiry));
   recordOutageAnswer(Inquiry, "10.0.0.1", 700ms);
   recordOutageAnswer(Inquiry, "10.0.0.1", 700ms);
@@ -72,8 +73,11 @@
   CHECK(sharedOutageEnd(Inquiry) == Start + 7800ms);
   recordOutageAnswer(Inquiry, "10.0.0.3", 0ms);
   CHECK(sharedOutageEnd(Inquiry) == Start + 7800ms);
+  CHECK(isOpen(Inquiry, Start + 9999ms));
+  CHECK_FALSE(isOpen(Inquiry, Start + 10s));
   // This one had contact in the middle.
   recordOutageAnswer(Inquiry, "10.0.0.4", 5s);
+  CHECK_FALSE(isOpen(Inquiry, Start + 9s));
   CHECK(sharedOutageEnd(Inquiry) == Start + 4s);
   CHECK_FALSE(sharedOutageEnd({17, Start + 9s, Start + 8s, 0, {}}));
 }
