--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -136,20 +136,25 @@
     check(max(late) < VERSION_LIMIT_S, f"the last request arrived {max(late):.2f} s after the declaration")
 
 
-# Guards against a bound that begins again after an outage which the operator did not see.
-def case_store_turns_gateways_away(fleet):
-    """nothing is sent to older versions after the bound when the store turned the gateways away and served the operator"""
+def declare_while_turned_away(fleet, seconds):
+    """Declares a version while the store turns the gateways away, for `seconds` more; checks the last request."""
     hosts = {gateway.host for gateway in fleet.gateways}
     requests = Requests(fleet, fleet.gateways[0])
     fleet.store.turned_away |= hosts
     time.sleep(0.3)
     acknowledged = declare_next(fleet)
-    time.sleep(3)
+    time.sleep(seconds)
     fleet.store.turned_away -= hosts
     requests.check_last(acknowledged)
     load_declared(fleet)
 
 
+# Guards against a bound that begins again after an outage which the operator did not see.
+def case_store_turns_gateways_away(fleet):
+    """nothing is sent to older versions after the bound when the store turned the gateways away and served the operator"""
+    declare_while_turned_away(fleet, 3)
+
+
 class Stagers:
     """A stager at each engine, while the origin of the weights is down, so that no version is loaded."""
 
@@ -191,16 +196,8 @@
 # Guards against an outage that counts although stagers saw none.
 def case_store_serves_stagers(fleet):
     """nothing is sent to older versions after the bound when the store turned away the gateways and served stagers"""
-    hosts = {gateway.host for gateway in fleet.gateways}
     with Stagers(fleet):
-        requests = Requests(fleet, fleet.gateways[0])
-        fleet.store.turned_away |= hosts
-        time.sleep(0.3)
-        acknowledged = declare_next(fleet)
-        time.sleep(4)
-        fleet.store.turned_away -= hosts
-        requests.check_last(acknowledged)
-        load_declared(fleet)
+        declare_while_turned_away(fleet, 4)
 
 
 # Guards against a bound that moves by the time that a message waited for a process that stood still.
