Find whole requests that crash servers, at every gateway

Callers saw: one request crashed server after server (BUDGET).

Cause: the suspect was coarser than the fault. Only prompt parts that requests share were suspect, sound requests with the same part cleared them, and requests without a prompt were not looked at. The parts were also blamed for it: with few sound requests between, a part that all share was blocked, and sound requests were refused.

Change: gateways record the crashed servers at which a whole request was. It is blocked after three, two of them one after the other; copies at servers that lose power together count once. Only the completion of a copy clears it; neither evidence nor block ends with time. Each gateway tells the others what changed and, with each status, a hash of what it knows, so that one that has started, stood still or missed a message gets what it lacks. The records merge in any order, without clocks: a crash is named by the run of the server that ended. Crashes that whole requests explain do not block prompt parts. A request that was at two crashes is not repeated by the gateway.

--- a/include/marigoldyard/coordination/crash_suspects.hpp
+++ b/include/marigoldyard/coordination/crash_suspects.hpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/state/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -86,9 +87,14 @@
                        const std::vector<std::string> &Parts, TimePoint Now);
 
 /// @brief Blocks the parts for which the evidence suffices.
+/// @param IsExplained whether something else explains crashes, such as a whole
+/// request that was at all of them; they do not block a part for the first time
 /// @return ids of the parts that are blocked now and were not before
 /// @complexity linear in the number of suspects for each blocked part
-std::vector<std::string> blockSuspects(CrashSuspects &State, TimePoint Now);
+std::vector<std::string>
+blockSuspects(CrashSuspects &State, TimePoint Now,
+              const std::function<bool(const std::vector<ServerCrash> &)>
+                  &IsExplained = {});
 
 /// @brief Blocks a part that another process has blocked.
 /// @param Part id of the part
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -81,6 +81,12 @@
 MARIGOLDYARD_FIELDS(PromptPartReport, M.CrashedServer, M.Suspected, M.Begun,
                     M.Blocked)
 
+MARIGOLDYARD_FIELDS(ReportedRequestCrash, M.ServerRun, M.Server, M.SentAge,
+                    M.Age)
+MARIGOLDYARD_FIELDS(ReportedRequest, asDigest(M.Request), M.Blocked, M.Crashes,
+                    M.ClearedCrashes)
+MARIGOLDYARD_FIELDS(CrashedRequestReport, M.Kind, M.ContentHash, M.Requests)
+
 #undef MARIGOLDYARD_FIELDS
 
 } // namespace marigoldyard::detail
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "marigoldyard/state/crashed_request.hpp"
 #include "marigoldyard/state/error.hpp"
 #include "marigoldyard/state/fleet.hpp"
 #include "marigoldyard/state/manifest.hpp"
@@ -313,16 +314,34 @@
   std::vector<std::string> Blocked;   ///< not sent to servers any more
 };
 
+/// @brief Why a CrashedRequestReport is sent.
+enum class CrashReportKind : std::uint8_t {
+  Changes, ///< has what changed at the sender
+  Summary, ///< has no requests, only the hash of what the sender knows
+  Answer,  ///< has all that the sender knows, and asks for what it lacks
+  Rest,    ///< has all that the sender knows
+};
+inline constexpr std::size_t CrashReportKindCount = 4;
+
+/// @brief Gateway to gateway: requests that were at crashed servers.
+struct CrashedRequestReport {
+  CrashReportKind Kind = CrashReportKind::Changes;
+  std::uint64_t ContentHash = 0; ///< of all that the sender knows
+  std::vector<ReportedRequest> Requests;
+};
+
 /// @brief Body of a message. The position in the list is the type number on the
 /// wire: append only.
-using Body = std::variant<
-    Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed, CancelWork,
-    OperationOpen, OperationOpened, OperationRun, OperationResult, Report,
-    ConfigurationOffer, ConfigurationRequest, ConfigurationValues, ChunkMap,
-    ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus, EngineStatus,
-    StoreRelayRequest, StoreRelay, DescriptorRequest, DescriptorReply,
-    PoolQuestion, PoolAnswer, VersionDeclarations, PromptPartReport,
-    VersionQuestion, VersionAnswer, OutageQuestion, OutageAnswer>;
+using Body =
+    std::variant<Work, WorkAccepted, WorkRefused, Piece, StreamEnd, WorkFailed,
+                 CancelWork, OperationOpen, OperationOpened, OperationRun,
+                 OperationResult, Report, ConfigurationOffer,
+                 ConfigurationRequest, ConfigurationValues, ChunkMap,
+                 ChunkRequest, ChunkData, ChunkRefused, Hello, GatewayStatus,
+                 EngineStatus, StoreRelayRequest, StoreRelay, DescriptorRequest,
+                 DescriptorReply, PoolQuestion, PoolAnswer, VersionDeclarations,
+                 PromptPartReport, VersionQuestion, VersionAnswer,
+                 OutageQuestion, OutageAnswer, CrashedRequestReport>;
 
 /// @brief A message between two processes of the system.
 struct Message {
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -84,6 +84,8 @@
     News.Blocked = blockedParts(Suspects, now());
     if (!News.Blocked.empty())
       Node.send(Peer, std::move(News));
+    if (!Crashing.Requests.empty())
+      Node.send(Peer, makeCrashReport(CrashReportKind::Answer));
   };
   Handlers.Tick = [this] { tick(); };
   Handlers.Terminate = [this] { terminate(); };
@@ -340,6 +342,9 @@
     handleOutageAnswer(Incoming.Head.Sender, *Seen);
   else if (const auto *News = std::get_if<PromptPartReport>(&Incoming.Content))
     handlePartReport(Incoming.Head.Sender, *News);
+  else if (const auto *Report =
+               std::get_if<CrashedRequestReport>(&Incoming.Content))
+    handleCrashReport(Incoming.Head.Sender, *Report);
 }
 
 bool Gateway::handleStatus(const GatewayStatus &Status) {
@@ -604,6 +609,7 @@
   if (Now - LastMaintenanceAt >= MaintenanceInterval) {
     LastMaintenanceAt = Now;
     Connections.closeExpired(Now);
+    forgetCompletedRequests(Crashing, Now);
     reloadSettings();
   }
   if (Now >= lastResponseAt())
@@ -653,6 +659,7 @@
   for (const std::string &Address : Node.gatewayAddresses())
     if (AllRegions || !Node.isInOtherRegion(Address))
       Node.send(Address, Status);
+  sendCrashSummary(AllRegions);
   if (AllRegions) {
     LastRemoteStatusAt = Now;
     askLiveGateways();
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/coordination/catch_up.hpp"
 #include "marigoldyard/coordination/crash_suspects.hpp"
+#include "marigoldyard/coordination/crashing_requests.hpp"
 #include "marigoldyard/coordination/dispatch_queue.hpp"
 #include "marigoldyard/coordination/drain.hpp"
 #include "marigoldyard/coordination/pool_facts.hpp"
@@ -163,23 +164,34 @@
   /// other gateways about parts that this clears.
   /// @param Parts ids of the shared parts of the prompt
   void recordBegun(const std::vector<std::string> &Parts);
+  /// @return the requests that may crash servers
+  const CrashingRequests &crashingRequests() const { return Crashing; }
+  /// @brief Records that a server completed a request.
+  /// @param Request digest of the request
+  void recordCompleted(const Digest &Request);
+
+  /// @brief A request whose connection was closed before it began.
+  struct LostRequest {
+    std::string Id;        ///< for the log
+    Digest Content;        ///< see RequestRun::contentDigest()
+    std::string Server;    ///< IP address and port
+    std::string ServerRun; ///< see serverRunName()
+    TimePoint SentAt{};
+    std::vector<std::string> Parts; ///< ids of the shared parts of the prompt
+  };
   /// @brief Checks whether a server has crashed, after a connection to it was
   /// closed before the request began, and if so records the crash and tells the
   /// other gateways. Only a refused connection counts, because a lost answer
   /// or an overloaded server also closes connections.
-  /// @param RequestId id of the request, for the log
-  /// @param Address IP address and port of the server
-  /// @param Parts ids of the shared parts of the prompt
+  /// @param Lost the request
   /// @return whether the server has crashed; a second check follows when it
   /// seems to run
-  boost::asio::awaitable<bool> checkForCrash(std::string RequestId,
-                                             std::string Address,
-                                             std::vector<std::string> Parts);
-  /// @brief Records a request that is rejected because of a blocked part.
+  boost::asio::awaitable<bool> checkForCrash(LostRequest Lost);
+  /// @brief Records a request that is rejected because servers crash on it.
   /// @param RequestId id of the request, for the log
-  /// @param Blocked the part
+  /// @param Cause what is blocked, and how often servers crashed on it
   void recordBlockedRequest(const std::string &RequestId,
-                            const BlockedPart &Blocked);
+                            const std::string &Cause);
 
   /// @brief Records a response to a caller and its latency in the metrics.
   /// @param Kind kind of the route
@@ -227,13 +239,20 @@
   void handlePoolQuery(const std::string &Stager, const PoolQuestion &Query);
   /// Checks for a crash after a pause: a process that ends may close its
   /// connections before its listening socket.
-  boost::asio::awaitable<bool>
-  probeAgain(const std::string &RequestId, const std::string &Address,
-             const std::vector<std::string> &Parts);
+  boost::asio::awaitable<bool> probeAgain(const LostRequest &Lost);
   void handlePartReport(const std::string &Peer, const PromptPartReport &News);
   boost::asio::awaitable<bool> refusesConnections(const std::string &Address);
-  void recordCrash(const std::string &RequestId, const std::string &Address,
-                   const std::vector<std::string> &Parts);
+  void recordCrash(const LostRequest &Lost);
+  void handleCrashReport(const std::string &Peer,
+                         const CrashedRequestReport &Report);
+  CrashedRequestReport makeCrashReport(CrashReportKind Kind) const;
+  /// Tells the other gateways what changed here about crashing requests.
+  void sendCrashChanges();
+  /// Tells the other gateways what is known here, so that they notice what one
+  /// of both lacks.
+  /// @param AllRegions as for sendStatus()
+  void sendCrashSummary(bool AllRegions);
+  void logRequestBlocked(const Digest &Request, const std::string &Source);
   void sendPartReport(const PromptPartReport &News);
   void blockSuspectParts();
   void logPartBlocked(const std::string &Part, const std::string &Source);
@@ -333,6 +352,7 @@
   std::map<std::uint64_t, UnstartedRequest> UnstartedRequests; ///< by ticket
   std::uint64_t LastStartTicket = 0;
   CrashSuspects Suspects;
+  CrashingRequests Crashing;
   TimePoint LastStatusAt{};
   TimePoint LastRemoteStatusAt{};
   TimePoint LastStagerStatusAt{};
--- a/programs/gateway/gateway_prompt_parts.cpp
+++ b/programs/gateway/gateway_prompt_parts.cpp
@@ -69,65 +69,71 @@
   co_return Failure == net::error::connection_refused;
 }
 
-net::awaitable<bool> Gateway::checkForCrash(std::string RequestId,
-                                            std::string Address,
-                                            std::vector<std::string> Parts) {
-  if (co_await refusesConnections(Address)) {
-    recordCrash(RequestId, Address, Parts);
+net::awaitable<bool> Gateway::checkForCrash(LostRequest Lost) {
+  if (co_await refusesConnections(Lost.Server)) {
+    recordCrash(Lost);
     co_return true;
   }
-  // A retry of a request with a suspect part may crash one more server, so it
-  // waits for the second probe.
-  if (isSuspect(Suspects, Parts)) {
-    const bool Crashed = co_await probeAgain(RequestId, Address, Parts);
+  // A retry of a suspect request may crash one more server, so it waits for the
+  // second probe.
+  if (isSuspect(Suspects, Lost.Parts) ||
+      Crashing.Requests.contains(Lost.Content)) {
+    const bool Crashed = co_await probeAgain(Lost);
     co_return Crashed;
   }
   net::co_spawn(
       Node.Context,
-      [this, Request = std::move(RequestId), Server = std::move(Address),
-       Shared = std::move(Parts)]() -> net::awaitable<void> {
-        co_await probeAgain(Request, Server, Shared);
+      [this, Request = std::move(Lost)]() -> net::awaitable<void> {
+        co_await probeAgain(Request);
       },
       net::detached);
   co_return false;
 }
 
-net::awaitable<bool>
-Gateway::probeAgain(const std::string &RequestId, const std::string &Address,
-                    const std::vector<std::string> &Parts) {
+net::awaitable<bool> Gateway::probeAgain(const LostRequest &Lost) {
   net::steady_timer Pause(Node.Context, CrashProbePause);
   error_code Ignored;
   co_await Pause.async_wait(net::redirect_error(net::use_awaitable, Ignored));
-  const bool Crashed = co_await refusesConnections(Address);
+  const bool Crashed = co_await refusesConnections(Lost.Server);
   if (Crashed)
-    recordCrash(RequestId, Address, Parts);
+    recordCrash(Lost);
   co_return Crashed;
 }
 
-void Gateway::recordCrash(const std::string &RequestId,
-                          const std::string &Address,
-                          const std::vector<std::string> &Parts) {
+void Gateway::recordCrash(const LostRequest &Lost) {
   Node.Log.write(
       {.Event = "server_crashed",
        .At = Step::Send,
-       .Peer = Address,
-       .Request = RequestId,
-       .Fields = {{"parts", fmt::format("{}", fmt::join(Parts, ","))}}});
+       .Peer = Lost.Server,
+       .Request = Lost.Id,
+       .Fields = {{"parts", fmt::format("{}", fmt::join(Lost.Parts, ","))},
+                  {"content", Lost.Content},
+                  {"server_run", Lost.ServerRun}}});
   Node.ProcessMetrics
       .counter("marigoldyard_crash_requests_total",
                "Requests that had not begun at a server that crashed")
       .add();
+  const TimePoint Now = now();
+  if (recordRequestCrash(Crashing, Lost.Content, Lost.ServerRun,
+                         {Lost.Server, Lost.SentAt, Now}))
+    logRequestBlocked(Lost.Content, Settings.Process.Address);
+  sendCrashChanges();
+  if (Lost.Parts.empty())
+    return;
   PromptPartReport News;
-  News.CrashedServer = Address;
-  News.Suspected = Parts;
-  recordServerCrash(Suspects, Address, Parts, now());
+  News.CrashedServer = Lost.Server;
+  News.Suspected = Lost.Parts;
+  recordServerCrash(Suspects, Lost.Server, Lost.Parts, Now);
   sendPartReport(News);
   blockSuspectParts();
 }
 
 void Gateway::blockSuspectParts() {
   PromptPartReport News;
-  News.Blocked = blockSuspects(Suspects, now());
+  News.Blocked = blockSuspects(
+      Suspects, now(), [this](const std::vector<ServerCrash> &Crashes) {
+        return areExplainedByRequests(Crashing, Crashes);
+      });
   if (News.Blocked.empty())
     return;
   for (const std::string &Part : News.Blocked)
@@ -163,16 +169,14 @@
 }
 
 void Gateway::recordBlockedRequest(const std::string &RequestId,
-                                   const BlockedPart &Blocked) {
+                                   const std::string &Cause) {
   Node.Log.write({.Event = "request_blocked",
                   .At = Step::Admission,
                   .Request = RequestId,
-                  .Fields = {{"part", Blocked.Part},
-                             {"crashes", std::to_string(Blocked.Crashes)}}});
+                  .Fields = {{"cause", Cause}}});
   Node.ProcessMetrics
-      .counter(
-          "marigoldyard_blocked_requests_total",
-          "Requests rejected because servers crash on a part of the prompt")
+      .counter("marigoldyard_blocked_requests_total",
+               "Requests rejected because servers crash on them")
       .add();
 }
 
--- a/programs/gateway/request_attempt.hpp
+++ b/programs/gateway/request_attempt.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/state/fleet.hpp"
+#include "marigoldyard/transport/clock.hpp"
 #include "programs/gateway/server_exchange.hpp"
 
 #include <cstdint>
@@ -34,6 +35,7 @@
   std::uint32_t Number;
   ServerRecord Server; ///< when the attempt began
   std::uint64_t LoadedVersion;
+  const TimePoint SentAt = now();
   EventOrder Order; ///< of the events that were read
   ServerExchange Exchange;
   bool PlaceTaken = true; ///< at the server
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -153,8 +153,7 @@
     releaseLastCandidate();
   }
   recordAttempt(Attempt, Result);
-  if (!RequestInfo.SharedParts.empty())
-    co_await recordPartOutcome(Attempt, Result);
+  co_await recordCrashOutcome(Attempt, Result);
   if (Decides)
     co_await forwardHeld(Attempt); // a failed write ends the session
   if (Counts)
@@ -259,24 +258,30 @@
 }
 
 net::awaitable<void>
-RequestRun::recordPartOutcome(RequestAttempt &Attempt,
-                              const ExchangeResult &Result) {
+RequestRun::recordCrashOutcome(RequestAttempt &Attempt,
+                               const ExchangeResult &Result) {
   // A rejection by the server, such as 400, is no sign that a request began.
   const bool Served = Attempt.EventReads > 0 ||
                       (Result.Response && Result.Response->Status / 100 == 2);
-  if (Result.Fate == AttemptStatus::Completed && Served)
+  if (Result.Fate == AttemptStatus::Completed && Served) {
     Owner.recordBegun(RequestInfo.SharedParts);
+    if (!Owner.crashingRequests().Requests.empty())
+      Owner.recordCompleted(contentDigest());
+  }
   const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
                               Result.Reason == ErrorCode::StreamIncomplete;
   // A server that leaves without a notice loses its record before it ends.
-  const std::string &Id = Attempt.Server.Id;
-  const bool MayHaveLeft =
-      isLeaving(Owner.servers(), Id) || !Owner.servers().Servers.contains(Id);
+  const ServerRecord &Server = Attempt.Server;
+  const bool MayHaveLeft = isLeaving(Owner.servers(), Server.Id) ||
+                           !Owner.servers().Servers.contains(Server.Id);
   if (!ConnectionLost || Attempt.EventReads >= EventReadsToBegin || MayHaveLeft)
     co_return;
   ++CrashChecks;
-  const bool Crashed = co_await Owner.checkForCrash(
-      RequestInfo.Id, Attempt.Server.Address, RequestInfo.SharedParts);
+  Gateway::LostRequest Lost{
+      RequestInfo.Id, contentDigest(),
+      Server.Address, serverRunName(Server.Id, Server.StartedAtMs),
+      Attempt.SentAt, RequestInfo.SharedParts};
+  const bool Crashed = co_await Owner.checkForCrash(std::move(Lost));
   --CrashChecks;
   ServerCrashed = ServerCrashed || Crashed;
 }
@@ -313,12 +318,11 @@
   net::co_spawn(Owner.node().Context, runAttempt(Alternative), net::detached);
 }
 
-bool RequestRun::mayAddAlternative() const {
+bool RequestRun::mayAddAlternative() {
   return mayAddAttempt(Concurrent) &&
          Attempts < MatchedRoute->MaxAttemptsPerRequest &&
          (!HeadForwarded || resumable()) && !crashForbidsAttempt() &&
-         !findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts,
-                          now());
+         !findBlock();
 }
 
 ServerChoice RequestRun::reserveAlternative(bool IsMove) {
@@ -346,7 +350,7 @@
   return Found == Running.end() ? nullptr : &*Found;
 }
 
-bool RequestRun::mayMoveFrom(const std::string &Server) const {
+bool RequestRun::mayMoveFrom(const std::string &Server) {
   const RequestAttempt *Attempt = onlyCandidate();
   return Attempt != nullptr && Attempt->Server.Id == Server && HeadForwarded &&
          mayAddAlternative() && !Session.disconnected();
@@ -374,10 +378,12 @@
   return MoveStatus::Begun;
 }
 
-bool RequestRun::crashForbidsAttempt() const {
-  return CrashChecks > 0 ||
-         (ServerCrashed &&
-          !mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts));
+bool RequestRun::crashForbidsAttempt() {
+  if (CrashChecks > 0)
+    return true;
+  return ServerCrashed &&
+         (!mayRetryAfterCrash(Owner.crashSuspects(), RequestInfo.SharedParts) ||
+          !mayRepeatAfterCrash(Owner.crashingRequests(), contentDigest()));
 }
 
 void RequestRun::recordSilence(const RequestAttempt &Attempt) {
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/request_run.hpp"
 
+#include "marigoldyard/protocol/digest.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
 /// Time from the start of a request at a server to the first event, without
 /// the prefill of the prompt.
 constexpr milliseconds FirstEventOverhead{120};
+/// Retry-After of a request on which servers crash; it stays blocked.
+constexpr std::chrono::minutes BlockedRequestDelay{30};
 constexpr std::uint32_t MostUrgentPriority = 0;
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
@@ -137,8 +140,7 @@
 
 net::awaitable<bool> RequestRun::serve() {
   for (;;) {
-    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
-                                       RequestInfo.SharedParts, now()))
+    if (const auto Blocked = findBlock())
       co_return co_await rejectBlocked(*Blocked);
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
@@ -166,9 +168,8 @@
       LocalResponse Refusal = unservedResponse(ServerShortage::Full);
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
-    // The part may have been blocked while the request waited.
-    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
-                                       RequestInfo.SharedParts, now())) {
+    // It may have been blocked while it waited.
+    if (const auto Blocked = findBlock()) {
       releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
@@ -187,11 +188,36 @@
   Owner.releaseServer(Id);
 }
 
-net::awaitable<bool> RequestRun::rejectBlocked(BlockedPart Blocked) {
-  Owner.recordBlockedRequest(RequestInfo.Id, Blocked);
-  const std::string Detail =
-      fmt::format("servers crash on prompt part {} ({} crashes)", Blocked.Part,
-                  Blocked.Crashes);
+const Digest &RequestRun::contentDigest() {
+  if (!KnownDigest) {
+    const std::string Customer =
+        RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
+    const std::string_view Method = toStringView(Request.method_string());
+    const std::string_view Target = toStringView(Request.target());
+    KnownDigest = sha256Hex(fmt::format("{} {} {}\n{}{}{}{}", Method.size(),
+                                        Target.size(), Customer.size(), Method,
+                                        Target, Customer, Request.body()));
+  }
+  return *KnownDigest;
+}
+
+std::optional<RequestRun::Block> RequestRun::findBlock() {
+  if (!Owner.crashingRequests().Requests.empty() &&
+      isRequestBlocked(Owner.crashingRequests(), contentDigest()))
+    return Block{fmt::format("servers crash on request {}", contentDigest()),
+                 BlockedRequestDelay};
+  const auto Part =
+      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now());
+  if (!Part)
+    return std::nullopt;
+  return Block{fmt::format("servers crash on prompt part {} ({} crashes)",
+                           Part->Part, Part->Crashes),
+               Part->TimeLeft};
+}
+
+net::awaitable<bool> RequestRun::rejectBlocked(const Block &Blocked) {
+  Owner.recordBlockedRequest(RequestInfo.Id, Blocked.Cause);
+  const std::string &Detail = Blocked.Cause;
   if (HeadForwarded) {
     log("stream_broken", Detail);
     co_return false;
@@ -200,7 +226,7 @@
       std::all_of(AttemptOutcomes.begin(), AttemptOutcomes.end(), provesNotRun);
   LocalResponse Refusal =
       NoneRun ? LocalResponse{503, "not_run", Step::Admission,
-                              "",  Detail,    Blocked.TimeLeft}
+                              "",  Detail,    Blocked.RetryAfter}
               : LocalResponse{502,        "unknown", Step::Admission,
                               LastServer, Detail,    {}};
   co_return co_await sendLocalResponse(std::move(Refusal));
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -58,7 +58,7 @@
   /// @brief Whether this is a stream in progress at a server that another one
   /// may continue.
   /// @param Server id of the server
-  bool mayMoveFrom(const std::string &Server) const;
+  bool mayMoveFrom(const std::string &Server);
   /// @brief Sends the stream to another server if its own is about to load and
   /// another one has a free slot now. Its own one keeps it until the other one
   /// has begun.
@@ -82,7 +82,16 @@
   boost::asio::awaitable<bool> serve();
   ServerRequirements serverRequirements() const;
   boost::asio::awaitable<ServerChoice> acquire();
-  boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
+  /// What is blocked of the request because servers crash on it.
+  struct Block {
+    std::string Cause;
+    Duration RetryAfter{};
+  };
+  std::optional<Block> findBlock();
+  boost::asio::awaitable<bool> rejectBlocked(const Block &Blocked);
+  /// Digest of what stays the same when the request comes again: its method,
+  /// target, customer and body.
+  const Digest &contentDigest();
 
   platform::RequestMessage
   buildServerRequest(const RequestAttempt &Attempt) const;
@@ -107,8 +116,9 @@
   void stopSuperseded();
   void stopAttempts(StopCause Cause);
   void recordAttempt(RequestAttempt &Attempt, const ExchangeResult &Result);
-  boost::asio::awaitable<void> recordPartOutcome(RequestAttempt &Attempt,
-                                                 const ExchangeResult &Result);
+  /// Records whether the server completed the request or crashed.
+  boost::asio::awaitable<void> recordCrashOutcome(RequestAttempt &Attempt,
+                                                  const ExchangeResult &Result);
   /// Keeps the result that decides on the request when all attempts ended.
   void keepResult(ExchangeResult Result);
   void releasePlace(RequestAttempt &Attempt);
@@ -119,7 +129,7 @@
   void handleSilence(RequestAttempt &Attempt, bool New);
   /// Whether the route and earlier attempts allow another one beside those that
   /// run.
-  bool mayAddAlternative() const;
+  bool mayAddAlternative();
   /// Reserves another server and charges the retry.
   /// @param IsMove whether the stream leaves a server that goes on
   ServerChoice reserveAlternative(bool IsMove);
@@ -146,7 +156,7 @@
   boost::asio::awaitable<bool> forwardHeld(RequestAttempt &Attempt);
 
   /// Whether servers may crash on the request, or that is being found out.
-  bool crashForbidsAttempt() const;
+  bool crashForbidsAttempt();
   bool mayRetry(const ExchangeResult &Last);
   RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
@@ -186,6 +196,7 @@
   const Customer *RequestCustomer = nullptr;
   const ServerPool *Pool = nullptr;
   TimePoint Deadline{};
+  std::optional<Digest> KnownDigest;  ///< set by contentDigest()
   std::function<void()> EndQueueWait; ///< set while the request is queued
   bool Admitted = false;
 
--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -134,7 +134,9 @@
 
 /// Returns the parts with the most crashes among those with enough of them.
 /// Parts with which requests began before come last.
-LeadingSuspects leadingSuspects(const CrashSuspects &State, TimePoint Now) {
+LeadingSuspects leadingSuspects(
+    const CrashSuspects &State, TimePoint Now,
+    const std::function<bool(const std::vector<ServerCrash> &)> &IsExplained) {
   LeadingSuspects Result;
   bool AnyNew = false;
   for (const auto &[Id, Part] : State.Suspects) {
@@ -142,6 +144,8 @@
     if (isBlocked(Part, Now) || Count == 0 ||
         Count < crashesToBlock(State, Part) || Count < Result.Crashes)
       continue;
+    if (IsExplained && Part.TimesBlocked == 0 && IsExplained(Part.Crashes))
+      continue;
     if (Count > Result.Crashes) {
       Result = {Count, {}};
       AnyNew = false;
@@ -218,10 +222,12 @@
     addCrash(State, Part, {Server, Now});
 }
 
-std::vector<std::string> blockSuspects(CrashSuspects &State, TimePoint Now) {
+std::vector<std::string> blockSuspects(
+    CrashSuspects &State, TimePoint Now,
+    const std::function<bool(const std::vector<ServerCrash> &)> &IsExplained) {
   std::vector<std::string> Blocked;
   for (;;) {
-    const LeadingSuspects Leading = leadingSuspects(State, Now);
+    const LeadingSuspects Leading = leadingSuspects(State, Now, IsExplained);
     std::vector<std::string> Ready;
     for (const std::string &Id : Leading.Parts)
       if (Leading.Crashes >= State.Settings.CrashesToBlockTied ||
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -204,6 +204,7 @@
   void field(Rank &V) { enumeration(V, RankCount); }
   void field(MemberKind &V) { enumeration(V, 2); }
   void field(Outcome &V) { enumeration(V, std::size(AllOutcomes)); }
+  void field(CrashReportKind &V) { enumeration(V, CrashReportKindCount); }
   void field(Step &V) { enumeration(V, std::size(AllSteps)); }
   // A newer sender may use an id that this process does not know; it is only
   // passed on and logged.
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -463,7 +463,8 @@
             "session_affinity": False, "resume_streams": False, **changes}
 
 
-def configuration(version, origin=None, routes=None, keys=("key-1",)):
+def configuration(version, origin=None, routes=None, keys=("key-1",), tenants=None):
+    """`tenants` names further customers with their keys."""
     services = [{"name": "plain", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False},
                 {"name": "engines", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False,
                  "engine": {"slots": 4, "chunk": 2048, "read_per_s": 31900.0, "models": [{"name": "m"}]}}]
@@ -479,7 +480,8 @@
     return {"version": version, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 4096, "max_body_bytes": 100000, "header_timeout_ms": 1000,
                        "idle_timeout_ms": 5000},
-            "tenants": [{"name": "north", "api_keys": list(keys), "priority": 1}]}
+            "tenants": [{"name": name, "api_keys": list(held), "priority": 1}
+                        for name, held in {"north": keys, **(tenants or {})}.items()]}
 
 
 class Daemon:
@@ -607,10 +609,11 @@
     time.sleep(0.8)  # until the gateways have applied the change
 
 
-def run_cases(cases):
+def run_cases(cases, prepare=lambda fleet: None):
     """Runs cases in order, each with the same fleet; exits with 1 when one failed."""
     failed = 0
     with PlatformFleet() as fleet:
+        prepare(fleet)
         for case in cases:
             forget(fleet)
             try:
--- a/tests/process/test_prompt_crashes.py
+++ b/tests/process/test_prompt_crashes.py
@@ -1,65 +1,20 @@
 """Prompts that crash servers: two gateways as processes, against servers that crash on one part of a prompt."""
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
 from platform_fleet import call, check, wait_for  # noqa: E402
+from crashing_servers import Crashing, up  # noqa: E402
 
-DOWN_S = 0.6
 # One request crashes one server, and a second crash decides; one more may be under way.
 MOST_CRASHES = 4
 SOUND_REQUESTS = 12
 
 
-class Crashing:
-    """Makes an engine crash, as a process that ends and starts again, when it begins to answer a prompt with a part."""
-
-    def __init__(self, engine, part):
-        self.engine, self.part, self.crashes = engine, part, 0
-        self.rejects = False  # answers 400 instead
-        self.open, self.lock = set(), threading.Lock()
-        self.usual = engine.handle
-        engine.handle = self.handle
-
-    def handle(self, request):
-        with self.lock:
-            self.open.add(request)
-        try:
-            if self.part in request.headers.get("Prompt-Prefix", ""):
-                if self.rejects:
-                    return request.answer(400, b"too long", self.engine.headers(request))
-                time.sleep(0.02)
-                return self.crash(request)
-            return self.usual(request)
-        finally:
-            with self.lock:
-                self.open.discard(request)
-
-    def crash(self, request):
-        self.crashes += 1
-        server = self.engine.server
-        server.shutdown()
-        server.socket.close()  # refuses new connections
-        with self.lock:
-            others = list(self.open)
-        for each in others:
-            each.cut()
-        threading.Thread(target=self.restart, daemon=True).start()
-
-    def restart(self):
-        time.sleep(DOWN_S)
-        host, port = self.engine.address.split(":")
-        self.engine.server = pf.Server((host, int(port)), pf.Handler)
-        self.engine.server.owner = self.engine
-        self.engine.born = int(time.time() * 1000)
-        self.engine.register()
-        threading.Thread(target=self.engine.server.serve_forever, args=(0.02,), daemon=True).start()
-
-    def end(self):
-        self.engine.handle = self.usual
+def crashing_on(engine, part):
+    return Crashing(engine, lambda request: part in request.headers.get("Prompt-Prefix", ""))
 
 
 def prompt(*parts):
@@ -67,34 +22,18 @@
 
 
 def stream(gateway, *parts):
-    return call(gateway, "/stream/1", "POST", b"p", headers=prompt(*parts))
-
-
-class Address:
-    def __init__(self, engine):
-        self.ip = engine.address.split(":")[0]
-
-
-def up(fleet):
-    """Waits until every engine answers and every gateway knows it."""
-    def answers(engine):
-        try:
-            return call(Address(engine), "/marigoldyard/report", port=pf.SERVER_PORT).status == 200
-        except OSError:
-            return False
-    for engine in fleet.engines:
-        wait_for(lambda e=engine: answers(e), "the engine is up", timeout=5)
-    time.sleep(0.8)
+    """A request whose last part is its own, and so is its body."""
+    return call(gateway, "/stream/1", "POST", parts[-1].encode(), headers=prompt(*parts))
 
 
 def case_crashing_part(fleet):
     """requests with a part that crashes servers are soon rejected at every gateway, and sound ones are served"""
-    crashing = [Crashing(engine, "deadly") for engine in fleet.engines]
+    crashing = [crashing_on(engine, "deadly") for engine in fleet.engines]
     statuses = []
     for number in range(6):
         answer = stream(fleet.gateways[number % 2], "shared", "deadly", f"own-{number}")
         statuses.append(answer.status)
-        up(fleet)
+        up(fleet.engines)
         sound = stream(fleet.gateways[(number + 1) % 2], "shared", f"other-{number}", f"mine-{number}")
         check(sound.status == 200 and sound.whole, f"a sound request after {number + 1}: {sound.status}")
     crashes = sum(each.crashes for each in crashing)
@@ -114,10 +53,10 @@
 
 def case_rejected_by_server(fleet):
     """a server that rejects a request with 400 does not clear the parts that crash servers"""
-    crashing = [Crashing(engine, "odd") for engine in fleet.engines]
+    crashing = [crashing_on(engine, "odd") for engine in fleet.engines]
     for number in range(6):
         stream(fleet.gateways[number % 2], "shared", "odd", f"own-{number}")
-        up(fleet)
+        up(fleet.engines)
         for each in crashing:
             each.rejects = True
         check(stream(fleet.gateways[0], "shared", "odd", f"long-{number}").status in (400, 503), "rejected")
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -80,7 +80,13 @@
                         {{"model", 3, std::chrono::milliseconds(250)}},
                         {{"model", 2}}},
           OutageQuestion{0xFEDCBA9876543210, "model", 3},
-          OutageAnswer{0xFEDCBA9876543210, std::chrono::milliseconds(250)}};
+          OutageAnswer{0xFEDCBA9876543210, std::chrono::milliseconds(250)},
+          CrashedRequestReport{CrashReportKind::Answer,
+                               0xFEDCBA9876543210,
+                               {{Weights,
+                                 true,
+                                 {{"i-1@17", "10.0.0.4:90", 350ms, 250ms}},
+                                 {"i-2@18"}}}}};
 }
 
 /// One message of each type, with every member set.
