Hold idle connections to the limits in force, and close them unread

Callers saw: a whole request on a kept connection got neither an answer nor a refusal, beside a change of the configuration.

Cause: a session took the limits once, before it waited for the next request. After a change it closed by the old idle limit, and held the next request to the old limits. When it closed, it read for half a second what still arrived and dropped it, so a request that crossed the close was read and lost.

Change: the wait asks for the limits in force when its time is over, and the request is read under those in force then. A connection stays open two seconds beyond the limit, since a caller may know a raised limit first and its request may be under way. An idle connection is closed without reading, so that a request under way gets a reset: it was not read, and may be sent again.

--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -28,6 +28,9 @@
 /// Time for the caller to read the last response before the connection is
 /// closed.
 constexpr std::chrono::milliseconds CloseTimeout{500};
+/// Time beyond the idle limit for which a connection stays open. A caller may
+/// know a raised limit first, and its request may be under way.
+constexpr std::chrono::seconds IdleMargin{2};
 constexpr std::size_t ReadBufferBytes = 8192;
 /// Maximum size of a chunk extension or of a trailer.
 constexpr std::size_t MaxLineBytes = 16UL << 10;
@@ -63,10 +66,11 @@
 net::awaitable<void> CallerSession::run() {
   const auto Self = shared_from_this();
   for (bool KeepAlive = true; KeepAlive && !Disconnected;) {
-    const ClientLimits Limits = Handlers.Limits();
-    ReadResult Result = co_await waitForRequest(Limits);
+    ReadResult Result = co_await waitForRequest();
+    if (Result == ReadResult::Idle)
+      co_return closeUnread();
     if (Result == ReadResult::Request)
-      Result = co_await readRequest(Limits);
+      Result = co_await readRequest(Handlers.Limits());
     if (Result != ReadResult::Request)
       break;
     Serving = true;
@@ -81,18 +85,31 @@
   co_await closeGracefully();
 }
 
-net::awaitable<CallerSession::ReadResult>
-CallerSession::waitForRequest(const ClientLimits &Limits) {
+net::awaitable<CallerSession::ReadResult> CallerSession::waitForRequest() {
   if (Buffer.size() > 0)
     co_return ReadResult::Request;
-  Timer.expiresAt(now() + Limits.IdleTimeout);
-  error_code Failure;
-  const std::size_t Count = co_await Socket.async_read_some(
-      Buffer.prepare(ReadBufferBytes),
-      net::redirect_error(net::use_awaitable, Failure));
-  Timer.clear();
-  Buffer.commit(Count);
-  co_return Failure ? ReadResult::Closed : ReadResult::Request;
+  const TimePoint IdleSince = now();
+  const auto IdleUntil = [this, IdleSince] {
+    return IdleSince + Handlers.Limits().IdleTimeout + IdleMargin;
+  };
+  for (;;) {
+    Timer.expiresAt(IdleUntil());
+    error_code Failure;
+    const std::size_t Count = co_await Socket.async_read_some(
+        Buffer.prepare(ReadBufferBytes),
+        net::redirect_error(net::use_awaitable, Failure));
+    const bool Expired = Timer.expired();
+    Timer.clear();
+    Buffer.commit(Count);
+    if (!Failure)
+      co_return ReadResult::Request;
+    if (!Expired)
+      co_return ReadResult::Closed;
+    error_code Ignored; // the next read reports what is wrong
+    const bool HasBytes = Socket.available(Ignored) > 0;
+    if (!HasBytes && now() >= IdleUntil())
+      co_return ReadResult::Idle;
+  }
 }
 
 net::awaitable<CallerSession::ReadResult>
@@ -203,4 +220,9 @@
   Socket.close(Ignored);
 }
 
+void CallerSession::closeUnread() {
+  error_code Ignored; // the socket is closed either way
+  Socket.close(Ignored);
+}
+
 } // namespace marigoldyard
--- a/programs/gateway/caller_session.hpp
+++ b/programs/gateway/caller_session.hpp
@@ -52,11 +52,17 @@
   bool disconnected() const { return Disconnected; }
 
 private:
-  enum class ReadResult { Request, Closed, Rejected };
-  boost::asio::awaitable<ReadResult> waitForRequest(const ClientLimits &Limits);
+  enum class ReadResult { Request, Idle, Closed, Rejected };
+  /// Waits for the first byte of a request. The idle limit in force counts,
+  /// also when it changes meanwhile.
+  boost::asio::awaitable<ReadResult> waitForRequest();
   boost::asio::awaitable<ReadResult> readRequest(const ClientLimits &Limits);
   boost::asio::awaitable<void> reject(unsigned Status, std::string_view Reason);
+  /// Closes the connection after a last response, which the caller can read.
   boost::asio::awaitable<void> closeGracefully();
+  /// Closes the connection without reading. A request that is under way gets a
+  /// reset, which shows the caller that it was not read.
+  void closeUnread();
   void watchForClose();
   void handleReadable();
 
