Close a caller's connection at a stop only when a response has said so

Callers saw: in a planned stop, a whole request on a kept connection got neither an answer nor a refusal, and its connection ended.

Cause: a connection was closed after each response that ended once SIGTERM had come, whether its head had announced that or not. The head of a stream under way was sent before. Its caller sends the next request on the connection, which was read for half a second and dropped.

Change: a run remembers whether the response that it wrote announces the close. Otherwise the connection stays open, and the next request is answered or refused with the announcement.

--- a/programs/gateway/request_attempt.hpp
+++ b/programs/gateway/request_attempt.hpp
@@ -14,6 +14,7 @@
 struct StreamHead {
   std::string Text; ///< as sent to the caller
   std::optional<std::uint64_t> Version;
+  bool ClosesConnection = false; ///< tells the caller so
 };
 
 /// @brief State of one attempt of a request at one server.
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -458,7 +458,7 @@
                : PartStatus::Invalid;
   Attempt.HeldHead = {formatHead(Status, Headers) +
                           "Transfer-Encoding: chunked\r\n\r\n",
-                      Head.Version};
+                      Head.Version, closesConnections()};
   return PartStatus::Forwarded;
 }
 
@@ -502,6 +502,7 @@
   if (Attempt.HeldHead) {
     HeadForwarded = true;
     Version = Attempt.HeldHead->Version;
+    CloseAnnounced = Attempt.HeldHead->ClosesConnection;
     FirstEventAt = now();
     if (isAboutToLoad(Owner.servers(), Attempt.Server.Id, now()))
       Owner.addLeavingStream(*this);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -73,12 +73,16 @@
 }
 
 net::awaitable<bool> RequestRun::run() {
-  if (auto Refusal = admit())
-    co_return co_await sendLocalResponse(std::move(*Refusal));
+  if (auto Refusal = admit()) {
+    const bool Written = co_await sendLocalResponse(std::move(*Refusal));
+    co_return Written && !CloseAnnounced;
+  }
   Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
-  const bool KeepAlive = co_await serve();
+  const bool Written = co_await serve();
   Session.onDisconnect(nullptr);
-  co_return KeepAlive &&Owner.drainProgress().Stage == DrainStage::Serving;
+  // Until a response has announced the close, the caller may send more requests
+  // on the connection.
+  co_return Written && !CloseAnnounced;
 }
 
 std::optional<RequestRun::LocalResponse> RequestRun::admit() {
@@ -420,11 +424,21 @@
       fmt::format_to(std::back_inserter(Text), "{}: {}\r\n",
                      toStringView(Each.name_string()),
                      toStringView(Each.value()));
-  if (Owner.drainProgress().Stage != DrainStage::Serving)
+  if (closesConnections())
     Text += "Connection: close\r\n";
   return Text;
 }
 
+bool RequestRun::closesConnections() const {
+  return Owner.drainProgress().Stage != DrainStage::Serving;
+}
+
+net::awaitable<bool> RequestRun::writeResponse(std::string Text) {
+  CloseAnnounced = closesConnections();
+  const bool Written = co_await Session.write(Text);
+  co_return Written;
+}
+
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
   platform::removeRefusalTime(Response.Status, Response.Headers);
   std::string Text =
@@ -433,7 +447,7 @@
   Text.reserve(Text.size() + Response.BodySize);
   for (; !Response.Body.empty(); Response.Body.pop_front())
     Text += Response.Body.front();
-  const bool Written = co_await Session.write(Text);
+  const bool Written = co_await writeResponse(std::move(Text));
   log(Written ? "complete" : "caller_left",
       fmt::format("status {}", Response.Status));
   co_return Written;
@@ -451,10 +465,10 @@
   Headers.set(http::field::content_type, "application/problem+json");
   if (Content.RetryAfter)
     Headers.set(http::field::retry_after, formatSeconds(*Content.RetryAfter));
-  const std::string ResponseText = formatHead(Content.Status, Headers) +
-                                   fmt::format("Content-Length: {}\r\n\r\n{}",
-                                               ProblemText.size(), ProblemText);
-  const bool Written = co_await Session.write(ResponseText);
+  std::string ResponseText = formatHead(Content.Status, Headers) +
+                             fmt::format("Content-Length: {}\r\n\r\n{}",
+                                         ProblemText.size(), ProblemText);
+  const bool Written = co_await writeResponse(std::move(ResponseText));
   log(Content.Outcome,
       fmt::format("status {} at {}: {}", Content.Status,
                   stepName(Content.FailedStep), Content.Detail));
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -160,6 +160,10 @@
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
+  /// Writes a whole response.
+  boost::asio::awaitable<bool> writeResponse(std::string Text);
+  /// Whether responses tell the caller that the connection closes.
+  bool closesConnections() const;
 
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
@@ -199,7 +203,8 @@
   bool ServerCrashed = false;    ///< in an attempt, before the request began
   std::uint32_t CrashChecks = 0; ///< in progress
   bool HeadForwarded = false;
-  EventOrder Order; ///< of the events that were forwarded
+  bool CloseAnnounced = false; ///< in the response
+  EventOrder Order;            ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
   TimePoint LastForwardedAt; ///< or the arrival of the request
--- a/tests/process/test_kept_connections.py
+++ b/tests/process/test_kept_connections.py
@@ -1,17 +1,19 @@
 """Connections that callers keep open: each request that a gateway reads on one gets an answer."""
 import http.client
 import os
+import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
-from platform_fleet import check  # noqa: E402
+from platform_fleet import call, check, wait_for  # noqa: E402
 
 # Idle limits before and after a change, in milliseconds.
 SHORT_MS, LONG_MS = 1000, 8000
 # A connection may stay open this long beyond its limit.
 MOST_EXTRA_S = 3.0
+HOSTS = iter(range(60, 100))
 
 
 class Kept:
@@ -95,7 +97,29 @@
     check(answer.status == 200, f"a body within the new limit: {answer.status}")
 
 
-CASES = [case_raised_limit, case_crossing_request, case_limits_of_the_request]
+# Guards against the next request on a connection that is read and dropped, because a planned stop began while a stream
+# was under way whose head did not announce the close (LOST).
+def case_stop_during_stream(fleet):
+    """a request that follows a stream on its connection is answered when a planned stop began in between"""
+    set_limits(fleet)
+    for path, method in (("/read/1", "GET"), ("/once/1", "POST")):
+        gateway = fleet.gateway(next(HOSTS))
+        wait_for(lambda g=gateway: call(g, "/marigoldyard/ready", port=pf.READY_PORT).status == 200, "ready")
+        for engine in fleet.engines:
+            engine.behaviours = [engine.stream(6, pause=0.2)]
+        kept = Kept(gateway)
+        kept.send("/stream/1", "POST", b"p")
+        time.sleep(0.5)
+        gateway.process.send_signal(signal.SIGTERM)
+        stream = kept.receive()
+        check(stream.status == 200 and "connection" not in {name.lower() for name in stream.headers}, "the stream")
+        answer = kept.call(path, method, b"b" if method == "POST" else None)
+        check(answer.status in (200, 503), f"the next request: {answer.status}")
+        check(answer.headers.get("Connection") == "close", "the close is announced")
+        check(gateway.process.wait(6) == 0, "it exits by itself")
+
+
+CASES = [case_raised_limit, case_crossing_request, case_limits_of_the_request, case_stop_during_stream]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
