Answer a request whose handling ends by an exception

An exception that left the run of a request ended its connection without an answer (session_failed). None has been seen; the path was found by reading, and no test provokes it. The request now gets 502, unless its response has begun, and the line request_failed names it. test_kept_connections.py and test_planned_stop.py pass as before.

--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -73,18 +73,38 @@
 }
 
 net::awaitable<bool> RequestRun::run() {
-  if (auto Refusal = admit()) {
-    const bool Written = co_await sendLocalResponse(std::move(*Refusal));
-    co_return Written && !CloseAnnounced;
+  std::optional<std::string> Cause;
+  bool Written = false;
+  try {
+    Written = co_await handle();
+  } catch (const std::exception &Thrown) {
+    Cause = Thrown.what();
   }
-  Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
-  const bool Written = co_await serve();
   Session.onDisconnect(nullptr);
+  if (Cause) {
+    Owner.node().Log.write({.Level = LogLevel::Error,
+                            .Event = "request_failed",
+                            .At = Step::Send,
+                            .Request = RequestInfo.Id,
+                            .Fields = {{"cause", *Cause}}});
+    if (!HeadForwarded && !ResponseBegun) {
+      LocalResponse Failure{502, "unknown", Step::Send, LastServer, *Cause, {}};
+      Written = co_await sendLocalResponse(std::move(Failure));
+    }
+  }
   // Until a response has announced the close, the caller may send more requests
   // on the connection.
   co_return Written && !CloseAnnounced;
 }
 
+net::awaitable<bool> RequestRun::handle() {
+  if (auto Refusal = admit())
+    co_return co_await sendLocalResponse(std::move(*Refusal));
+  Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
+  const bool Written = co_await serve();
+  co_return Written;
+}
+
 std::optional<RequestRun::LocalResponse> RequestRun::admit() {
   if (!Table)
     return LocalResponse{
@@ -434,6 +454,7 @@
 }
 
 net::awaitable<bool> RequestRun::writeResponse(std::string Text) {
+  ResponseBegun = true;
   CloseAnnounced = closesConnections();
   const bool Written = co_await Session.write(Text);
   co_return Written;
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -78,6 +78,8 @@
     std::optional<Duration> RetryAfter;
   };
 
+  /// Handles the request; returns whether its response was written.
+  boost::asio::awaitable<bool> handle();
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
   ServerRequirements serverRequirements() const;
@@ -203,6 +205,7 @@
   bool ServerCrashed = false;    ///< in an attempt, before the request began
   std::uint32_t CrashChecks = 0; ///< in progress
   bool HeadForwarded = false;
+  bool ResponseBegun = false;  ///< or HeadForwarded
   bool CloseAnnounced = false; ///< in the response
   EventOrder Order;            ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
