--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -76,12 +76,36 @@
 }
 
 net::awaitable<bool> RequestRun::run() {
+  std::optional<std::string> Cause;
+  bool Written = false;
+  try {
+    Written = co_await handle();
+  } catch (const std::exception &Thrown) {
+    Cause = Thrown.what();
+  }
+  Session.onDisconnect(nullptr);
+  if (Cause) {
+    Owner.node().Log.write({.Level = LogLevel::Error,
+                            .Event = "request_failed",
+                            .At = Step::Send,
+                            .Request = RequestInfo.Id,
+                            .Fields = {{"cause", *Cause}}});
+    if (!HeadForwarded && !ResponseBegun) {
+      LocalResponse Failure{502, "unknown", Step::Send, LastServer, *Cause, {}};
+      Written = co_await sendLocalResponse(std::move(Failure));
+    }
+  }
+  // Until a response has announced the close, the caller may send more requests
+  // on the connection.
+  co_return Written && !CloseAnnounced;
+}
+
+net::awaitable<bool> RequestRun::handle() {
   if (auto Refusal = admit())
     co_return co_await sendLocalResponse(std::move(*Refusal));
   Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
-  const bool KeepAlive = co_await serve();
-  Session.onDisconnect(nullptr);
-  co_return KeepAlive &&Owner.drainProgress().Stage == DrainStage::Serving;
+  const bool Written = co_await serve();
+  co_return Written;
 }
 
 std::optional<RequestRun::LocalResponse> RequestRun::admit() {
@@ -446,11 +470,22 @@
       fmt::format_to(std::back_inserter(Text), "{}: {}\r\n",
                      toStringView(Each.name_string()),
                      toStringView(Each.value()));
-  if (Owner.drainProgress().Stage != DrainStage::Serving)
+  if (closesConnections())
     Text += "Connection: close\r\n";
   return Text;
 }
 
+bool RequestRun::closesConnections() const {
+  return Owner.drainProgress().Stage != DrainStage::Serving;
+}
+
+net::awaitable<bool> RequestRun::writeResponse(std::string Text) {
+  ResponseBegun = true;
+  CloseAnnounced = closesConnections();
+  const bool Written = co_await Session.write(Text);
+  co_return Written;
+}
+
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
   platform::removeRefusalTime(Response.Status, Response.Headers);
   std::string Text =
@@ -459,7 +494,7 @@
   Text.reserve(Text.size() + Response.BodySize);
   for (; !Response.Body.empty(); Response.Body.pop_front())
     Text += Response.Body.front();
-  const bool Written = co_await Session.write(Text);
+  const bool Written = co_await writeResponse(std::move(Text));
   log(Written ? "complete" : "caller_left",
       fmt::format("status {}", Response.Status));
   co_return Written;
@@ -477,10 +512,10 @@
   Headers.set(http::field::content_type, "application/problem+json");
   if (Content.RetryAfter)
     Headers.set(http::field::retry_after, formatSeconds(*Content.RetryAfter));
-  const std::string ResponseText = formatHead(Content.Status, Headers) +
-                                   fmt::format("Content-Length: {}\r\n\r\n{}",
-                                               ProblemText.size(), ProblemText);
-  const bool Written = co_await Session.write(ResponseText);
+  std::string ResponseText = formatHead(Content.Status, Headers) +
+                             fmt::format("Content-Length: {}\r\n\r\n{}",
+                                         ProblemText.size(), ProblemText);
+  const bool Written = co_await writeResponse(std::move(ResponseText));
   log(Content.Outcome,
       fmt::format("status {} at {}: {}", Content.Status,
                   stepName(Content.FailedStep), Content.Detail));
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -78,6 +78,8 @@
     std::optional<Duration> RetryAfter;
   };
 
+  /// Handles the request; returns whether its response was written.
+  boost::asio::awaitable<bool> handle();
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
   ServerRequirements serverRequirements() const;
@@ -170,6 +172,10 @@
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
+  /// Writes a whole response.
+  boost::asio::awaitable<bool> writeResponse(std::string Text);
+  /// Whether responses tell the caller that the connection closes.
+  bool closesConnections() const;
 
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
@@ -210,7 +216,9 @@
   bool ServerCrashed = false;    ///< in an attempt, before the request began
   std::uint32_t CrashChecks = 0; ///< in progress
   bool HeadForwarded = false;
-  EventOrder Order; ///< of the events that were forwarded
+  bool ResponseBegun = false;  ///< or HeadForwarded
+  bool CloseAnnounced = false; ///< in the response
+  EventOrder Order;            ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
   TimePoint LastForwardedAt; ///< or the arrival of the request
