Drop the events that are read in the moment of a withdrawal

Cause: when a version goes out of use, requests that have not started are withdrawn. One whose first events had been read, and not yet handled, was withdrawn and its events were forwarded all the same. So it counted as begun on a version that no server in use had, and nothing continued it.

Change: what a stopped exchange has read is dropped, so that the request has not begun and another server may answer it. A buffered response is delivered as before, since it is whole.

--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -505,6 +505,9 @@
         co_return stoppedResult(Status);
       Timer.expiresAt(std::min(Limits.Deadline, now() + Limits.GapTimeout));
     }
+    // What was read in the moment of a stop does not count as begun.
+    if (wasStopped())
+      co_return failureResult(Failure);
     std::vector<StreamEvent> Events = splitEvents(Splitter, Chunk);
     const std::string Disorder = Receiver.TakeInOrder(Events);
     if (!Events.empty()) {
