--- a/programs/gateway/request_attempt.hpp
+++ b/programs/gateway/request_attempt.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/state/fleet.hpp"
+#include "marigoldyard/transport/clock.hpp"
 #include "programs/gateway/server_exchange.hpp"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 struct StreamHead {
   std::string Text; ///< as sent to the caller
   std::optional<std::uint64_t> Version;
+  bool ClosesConnection = false; ///< tells the caller so
 };
 
 /// @brief State of one attempt of a request at one server.
@@ -34,6 +36,7 @@
   std::uint32_t Number;
   ServerRecord Server; ///< when the attempt began
   std::uint64_t LoadedVersion;
+  const TimePoint SentAt = now();
   EventOrder Order; ///< of the events that were read
   ServerExchange Exchange;
   bool PlaceTaken = true; ///< at the server
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/request_run.hpp"
 
+#include "marigoldyard/protocol/digest.hpp"
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
 /// Time from the start of a request at a server to the first event, without
 /// the prefill of the prompt.
 constexpr milliseconds FirstEventOverhead{120};
+/// Retry-After of a request on which servers crash; it stays blocked.
+constexpr std::chrono::minutes BlockedRequestDelay{30};
 constexpr std::uint32_t MostUrgentPriority = 0;
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
@@ -73,12 +76,36 @@
 }
 
 net::awaitable<bool> RequestRun::run() {
+  std::optional<std::string> Cause;
+  bool Written = false;
+  try {
+    Written = co_await handle();
+  } catch (const std::exception &Thrown) {
+    Cause = Thrown.what();
+  }
+  Session.onDisconnect(nullptr);
+  if (Cause) {
+    Owner.node().Log.write({.Level = LogLevel::Error,
+                            .Event = "request_failed",
+                            .At = Step::Send,
+                            .Request = RequestInfo.Id,
+                            .Fields = {{"cause", *Cause}}});
+    if (!HeadForwarded && !ResponseBegun) {
+      LocalResponse Failure{502, "unknown", Step::Send, LastServer, *Cause, {}};
+      Written = co_await sendLocalResponse(std::move(Failure));
+    }
+  }
+  // Until a response has announced the close, the caller may send more requests
+  // on the connection.
+  co_return Written && !CloseAnnounced;
+}
+
+net::awaitable<bool> RequestRun::handle() {
   if (auto Refusal = admit())
     co_return co_await sendLocalResponse(std::move(*Refusal));
   Session.onDisconnect([this] { stopAttempts(StopCause::CallerLeft); });
-  const bool KeepAlive = co_await serve();
-  Session.onDisconnect(nullptr);
-  co_return KeepAlive &&Owner.drainProgress().Stage == DrainStage::Serving;
+  const bool Written = co_await serve();
+  co_return Written;
 }
 
 std::optional<RequestRun::LocalResponse> RequestRun::admit() {
@@ -137,8 +164,7 @@
 
 net::awaitable<bool> RequestRun::serve() {
   for (;;) {
-    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
-                                       RequestInfo.SharedParts, now()))
+    if (const auto Blocked = findBlock())
       co_return co_await rejectBlocked(*Blocked);
     const ServerChoice Choice = co_await acquire();
     if (Session.disconnected()) {
@@ -166,9 +192,8 @@
       LocalResponse Refusal = unservedResponse(ServerShortage::Full);
       co_return co_await sendLocalResponse(std::move(Refusal));
     }
-    // The part may have been blocked while the request waited.
-    if (auto Blocked = findBlockedPart(Owner.crashSuspects(),
-                                       RequestInfo.SharedParts, now())) {
+    // It may have been blocked while it waited.
+    if (const auto Blocked = findBlock()) {
       releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
@@ -187,11 +212,36 @@
   Owner.releaseServer(Id);
 }
 
-net::awaitable<bool> RequestRun::rejectBlocked(BlockedPart Blocked) {
-  Owner.recordBlockedRequest(RequestInfo.Id, Blocked);
-  const std::string Detail =
-      fmt::format("servers crash on prompt part {} ({} crashes)", Blocked.Part,
-                  Blocked.Crashes);
+const Digest &RequestRun::contentDigest() {
+  if (!KnownDigest) {
+    const std::string Customer =
+        RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
+    const std::string_view Method = toStringView(Request.method_string());
+    const std::string_view Target = toStringView(Request.target());
+    KnownDigest = sha256Hex(fmt::format("{} {} {}\n{}{}{}{}", Method.size(),
+                                        Target.size(), Customer.size(), Method,
+                                        Target, Customer, Request.body()));
+  }
+  return *KnownDigest;
+}
+
+std::optional<RequestRun::Block> RequestRun::findBlock() {
+  if (!Owner.crashingRequests().Requests.empty() &&
+      isRequestBlocked(Owner.crashingRequests(), contentDigest()))
+    return Block{fmt::format("servers crash on request {}", contentDigest()),
+                 BlockedRequestDelay};
+  const auto Part =
+      findBlockedPart(Owner.crashSuspects(), RequestInfo.SharedParts, now());
+  if (!Part)
+    return std::nullopt;
+  return Block{fmt::format("servers crash on prompt part {} ({} crashes)",
+                           Part->Part, Part->Crashes),
+               Part->TimeLeft};
+}
+
+net::awaitable<bool> RequestRun::rejectBlocked(const Block &Blocked) {
+  Owner.recordBlockedRequest(RequestInfo.Id, Blocked.Cause);
+  const std::string &Detail = Blocked.Cause;
   if (HeadForwarded) {
     log("stream_broken", Detail);
     co_return false;
@@ -200,7 +250,7 @@
       std::all_of(AttemptOutcomes.begin(), AttemptOutcomes.end(), provesNotRun);
   LocalResponse Refusal =
       NoneRun ? LocalResponse{503, "not_run", Step::Admission,
-                              "",  Detail,    Blocked.TimeLeft}
+                              "",  Detail,    Blocked.RetryAfter}
               : LocalResponse{502,        "unknown", Step::Admission,
                               LastServer, Detail,    {}};
   co_return co_await sendLocalResponse(std::move(Refusal));
@@ -420,11 +470,22 @@
       fmt::format_to(std::back_inserter(Text), "{}: {}\r\n",
                      toStringView(Each.name_string()),
                      toStringView(Each.value()));
-  if (Owner.drainProgress().Stage != DrainStage::Serving)
+  if (closesConnections())
     Text += "Connection: close\r\n";
   return Text;
 }
 
+bool RequestRun::closesConnections() const {
+  return Owner.drainProgress().Stage != DrainStage::Serving;
+}
+
+net::awaitable<bool> RequestRun::writeResponse(std::string Text) {
+  ResponseBegun = true;
+  CloseAnnounced = closesConnections();
+  const bool Written = co_await Session.write(Text);
+  co_return Written;
+}
+
 net::awaitable<bool> RequestRun::forwardResponse(BufferedResponse Response) {
   platform::removeRefusalTime(Response.Status, Response.Headers);
   std::string Text =
@@ -433,7 +494,7 @@
   Text.reserve(Text.size() + Response.BodySize);
   for (; !Response.Body.empty(); Response.Body.pop_front())
     Text += Response.Body.front();
-  const bool Written = co_await Session.write(Text);
+  const bool Written = co_await writeResponse(std::move(Text));
   log(Written ? "complete" : "caller_left",
       fmt::format("status {}", Response.Status));
   co_return Written;
@@ -451,10 +512,10 @@
   Headers.set(http::field::content_type, "application/problem+json");
   if (Content.RetryAfter)
     Headers.set(http::field::retry_after, formatSeconds(*Content.RetryAfter));
-  const std::string ResponseText = formatHead(Content.Status, Headers) +
-                                   fmt::format("Content-Length: {}\r\n\r\n{}",
-                                               ProblemText.size(), ProblemText);
-  const bool Written = co_await Session.write(ResponseText);
+  std::string ResponseText = formatHead(Content.Status, Headers) +
+                             fmt::format("Content-Length: {}\r\n\r\n{}",
+                                         ProblemText.size(), ProblemText);
+  const bool Written = co_await writeResponse(std::move(ResponseText));
   log(Content.Outcome,
       fmt::format("status {} at {}: {}", Content.Status,
                   stepName(Content.FailedStep), Content.Detail));
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -58,7 +58,7 @@
   /// @brief Whether this is a stream in progress at a server that another one
   /// may continue.
   /// @param Server id of the server
-  bool mayMoveFrom(const std::string &Server) const;
+  bool mayMoveFrom(const std::string &Server);
   /// @brief Sends the stream to another server if its own is about to load and
   /// another one has a free slot now. Its own one keeps it until the other one
   /// has begun.
@@ -78,11 +78,22 @@
     std::optional<Duration> RetryAfter;
   };
 
+  /// Handles the request; returns whether its response was written.
+  boost::asio::awaitable<bool> handle();
   std::optional<LocalResponse> admit();
   boost::asio::awaitable<bool> serve();
   ServerRequirements serverRequirements() const;
   boost::asio::awaitable<ServerChoice> acquire();
-  boost::asio::awaitable<bool> rejectBlocked(BlockedPart Blocked);
+  /// What is blocked of the request because servers crash on it.
+  struct Block {
+    std::string Cause;
+    Duration RetryAfter{};
+  };
+  std::optional<Block> findBlock();
+  boost::asio::awaitable<bool> rejectBlocked(const Block &Blocked);
+  /// Digest of what stays the same when the request comes again: its method,
+  /// target, customer and body.
+  const Digest &contentDigest();
 
   platform::RequestMessage
   buildServerRequest(const RequestAttempt &Attempt) const;
@@ -107,8 +118,9 @@
   void stopSuperseded();
   void stopAttempts(StopCause Cause);
   void recordAttempt(RequestAttempt &Attempt, const ExchangeResult &Result);
-  boost::asio::awaitable<void> recordPartOutcome(RequestAttempt &Attempt,
-                                                 const ExchangeResult &Result);
+  /// Records whether the server completed the request or crashed.
+  boost::asio::awaitable<void> recordCrashOutcome(RequestAttempt &Attempt,
+                                                  const ExchangeResult &Result);
   /// Keeps the result that decides on the request when all attempts ended.
   void keepResult(ExchangeResult Result);
   void releasePlace(RequestAttempt &Attempt);
@@ -119,7 +131,7 @@
   void handleSilence(RequestAttempt &Attempt, bool New);
   /// Whether the route and earlier attempts allow another one beside those that
   /// run.
-  bool mayAddAlternative() const;
+  bool mayAddAlternative();
   /// Reserves another server and charges the retry.
   /// @param IsMove whether the stream leaves a server that goes on
   ServerChoice reserveAlternative(bool IsMove);
@@ -146,7 +158,7 @@
   boost::asio::awaitable<bool> forwardHeld(RequestAttempt &Attempt);
 
   /// Whether servers may crash on the request, or that is being found out.
-  bool crashForbidsAttempt() const;
+  bool crashForbidsAttempt();
   bool mayRetry(const ExchangeResult &Last);
   RetryInputs retryInputs(AttemptStatus LastAttempt, ErrorCode Reason) const;
   boost::asio::awaitable<bool> finish(ExchangeResult Last);
@@ -160,6 +172,10 @@
   boost::asio::awaitable<bool> sendLocalResponse(LocalResponse Content);
   std::string formatHead(unsigned Status,
                          const platform::Fields &Headers) const;
+  /// Writes a whole response.
+  boost::asio::awaitable<bool> writeResponse(std::string Text);
+  /// Whether responses tell the caller that the connection closes.
+  bool closesConnections() const;
 
   /// Retry-After of a refusal: until the pool takes requests again, when each
   /// of its servers refuses them for a time.
@@ -186,6 +202,7 @@
   const Customer *RequestCustomer = nullptr;
   const ServerPool *Pool = nullptr;
   TimePoint Deadline{};
+  std::optional<Digest> KnownDigest;  ///< set by contentDigest()
   std::function<void()> EndQueueWait; ///< set while the request is queued
   bool Admitted = false;
 
@@ -199,7 +216,9 @@
   bool ServerCrashed = false;    ///< in an attempt, before the request began
   std::uint32_t CrashChecks = 0; ///< in progress
   bool HeadForwarded = false;
-  EventOrder Order; ///< of the events that were forwarded
+  bool ResponseBegun = false;  ///< or HeadForwarded
+  bool CloseAnnounced = false; ///< in the response
+  EventOrder Order;            ///< of the events that were forwarded
   std::optional<std::uint64_t> Version;
   std::optional<TimePoint> FirstEventAt;
   TimePoint LastForwardedAt; ///< or the arrival of the request
