--- a/include/marigoldyard/coordination/crashing_requests.hpp
+++ b/include/marigoldyard/coordination/crashing_requests.hpp
@@ -22,8 +22,11 @@
   /// cause, such as a power failure, crashes all servers that have copies of a
   /// request.
   std::size_t SuccessiveCrashesToBlock = 2;
-  /// Crashes of one run of a server that are this far apart are several: its
-  /// start may not have been known yet.
+  /// Times after the last crash or trial at which a blocked request is sent
+  /// once more by one process, in case another cause ended the servers.
+  std::vector<Duration> TrialDelays = {std::chrono::minutes(1),
+                                       std::chrono::minutes(30)};
+  /// Reports on one server within this time are about the same crash.
   Duration SameCrashTime = std::chrono::milliseconds(1000);
   /// Requests that are remembered. Those with the fewest crashes are dropped
   /// first.
@@ -31,7 +34,7 @@
   /// Crashes that are remembered of one request.
   std::size_t MaxCrashes = 16;
   /// Crashes that are remembered of one request because they do not count.
-  std::size_t MaxClearedCrashes = 64;
+  std::size_t MaxClearedCrashes = 256;
   /// How long a request that was completed is remembered, so that reports of
   /// other processes on its earlier crashes have no effect.
   Duration CompletedTime = std::chrono::minutes(10);
@@ -51,6 +54,8 @@
   /// Crashes before the request was completed. They do not count.
   std::set<std::string> ClearedCrashes;
   bool Blocked = false;
+  std::uint32_t Trials = 0; ///< sends since it was blocked, by all processes
+  TimePoint TriedAt{};
   TimePoint ChangedAt{};
   bool Unreported = false; ///< other processes were not told of a change here
 };
@@ -58,9 +63,9 @@
 /// @brief Whole requests that may crash each server that runs them.
 ///
 /// A request is named by a digest of what stays the same when it comes again. A
-/// blocked one stays blocked until a copy of it is completed, or the process
-/// ends. Records of several processes are merged in any order, and any number
-/// of times, with the same result.
+/// blocked one stays blocked until a copy of it is completed, apart from a few
+/// trials, or the process ends. Records of several processes are merged in any
+/// order, and any number of times, with the same result.
 struct CrashingRequests {
   CrashingRequestSettings Settings;
   std::map<Digest, CrashedRequest> Requests;
@@ -99,6 +104,16 @@
 /// @complexity logarithmic in the number of requests
 bool isRequestBlocked(const CrashingRequests &State, const Digest &Request);
 
+/// @brief Whether a blocked request may be sent once more, by one process of
+/// all.
+/// @param Request digest of the request
+bool mayTryBlocked(const CrashingRequests &State, const Digest &Request,
+                   TimePoint Now);
+
+/// @brief Records that a blocked request is sent once more.
+/// @param Request digest of the request
+void recordTrial(CrashingRequests &State, const Digest &Request, TimePoint Now);
+
 /// @brief Whether whole requests explain crashes, so that these say nothing of
 /// what several requests share: blocked requests were at them, and a single one
 /// at all the others.
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -83,8 +83,8 @@
 
 MARIGOLDYARD_FIELDS(ReportedRequestCrash, M.ServerRun, M.Server, M.SentAge,
                     M.Age)
-MARIGOLDYARD_FIELDS(ReportedRequest, asDigest(M.Request), M.Blocked, M.Crashes,
-                    M.ClearedCrashes)
+MARIGOLDYARD_FIELDS(ReportedRequest, asDigest(M.Request), M.Blocked, M.Trials,
+                    M.Crashes, M.ClearedCrashes)
 MARIGOLDYARD_FIELDS(CrashedRequestReport, M.Kind, M.ContentHash, M.Requests)
 
 #undef MARIGOLDYARD_FIELDS
--- a/include/marigoldyard/state/crashed_request.hpp
+++ b/include/marigoldyard/state/crashed_request.hpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/state/types.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
 struct ReportedRequest {
   Digest Request;
   bool Blocked = false;
+  std::uint32_t Trials = 0; ///< sends since it was blocked
   std::vector<ReportedRequestCrash> Crashes;
   std::vector<std::string> ClearedCrashes; ///< before it was completed
 };
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -326,6 +326,7 @@
          .Peer = Record->Address,
          .Fields = {{"server", Id}, {"pool", Record->Pool}}});
   putServer(Servers, *Record);
+  recordRestart(Record->Address, Record->StartedAtMs);
 }
 
 void Gateway::handleMessage(const Message &Incoming) {
@@ -364,6 +365,7 @@
     LastStagerStatusAt = {}; // send it the list of gateways at once
   const EngineStatusReport News{Status.Server, Status.StartedAtMs,
                                 Status.Accepting, Status.Load, Status.Weights};
+  recordRestart(Status.Server, Status.StartedAtMs);
   if (!applyEngineStatus(Servers, News, now()))
     return;
   if (!Status.Accepting)
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -21,6 +21,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -170,15 +171,28 @@
   /// @param Request digest of the request
   void recordCompleted(const Digest &Request);
 
-  /// @brief A request whose connection was closed before it began.
+  /// @brief A request that a server had and did not complete.
   struct LostRequest {
-    std::string Id;        ///< for the log
-    Digest Content;        ///< see RequestRun::contentDigest()
-    std::string Server;    ///< IP address and port
-    std::string ServerRun; ///< see serverRunName()
+    std::string Id;               ///< for the log
+    Digest Content;               ///< see RequestRun::contentDigest()
+    std::string Server;           ///< IP address and port
+    std::int64_t StartedAtMs = 0; ///< of the server
+    std::string ServerRun;        ///< see serverRunName()
     TimePoint SentAt{};
     std::vector<std::string> Parts; ///< ids of the shared parts of the prompt
   };
+  /// @brief Whether a blocked request is sent once more here.
+  /// @param Request digest of the request
+  bool mayTryBlocked(const Digest &Request) const;
+  /// @brief Records that a blocked request is sent once more.
+  /// @param Request digest of the request
+  void recordTrial(const Digest &Request);
+  /// @brief Counts the end of a server as a crash if it starts again soon after
+  /// a request was lost there. A probe does not see a crash that came after
+  /// the request was withdrawn, or a server that is back before it.
+  /// @param Lost the request
+  void watchForRestart(LostRequest Lost);
+
   /// @brief Checks whether a server has crashed, after a connection to it was
   /// closed before the request began, and if so records the crash and tells the
   /// other gateways. Only a refused connection counts, because a lost answer
@@ -243,6 +257,8 @@
   void handlePartReport(const std::string &Peer, const PromptPartReport &News);
   boost::asio::awaitable<bool> refusesConnections(const std::string &Address);
   void recordCrash(const LostRequest &Lost);
+  /// Records crashes of which a later start of a server tells.
+  void recordRestart(const std::string &Address, std::int64_t StartedAtMs);
   void handleCrashReport(const std::string &Peer,
                          const CrashedRequestReport &Report);
   CrashedRequestReport makeCrashReport(CrashReportKind Kind) const;
@@ -353,6 +369,12 @@
   std::uint64_t LastStartTicket = 0;
   CrashSuspects Suspects;
   CrashingRequests Crashing;
+  /// A request that was lost at a server without a sign that it crashed.
+  struct UnexplainedLoss {
+    LostRequest Lost;
+    TimePoint At{};
+  };
+  std::deque<UnexplainedLoss> UnexplainedLosses; ///< oldest first
   TimePoint LastStatusAt{};
   TimePoint LastRemoteStatusAt{};
   TimePoint LastStagerStatusAt{};
--- a/programs/gateway/gateway_crashing_requests.cpp
+++ b/programs/gateway/gateway_crashing_requests.cpp
@@ -2,13 +2,65 @@
 
 #include "marigoldyard/transport/clock.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace marigoldyard {
 
+namespace {
+
+/// Time after a loss in which a start of the server shows that it crashed.
+constexpr std::chrono::seconds RestartTime{10};
+constexpr std::size_t MaxUnexplainedLosses = 256;
+
+} // namespace
+
 void Gateway::recordCompleted(const Digest &Request) {
   if (recordRequestCompleted(Crashing, Request, now()))
     sendCrashChanges();
 }
 
+bool Gateway::mayTryBlocked(const Digest &Request) const {
+  // One gateway tries for all; which one need not be agreed on, since the
+  // others learn of the trial.
+  const auto Live = Node.liveGateways();
+  const bool TriesForAll =
+      Live.empty() || Settings.Process.Address < Live.begin()->first;
+  return TriesForAll && marigoldyard::mayTryBlocked(Crashing, Request, now());
+}
+
+void Gateway::recordTrial(const Digest &Request) {
+  marigoldyard::recordTrial(Crashing, Request, now());
+  sendCrashChanges();
+  Node.Log.write({.Event = "crashing_request_tried",
+                  .At = Step::Admission,
+                  .Fields = {{"content", Request}}});
+}
+
+void Gateway::watchForRestart(LostRequest Lost) {
+  const TimePoint Now = now();
+  while (!UnexplainedLosses.empty() &&
+         (Now - UnexplainedLosses.front().At > RestartTime ||
+          UnexplainedLosses.size() >= MaxUnexplainedLosses))
+    UnexplainedLosses.pop_front();
+  UnexplainedLosses.push_back({std::move(Lost), Now});
+}
+
+void Gateway::recordRestart(const std::string &Address,
+                            std::int64_t StartedAtMs) {
+  const TimePoint Now = now();
+  std::vector<LostRequest> Crashed;
+  std::erase_if(UnexplainedLosses, [&](const UnexplainedLoss &Each) {
+    if (Each.Lost.Server != Address || Each.Lost.StartedAtMs >= StartedAtMs)
+      return false;
+    if (Now - Each.At <= RestartTime)
+      Crashed.push_back(Each.Lost);
+    return true;
+  });
+  for (const LostRequest &Each : Crashed)
+    recordCrash(Each);
+}
+
 CrashedRequestReport Gateway::makeCrashReport(CrashReportKind Kind) const {
   CrashedRequestReport Report;
   Report.Kind = Kind;
--- a/programs/gateway/gateway_prompt_parts.cpp
+++ b/programs/gateway/gateway_prompt_parts.cpp
@@ -97,6 +97,8 @@
   const bool Crashed = co_await refusesConnections(Lost.Server);
   if (Crashed)
     recordCrash(Lost);
+  else
+    watchForRestart(Lost);
   co_return Crashed;
 }
 
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -46,6 +46,18 @@
   Result.Response.reset();
 }
 
+/// Counts a check while it runs.
+class CountedCheck {
+public:
+  explicit CountedCheck(std::uint32_t &Number) : Running(Number) { ++Running; }
+  ~CountedCheck() { --Running; }
+  CountedCheck(const CountedCheck &) = delete;
+  CountedCheck &operator=(const CountedCheck &) = delete;
+
+private:
+  std::uint32_t &Running;
+};
+
 } // namespace
 
 ExchangeLimits RequestRun::exchangeLimits(RequestAttempt &Attempt) {
@@ -221,6 +233,10 @@
   ServerCrashed = false;
   RequestAttempt &First = beginAttempt(Id);
   co_await runAttempt(First);
+  co_await awaitAttempts();
+}
+
+net::awaitable<void> RequestRun::awaitAttempts() {
   if (Running.empty())
     co_return;
   net::steady_timer Ended(Owner.node().Context,
@@ -268,21 +284,37 @@
     if (!Owner.crashingRequests().Requests.empty())
       Owner.recordCompleted(contentDigest());
   }
-  const bool ConnectionLost = Result.Fate == AttemptStatus::Lost &&
-                              Result.Reason == ErrorCode::StreamIncomplete;
   // A server that leaves without a notice loses its record before it ends.
   const ServerRecord &Server = Attempt.Server;
   const bool MayHaveLeft = isLeaving(Owner.servers(), Server.Id) ||
                            !Owner.servers().Servers.contains(Server.Id);
-  if (!ConnectionLost || Attempt.EventReads >= EventReadsToBegin || MayHaveLeft)
+  const bool WasSent = Result.Fate == AttemptStatus::Lost &&
+                       Result.Reason != ErrorCode::PeerUnreachable;
+  if (!WasSent || MayHaveLeft)
+    co_return;
+  Gateway::LostRequest Lost;
+  Lost.Id = RequestInfo.Id;
+  Lost.Content = contentDigest();
+  Lost.Server = Server.Address;
+  Lost.StartedAtMs = Server.StartedAtMs;
+  Lost.ServerRun = serverRunName(Server.Id, Server.StartedAtMs);
+  Lost.SentAt = Attempt.SentAt;
+  const bool HasBegun = Attempt.EventReads >= EventReadsToBegin;
+  // A server that crashes on a part of a prompt does so before it answers.
+  if (!HasBegun)
+    Lost.Parts = RequestInfo.SharedParts;
+  if (Result.Reason != ErrorCode::StreamIncomplete) {
+    if (!HasBegun)
+      Owner.watchForRestart(std::move(Lost));
     co_return;
-  ++CrashChecks;
-  Gateway::LostRequest Lost{
-      RequestInfo.Id, contentDigest(),
-      Server.Address, serverRunName(Server.Id, Server.StartedAtMs),
-      Attempt.SentAt, RequestInfo.SharedParts};
+  }
+  if (HasBegun) {
+    net::co_spawn(Owner.node().Context, Owner.checkForCrash(std::move(Lost)),
+                  net::detached);
+    co_return;
+  }
+  const CountedCheck Check(CrashChecks);
   const bool Crashed = co_await Owner.checkForCrash(std::move(Lost));
-  --CrashChecks;
   ServerCrashed = ServerCrashed || Crashed;
 }
 
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -4,6 +4,7 @@
 #include "marigoldyard/transport/clock.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -36,8 +37,8 @@
 /// Time from the start of a request at a server to the first event, without
 /// the prefill of the prompt.
 constexpr milliseconds FirstEventOverhead{120};
-/// Retry-After of a request on which servers crash; it stays blocked.
-constexpr std::chrono::minutes BlockedRequestDelay{30};
+/// Retry-After of a request on which servers crash.
+constexpr std::chrono::minutes BlockedRequestDelay{1};
 constexpr std::uint32_t MostUrgentPriority = 0;
 /// Cost of an output token relative to a prompt token, as in the customers'
 /// measure of request size.
@@ -90,6 +91,8 @@
                             .At = Step::Send,
                             .Request = RequestInfo.Id,
                             .Fields = {{"cause", *Cause}}});
+    stopAttempts(StopCause::EndOfProcess);
+    co_await awaitAttempts();
     if (!HeadForwarded && !ResponseBegun) {
       LocalResponse Failure{502, "unknown", Step::Send, LastServer, *Cause, {}};
       Written = co_await sendLocalResponse(std::move(Failure));
@@ -197,6 +200,11 @@
       releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
+    if (!IsTrial && !Owner.crashingRequests().Requests.empty() &&
+        isRequestBlocked(Owner.crashingRequests(), contentDigest())) {
+      IsTrial = true;
+      Owner.recordTrial(contentDigest());
+    }
     co_await runAttempts(Choice.Id);
     if (Session.disconnected()) {
       log("caller_left", "caller disconnected during the attempt");
@@ -217,17 +225,20 @@
     const std::string Customer =
         RequestCustomer != nullptr ? RequestCustomer->Name : std::string();
     const std::string_view Method = toStringView(Request.method_string());
+    std::string Host(toStringView(Request[http::field::host]));
+    boost::algorithm::to_lower(Host);
     const std::string_view Target = toStringView(Request.target());
-    KnownDigest = sha256Hex(fmt::format("{} {} {}\n{}{}{}{}", Method.size(),
-                                        Target.size(), Customer.size(), Method,
-                                        Target, Customer, Request.body()));
+    KnownDigest = sha256Hex(fmt::format(
+        "{} {} {} {}\n{}{}{}{}{}", Method.size(), Host.size(), Target.size(),
+        Customer.size(), Method, Host, Target, Customer, Request.body()));
   }
   return *KnownDigest;
 }
 
 std::optional<RequestRun::Block> RequestRun::findBlock() {
-  if (!Owner.crashingRequests().Requests.empty() &&
-      isRequestBlocked(Owner.crashingRequests(), contentDigest()))
+  if (!IsTrial && !Owner.crashingRequests().Requests.empty() &&
+      isRequestBlocked(Owner.crashingRequests(), contentDigest()) &&
+      !Owner.mayTryBlocked(contentDigest()))
     return Block{fmt::format("servers crash on request {}", contentDigest()),
                  BlockedRequestDelay};
   const auto Part =
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -92,7 +92,7 @@
   std::optional<Block> findBlock();
   boost::asio::awaitable<bool> rejectBlocked(const Block &Blocked);
   /// Digest of what stays the same when the request comes again: its method,
-  /// target, customer and body.
+  /// host, target, customer and body.
   const Digest &contentDigest();
 
   platform::RequestMessage
@@ -116,6 +116,8 @@
   boost::asio::awaitable<void> runAttempts(const std::string &Id);
   /// Stops the attempts that do not answer the request any more.
   void stopSuperseded();
+  /// Waits until no attempt runs any more.
+  boost::asio::awaitable<void> awaitAttempts();
   void stopAttempts(StopCause Cause);
   void recordAttempt(RequestAttempt &Attempt, const ExchangeResult &Result);
   /// Records whether the server completed the request or crashed.
@@ -202,6 +204,7 @@
   const Customer *RequestCustomer = nullptr;
   const ServerPool *Pool = nullptr;
   TimePoint Deadline{};
+  bool IsTrial = false;               ///< of a blocked request
   std::optional<Digest> KnownDigest;  ///< set by contentDigest()
   std::function<void()> EndQueueWait; ///< set while the request is queued
   bool Admitted = false;
--- a/src/coordination/crashing_requests.cpp
+++ b/src/coordination/crashing_requests.cpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/coordination/detail/text_hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -63,6 +64,10 @@
   for (const auto &[ServerRun, Crash] : Record.Crashes)
     if (!isExplained(State, Request, ServerRun))
       Counted.push_back(Crash);
+  // Requests that were at the same crashes do not excuse each other.
+  if (Counted.empty())
+    for (const auto &[ServerRun, Crash] : Record.Crashes)
+      Counted.push_back(Crash);
   Record.Blocked =
       Counted.size() >= State.Settings.CrashesToBlock &&
       countSuccessive(Counted) >= State.Settings.SuccessiveCrashesToBlock;
@@ -90,14 +95,16 @@
   Record.Unreported = true;
 }
 
-/// Adds a crash unless it is known, does not count any more, or there are
-/// enough.
+/// Adds a crash unless it is known or does not count any more. Of too many,
+/// those with the lowest names stay, so that all processes keep the same.
 bool addCrash(const CrashingRequests &State, CrashedRequest &Record,
               const std::string &ServerRun, RequestCrash Crash) {
   if (Record.ClearedCrashes.contains(ServerRun) ||
-      Record.Crashes.size() >= State.Settings.MaxCrashes)
+      !Record.Crashes.emplace(ServerRun, std::move(Crash)).second)
     return false;
-  return Record.Crashes.emplace(ServerRun, Crash).second;
+  if (Record.Crashes.size() > State.Settings.MaxCrashes)
+    Record.Crashes.erase(std::prev(Record.Crashes.end()));
+  return Record.Crashes.contains(ServerRun);
 }
 
 /// Lets a crash count no longer.
@@ -118,6 +125,7 @@
   ReportedRequest Report;
   Report.Request = Request;
   Report.Blocked = Record.Blocked;
+  Report.Trials = Record.Trials;
   for (const auto &[ServerRun, Crash] : Record.Crashes)
     Report.Crashes.push_back(
         {ServerRun, Crash.Server, Age(Crash.SentAt), Age(Crash.At)});
@@ -136,10 +144,11 @@
                         const std::string &ServerRun,
                         const RequestCrash &Crash) {
   CrashedRequest &Record = recordOf(State, Request);
+  // The start of a server may not be known yet when it crashes again. What was
+  // sent after a crash did not go to the run that ended.
   std::string Name = ServerRun;
   for (auto Found = Record.Crashes.find(Name);
-       Found != Record.Crashes.end() &&
-       Crash.At - Found->second.At >= State.Settings.SameCrashTime;
+       Found != Record.Crashes.end() && Crash.SentAt >= Found->second.At;
        Found = Record.Crashes.find(Name))
     Name += "+";
   if (!addCrash(State, Record, Name, Crash))
@@ -173,6 +182,28 @@
   return Found != State.Requests.end() && Found->second.Blocked;
 }
 
+bool mayTryBlocked(const CrashingRequests &State, const Digest &Request,
+                   TimePoint Now) {
+  const auto Found = State.Requests.find(Request);
+  if (Found == State.Requests.end() || !Found->second.Blocked)
+    return false;
+  const CrashedRequest &Record = Found->second;
+  if (Record.Trials >= State.Settings.TrialDelays.size())
+    return false;
+  TimePoint LastAt = Record.TriedAt;
+  for (const auto &[ServerRun, Crash] : Record.Crashes)
+    LastAt = std::max(LastAt, Crash.At);
+  return Now - LastAt >= State.Settings.TrialDelays[Record.Trials];
+}
+
+void recordTrial(CrashingRequests &State, const Digest &Request,
+                 TimePoint Now) {
+  CrashedRequest &Record = recordOf(State, Request);
+  ++Record.Trials;
+  Record.TriedAt = Now;
+  markChanged(Record, Now);
+}
+
 bool areExplainedByRequests(const CrashingRequests &State,
                             const std::vector<ServerCrash> &Crashes) {
   std::vector<ServerCrash> Rest;
@@ -213,6 +244,10 @@
                        {Each.Server, Now - Each.SentAge, Now - Each.Age}) ||
               Changed;
   }
+  if (Reported.Trials > Record.Trials) {
+    Record.Trials = Reported.Trials;
+    Record.TriedAt = Now;
+  }
   if (Changed || Cleared)
     Record.ChangedAt = Now;
   if (updateBlock(State, Reported.Request, Record))
@@ -255,6 +290,7 @@
     IsEmpty = false;
     Hash.add(Request);
     Hash.add(Record.Blocked ? "\n!" : "\n");
+    Hash.add(std::to_string(Record.Trials));
     for (const auto &[ServerRun, Crash] : Record.Crashes) {
       Hash.add(ServerRun);
       Hash.add("\n");
--- a/src/transport/mailbox_peer.cpp
+++ b/src/transport/mailbox_peer.cpp
@@ -39,6 +39,10 @@
         if constexpr (std::is_same_v<Type, ConfigurationValues>)
           for (const auto &[Name, Value] : Part.Values)
             Bytes += Name.size() + Value.size();
+        if constexpr (std::is_same_v<Type, CrashedRequestReport>)
+          for (const ReportedRequest &Each : Part.Requests)
+            Bytes +=
+                128 + 64 * (Each.Crashes.size() + Each.ClearedCrashes.size());
         if constexpr (requires { Part.Index; })
           Bytes += Part.Index.Values.size() * 128;
       },
--- a/tests/process/crashing_servers.py
+++ b/tests/process/crashing_servers.py
@@ -1,4 +1,5 @@
 """Servers that crash on some requests and are back after some time."""
+import contextlib
 import socket
 import threading
 import time
@@ -15,7 +16,7 @@
     def __init__(self, engine, matches):
         self.engine, self.matches, self.crashes = engine, matches, 0
         self.rejects = False  # answers 400 instead
-        self.open, self.lock = set(), threading.Lock()
+        self.open, self.lock, self.down = set(), threading.Lock(), False
         self.usual = engine.handle
         engine.handle = self.handle
 
@@ -34,6 +35,10 @@
                 self.open.discard(request)
 
     def crash(self, request):
+        with self.lock:
+            if self.down:  # another request ended the process
+                return request.cut()
+            self.down = True
         self.crashes += 1
         server = self.engine.server
         server.shutdown()
@@ -41,7 +46,8 @@
         with self.lock:
             others = list(self.open)
         for each in others:
-            each.cut()
+            with contextlib.suppress(OSError):  # the peer may have closed before
+                each.cut()
         threading.Thread(target=self.restart, daemon=True).start()
 
     def restart(self):
@@ -51,6 +57,7 @@
         self.engine.server.owner = self.engine
         self.engine.born = int(time.time() * 1000)
         self.engine.register()
+        self.down = False
         threading.Thread(target=self.engine.server.serve_forever, args=(0.02,), daemon=True).start()
 
     def end(self):
--- a/tests/process/test_crashing_requests.py
+++ b/tests/process/test_crashing_requests.py
@@ -165,13 +165,90 @@
             check(answer.status == 200, f"served: {answer.status} {answer.body}")
 
 
-def add_customer(fleet):
-    fleet.configure(tenants={"south": ["key-south"]})
+# Guards against crashes that nobody sees because the caller has left before.
+def case_caller_leaves(fleet):
+    """a request whose callers leave before it crashes a server is found as well"""
+    body = b"left"
+    with Deadly(fleet.engines, None) as deadly:
+        for each in deadly.crashing:
+            each.matches = lambda request: request.body == body and not time.sleep(0.3)
+        for number in range(8):
+            try:
+                call(fleet.gateways[number % 2], "/stream/1", "POST", body, headers=SHARED, timeout=0.15)
+            except OSError:
+                pass
+            time.sleep(0.4)
+            up(fleet.engines)
+        check(deadly.crashes() <= MOST_CRASHES, f"{deadly.crashes()} crashes")
+        check(rejects(fleet.gateways[0], body), "rejected")
+
+
+# Guards against a request that crashes servers only after it has begun there.
+def case_begun_stream(fleet):
+    """a request that crashes servers in the middle of its stream is found as well"""
+    body = b"begun"
+    with Deadly(fleet.engines, body) as deadly:
+        for each in deadly.crashing:
+            def crash(request, each=each, usual=each.crash):
+                each.engine.stream(3, stop_after=2, pause=0.05)(request)
+                usual(request)
+            each.crash = crash
+        for number in range(8):
+            stream(fleet.gateways[number % 2], body)
+            up(fleet.engines)
+        check(deadly.crashes() <= MOST_CRASHES, f"{deadly.crashes()} crashes")
+        check(rejects(fleet.gateways[0], body), "rejected")
+
+
+# Guards against evidence that is lost with a freeze: when the gateway goes on, the server is back.
+def case_frozen_at_crash(fleet):
+    """a crash counts that a gateway learns of when the server is back"""
+    body, gateway = b"frozen", fleet.gateways[0]
+    with Deadly(fleet.engines, None) as deadly:
+        for each in deadly.crashing:
+            each.matches = lambda request: request.body == body and not time.sleep(0.2)
+        for _ in range(3):
+            caller = threading.Thread(target=stream, args=(gateway, body))
+            caller.start()
+            time.sleep(0.1)
+            gateway.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.2)
+            gateway.process.send_signal(signal.SIGCONT)
+            caller.join()
+            up(fleet.engines)
+        time.sleep(STABLE_S)
+        before = deadly.crashes()
+        check(rejects(fleet.gateways[1], body), f"rejected after {before} crashes")
+        check(deadly.crashes() == before, "no further crash")
+
+
+# Guards against requests on another host that are taken for one that crashes servers, or clear it.
+def case_other_host(fleet):
+    """a request to another host is another request"""
+    body, other = b"host", {**SHARED, "Host": "b.example"}
+    with Deadly(fleet.engines, None) as deadly:
+        for each in deadly.crashing:
+            each.matches = lambda request: request.body == body and request.headers["Host"] == "a.example"
+        for number in range(6):
+            gateway = fleet.gateways[number % 2]
+            stream(gateway, body)
+            up(fleet.engines)
+            check(call(gateway, "/stream/1", "POST", body, headers=other).status == 200, "the other host is served")
+        check(deadly.crashes() <= MOST_CRASHES, f"{deadly.crashes()} crashes")
+
+
+def add_routes(fleet):
+    """Adds a customer and a host."""
+    routes = pf.configuration(1)["routes"]
+    routes.append(pf.route("r-other", "b.example", "/stream/", "streaming", "engines", resume_streams=True,
+                           target_gap_ms=300))
+    fleet.configure(routes=routes, tenants={"south": ["key-south"]})
     time.sleep(1.0)
 
 
 CASES = [case_request_comes_again, case_similar_requests, case_gateway_starts, case_gateway_stands_still,
-         case_gateways_restart, case_plain_service, case_common_cause]
+         case_gateways_restart, case_plain_service, case_common_cause, case_caller_leaves, case_begun_stream,
+         case_frozen_at_crash, case_other_host]
 
 if __name__ == "__main__":
-    pf.run_cases(CASES, add_customer)
+    pf.run_cases(CASES, add_routes)
--- a/tests/src/unit-coordination-crashing_requests.cpp
+++ b/tests/src/unit-coordination-crashing_requests.cpp
@@ -86,8 +86,12 @@
 
 TEST_CASE("several reports on one crash count once") {
   CrashingRequests State;
-  crash(State, Deadly, "s1", Start);
-  crash(State, Deadly, "s1", Start + 500ms);
+  const std::string Run = serverRunName("s1", 17);
+  // Copies that were sent before the crash may be seen to be lost long after.
+  for (const Duration Seen : {0ms, 500ms, 2500ms})
+    recordRequestCrash(State, Deadly, Run,
+                       {"s1:80", Start - 100ms, Start + Seen});
+  CHECK(State.Requests.at(Deadly).Crashes.size() == 1);
   crash(State, Deadly, "s2", Start + 2s);
   CHECK_FALSE(isRequestBlocked(State, Deadly));
 }
@@ -104,19 +108,58 @@
 // Guards against blocking sound requests that were at servers with one that
 // crashes them.
 TEST_CASE("crashes at which a blocked request was do not count for others") {
-  CrashingRequests State;
-  crash(State, Deadly, "s1", Start);
-  crash(State, Deadly, "s2", Start + 1s);
-  crash(State, Deadly, "s3", Start + 2s);
-  crash(State, Sound, "s1", Start);
-  crash(State, Sound, "s2", Start + 1s);
-  crash(State, Sound, "s3", Start + 2s);
-  CHECK_FALSE(isRequestBlocked(State, Sound));
+  CrashingRequests State = withCrashes(Deadly, 3);
+  crash(State, Sound, "s0", Start);
+  crash(State, Sound, "s1", Start + 1s);
   crash(State, Sound, "s4", Start + 3s);
   crash(State, Sound, "s5", Start + 4s);
+  CHECK_FALSE(isRequestBlocked(State, Sound));
   CHECK(crash(State, Sound, "s6", Start + 5s));
 }
 
+// Guards against a request that is not found because one that was beside it at
+// the same servers was blocked first.
+TEST_CASE("requests that were at the same crashes do not excuse each other") {
+  CrashingRequests State = withCrashes(Sound, 3);
+  REQUIRE(isRequestBlocked(State, Sound));
+  crash(State, Deadly, "s0", Start);
+  crash(State, Deadly, "s1", Start + 1s);
+  CHECK(crash(State, Deadly, "s2", Start + 2s));
+}
+
+// Guards against a sound request that is refused for good after another cause
+// has ended its servers.
+TEST_CASE("a blocked request is tried a few times, ever more rarely") {
+  CrashingRequests State = withCrashes(Deadly, 3);
+  const TimePoint LastCrash = Start + 2s;
+  CHECK_FALSE(mayTryBlocked(State, Deadly, LastCrash + 59s));
+  CHECK_FALSE(mayTryBlocked(State, Sound, LastCrash + 60s));
+  CHECK(mayTryBlocked(State, Deadly, LastCrash + 60s));
+  const TimePoint Trial = LastCrash + 60s;
+  recordTrial(State, Deadly, Trial);
+  CHECK_FALSE(mayTryBlocked(State, Deadly, Trial + 29min));
+  CrashingRequests Other;
+  synchronize(State, Other, Trial);
+  CHECK(contentHash(State) == contentHash(Other));
+  CHECK_FALSE(mayTryBlocked(Other, Deadly, Trial + 29min));
+  CHECK(mayTryBlocked(Other, Deadly, Trial + 30min));
+  recordTrial(Other, Deadly, Trial + 30min);
+  CHECK_FALSE(mayTryBlocked(Other, Deadly, Trial + 30 * 24h));
+  recordRequestCompleted(Other, Deadly, Trial + 31min);
+  CHECK_FALSE(isRequestBlocked(Other, Deadly));
+}
+
+// Guards against processes that exchange their records without end.
+TEST_CASE("processes with too many crashes of a request keep the same ones") {
+  CrashingRequests Left = withCrashes(Deadly, 30);
+  CrashingRequests Right;
+  for (int Number = 30; Number < 60; ++Number)
+    crash(Right, Deadly, "t" + std::to_string(Number), Start + Number * 1s);
+  synchronize(Left, Right, Start + 100s);
+  synchronize(Right, Left, Start + 100s);
+  CHECK(contentHash(Left) == contentHash(Right));
+}
+
 TEST_CASE("processes add up their crashes, in any order and repeatedly") {
   CrashingRequests Left;
   CrashingRequests Right;
--- a/tests/src/unit-protocol-codec.cpp
+++ b/tests/src/unit-protocol-codec.cpp
@@ -85,6 +85,7 @@
                                0xFEDCBA9876543210,
                                {{Weights,
                                  true,
+                                 1,
                                  {{"i-1@17", "10.0.0.4:90", 350ms, 250ms}},
                                  {"i-2@18"}}}}};
 }
