--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -529,11 +529,12 @@
             wait_for(lambda g=gateway: call(g, "/marigoldyard/ready", port=READY_PORT).status == 200, "ready")
         time.sleep(RETRY_RESERVE_S)
 
-    def gateway(self, host, stdout=None):
+    def gateway(self, host, stdout=None, **more):
         ip = f"{NET}.20.{host}"
         daemon = Daemon("marigold-gateway", host, self.store, self.folder, [40, 41],
                         {"callers": f"{ip}:{CALLER_PORT}", "readiness": f"{ip}:{READY_PORT}",
-                         "directory": f"{ip}:{DIRECTORY_PORT}", "retry_share": 0.2, "retry_reserve": RETRY_RESERVE}, stdout)
+                         "directory": f"{ip}:{DIRECTORY_PORT}", "retry_share": 0.2, "retry_reserve": RETRY_RESERVE,
+                         **more}, stdout)
         self.daemons.append(daemon)
         return daemon
 
@@ -609,10 +610,10 @@
     time.sleep(0.8)  # until the gateways have applied the change
 
 
-def run_cases(cases, prepare=lambda fleet: None):
+def run_cases(cases, prepare=lambda fleet: None, make_fleet=PlatformFleet):
     """Runs cases in order, each with the same fleet; exits with 1 when one failed."""
     failed = 0
-    with PlatformFleet() as fleet:
+    with make_fleet() as fleet:
         prepare(fleet)
         for case in cases:
             forget(fleet)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,11 +13,14 @@
 
     pass; delay: `delay_s` before each piece; silent: nothing passes, bytes are held; to_target, to_client: only this way;
     refuse: new connections are reset.
+
+    silence_open() silences the open connections for good, while new ones pass.
     """
 
     def __init__(self, host, port, target):
         self.target, self.mode, self.delay_s = target, "pass", 0.0
         self.pairs, self.lock, self.closed = set(), threading.Lock(), False
+        self.silenced = set()  # ends of connections that stay silent in every mode
         self.listener = socket.create_server((host, port), backlog=128)
         self.address = f"{host}:{port}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -57,12 +60,14 @@
     def pump(self, source, sink, way):
         try:
             while True:
-                while not self.passes(way):
+                while source in self.silenced or not self.passes(way):
                     if self.closed:
                         return
                     time.sleep(POLL_S)
                 if not select.select([source], [], [], POLL_S)[0]:
                     continue
+                if source in self.silenced:
+                    continue
                 data = source.recv(CHUNK)
                 if self.mode == "delay":
                     time.sleep(self.delay_s)
@@ -87,6 +92,12 @@
         except OSError:
             pass
 
+    def silence_open(self):
+        """Nothing passes on the connections that are open now, and neither end is told; returns their number."""
+        with self.lock:
+            self.silenced.update(end for pair in self.pairs for end in pair)
+            return len(self.pairs)
+
     def reset_all(self):
         with self.lock:
             pairs = list(self.pairs)
