Replace connections between gateways that went silent

Seen: gateways whose connections went silent without a reset stayed out of touch, and learned one by one of a request that crashes servers.

Cause: nothing but a reset or a removal from the member table (10 s without a status) ended a connection. Each connection carries messages one way, so the sender of a silent one got no sign at all.

The decision is the pure function takeLostContacts (peer_contact.hpp). Mailbox::reconnect replaces the connection on the worker thread and keeps the outbox.

Remains: stagers. They and gateways report to each other only every 2 s, too seldom for a limit of a second or two; they reconnect as before, when a gateway is removed after 10 s.

--- a/include/marigoldyard/transport/detail/mailbox_peer.hpp
+++ b/include/marigoldyard/transport/detail/mailbox_peer.hpp
@@ -77,6 +77,8 @@
   bool start();
   /// @brief Closes the connection and discards the outbox.
   void close();
+  /// @brief Replaces the connection soon, on the worker thread.
+  void reconnect();
   bool send(Message Content);
   std::size_t withdraw(const std::function<bool(const Message &)> &Matches);
   std::size_t outboxSize() const;
@@ -103,6 +105,7 @@
   std::deque<Waiting> Outbox;
   std::size_t OutboxBytes = 0;
   bool Closed = false;
+  bool ReplaceLink = false;
 };
 
 } // namespace marigoldyard::detail
--- a/include/marigoldyard/transport/mailbox.hpp
+++ b/include/marigoldyard/transport/mailbox.hpp
@@ -98,6 +98,11 @@
   /// @param PeerAddress address given to addPeer or send
   void removePeer(const std::string &PeerAddress);
 
+  /// @brief Replaces the connection to a peer, which may be silent without
+  /// being closed. The outbox is kept; messages under way may be lost.
+  /// @param PeerAddress address given to addPeer or send; others are ignored
+  void reconnect(const std::string &PeerAddress);
+
   /// @brief Queues a message. Sender, incarnation, sequence and time are set
   /// here; the caller sets Receiver and SenderRevision.
   /// @param PeerAddress "host:port"; the peer is added when unknown
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/transport/clock.hpp"
 #include "marigoldyard/transport/random_source.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <unistd.h>
@@ -25,6 +26,8 @@
 /// A gateway is suspected after this many intervals, since one status may be
 /// lost and another may be late.
 constexpr int MissedReports = 3;
+/// Interval of checks for silent gateways.
+constexpr std::chrono::milliseconds ContactCheckInterval{100};
 
 Member describeSelf(const FleetProcessSettings &Settings, MemberKind Kind) {
   Member Self;
@@ -210,6 +213,27 @@
   return remoteReportInterval(StatusInterval, 1 + gatewayAddresses().size());
 }
 
+void FleetNode::replaceSilentConnections(bool Leaving) {
+  if (now() - Contacts.CheckedAt < ContactCheckInterval)
+    return;
+  std::map<std::string, Duration> Expected;
+  for (const std::string &Address : gatewayAddresses())
+    Expected[Address] =
+        isInOtherRegion(Address)
+            ? Gateways.Settings.RemoteSuspicionTimeout / MissedReports
+            : Duration(StatusInterval);
+  for (const LostContact &Lost :
+       takeLostContacts(Contacts, Expected, Leaving, now())) {
+    if (Lost.IsNew)
+      Log.write({.Level = LogLevel::Warning,
+                 .Event = "silent_connection_replaced",
+                 .At = Step::MemberList,
+                 .Peer = Lost.Peer,
+                 .Fields = {{"cause", contactLossName(Lost.Loss)}}});
+    PeerMailbox->reconnect(Lost.Peer + ":" + std::to_string(Settings.PeerPort));
+  }
+}
+
 void FleetNode::applySettings(const FleetProcessSettings &NewSettings) {
   Settings.Seeds = NewSettings.Seeds;
   Settings.Store = NewSettings.Store;
@@ -239,6 +263,11 @@
       Outcome == MessageOutcome::TableFull)
     return;
   setReportsExpected(Gateways, Peer, true, now());
+  if (Self.Kind == MemberKind::Entry)
+    recordPeerReport(Contacts, Peer,
+                     std::find(Status.Gateways.begin(), Status.Gateways.end(),
+                               Settings.Address) != Status.Gateways.end(),
+                     now());
   if (Outcome != MessageOutcome::Known)
     addGatewayToList(Status.Sender);
   if (Outcome != MessageOutcome::Known)
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "marigoldyard/coordination/membership.hpp"
+#include "marigoldyard/coordination/peer_contact.hpp"
 #include "marigoldyard/protocol/fleet_settings.hpp"
 #include "marigoldyard/protocol/message.hpp"
 #include "marigoldyard/transport/http_client.hpp"
@@ -126,6 +127,12 @@
   /// regions
   Duration remoteStatusInterval() const;
 
+  /// @brief Replaces connections to gateways that went silent. Called at each
+  /// tick by gateways, which report to each other; stagers get reports too
+  /// seldom.
+  /// @param Leaving whether this process has reported that it leaves
+  void replaceSilentConnections(bool Leaving);
+
   /// @brief Applies the settings that may change at run time: the seeds and the
   /// store's address.
   void applySettings(const FleetProcessSettings &NewSettings);
@@ -168,6 +175,7 @@
   std::map<std::string, GatewayInfo> ContactedGateways; ///< by IP address
   std::set<std::string>
       UncontactedGateways; ///< reported by others, not contacted yet
+  PeerContacts Contacts;   ///< with gateways, if this process is one
   std::unique_ptr<Mailbox> PeerMailbox;
   std::unique_ptr<Mailbox> BulkMailbox;
   std::unique_ptr<HttpServer> OperatorServer;
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -604,6 +604,7 @@
     completeWait(Ticket, {{}, ServerShortage::Full});
   rejectUnservable();
   dispatchQueued();
+  Node.replaceSilentConnections(DrainProgress.Stage != DrainStage::Serving);
   if (Now - LastStatusAt >= FleetNode::StatusInterval)
     sendStatus(Now - LastRemoteStatusAt >= Node.remoteStatusInterval());
   if (Now - LastMaintenanceAt >= MaintenanceInterval) {
--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -244,6 +244,11 @@
   Peer->close();
 }
 
+void Mailbox::reconnect(const std::string &PeerAddress) {
+  if (auto Peer = Content->find(PeerAddress))
+    Peer->reconnect();
+}
+
 bool Mailbox::send(const std::string &PeerAddress, Message Message) {
   auto Peer = Content->findOrAdd(PeerAddress);
   if (Peer && Peer->send(std::move(Message)))
--- a/src/transport/mailbox_peer.cpp
+++ b/src/transport/mailbox_peer.cpp
@@ -155,7 +155,8 @@
       std::lock_guard Lock(Mutex);
       if (Closed)
         return;
-      if (Link && Link->lost())
+      const bool Replace = std::exchange(ReplaceLink, false);
+      if (Link && (Replace || Link->lost()))
         Old = std::exchange(Link, nullptr);
       Missing = Link == nullptr;
     }
@@ -185,6 +186,14 @@
     Old->close();
 }
 
+void MailboxPeer::reconnect() {
+  {
+    std::lock_guard Lock(Mutex);
+    ReplaceLink = true;
+  }
+  Shared->Worker->schedule(weak_from_this(), Duration::zero());
+}
+
 bool MailboxPeer::send(Message Content) {
   std::size_t Bytes = estimatedBytes(Content);
   const MailboxOptions &Options = Shared->Options;
--- a/tests/src/fault-transport-mailbox.cpp
+++ b/tests/src/fault-transport-mailbox.cpp
@@ -1,9 +1,14 @@
 #include "mailbox_fixture.hpp"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace marigoldyard;
 using namespace marigoldyard::test;
@@ -27,6 +32,49 @@
   }
 };
 
+/// A peer whose connection goes silent without being closed.
+struct SilentListener {
+  int Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  int Accepted = -1;
+  std::uint16_t Port = 0;
+
+  SilentListener() {
+    const int On = 1;
+    ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = ::inet_addr("127.0.0.3");
+    socklen_t Size = sizeof Address;
+    auto *Name = reinterpret_cast<sockaddr *>(&Address);
+    REQUIRE(::bind(Listener, Name, Size) == 0);
+    REQUIRE(::listen(Listener, 8) == 0);
+    REQUIRE(::getsockname(Listener, Name, &Size) == 0);
+    Port = ntohs(Address.sin_port);
+  }
+  ~SilentListener() {
+    stopListening();
+    ::close(Accepted);
+  }
+  SilentListener(const SilentListener &) = delete;
+  SilentListener &operator=(const SilentListener &) = delete;
+  /// Accepts one connection, with or without the handshake of a PULL socket,
+  /// and never reads from it.
+  void accept(bool WithHandshake) {
+    Accepted = ::accept(Listener, nullptr, nullptr);
+    REQUIRE(Accepted >= 0);
+    const std::uint8_t Handshake[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
+    if (WithHandshake)
+      REQUIRE(::send(Accepted, Handshake, sizeof Handshake, 0) ==
+              sizeof Handshake);
+  }
+  void stopListening() {
+    if (Listener >= 0)
+      ::close(Listener);
+    Listener = -1;
+  }
+  std::string address() const { return "127.0.0.3:" + std::to_string(Port); }
+};
+
 Message from(Incarnation Number, std::uint64_t Sequence, const char *Request,
              std::string To = "b") {
   Message M = cancelOf(Request, std::move(To));
@@ -139,6 +187,61 @@
   }
 }
 
+TEST_CASE("a connection that went silent is replaced, and what still waited is "
+          "delivered on the new one") {
+  SilentListener Silent;
+  const std::string Target = Silent.address();
+  Endpoint From(optionsOf("a"));
+  REQUIRE(From.Box->addPeer(Target));
+  SUBCASE("before the handshake") { Silent.accept(false); }
+  SUBCASE("while a send is in progress") {
+    Silent.accept(true);
+    REQUIRE(eventually([&] { return From.Box->connected(Target); }));
+    // More than the socket buffers of both ends hold.
+    const std::string Large(500'000, 'x');
+    REQUIRE(eventually([&] {
+      From.Box->send(Target, cancelOf(Large, "b"));
+      return From.Box->outboxSize(Target) >= 3;
+    }));
+  }
+  Silent.stopListening(); // new connections reach the next listener
+  REQUIRE(From.Box->send(Target, cancelOf("last", "b")));
+  Endpoint To(optionsOf("b", Silent.Port));
+  CHECK_FALSE(To.Messages.pop(std::chrono::milliseconds(500)));
+
+  From.Box->reconnect(Target);
+  std::string Request;
+  CHECK(eventually([&] {
+    auto M = To.Messages.pop(std::chrono::milliseconds(10));
+    return M && (Request = requestOf(*M)) == "last";
+  }));
+  REQUIRE(From.Box->send(Target, cancelOf("next", "b")));
+  CHECK(nextRequest(To) == "next");
+}
+
+TEST_CASE("connections that are replaced while messages are sent deliver none "
+          "twice and go on to deliver") {
+  constexpr int Rounds = 20, PerRound = 10;
+  Endpoint From(optionsOf("a")), To(optionsOf("b"));
+  for (int Round = 0; Round < Rounds; ++Round) {
+    for (int I = 0; I < PerRound; ++I)
+      REQUIRE(From.Box->send(
+          To.address(), cancelOf(std::to_string(Round * PerRound + I), "b")));
+    From.Box->reconnect(To.address());
+  }
+  std::multiset<std::string> Requests;
+  CHECK(eventually([&] {
+    From.Box->send(To.address(), cancelOf("last", "b"));
+    auto M = To.Messages.pop(std::chrono::milliseconds(50));
+    if (M && requestOf(*M) != "last")
+      Requests.insert(requestOf(*M));
+    return M && requestOf(*M) == "last";
+  }));
+  CHECK(!Requests.empty());
+  for (const std::string &Request : Requests)
+    CHECK(Requests.count(Request) == 1);
+}
+
 TEST_CASE("REQ sends a request again after a lost connection unless its resend "
           "time is infinite, which is why work does not use it") {
   const std::string Url = "tcp://127.0.0.3:";
