Connect at once to a process that has sent a message

Cause: it asks the others after its start and waits at most one second. They answer over their own connection to it, which had been lost while it was away, and wait for the end of a backoff of up to two seconds. A block of a crashing request is learned as late.

Change: a message from a process shows that it is up, so a connection to it that is not open is opened anew at once, at most each 200 ms.

--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -28,6 +28,9 @@
 constexpr int MissedReports = 3;
 /// Interval of checks for silent gateways.
 constexpr std::chrono::milliseconds ContactCheckInterval{100};
+/// Time for a connection to open before it is opened anew because its peer
+/// sends.
+constexpr std::chrono::milliseconds ConnectPause{200};
 
 Member describeSelf(const FleetProcessSettings &Settings, MemberKind Kind) {
   Member Self;
@@ -240,8 +243,23 @@
   Store.setAddress(addressText(NewSettings.Store));
 }
 
+void FleetNode::connectToSender(const std::string &Peer) {
+  const std::string Address = Peer + ":" + std::to_string(Settings.PeerPort);
+  if (PeerMailbox->connected(Address)) {
+    ConnectingSince.erase(Peer);
+    return;
+  }
+  const TimePoint Now = now();
+  const auto [Found, New] = ConnectingSince.try_emplace(Peer, Now);
+  if (!New && Now - Found->second < ConnectPause)
+    return;
+  Found->second = Now;
+  PeerMailbox->reconnect(Address); // ignores peers that it does not know
+}
+
 void FleetNode::handleMessage(const Message &Incoming) {
   const std::string &Peer = Incoming.Head.Sender;
+  connectToSender(Peer);
   if (const auto *Status = std::get_if<GatewayStatus>(&Incoming.Content)) {
     handleGatewayStatus(Peer, Incoming, *Status);
   } else if (const auto *RelayRequest =
@@ -357,6 +375,7 @@
   requestRelay();
   for (const std::string &RemovedGateway : removeDeadMembers(Gateways, now())) {
     ContactedGateways.erase(RemovedGateway);
+    ConnectingSince.erase(RemovedGateway);
     Log.write({.Event = "gateway_forgotten",
                .At = Step::MemberList,
                .Peer = RemovedGateway});
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -159,6 +159,9 @@
   bool sendThrough(Mailbox &SendingMailbox, std::uint16_t Port,
                    const std::string &Peer, Body Content);
   void handleMessage(const Message &Incoming);
+  /// Connects at once to a process that has sent a message, so that the answer
+  /// does not wait for the end of a backoff.
+  void connectToSender(const std::string &Peer);
   void handleGatewayStatus(const std::string &Peer, const Message &Incoming,
                            const GatewayStatus &Status);
   void addGatewayToList(const Member &Gateway);
@@ -176,6 +179,7 @@
   std::set<std::string>
       UncontactedGateways; ///< reported by others, not contacted yet
   PeerContacts Contacts;   ///< with gateways, if this process is one
+  std::map<std::string, TimePoint> ConnectingSince; ///< by IP address
   std::unique_ptr<Mailbox> PeerMailbox;
   std::unique_ptr<Mailbox> BulkMailbox;
   std::unique_ptr<HttpServer> OperatorServer;
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -12,6 +12,8 @@
 from platform_fleet import call, check, wait_for  # noqa: E402
 
 # As in the settings of the processes, from the users' sites.
+# Gateways report to each other this often.
+STATUS_INTERVAL_S = 0.4
 VERSION_LIMIT_S = 8
 
 
@@ -263,6 +265,22 @@
     check(took < 1.5, f"the gateway was ready after {took:.2f} s")
 
 
+# Guards against a gateway that starts without the answers of the others, because their connections to it wait for the
+# end of a backoff.
+def case_answers_after_start(fleet):
+    """a gateway that starts is answered within a status interval, however long it was away"""
+    started = fleet.gateways[0]
+    for away_s in (0.3, 0.6, 0.9, 1.5, 2.3):
+        started.stop()
+        time.sleep(away_s)
+        started = restart(fleet, started)
+        wait_for(lambda g=started: '"versions_surveyed"' in g.log_text(), "the others were asked", timeout=5)
+        line = next(line for line in started.log_text().splitlines() if '"versions_surveyed"' in line)
+        waited = float(json.loads(line)["waited_s"])
+        check(waited < STATUS_INTERVAL_S, f"answered {waited:.2f} s after the start, away for {away_s} s")
+        time.sleep(2.5)  # until the other one has a connection to lose
+
+
 # Guards against a request on weights that are out of use, because the server is believed to have newer ones.
 def case_wrong_belief_is_refused(fleet):
     """a server that has older weights than it is believed to have runs nothing"""
@@ -393,7 +411,7 @@
 
 CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused,
          case_store_turns_gateways_away, case_store_down_for_all, case_store_serves_stagers,
-         case_message_waits_for_frozen_gateway, case_hidden_version, case_started_gateway,
+         case_message_waits_for_frozen_gateway, case_hidden_version, case_started_gateway, case_answers_after_start,
          case_late_answer_of_store, case_sent_before_declaration, case_head_before_start, case_given_up_request,
          case_record_gone]
 
