Let callers of the fault soak keep their connections

Seen: the soak passed on gateways that read and dropped requests on kept connections, and closed idle ones by an old limit. Its callers opened a new connection for each request.

Change: six more callers keep their connection for many requests, idle for up to four fifths of the idle limit in force, until a gateway ends it. A planned stop also meets streams whose callers send a read on the same connection at once. Two checks: a request that a gateway has read gets an answer (it was read if its connection ended without a reset, or if a server had it), and no connection is closed that is idle within its limit. Excused by recorded spans: a kill, a pause and the end of a planned stop of the gateway; for a close also the stop as a whole and, if the limit changed, a store that the gateway could not read. A request that got a reset and that no server had was not read.

Test: case_kept_requests, case_kept_closes and case_kept_ends of test_soak.py prove that both checks and their excuses can fail.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded run of the fault soak, and proof that each of its checks can fail."""
 import itertools
 import os
+import socket
 import sys
 import threading
 import time
@@ -10,6 +11,7 @@
 import late_starts  # noqa: E402
 import soak  # noqa: E402
 from world import EVENTS, World, body_of, pf  # noqa: E402
+import kept_connections  # noqa: E402  world.py sets its path
 
 # Seeds that failed once are added here with a line on the cause.
 # 1: a stream was cut for a server that refused, while its sound server paused. 2: a read got 502 in the same way.
@@ -23,6 +25,8 @@
     world.lock, world.broken, world.sent, world.runs = threading.RLock(), [], {"a": "once"}, {}
     world.answers, world.engines, world.record = [], [], early_ends.Record()
     world.late_starts = late_starts.LateStarts(world.record)
+    world.limits = kept_connections.Limits(5.0)
+    world.kept = kept_connections.KeptRecord(world.record, world.limits)
     return world
 
 
@@ -188,6 +192,62 @@
     assert is_late(8.1, spans=[("gateway_paused", 41, 4.0, 8.0)]), "a pause of another gateway excuses"
 
 
+def case_kept_requests():
+    """a request that a gateway read on a kept connection and did not answer is noticed, and one that was not read is not"""
+    def is_lost(how, prepare=lambda world: None, spans=()):
+        world = blank_world()
+        prepare(world)
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Unanswered(BEGUN, BEGUN + 0.5, "once", "a", 40, how))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_lost("dropped") and is_lost("timeout") and not is_lost("reset")
+    assert is_lost("reset", sound_run), "a request that a server had"
+    assert is_lost("reset", lambda world: sound_run(world).refuse()), "a request that a server refused"
+    for span in (("gateway_killed", 40, 0.4, 1.0), ("gateway_paused", 40, -1.0, 0.1), ("planned_stop", 40, -6.0, 0.5)):
+        assert not is_lost("dropped", spans=[span]), f"does not excuse: {span}"
+    for span in (("gateway_killed", 41, 0.4, 1.0), ("planned_stop", 40, -1.0, 0.5), ("store_away", 40, 0.0, 0.5)):
+        assert is_lost("dropped", spans=[span]), f"excuses: {span}"
+
+
+def case_kept_closes():
+    """a close of a connection that is idle within its limit is noticed, and excused by what touched its gateway only"""
+    def is_early(spans=(), raised_at=None):
+        world = blank_world()
+        world.limits.declared = [(BEGUN - 50, 1.0)]
+        if raised_at is not None:
+            world.limits.declared.append((BEGUN + raised_at, 8.0))
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Closed(BEGUN, BEGUN + 3, 40, world.limits.idle_s()))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_early() and is_early(raised_at=0.5)
+    for kind in ("gateway_killed", "planned_stop", "gateway_paused"):
+        assert not is_early([(kind, 40, 2.9, 3.5)]), f"does not excuse: {kind}"
+        assert is_early([(kind, 41, 2.9, 3.5)]), f"excuses: {kind} of another gateway"
+    assert not is_early([("store_away", 40, -2.0, -1.0)], raised_at=-1.5), "a change that the gateway could not read"
+    assert is_early([("store_away", 40, -2.0, -1.0)]), "excuses without a change"
+    assert is_early([("store_away", 40, -9.0, -2.1)], raised_at=0.5), "excuses: away long before"
+
+
+def case_kept_ends():
+    """the end of a connection with a reset is told from one without, on loopback sockets"""
+    for reads, how in ((False, "reset"), (True, "dropped")):
+        with socket.create_server((f"{pf.NET}.20.90", 0)) as listener:
+            caller = socket.create_connection(listener.getsockname())
+            peer, _ = listener.accept()
+            if reads:  # as a peer that reads and drops what arrives after its end
+                peer.shutdown(socket.SHUT_WR)
+            else:
+                peer.close()
+            caller.sendall(b"request")
+            assert kept_connections.how_it_ended(caller) == how, how
+            caller.close()
+            peer.close()
+
+
 def case_runs_are_recorded():
     """a write to a gateway that has closed is recorded as such, and the last byte as the end"""
     run = early_ends.Run("i-1", time.monotonic())
@@ -206,7 +266,7 @@
 def main():
     failed = 0
     for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
-                 case_late_starts, case_runs_are_recorded):
+                 case_late_starts, case_kept_requests, case_kept_closes, case_kept_ends, case_runs_are_recorded):
         try:
             case()
             print(f"case passed: {case.__doc__}", flush=True)
--- a/tests/soak/early_ends.py
+++ b/tests/soak/early_ends.py
@@ -15,6 +15,7 @@
 # How long after a fault its effects may reach a request: held bytes and closed connections are passed on by threads that
 # poll every 0.05 s, and a process that was paused works off what has arrived meanwhile.
 LINK_MARGIN_S, GATEWAY_MARGIN_S = 0.2, 0.3
+GATEWAY_FAULTS, STORE_FAULT = ("gateway_killed", "gateway_paused", "planned_stop"), "store_away"
 
 
 class Run:
@@ -77,6 +78,21 @@
         finally:
             span.ended = time.monotonic()
 
+    def gateway_excuse(self, gateway, begun, ended, whole_stop=False):
+        """The name of a fault of the gateway that excuses the end of what it had in this time, or None. A planned stop
+        excuses only what it cuts off at its end, unless `whole_stop`."""
+        for span in self.spans:
+            late = STOP_LIMIT_S if span.kind == "planned_stop" and not whole_stop else 0
+            if span.kind in GATEWAY_FAULTS and gateway in span.touched \
+                    and span.meets(begun, ended - late, GATEWAY_MARGIN_S):
+                return span.kind
+        return None
+
+    def delayed_configuration(self, gateway, begun, ended, margin):
+        """The name of a fault that kept the gateway from a configuration in this time, or None."""
+        return next((span.kind for span in self.spans if span.kind in ("gateway_paused", STORE_FAULT)
+                     and gateway in span.touched and span.meets(begun, ended, margin)), None)
+
     def excuse(self, request):
         """The name of what excuses an early end, or None. `request` is an entry of World.answers."""
         begun, ended, kind, attempt, gateway, answer = request
@@ -94,15 +110,15 @@
         # An answer that has begun is that of one server, which broke it off.
         if kind == "read" and answer is not None and answer.status == 200 and any(r.fault == "truncate" for r in runs):
             return "server_broke_off"
+        by_gateway = self.gateway_excuse(gateway, begun, ended)
+        if by_gateway is not None:
+            return by_gateway
         for span in self.spans:
-            if span.kind in ("gateway_killed", "gateway_paused", "planned_stop"):
-                # A planned stop excuses only what it cuts off at its end.
-                late = STOP_LIMIT_S if span.kind == "planned_stop" else 0
-                if gateway in span.touched and span.meets(begun, ended - late, GATEWAY_MARGIN_S):
-                    return span.kind
+            if span.kind in GATEWAY_FAULTS or span.kind == STORE_FAULT:
+                continue
             # A fault of a link touches a request at the servers that had it, from its arrival there. The server that was
             # given up counts as the one that took over, which may have begun before its own link failed.
-            elif any(run.server in span.touched and span.meets(run.began, ended, LINK_MARGIN_S) for run in runs):
+            if any(run.server in span.touched and span.meets(run.began, ended, LINK_MARGIN_S) for run in runs):
                 return span.kind
         return None
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,9 +15,10 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import world as w  # noqa: E402  the path is set above
+import kept_connections  # noqa: E402
 from world import pf, wait_for  # noqa: E402
 
-FAULT_TIME_S, CALLERS, FAULTS_PER_RUN = 7.0, 6, 9
+FAULT_TIME_S, CALLERS, KEPT_CALLERS, FAULTS_PER_RUN = 7.0, 6, 6, 9
 LONGEST_FAULT_S = 3.0
 # Of the requests after the recovery time; single ones may meet an end of a process.
 SERVED_SHARE = 0.9
@@ -27,9 +28,10 @@
     """The store turns gateways or stagers away, or falls silent for them."""
     hosts = rng.sample(w.GATEWAYS + w.ENGINES, rng.randint(1, len(w.GATEWAYS + w.ENGINES)))
     marked = rng.choice((world.store.turned_away, world.store.silent))
-    marked.update(hosts)
-    wait()
-    marked.difference_update(hosts)
+    with world.record.span("store_away", [host for host in hosts if host in w.GATEWAYS]):
+        marked.update(hosts)
+        wait()
+        marked.difference_update(hosts)
 
 
 def store_forgets(world, rng, wait):
@@ -242,6 +244,8 @@
     leaving = world.gateways[host]
     threads = [threading.Thread(target=world.call, args=("stream", leaving, random.Random(world.seed * 100 + n)))
                for n in range(8)]
+    threads += [threading.Thread(target=kept_connections.stream_and_read, args=(world, leaving, world.seed * 200 + n))
+                for n in range(4)]
     begun = time.monotonic()
     for thread in threads:
         thread.start()
@@ -263,6 +267,8 @@
     world = w.World(seed)
     rng, faults = random.Random(seed), []
     callers = [threading.Thread(target=world.caller, args=(n,), daemon=True) for n in range(CALLERS)]
+    callers += [threading.Thread(target=kept_connections.run_caller, args=(world, n, w.GATEWAYS), daemon=True)
+                for n in range(KEPT_CALLERS)]
     try:
         for caller in callers:
             caller.start()
@@ -282,7 +288,7 @@
         world.keep_logs(keep)
     served = sum(1 for *_, a in world.answers if a is not None and a.status == 200 and a.whole)
     print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}\n"
-          f"  early ends by excuse: {dict(world.early_ends)}", flush=True)
+          f"  early ends by excuse: {dict(world.early_ends)}\n  kept connections: {dict(world.kept.counts)}", flush=True)
     return world.broken
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 import platform_fleet as pf  # noqa: E402  the path is set above
 from fleet import wait_for  # noqa: E402
 from early_ends import Record  # noqa: E402
+from kept_connections import KeptRecord, Limits  # noqa: E402
 from late_starts import LateStarts  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
@@ -24,6 +25,7 @@
 # A pause of a sound server: about as long as a gateway waits before it asks another one, and longer.
 PAUSE_S = (0.9, 1.7)
 PAUSED_SHARE, REFUSED_SHARE = 0.5, 0.7
+IDLE_S = 5.0  # the idle limit of pf.configuration()
 
 
 class Server(pf.Backend):
@@ -122,6 +124,8 @@
         self.broken, self.sent, self.runs, self.answers = [], {}, {}, []
         self.record, self.early_ends = Record(), {}
         self.late_starts = LateStarts(self.record)
+        self.limits = Limits(IDLE_S)
+        self.kept = KeptRecord(self.record, self.limits)
         self.stop_callers, self.version, self.weights, self.keys = threading.Event(), 1, 1, ("key-1",)
         self.fleet = pf.PlatformFleet.__new__(pf.PlatformFleet)
         self.fleet.folder = pf.tempfile.mkdtemp(prefix="marigoldyard-soak-")
@@ -155,21 +159,38 @@
 
     def call(self, kind, gateway, rng):
         """One request of a caller, with its answer judged."""
-        attempt = f"{rng.getrandbits(64):016x}"
-        with self.lock:
-            self.sent[attempt] = kind
-            key = self.keys[-1]
+        attempt, key = self.new_request(kind, rng)
         begun = time.monotonic()
+        method, path, body = self.request_line(kind)
         try:
-            answer = pf.call(gateway, PATHS[kind] + "x", "GET" if kind == "read" else "POST",
-                             None if kind == "read" else b"body", key=key, timeout=5, headers={"Attempt-Id": attempt})
+            answer = pf.call(gateway, path, method, body, key=key, timeout=5, headers={"Attempt-Id": attempt})
         except (OSError, pf.http.client.HTTPException):
             answer = None
+        self.add_answer(begun, kind, attempt, gateway, answer)
+        return answer
+
+    def new_request(self, kind, rng):
+        """The id and the key of a request that is about to be sent."""
+        attempt = f"{rng.getrandbits(64):016x}"
+        with self.lock:
+            self.sent[attempt] = kind
+            return attempt, self.keys[-1]
+
+    @staticmethod
+    def request_line(kind):
+        """Method, path and body."""
+        return ("GET", PATHS[kind] + "x", None) if kind == "read" else ("POST", PATHS[kind] + "x", b"body")
+
+    @staticmethod
+    def head(attempt):
+        return {"Host": "a.example", "Attempt-Id": attempt, "Deadline-Ms": "3000", "Model": "m", "Token-Counts": "100,10"}
+
+    def add_answer(self, begun, kind, attempt, gateway, answer):
+        """Records what a request got, and judges an answer."""
         with self.lock:
             self.answers.append((begun, time.monotonic(), kind, attempt, gateway.host, answer))
         if answer is not None:
             self.judge(kind, attempt, answer)
-        return answer
 
     def judge(self, kind, attempt, answer):
         """What must hold for any answer, under any fault."""
@@ -206,6 +227,8 @@
         self.early_ends, ended_early = self.record.judge(self.answers)
         for promise in ended_early:
             self.check(False, promise)
+        for promise in self.kept.judge():
+            self.check(False, promise)
         for promise in self.late_starts.judge({attempt: host for _, _, _, attempt, host, _ in self.answers}):
             self.check(False, promise)
         for server in self.engines:
