Let the fault soak change limits, routes, customers and keys

Seen: a configuration of the soak differed from the one before it in its number and a key only, so gateways that hold connections and requests to limits from before a change passed.

Change: each configuration draws the idle limit, the limits of headers and bodies, the header timeout, timeouts and attempts of routes, routes that split others, two customers and a key, from an own random source. Timeouts stay at or above the deadline of the requests, and attempts at or above those of the first configuration, which the checks assume. The limits are the smallest while the soak waits for a calm, and the largest from the check of the configuration on, so that connections are idle while their limit is raised and no fault excuses their close. Callers on kept connections send bodies and headers up to four fifths of the smallest limits that may be in force, and use the split routes. One more check: such a request gets no 404, 408, 413 or 431, unless a fault kept its gateway from a change.

Test: case_refusals and case_configurations of test_soak.py.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded run of the fault soak, and proof that each of its checks can fail."""
 import itertools
 import os
+import random
 import socket
 import sys
 import threading
@@ -11,7 +12,8 @@
 import late_starts  # noqa: E402
 import soak  # noqa: E402
 from world import EVENTS, World, body_of, pf  # noqa: E402
-import kept_connections  # noqa: E402  world.py sets its path
+import configurations  # noqa: E402  world.py sets the path of this and the next one
+import kept_connections  # noqa: E402
 
 # Seeds that failed once are added here with a line on the cause.
 # 1: a stream was cut for a server that refused, while its sound server paused. 2: a read got 502 in the same way.
@@ -19,13 +21,16 @@
 SEEDS = (1, 2, 28)
 
 
+LIMITS = {"idle_timeout_ms": 5000, "max_header_bytes": 4096, "max_body_bytes": 100000}
+
+
 def blank_world():
     """A world without processes, to judge made-up answers."""
     world = World.__new__(World)
     world.lock, world.broken, world.sent, world.runs = threading.RLock(), [], {"a": "once"}, {}
     world.answers, world.engines, world.record = [], [], early_ends.Record()
     world.late_starts = late_starts.LateStarts(world.record)
-    world.limits = kept_connections.Limits(5.0)
+    world.limits = kept_connections.Limits(LIMITS)
     world.kept = kept_connections.KeptRecord(world.record, world.limits)
     return world
 
@@ -215,9 +220,9 @@
     """a close of a connection that is idle within its limit is noticed, and excused by what touched its gateway only"""
     def is_early(spans=(), raised_at=None):
         world = blank_world()
-        world.limits.declared = [(BEGUN - 50, 1.0)]
+        world.limits.declared = [(BEGUN - 50, {**LIMITS, "idle_timeout_ms": 1000})]
         if raised_at is not None:
-            world.limits.declared.append((BEGUN + raised_at, 8.0))
+            world.limits.declared.append((BEGUN + raised_at, {**LIMITS, "idle_timeout_ms": 8000}))
         world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
                               for name, touched, first, last in spans]
         world.kept.note(kept_connections.Closed(BEGUN, BEGUN + 3, 40, world.limits.idle_s()))
@@ -232,6 +237,43 @@
     assert is_early([("store_away", 40, -9.0, -2.1)], raised_at=0.5), "excuses: away long before"
 
 
+def case_refusals():
+    """a refusal of a request that is within the limits is noticed, and excused by what kept its gateway from a change only"""
+    def is_wrong(spans=(), changed_at=None):
+        world = blank_world()
+        world.limits.declared = [(BEGUN - 50, LIMITS)]
+        if changed_at is not None:
+            world.limits.declared.append((BEGUN + changed_at, LIMITS))
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Refused(BEGUN, BEGUN + 3, BEGUN + 3.1, "once", "a", 40, 413))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_wrong() and is_wrong(changed_at=0.5)
+    assert not is_wrong([("store_away", 40, 0.3, 2.0)], changed_at=0.5), "a change that the gateway could not read"
+    assert is_wrong([("store_away", 41, 0.3, 2.0)], changed_at=0.5), "excuses: another gateway"
+    assert is_wrong([("store_away", 40, 0.3, 2.0)]), "excuses without a change"
+
+
+def case_configurations():
+    """configurations change what they are said to change, and callers use limits that every gateway may have in force"""
+    rng, routes = random.Random(1), World.routes()
+    drawn = [configurations.draw(rng, n, None, routes, ("key-1",)) for n in range(2, 60)]
+    for name, values in configurations.LIMITS.items():
+        assert {each["limits"][name] for each in drawn} == set(values), name
+    assert len({len(each["routes"]) for each in drawn}) == 4, "routes come and go"
+    assert len({len(each["tenants"]) for each in drawn}) == 3, "customers come and go"
+    for each in drawn:
+        assert each["tenants"][0]["api_keys"][-1] == "key-1", "callers use the last key"
+        assert all(route["timeout_ms"] >= 1000 * early_ends.TIME_LIMIT_S for route in each["routes"]), "time limit"
+    limits = kept_connections.Limits(LIMITS)
+    limits.declare({**LIMITS, "max_body_bytes": 20000})
+    limits.declare({**LIMITS, "max_body_bytes": 60000})
+    assert limits.smallest("max_body_bytes") == 20000, "not yet known everywhere"
+    limits.declared = [(at - kept_connections.KNOWN_S, each) for at, each in limits.declared]
+    assert limits.smallest("max_body_bytes") == 60000, "known everywhere"
+
+
 def case_kept_ends():
     """the end of a connection with a reset is told from one without, on loopback sockets"""
     for reads, how in ((False, "reset"), (True, "dropped")):
@@ -266,7 +308,8 @@
 def main():
     failed = 0
     for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
-                 case_late_starts, case_kept_requests, case_kept_closes, case_kept_ends, case_runs_are_recorded):
+                 case_late_starts, case_kept_requests, case_kept_closes, case_refusals,
+                 case_configurations, case_kept_ends, case_runs_are_recorded):
         try:
             case()
             print(f"case passed: {case.__doc__}", flush=True)
--- a/tests/soak/early_ends.py
+++ b/tests/soak/early_ends.py
@@ -88,10 +88,10 @@
                 return span.kind
         return None
 
-    def delayed_configuration(self, gateway, begun, ended, margin):
-        """The name of a fault that kept the gateway from a configuration in this time, or None."""
-        return next((span.kind for span in self.spans if span.kind in ("gateway_paused", STORE_FAULT)
-                     and gateway in span.touched and span.meets(begun, ended, margin)), None)
+    def delays(self, gateway, begun, ended, margin):
+        """The faults that kept the gateway from reading configurations in this time."""
+        return [span for span in self.spans if span.kind in ("gateway_paused", STORE_FAULT) and gateway in span.touched
+                and span.meets(begun, ended, margin)]
 
     def excuse(self, request):
         """The name of what excuses an early end, or None. `request` is an entry of World.answers."""
--- a/tests/soak/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -9,6 +9,7 @@
 import time
 
 import platform_fleet as pf
+from configurations import PART
 
 # Share of the idle limit up to which callers reuse a connection.
 REUSED_SHARE = 0.8
@@ -17,29 +18,43 @@
 RESET_S = 0.1
 # A gateway knows a change of the configuration this long after it can read it.
 KNOWN_S = 2.0
+# Answers that blame a request, which none deserves that is within the limits and for a known path.
+REFUSALS = (404, 408, 413, 431)
+# Share of a limit that long headers and bodies take up; the rest is for the other headers.
+LONG_SHARE = 0.8
+LONG_PAUSE_S = 1.0
 # Longer than the deadline of the requests, so that a gateway answers before.
 TIMEOUT_S = 5.0
 
 Unanswered = collections.namedtuple("Unanswered", "begun ended kind attempt gateway how")
+Refused = collections.namedtuple("Refused", "idle_since begun ended kind attempt gateway status")
 Closed = collections.namedtuple("Closed", "idle_since at gateway limit_s")
 
 
 class Limits:
-    """The idle limits that were declared, with the time of each."""
+    """The limits that were declared, with the time of each."""
 
-    def __init__(self, idle_s):
-        self.declared = [(time.monotonic(), idle_s)]
+    def __init__(self, limits):
+        self.declared = [(time.monotonic(), limits)]
 
-    def declare(self, idle_s):
-        self.declared.append((time.monotonic(), idle_s))
+    def declare(self, limits):
+        self.declared.append((time.monotonic(), limits))
 
     def idle_s(self):
-        return self.declared[-1][1]
+        return self.declared[-1][1]["idle_timeout_ms"] / 1000
+
+    def smallest(self, name):
+        """The smallest value that may be in force at a gateway now."""
+        return min(limits[name] for limits in self.known(time.monotonic(), time.monotonic()))
+
+    def known(self, begun, ended):
+        """The limits that may have been in force at a gateway in this time."""
+        before = [limits for at, limits in self.declared if at <= begun - KNOWN_S][-1:]
+        return before + [limits for at, limits in self.declared if begun - KNOWN_S < at <= ended]
 
     def changed(self, begun, ended):
         """Whether another limit was declared in this time or shortly before."""
-        before = [limit for at, limit in self.declared if at <= begun - KNOWN_S][-1:]
-        return len(set(before + [limit for at, limit in self.declared if begun - KNOWN_S < at <= ended])) > 1
+        return len(self.known(begun, ended)) > 1
 
 
 class KeptRecord:
@@ -47,24 +62,25 @@
 
     def __init__(self, record, limits):
         self.record, self.limits, self.lock = record, limits, threading.Lock()
-        self.unanswered, self.closed, self.counts = [], [], collections.Counter()
+        self.unanswered, self.closed, self.refused, self.counts = [], [], [], collections.Counter()
 
     def note(self, entry):
         with self.lock:
-            (self.unanswered if isinstance(entry, Unanswered) else self.closed).append(entry)
+            {Unanswered: self.unanswered, Closed: self.closed, Refused: self.refused}[type(entry)].append(entry)
 
     def was_read(self, request):
         """Whether a gateway read the request: it ended without a reset, or a server had it."""
         runs = [run for run in self.record.runs[request.attempt] if run.began <= request.ended]
         return bool(runs) or request.how in ("dropped", "timeout")
 
-    def close_excuse(self, closed):
-        """The name of what excuses the close of a connection that was idle within its limit, or None."""
-        excuse = self.record.gateway_excuse(closed.gateway, closed.at, closed.at, whole_stop=True)
-        # A gateway that could not learn of a change holds to the older limit.
-        if excuse is None and self.limits.changed(closed.idle_since, closed.at):
-            excuse = self.record.delayed_configuration(closed.gateway, closed.idle_since, closed.at, KNOWN_S)
-        return excuse
+    def excuse(self, gateway, idle_since, begun, ended, whole_stop):
+        """The name of what excuses a close or a refusal by limits that are no longer in force, or None."""
+        by_gateway = self.record.gateway_excuse(gateway, begun, ended, whole_stop)
+        if by_gateway is not None:
+            return by_gateway
+        # A gateway that could not learn of a change holds to the limits before it.
+        return next((span.kind for span in self.record.delays(gateway, idle_since, ended, KNOWN_S)
+                     if self.limits.changed(span.begun, ended)), None)
 
     def judge(self):
         """Counts what kept connections met, and tells what nothing excuses."""
@@ -81,11 +97,18 @@
                               f"did not answer within {request.ended - request.begun:.2f} s ({request.how}); "
                               f"servers {servers}")
         for closed in self.closed:
-            excuse = self.close_excuse(closed)
+            excuse = self.excuse(closed.gateway, closed.idle_since, closed.at, closed.at, whole_stop=True)
             self.counts[f"closed, {excuse}"] += 1
             if excuse is None:
                 broken.append(f"gateway {closed.gateway} closed a connection that was idle for "
                               f"{closed.at - closed.idle_since:.2f} s, with an idle limit of {closed.limit_s} s")
+        for refused in self.refused:
+            excuse = self.excuse(refused.gateway, refused.idle_since, refused.begun, refused.ended,
+                                 whole_stop=False)
+            self.counts[f"refused, {excuse}"] += 1
+            if excuse is None:
+                broken.append(f"{refused.attempt}: gateway {refused.gateway} answered {refused.status} to a {refused.kind} "
+                              f"within the limits, {refused.begun - refused.idle_since:.2f} s after the request before it")
         return broken
 
 
@@ -129,12 +152,28 @@
                 return True
         return False
 
+    def line(self, kind, rng):
+        """Method, path and body, some of them for a route that comes and goes, or with a long body."""
+        method, path, body = self.world.request_line(kind)
+        if rng.random() < 0.3:
+            path = path.removesuffix("x") + PART + "x"
+        # After a long pause always, since it may have met a change of the limits.
+        if body is not None and (rng.random() < 0.4 or time.monotonic() - self.idle_since > LONG_PAUSE_S):
+            body = b"b" * int(LONG_SHARE * self.world.limits.smallest("max_body_bytes"))
+        return method, path, body
+
+    def long_header(self, rng):
+        """A header that fills most of what the limits allow, sometimes."""
+        room = self.world.limits.smallest("max_header_bytes")
+        return {"Padding": "p" * int(LONG_SHARE * room - 400)} if rng.random() < 0.2 else {}
+
     def call(self, kind, rng):
         """One request; False when the connection can't be used again."""
         attempt, key = self.world.new_request(kind, rng)
         begun, how = time.monotonic(), None
         try:
-            self.http.request(*self.world.request_line(kind), {**self.world.head(attempt), "Authorization": "Bearer " + key})
+            self.http.request(*self.line(kind, rng), {**self.world.head(attempt), "Authorization": "Bearer " + key,
+                                                      **self.long_header(rng)})
             response = self.http.getresponse()
         except http.client.RemoteDisconnected:
             how = how_it_ended(self.watched)
@@ -151,6 +190,9 @@
         except (OSError, http.client.HTTPException):
             whole = False
         answer = pf.Answer(response.status, dict(response.getheaders()), body, whole)
+        if answer.status in REFUSALS:
+            self.world.kept.note(Refused(self.idle_since, begun, time.monotonic(), kind, attempt, self.gateway.host,
+                                         answer.status))
         self.world.add_answer(begun, kind, attempt, self.gateway, answer)
         with self.world.kept.lock:
             self.world.kept.counts["answered"] += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import world as w  # noqa: E402  the path is set above
+import configurations  # noqa: E402
 import kept_connections  # noqa: E402
 from world import pf, wait_for  # noqa: E402
 
@@ -146,12 +147,15 @@
           servers_fail, origin_fails, configured)
 
 
-def configure(world, keys=None, extra=()):
+def configure(world, keys=None, extra=(), choose=None):
     with world.lock:
         world.version += 1
         world.keys = keys or world.keys
-        world.store.put("op/config", pf.configuration(world.version, world.origin, keys=world.keys,
-                                                      routes=world.routes(extra)))
+        drawn = configurations.draw(world.configuration_rng, world.version, world.origin, world.routes(extra), world.keys,
+                                    choose)
+        # First, since callers may know a change before the gateways.
+        world.limits.declare(drawn["limits"])
+        world.store.put("op/config", drawn)
 
 
 def declare_version(world):
@@ -193,6 +197,8 @@
         wait_for(served, "all gateways serve all routes", timeout=w.RECOVERY_S)
     except pf.FleetError as late:
         world.check(False, f"recovery: {late}")
+    # The next check raises the limits while connections are idle and no fault excuses their close.
+    configure(world, choose=min)
     time.sleep(w.STABLE_S)
     since = time.monotonic()
     time.sleep(1.5)
@@ -204,8 +210,8 @@
 def check_configuration(world):
     """A new key and route are in force in time, and the old key is revoked."""
     rng, old = random.Random(world.seed + 2), world.keys[-1]
-    configure(world, keys=(f"key-{world.version + 1}",), extra=[pf.route("r-new", "a.example", "/new/", "idempotent",
-                                                                         "plain")])
+    configure(world, keys=(f"key-{world.version + 1}",), choose=max,
+              extra=[pf.route("r-new", "a.example", "/new/", "idempotent", "plain")])
     time.sleep(w.CONFIG_APPLY_S)
     for host, gateway in world.gateways.items():
         with world.lock:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,7 +25,6 @@
 # A pause of a sound server: about as long as a gateway waits before it asks another one, and longer.
 PAUSE_S = (0.9, 1.7)
 PAUSED_SHARE, REFUSED_SHARE = 0.5, 0.7
-IDLE_S = 5.0  # the idle limit of pf.configuration()
 
 
 class Server(pf.Backend):
@@ -124,8 +123,10 @@
         self.broken, self.sent, self.runs, self.answers = [], {}, {}, []
         self.record, self.early_ends = Record(), {}
         self.late_starts = LateStarts(self.record)
-        self.limits = Limits(IDLE_S)
+        self.limits = Limits(pf.configuration(1)["limits"])
         self.kept = KeptRecord(self.record, self.limits)
+        # Own numbers, so that known seeds keep the faults that they had.
+        self.configuration_rng = random.Random(f"{seed}-configuration")
         self.stop_callers, self.version, self.weights, self.keys = threading.Event(), 1, 1, ("key-1",)
         self.fleet = pf.PlatformFleet.__new__(pf.PlatformFleet)
         self.fleet.folder = pf.tempfile.mkdtemp(prefix="marigoldyard-soak-")
