Let a request that crashes model servers come again in the fault soak

Seen: no request of the soak crashed servers, so gateways passed that send one such request to server after server.

Change: one more caller sends the same stream request again and again, at any gateway, from the start to the end of a run. A model server that runs it ends as a process: its connections are reset, new ones are refused for 0.6 s, and it registers again with a new start time. The check counts from the third crash that no fault of the link or the gateway hides: of the requests that are sent over 3 s later, at most three may crash a server. A crash excuses an early end of other requests at that server only. The source of random numbers is its own.

Test: case_crashes and case_crash_of_a_server of test_soak.py.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -10,8 +10,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 import early_ends  # noqa: E402  the path is set above
 import late_starts  # noqa: E402
+import proxy  # noqa: E402
 import soak  # noqa: E402
 from world import EVENTS, World, body_of, pf  # noqa: E402
+import crashing_request  # noqa: E402
 import configurations  # noqa: E402  world.py sets the path of this and the next one
 import kept_connections  # noqa: E402
 
@@ -31,6 +33,7 @@
     world.answers, world.engines, world.record = [], [], early_ends.Record()
     world.late_starts = late_starts.LateStarts(world.record)
     world.limits = kept_connections.Limits(LIMITS)
+    world.crashing = crashing_request.CrashingRequest(world.record, 1)
     world.kept = kept_connections.KeptRecord(world.record, world.limits)
     return world
 
@@ -274,6 +277,57 @@
     assert limits.smallest("max_body_bytes") == 60000, "known everywhere"
 
 
+def case_crashes():
+    """servers that crash on after three visible crashes are noticed, and few of them and hidden ones are not"""
+    def is_broken(later, spans=(), sent_after=crashing_request.KNOWN_S + 0.1, deciding=3):
+        world = blank_world()
+        times = [BEGUN] * deciding + [BEGUN + sent_after] * later
+        for number, at in enumerate(times):
+            world.crashing.sent[str(number)] = (at, 40)
+            world.crashing.crashes.append((at, "i-1", str(number)))
+        world.record.spans = [early_ends.Span(kind, {touched}, BEGUN - 0.5, BEGUN + 0.5) for kind, touched in spans]
+        world.final_checks()
+        return bool(world.broken)
+    assert is_broken(4) and not is_broken(3)
+    assert not is_broken(9, sent_after=2.9), "sent before all gateways know"
+    assert is_broken(9, deciding=0, sent_after=0) is False, "sent before the third crash"
+    for span in (("link_silent", "i-1"), ("gateway_paused", 40)):
+        assert not is_broken(4, [span]), f"hidden crashes decide: {span}"
+    for span in (("link_silent", "i-2"), ("gateway_paused", 41), ("store_away", 40)):
+        assert is_broken(4, [span]), f"hides: {span}"
+
+
+def case_crash_of_a_server():
+    """a crash ends the connections of a server and refuses new ones until it has started again"""
+    class Target:
+        id, born = "i-1", 0
+
+        def register(self):
+            pass
+    world, target, refused = blank_world(), Target(), 0
+    with socket.create_server((f"{pf.NET}.20.91", 0)) as listener:
+        target.proxy = proxy.Proxy(f"{pf.NET}.20.91", 9999, "%s:%d" % listener.getsockname())
+        host, port = target.proxy.address.split(":")
+        caller = socket.create_connection((host, int(port)))
+        listener.accept()
+        down = threading.Thread(target=world.crashing.crash, args=(target, "a"))
+        down.start()
+        caller.settimeout(2)
+        try:
+            assert caller.recv(1) == b"", "no byte"
+        except ConnectionResetError:
+            pass
+        try:
+            socket.create_connection((host, int(port)))
+        except ConnectionRefusedError:
+            refused = 1
+        down.join()
+        socket.create_connection((host, int(port))).close()
+        caller.close()
+        target.proxy.close()
+    assert refused and target.born, "not refused, or not started again"
+
+
 def case_kept_ends():
     """the end of a connection with a reset is told from one without, on loopback sockets"""
     for reads, how in ((False, "reset"), (True, "dropped")):
@@ -309,7 +363,7 @@
     failed = 0
     for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
                  case_late_starts, case_kept_requests, case_kept_closes, case_refusals,
-                 case_configurations, case_kept_ends, case_runs_are_recorded):
+                 case_configurations, case_crashes, case_crash_of_a_server, case_kept_ends, case_runs_are_recorded):
         try:
             case()
             print(f"case passed: {case.__doc__}", flush=True)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -18,14 +18,26 @@
     def __init__(self, host, port, target):
         self.target, self.mode, self.delay_s = target, "pass", 0.0
         self.pairs, self.lock, self.closed = set(), threading.Lock(), False
-        self.listener = socket.create_server((host, port), backlog=128)
         self.address = f"{host}:{port}"
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.listen()
 
-    def accept(self):
+    def listen(self):
+        """Accepts connections, until the proxy is closed."""
+        if self.closed:
+            return
+        host, _, port = self.address.rpartition(":")
+        self.listener = socket.create_server((host, int(port)), backlog=128)
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def stop_listening(self):
+        """Refuses new connections, as the address of a process that has ended."""
+        self.listener.shutdown(socket.SHUT_RDWR)  # ends accept, which keeps the port otherwise
+        self.listener.close()
+
+    def accept(self, listener):
         while not self.closed:
             try:
-                client, _ = self.listener.accept()
+                client, _ = listener.accept()
             except OSError:
                 return
             if self.mode == "refuse":
@@ -100,6 +112,8 @@
 
     def close(self):
         self.closed = True
-        self.listener.shutdown(socket.SHUT_RDWR)  # ends accept, which keeps the port otherwise
-        self.listener.close()
+        try:
+            self.stop_listening()
+        except OSError:
+            pass  # it did not listen
         self.reset_all()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -275,6 +275,7 @@
     callers = [threading.Thread(target=world.caller, args=(n,), daemon=True) for n in range(CALLERS)]
     callers += [threading.Thread(target=kept_connections.run_caller, args=(world, n, w.GATEWAYS), daemon=True)
                 for n in range(KEPT_CALLERS)]
+    callers.append(threading.Thread(target=world.crashing.run, args=(world, w.GATEWAYS), daemon=True))
     try:
         for caller in callers:
             caller.start()
@@ -294,7 +295,8 @@
         world.keep_logs(keep)
     served = sum(1 for *_, a in world.answers if a is not None and a.status == 200 and a.whole)
     print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}\n"
-          f"  early ends by excuse: {dict(world.early_ends)}\n  kept connections: {dict(world.kept.counts)}", flush=True)
+          f"  early ends by excuse: {dict(world.early_ends)}\n  kept connections: {dict(world.kept.counts)}\n"
+          f"  crashes: {len(world.crashing.crashes)} on {len(world.crashing.sent)} requests", flush=True)
     return world.broken
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_fleet as pf  # noqa: E402  the path is set above
 from fleet import wait_for  # noqa: E402
+from crashing_request import CrashingRequest  # noqa: E402
 from early_ends import Record  # noqa: E402
 from kept_connections import KeptRecord, Limits  # noqa: E402
 from late_starts import LateStarts  # noqa: E402
@@ -96,6 +97,9 @@
         if fault == "shed" or refused or self.pending:
             request.run.refuse()
             return self.shed(request)
+        if request.body == self.world.crashing.body:
+            request.run.fail("crash")
+            return self.world.crashing.crash(self, attempt)
         with self.world.lock:
             self.world.runs[attempt] = self.world.runs.get(attempt, 0) + 1
         if fault is not None:
@@ -124,6 +128,7 @@
         self.record, self.early_ends = Record(), {}
         self.late_starts = LateStarts(self.record)
         self.limits = Limits(pf.configuration(1)["limits"])
+        self.crashing = CrashingRequest(self.record, seed)
         self.kept = KeptRecord(self.record, self.limits)
         # Own numbers, so that known seeds keep the faults that they had.
         self.configuration_rng = random.Random(f"{seed}-configuration")
@@ -228,7 +233,7 @@
         self.early_ends, ended_early = self.record.judge(self.answers)
         for promise in ended_early:
             self.check(False, promise)
-        for promise in self.kept.judge():
+        for promise in self.kept.judge() + self.crashing.judge():
             self.check(False, promise)
         for promise in self.late_starts.judge({attempt: host for _, _, _, attempt, host, _ in self.answers}):
             self.check(False, promise)
