--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,6 +1,8 @@
 """A short seeded run of the fault soak, and proof that each of its checks can fail."""
 import itertools
 import os
+import random
+import socket
 import sys
 import threading
 import time
@@ -8,8 +10,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 import early_ends  # noqa: E402  the path is set above
 import late_starts  # noqa: E402
+import proxy  # noqa: E402
 import soak  # noqa: E402
 from world import EVENTS, World, body_of, pf  # noqa: E402
+import crashing_request  # noqa: E402
+import configurations  # noqa: E402  world.py sets the path of this and the next one
+import kept_connections  # noqa: E402
 
 # Seeds that failed once are added here with a line on the cause.
 # 1: a stream was cut for a server that refused, while its sound server paused. 2: a read got 502 in the same way.
@@ -17,12 +23,18 @@
 SEEDS = (1, 2, 28)
 
 
+LIMITS = {"idle_timeout_ms": 5000, "max_header_bytes": 4096, "max_body_bytes": 100000}
+
+
 def blank_world():
     """A world without processes, to judge made-up answers."""
     world = World.__new__(World)
     world.lock, world.broken, world.sent, world.runs = threading.RLock(), [], {"a": "once"}, {}
     world.answers, world.engines, world.record = [], [], early_ends.Record()
     world.late_starts = late_starts.LateStarts(world.record)
+    world.limits = kept_connections.Limits(LIMITS)
+    world.crashing = crashing_request.CrashingRequest(world.record, 1)
+    world.kept = kept_connections.KeptRecord(world.record, world.limits)
     return world
 
 
@@ -188,6 +200,150 @@
     assert is_late(8.1, spans=[("gateway_paused", 41, 4.0, 8.0)]), "a pause of another gateway excuses"
 
 
+def case_kept_requests():
+    """a request that a gateway read on a kept connection and did not answer is noticed, and one that was not read is not"""
+    def is_lost(how, prepare=lambda world: None, spans=()):
+        world = blank_world()
+        prepare(world)
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Unanswered(BEGUN, BEGUN + 0.5, "once", "a", 40, how))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_lost("dropped") and is_lost("timeout") and not is_lost("reset")
+    assert is_lost("reset", sound_run), "a request that a server had"
+    assert is_lost("reset", lambda world: sound_run(world).refuse()), "a request that a server refused"
+    for span in (("gateway_killed", 40, 0.4, 1.0), ("gateway_paused", 40, -1.0, 0.1), ("planned_stop", 40, -6.0, 0.5)):
+        assert not is_lost("dropped", spans=[span]), f"does not excuse: {span}"
+    for span in (("gateway_killed", 41, 0.4, 1.0), ("planned_stop", 40, -1.0, 0.5), ("store_away", 40, 0.0, 0.5)):
+        assert is_lost("dropped", spans=[span]), f"excuses: {span}"
+
+
+def case_kept_closes():
+    """a close of a connection that is idle within its limit is noticed, and excused by what touched its gateway only"""
+    def is_early(spans=(), raised_at=None):
+        world = blank_world()
+        world.limits.declared = [(BEGUN - 50, {**LIMITS, "idle_timeout_ms": 1000})]
+        if raised_at is not None:
+            world.limits.declared.append((BEGUN + raised_at, {**LIMITS, "idle_timeout_ms": 8000}))
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Closed(BEGUN, BEGUN + 3, 40, world.limits.idle_s()))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_early() and is_early(raised_at=0.5)
+    for kind in ("gateway_killed", "planned_stop", "gateway_paused"):
+        assert not is_early([(kind, 40, 2.9, 3.5)]), f"does not excuse: {kind}"
+        assert is_early([(kind, 41, 2.9, 3.5)]), f"excuses: {kind} of another gateway"
+    assert not is_early([("store_away", 40, -2.0, -1.0)], raised_at=-1.5), "a change that the gateway could not read"
+    assert is_early([("store_away", 40, -2.0, -1.0)]), "excuses without a change"
+    assert is_early([("store_away", 40, -9.0, -2.1)], raised_at=0.5), "excuses: away long before"
+
+
+def case_refusals():
+    """a refusal of a request that is within the limits is noticed, and excused by what kept its gateway from a change only"""
+    def is_wrong(spans=(), changed_at=None):
+        world = blank_world()
+        world.limits.declared = [(BEGUN - 50, LIMITS)]
+        if changed_at is not None:
+            world.limits.declared.append((BEGUN + changed_at, LIMITS))
+        world.record.spans = [early_ends.Span(name, {touched}, BEGUN + first, BEGUN + last)
+                              for name, touched, first, last in spans]
+        world.kept.note(kept_connections.Refused(BEGUN, BEGUN + 3, BEGUN + 3.1, "once", "a", 40, 413))
+        world.final_checks()
+        return bool(world.broken)
+    assert is_wrong() and is_wrong(changed_at=0.5)
+    assert not is_wrong([("store_away", 40, 0.3, 2.0)], changed_at=0.5), "a change that the gateway could not read"
+    assert is_wrong([("store_away", 41, 0.3, 2.0)], changed_at=0.5), "excuses: another gateway"
+    assert is_wrong([("store_away", 40, 0.3, 2.0)]), "excuses without a change"
+
+
+def case_configurations():
+    """configurations change what they are said to change, and callers use limits that every gateway may have in force"""
+    rng, routes = random.Random(1), World.routes()
+    drawn = [configurations.draw(rng, n, None, routes, ("key-1",)) for n in range(2, 60)]
+    for name, values in configurations.LIMITS.items():
+        assert {each["limits"][name] for each in drawn} == set(values), name
+    assert len({len(each["routes"]) for each in drawn}) == 4, "routes come and go"
+    assert len({len(each["tenants"]) for each in drawn}) == 3, "customers come and go"
+    for each in drawn:
+        assert each["tenants"][0]["api_keys"][-1] == "key-1", "callers use the last key"
+        assert all(route["timeout_ms"] >= 1000 * early_ends.TIME_LIMIT_S for route in each["routes"]), "time limit"
+    limits = kept_connections.Limits(LIMITS)
+    limits.declare({**LIMITS, "max_body_bytes": 20000})
+    limits.declare({**LIMITS, "max_body_bytes": 60000})
+    assert limits.smallest("max_body_bytes") == 20000, "not yet known everywhere"
+    limits.declared = [(at - kept_connections.KNOWN_S, each) for at, each in limits.declared]
+    assert limits.smallest("max_body_bytes") == 60000, "known everywhere"
+
+
+def case_crashes():
+    """servers that crash on after three visible crashes are noticed, and few of them and hidden ones are not"""
+    def is_broken(later, spans=(), sent_after=crashing_request.KNOWN_S + 0.1, deciding=3):
+        world = blank_world()
+        times = [BEGUN] * deciding + [BEGUN + sent_after] * later
+        for number, at in enumerate(times):
+            world.crashing.sent[str(number)] = (at, 40)
+            world.crashing.crashes.append((at, "i-1", str(number)))
+        world.record.spans = [early_ends.Span(kind, {touched}, BEGUN - 0.5, BEGUN + 0.5) for kind, touched in spans]
+        world.final_checks()
+        return bool(world.broken)
+    assert is_broken(4) and not is_broken(3)
+    assert not is_broken(9, sent_after=2.9), "sent before all gateways know"
+    assert is_broken(9, deciding=0, sent_after=0) is False, "sent before the third crash"
+    for span in (("link_silent", "i-1"), ("gateway_paused", 40)):
+        assert not is_broken(4, [span]), f"hidden crashes decide: {span}"
+    for span in (("link_silent", "i-2"), ("gateway_paused", 41), ("store_away", 40)):
+        assert is_broken(4, [span]), f"hides: {span}"
+
+
+def case_crash_of_a_server():
+    """a crash ends the connections of a server and refuses new ones until it has started again"""
+    class Target:
+        id, born = "i-1", 0
+
+        def register(self):
+            pass
+    world, target, refused = blank_world(), Target(), 0
+    with socket.create_server((f"{pf.NET}.20.91", 0)) as listener:
+        target.proxy = proxy.Proxy(f"{pf.NET}.20.91", 9999, "%s:%d" % listener.getsockname())
+        host, port = target.proxy.address.split(":")
+        caller = socket.create_connection((host, int(port)))
+        listener.accept()
+        down = threading.Thread(target=world.crashing.crash, args=(target, "a"))
+        down.start()
+        caller.settimeout(2)
+        try:
+            assert caller.recv(1) == b"", "no byte"
+        except ConnectionResetError:
+            pass
+        try:
+            socket.create_connection((host, int(port)))
+        except ConnectionRefusedError:
+            refused = 1
+        down.join()
+        socket.create_connection((host, int(port))).close()
+        caller.close()
+        target.proxy.close()
+    assert refused and target.born, "not refused, or not started again"
+
+
+def case_kept_ends():
+    """the end of a connection with a reset is told from one without, on loopback sockets"""
+    for reads, how in ((False, "reset"), (True, "dropped")):
+        with socket.create_server((f"{pf.NET}.20.90", 0)) as listener:
+            caller = socket.create_connection(listener.getsockname())
+            peer, _ = listener.accept()
+            if reads:  # as a peer that reads and drops what arrives after its end
+                peer.shutdown(socket.SHUT_WR)
+            else:
+                peer.close()
+            caller.sendall(b"request")
+            assert kept_connections.how_it_ended(caller) == how, how
+            caller.close()
+            peer.close()
+
+
 def case_runs_are_recorded():
     """a write to a gateway that has closed is recorded as such, and the last byte as the end"""
     run = early_ends.Run("i-1", time.monotonic())
@@ -206,7 +362,8 @@
 def main():
     failed = 0
     for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
-                 case_late_starts, case_runs_are_recorded):
+                 case_late_starts, case_kept_requests, case_kept_closes, case_refusals,
+                 case_configurations, case_crashes, case_crash_of_a_server, case_kept_ends, case_runs_are_recorded):
         try:
             case()
             print(f"case passed: {case.__doc__}", flush=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,9 +15,11 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import world as w  # noqa: E402  the path is set above
+import configurations  # noqa: E402
+import kept_connections  # noqa: E402
 from world import pf, wait_for  # noqa: E402
 
-FAULT_TIME_S, CALLERS, FAULTS_PER_RUN = 7.0, 6, 9
+FAULT_TIME_S, CALLERS, KEPT_CALLERS, FAULTS_PER_RUN = 7.0, 6, 6, 9
 LONGEST_FAULT_S = 3.0
 # Of the requests after the recovery time; single ones may meet an end of a process.
 SERVED_SHARE = 0.9
@@ -27,9 +29,10 @@
     """The store turns gateways or stagers away, or falls silent for them."""
     hosts = rng.sample(w.GATEWAYS + w.ENGINES, rng.randint(1, len(w.GATEWAYS + w.ENGINES)))
     marked = rng.choice((world.store.turned_away, world.store.silent))
-    marked.update(hosts)
-    wait()
-    marked.difference_update(hosts)
+    with world.record.span("store_away", [host for host in hosts if host in w.GATEWAYS]):
+        marked.update(hosts)
+        wait()
+        marked.difference_update(hosts)
 
 
 def store_forgets(world, rng, wait):
@@ -144,12 +147,15 @@
           servers_fail, origin_fails, configured)
 
 
-def configure(world, keys=None, extra=()):
+def configure(world, keys=None, extra=(), choose=None):
     with world.lock:
         world.version += 1
         world.keys = keys or world.keys
-        world.store.put("op/config", pf.configuration(world.version, world.origin, keys=world.keys,
-                                                      routes=world.routes(extra)))
+        drawn = configurations.draw(world.configuration_rng, world.version, world.origin, world.routes(extra), world.keys,
+                                    choose)
+        # First, since callers may know a change before the gateways.
+        world.limits.declare(drawn["limits"])
+        world.store.put("op/config", drawn)
 
 
 def declare_version(world):
@@ -191,6 +197,8 @@
         wait_for(served, "all gateways serve all routes", timeout=w.RECOVERY_S)
     except pf.FleetError as late:
         world.check(False, f"recovery: {late}")
+    # The next check raises the limits while connections are idle and no fault excuses their close.
+    configure(world, choose=min)
     time.sleep(w.STABLE_S)
     since = time.monotonic()
     time.sleep(1.5)
@@ -202,8 +210,8 @@
 def check_configuration(world):
     """A new key and route are in force in time, and the old key is revoked."""
     rng, old = random.Random(world.seed + 2), world.keys[-1]
-    configure(world, keys=(f"key-{world.version + 1}",), extra=[pf.route("r-new", "a.example", "/new/", "idempotent",
-                                                                         "plain")])
+    configure(world, keys=(f"key-{world.version + 1}",), choose=max,
+              extra=[pf.route("r-new", "a.example", "/new/", "idempotent", "plain")])
     time.sleep(w.CONFIG_APPLY_S)
     for host, gateway in world.gateways.items():
         with world.lock:
@@ -242,6 +250,8 @@
     leaving = world.gateways[host]
     threads = [threading.Thread(target=world.call, args=("stream", leaving, random.Random(world.seed * 100 + n)))
                for n in range(8)]
+    threads += [threading.Thread(target=kept_connections.stream_and_read, args=(world, leaving, world.seed * 200 + n))
+                for n in range(4)]
     begun = time.monotonic()
     for thread in threads:
         thread.start()
@@ -263,6 +273,9 @@
     world = w.World(seed)
     rng, faults = random.Random(seed), []
     callers = [threading.Thread(target=world.caller, args=(n,), daemon=True) for n in range(CALLERS)]
+    callers += [threading.Thread(target=kept_connections.run_caller, args=(world, n, w.GATEWAYS), daemon=True)
+                for n in range(KEPT_CALLERS)]
+    callers.append(threading.Thread(target=world.crashing.run, args=(world, w.GATEWAYS), daemon=True))
     try:
         for caller in callers:
             caller.start()
@@ -282,7 +295,8 @@
         world.keep_logs(keep)
     served = sum(1 for *_, a in world.answers if a is not None and a.status == 200 and a.whole)
     print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}\n"
-          f"  early ends by excuse: {dict(world.early_ends)}", flush=True)
+          f"  early ends by excuse: {dict(world.early_ends)}\n  kept connections: {dict(world.kept.counts)}\n"
+          f"  crashes: {len(world.crashing.crashes)} on {len(world.crashing.sent)} requests", flush=True)
     return world.broken
 
 
