--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -81,6 +81,14 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Result of a stream that was read to its end.
+ExchangeResult completedResult() {
+  ExchangeResult Result;
+  Result.Fate = AttemptStatus::Completed;
+  Result.Health = ServerOutcome::Answered;
+  return Result;
+}
+
 } // namespace
 
 ServerExchange::ServerExchange(
@@ -545,10 +553,7 @@
       co_return stoppedResult(Status);
   }
   Reusable = mayReuse(ResponseParser);
-  ExchangeResult Result;
-  Result.Fate = AttemptStatus::Completed;
-  Result.Health = ServerOutcome::Answered;
-  co_return Result;
+  co_return completedResult();
 }
 
 } // namespace marigoldyard
