Keep the completed result of a request when a failed attempt ends later

Cause: the check whether a server has crashed delays the end of the attempt that failed there. When the other attempt completed meanwhile, the failure came last and replaced its result.

Change: a completed result is replaced by a completed one only.

--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -209,9 +209,11 @@
 }
 
 void RequestRun::keepResult(ExchangeResult Result) {
-  // What a server answered tells the caller more than a lost connection.
-  const bool Better = !LastResult.Response || Result.Response ||
-                      Result.Fate == AttemptStatus::Completed;
+  // A check for a crash may let an attempt that failed end last. What a server
+  // answered tells the caller more than a lost connection.
+  const bool Better = Result.Fate == AttemptStatus::Completed ||
+                      (LastResult.Fate != AttemptStatus::Completed &&
+                       (!LastResult.Response || Result.Response));
   if (Better)
     LastResult = std::move(Result);
 }
--- a/tests/process/test_silent_takeover.py
+++ b/tests/process/test_silent_takeover.py
@@ -42,16 +42,23 @@
     return run
 
 
-def one_event_then_closes(server):
-    def run(request):
-        number = int(request.headers.get("Last-Event-Id", 0)) + 1
+def write_events(server, request, first, last, is_first=True):
+    """Events of a stream, after its head if they are the first ones."""
+    if is_first:
         request.send_response(200)
         for name, value in {**server.headers(request), "Content-Type": "text/event-stream",
                             "Transfer-Encoding": "chunked"}.items():
             request.send_header(name, value)
         request.end_headers()
+    for number in range(first, last + 1):
         text = f"id: {number}\ndata: {server.id}-{number}\n\n"
         request.wfile.write(f"{len(text):x}\r\n{text}\r\n".encode())
+
+
+def one_event_then_closes(server):
+    def run(request):
+        number = int(request.headers.get("Last-Event-Id", 0)) + 1
+        write_events(server, request, number, number)
         time.sleep(0.1)
         request.cut()
     return run
@@ -333,9 +340,50 @@
     check(answers and answers[0].status in (502, 504), f"answers {[a.status for a in answers]}")
 
 
+# Guards against a whole stream that ends as broken off, because the check whether the other server has crashed outlasts it.
+def case_completes_during_check(fleet):
+    """a stream that completes while the end of the other server is looked into is whole"""
+    fleet.configure(routes=routes())
+    time.sleep(READ_S)
+    for number in range(3):
+        body = f"suspect-{number}".encode()
+        serve_anew(fleet, fleet.engines, "/stream/1")
+        # A lost request whose server starts again is looked into for longer.
+        for server in fleet.engines:
+            server.behaviours = [server.lose]
+        call(fleet.gateways[0], "/stream/1", "POST", body, headers=DEADLINE)
+        time.sleep(0.2)  # until the gateway knows that the servers run
+        pf.restart_servers(fleet.engines)
+        pf.forget(fleet)
+        ends = threading.Event()
+
+        def goes_on(server, ends=ends):
+            def run(request):
+                write_events(server, request, 1, 3)
+                time.sleep(1.25)
+                ends.set()
+                time.sleep(0.06)
+                write_events(server, request, 4, EVENTS, is_first=False)
+                request.wfile.write(b"0\r\n\r\n")
+            return run
+
+        def breaks_off(server, ends=ends):
+            def run(request):
+                ends.wait(3)
+                write_events(server, request, 4, 4)
+                time.sleep(0.03)
+                request.cut()
+            return run
+        order = FirstAndOther(fleet.engines, goes_on, breaks_off)
+        answer = call(fleet.gateways[0], "/stream/1", "POST", body, headers=DEADLINE)
+        check(len(set(order.arrivals)) == 2, f"it arrived at {order.arrivals}")
+        check(answer.status == 200 and answer.whole, f"status {answer.status}, whole {answer.whole}")
+
+
 CASES = [case_other_server_refuses, case_other_server_refuses_late, case_stream_not_begun, case_idempotent_request,
          case_both_go_on, case_both_silent, case_held_event, case_last_candidate, case_other_server_rejects, case_caller_leaves,
-         case_caller_leaves_at_timeout, case_attempts_are_bounded, case_planned_stop]
+         case_caller_leaves_at_timeout, case_attempts_are_bounded, case_completes_during_check,
+         case_planned_stop]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
