Count a restart as a crash only if it came after the request was sent

Cause: any later news of a start counted as a crash, also of a start before the request was sent. In the tests, the servers name a start in the past.

Change: the start that a server names must not lie before the time of day at which the request was sent, by more than half a second. A wrong time of day hides a crash at most.

--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -179,6 +179,7 @@
     std::int64_t StartedAtMs = 0; ///< of the server
     std::string ServerRun;        ///< see serverRunName()
     TimePoint SentAt{};
+    std::chrono::microseconds SentTime{}; ///< time of day of SentAt
     std::vector<std::string> Parts; ///< ids of the shared parts of the prompt
   };
   /// @brief Whether a blocked request is sent once more here.
--- a/programs/gateway/gateway_crashing_requests.cpp
+++ b/programs/gateway/gateway_crashing_requests.cpp
@@ -12,6 +12,9 @@
 /// Time after a loss in which a start of the server shows that it crashed.
 constexpr std::chrono::seconds RestartTime{10};
 constexpr std::size_t MaxUnexplainedLosses = 256;
+/// Difference between the times of day of two machines. A larger one hides a
+/// crash.
+constexpr std::chrono::milliseconds MaxClockSkew{500};
 
 } // namespace
 
@@ -53,7 +56,12 @@
   std::erase_if(UnexplainedLosses, [&](const UnexplainedLoss &Each) {
     if (Each.Lost.Server != Address || Each.Lost.StartedAtMs >= StartedAtMs)
       return false;
-    if (Now - Each.At <= RestartTime)
+    // News of a start before the request was sent tell nothing of it. A wrong
+    // time of day on one machine hides a crash at most, as no decision relies
+    // on it otherwise.
+    const std::chrono::milliseconds StartedAt(StartedAtMs);
+    if (Now - Each.At <= RestartTime &&
+        StartedAt + MaxClockSkew >= Each.Lost.SentTime)
       Crashed.push_back(Each.Lost);
     return true;
   });
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -301,6 +301,9 @@
   Lost.StartedAtMs = Server.StartedAtMs;
   Lost.ServerRun = serverRunName(Server.Id, Server.StartedAtMs);
   Lost.SentAt = Attempt.SentAt;
+  Lost.SentTime =
+      wallTime() - std::chrono::duration_cast<std::chrono::microseconds>(
+                       now() - Attempt.SentAt);
   const bool HasBegun = Attempt.EventReads >= EventReadsToBegin;
   // A server that crashes on a part of a prompt does so before it answers.
   if (!HasBegun)
