Let nothing but the crash end the connection in a test of the soak

Seen: "a crash ends the connections of a server and refuses new ones until it has started again" of test_soak.py failed once, beside other process tests.

Cause: the case dropped the connection that its target accepted, which closed it at once. The caller saw that end before the crash began and connected while the proxy still listened. The case could pass for the same reason.

No gateway takes part.

Change: the accepted connection stays open, and the crash begins when the proxy has both ends. The checks are the same, and an end can only come from the crash now.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -309,7 +309,9 @@
         target.proxy = proxy.Proxy(f"{pf.NET}.20.91", 9999, "%s:%d" % listener.getsockname())
         host, port = target.proxy.address.split(":")
         caller = socket.create_connection((host, int(port)))
-        listener.accept()
+        # Kept open, so that nothing but the crash ends it.
+        accepted, _ = listener.accept()
+        pf.wait_for(lambda: target.proxy.pairs, "the proxy has both ends", timeout=2)
         down = threading.Thread(target=world.crashing.crash, args=(target, "a"))
         down.start()
         caller.settimeout(2)
@@ -324,6 +326,7 @@
         down.join()
         socket.create_connection((host, int(port))).close()
         caller.close()
+        accepted.close()
         target.proxy.close()
     assert refused and target.born, "not refused, or not started again"
 
