Share what the search for crashing requests wrote twice

One loop sends to the other gateways (four stood in three files), one function compares two reports on a crash, and one says whether the whole request is blocked. A report of changes carries no hash, since nothing reads it there, and a hash is computed only for reports that ask. The live gateways are looked at only when a trial is due.

No change of behaviour. Build, format, layers and lint of the changed files and all seven doctest programs pass; so do test_crashing_requests.py, test_prompt_crashes.py, test_silent_peers.py, test_kept_connections.py, test_server_faults.py, test_silent_takeover.py, test_planned_stop.py and test_versions.py, side by side. The other process tests were not run again.

--- a/include/marigoldyard/coordination/crash_suspects.hpp
+++ b/include/marigoldyard/coordination/crash_suspects.hpp
@@ -46,6 +46,11 @@
   TimePoint At{};
 };
 
+/// @brief Whether two reports are about one crash.
+/// @param SameCrashTime longest time between them
+bool isSameCrash(const ServerCrash &Left, const ServerCrash &Right,
+                 Duration SameCrashTime);
+
 /// @brief A prompt part that was in unbegun requests of crashed servers.
 struct SuspectPart {
   std::vector<ServerCrash> Crashes; ///< in order of time
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -326,7 +326,8 @@
 /// @brief Gateway to gateway: requests that were at crashed servers.
 struct CrashedRequestReport {
   CrashReportKind Kind = CrashReportKind::Changes;
-  std::uint64_t ContentHash = 0; ///< of all that the sender knows
+  /// Of all that the sender knows; not set in Changes.
+  std::uint64_t ContentHash = 0;
   std::vector<ReportedRequest> Requests;
 };
 
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -659,9 +659,7 @@
     if (Node.Gateways.Records.at(Address).Description.Region ==
         Settings.Process.Region)
       ++Servers.Settings.SharingGateways;
-  for (const std::string &Address : Node.gatewayAddresses())
-    if (AllRegions || !Node.isInOtherRegion(Address))
-      Node.send(Address, Status);
+  sendToGateways(Status, AllRegions);
   sendCrashSummary(AllRegions);
   if (AllRegions) {
     LastRemoteStatusAt = Now;
@@ -678,6 +676,12 @@
       Node.send(Address, Status);
 }
 
+void Gateway::sendToGateways(const Body &Content, bool AllRegions) {
+  for (const std::string &Address : Node.gatewayAddresses())
+    if (AllRegions || !Node.isInOtherRegion(Address))
+      Node.send(Address, Content);
+}
+
 void Gateway::terminate() {
   if (DrainProgress.Stage != DrainStage::Serving)
     return;
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -195,9 +195,9 @@
   void watchForRestart(LostRequest Lost);
 
   /// @brief Checks whether a server has crashed, after a connection to it was
-  /// closed before the request began, and if so records the crash and tells the
-  /// other gateways. Only a refused connection counts, because a lost answer
-  /// or an overloaded server also closes connections.
+  /// closed before the response was complete, and if so records the crash and
+  /// tells the other gateways. Only a refused connection counts, because a lost
+  /// answer or an overloaded server also closes connections.
   /// @param Lost the request
   /// @return whether the server has crashed; a second check follows when it
   /// seems to run
@@ -270,7 +270,9 @@
   /// @param AllRegions as for sendStatus()
   void sendCrashSummary(bool AllRegions);
   void logRequestBlocked(const Digest &Request, const std::string &Source);
-  void sendPartReport(const PromptPartReport &News);
+  /// Sends a message to the other gateways.
+  /// @param AllRegions whether to include those of other regions
+  void sendToGateways(const Body &Content, bool AllRegions = true);
   void blockSuspectParts();
   void logPartBlocked(const std::string &Part, const std::string &Source);
   PoolConfiguration describePool(const std::string &Pool) const;
--- a/programs/gateway/gateway_crashing_requests.cpp
+++ b/programs/gateway/gateway_crashing_requests.cpp
@@ -26,10 +26,10 @@
 bool Gateway::mayTryBlocked(const Digest &Request) const {
   // One gateway tries for all; which one need not be agreed on, since the
   // others learn of the trial.
+  if (!marigoldyard::mayTryBlocked(Crashing, Request, now()))
+    return false;
   const auto Live = Node.liveGateways();
-  const bool TriesForAll =
-      Live.empty() || Settings.Process.Address < Live.begin()->first;
-  return TriesForAll && marigoldyard::mayTryBlocked(Crashing, Request, now());
+  return Live.empty() || Settings.Process.Address < Live.begin()->first;
 }
 
 void Gateway::recordTrial(const Digest &Request) {
@@ -85,21 +85,13 @@
 void Gateway::sendCrashChanges() {
   CrashedRequestReport News;
   News.Requests = takeChangedRequests(Crashing, now());
-  if (News.Requests.empty())
-    return;
-  News.ContentHash = contentHash(Crashing);
-  for (const std::string &Address : Node.gatewayAddresses())
-    Node.send(Address, News);
+  if (!News.Requests.empty())
+    sendToGateways(News);
 }
 
 void Gateway::sendCrashSummary(bool AllRegions) {
-  if (Crashing.Requests.empty())
-    return;
-  const CrashedRequestReport Summary =
-      makeCrashReport(CrashReportKind::Summary);
-  for (const std::string &Address : Node.gatewayAddresses())
-    if (AllRegions || !Node.isInOtherRegion(Address))
-      Node.send(Address, Summary);
+  if (!Crashing.Requests.empty())
+    sendToGateways(makeCrashReport(CrashReportKind::Summary), AllRegions);
 }
 
 void Gateway::handleCrashReport(const std::string &Peer,
@@ -109,12 +101,11 @@
     if (mergeReportedRequest(Crashing, Each, Now))
       logRequestBlocked(Each.Request, Peer);
   // Reports may be lost, and a gateway that starts has none.
-  if (Report.ContentHash == contentHash(Crashing))
-    return;
-  if (Report.Kind == CrashReportKind::Summary)
-    Node.send(Peer, makeCrashReport(CrashReportKind::Answer));
-  else if (Report.Kind == CrashReportKind::Answer)
-    Node.send(Peer, makeCrashReport(CrashReportKind::Rest));
+  const bool IsSummary = Report.Kind == CrashReportKind::Summary;
+  const bool Asks = IsSummary || Report.Kind == CrashReportKind::Answer;
+  if (Asks && Report.ContentHash != contentHash(Crashing))
+    Node.send(Peer, makeCrashReport(IsSummary ? CrashReportKind::Answer
+                                              : CrashReportKind::Rest));
 }
 
 void Gateway::logRequestBlocked(const Digest &Request,
--- a/programs/gateway/gateway_prompt_parts.cpp
+++ b/programs/gateway/gateway_prompt_parts.cpp
@@ -40,16 +40,11 @@
   blockSuspectParts();
 }
 
-void Gateway::sendPartReport(const PromptPartReport &News) {
-  for (const std::string &Address : Node.gatewayAddresses())
-    Node.send(Address, News);
-}
-
 void Gateway::recordBegun(const std::vector<std::string> &Parts) {
   PromptPartReport News;
   News.Begun = recordRequestBegun(Suspects, Parts);
   if (!News.Begun.empty())
-    sendPartReport(News);
+    sendToGateways(News);
 }
 
 net::awaitable<bool> Gateway::refusesConnections(const std::string &Address) {
@@ -113,7 +108,7 @@
                   {"server_run", Lost.ServerRun}}});
   Node.ProcessMetrics
       .counter("marigoldyard_crash_requests_total",
-               "Requests that had not begun at a server that crashed")
+               "Requests that were lost at a server that crashed")
       .add();
   const TimePoint Now = now();
   if (recordRequestCrash(Crashing, Lost.Content, Lost.ServerRun,
@@ -126,7 +121,7 @@
   News.CrashedServer = Lost.Server;
   News.Suspected = Lost.Parts;
   recordServerCrash(Suspects, Lost.Server, Lost.Parts, Now);
-  sendPartReport(News);
+  sendToGateways(News);
   blockSuspectParts();
 }
 
@@ -140,7 +135,7 @@
     return;
   for (const std::string &Part : News.Blocked)
     logPartBlocked(Part, Settings.Process.Address);
-  sendPartReport(News);
+  sendToGateways(News);
 }
 
 void Gateway::logPartBlocked(const std::string &Part,
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -200,8 +200,7 @@
       releaseUnsent(Choice.Id);
       co_return co_await rejectBlocked(*Blocked);
     }
-    if (!IsTrial && !Owner.crashingRequests().Requests.empty() &&
-        isRequestBlocked(Owner.crashingRequests(), contentDigest())) {
+    if (isContentBlocked()) {
       IsTrial = true;
       Owner.recordTrial(contentDigest());
     }
@@ -235,10 +234,14 @@
   return *KnownDigest;
 }
 
+bool RequestRun::isContentBlocked() {
+  // The digest is needed only while some request is suspect.
+  return !IsTrial && !Owner.crashingRequests().Requests.empty() &&
+         isRequestBlocked(Owner.crashingRequests(), contentDigest());
+}
+
 std::optional<RequestRun::Block> RequestRun::findBlock() {
-  if (!IsTrial && !Owner.crashingRequests().Requests.empty() &&
-      isRequestBlocked(Owner.crashingRequests(), contentDigest()) &&
-      !Owner.mayTryBlocked(contentDigest()))
+  if (isContentBlocked() && !Owner.mayTryBlocked(contentDigest()))
     return Block{fmt::format("servers crash on request {}", contentDigest()),
                  BlockedRequestDelay};
   const auto Part =
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -90,6 +90,8 @@
     Duration RetryAfter{};
   };
   std::optional<Block> findBlock();
+  /// Whether the whole request is blocked and this is not a trial of it.
+  bool isContentBlocked();
   boost::asio::awaitable<bool> rejectBlocked(const Block &Blocked);
   /// Digest of what stays the same when the request comes again: its method,
   /// host, target, customer and body.
--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -25,8 +25,7 @@
                 const std::string &Server, TimePoint At) {
   return std::any_of(
       Part.Crashes.begin(), Part.Crashes.end(), [&](const ServerCrash &Each) {
-        const Duration Apart = Each.At > At ? Each.At - At : At - Each.At;
-        return Each.Server == Server && Apart < State.Settings.SameCrashTime;
+        return isSameCrash(Each, {Server, At}, State.Settings.SameCrashTime);
       });
 }
 
@@ -184,6 +183,13 @@
 
 } // namespace
 
+bool isSameCrash(const ServerCrash &Left, const ServerCrash &Right,
+                 Duration SameCrashTime) {
+  const Duration Apart =
+      Left.At > Right.At ? Left.At - Right.At : Right.At - Left.At;
+  return Left.Server == Right.Server && Apart < SameCrashTime;
+}
+
 std::vector<std::string>
 recordRequestBegun(CrashSuspects &State,
                    const std::vector<std::string> &Parts) {
--- a/src/coordination/crashing_requests.cpp
+++ b/src/coordination/crashing_requests.cpp
@@ -26,14 +26,12 @@
 /// Whether a request was at a crash, which may have been seen at another time.
 bool wasAtCrash(const CrashingRequests &State, const CrashedRequest &Record,
                 const ServerCrash &Crash) {
-  return std::any_of(
-      Record.Crashes.begin(), Record.Crashes.end(), [&](const auto &Entry) {
-        const RequestCrash &Each = Entry.second;
-        const Duration Apart =
-            Each.At > Crash.At ? Each.At - Crash.At : Crash.At - Each.At;
-        return Each.Server == Crash.Server &&
-               Apart < State.Settings.SameCrashTime;
-      });
+  return std::any_of(Record.Crashes.begin(), Record.Crashes.end(),
+                     [&](const auto &Entry) {
+                       const RequestCrash &Each = Entry.second;
+                       return isSameCrash({Each.Server, Each.At}, Crash,
+                                          State.Settings.SameCrashTime);
+                     });
 }
 
 /// Number of crashes that came one after the other. The crash that ends first
