Keep requests in their regions, out of evacuated domains, and off cold servers

Cause: nothing read the regions that a route or a customer allows, the evacuations of the operator, or how long a server stays cold. Change: the allowed regions of a request are computed at admission and checked with the evacuated domains in chooseServer, for every send. What no region can serve is rejected at once. A full region holds up only requests that may go nowhere else. Each gateway has a share of the requests to a server that may be cold; the shares of all gateways that were heard of within ten minutes add up to nine tenths of the bound.

--- /dev/null
+++ b/include/marigoldyard/coordination/cold_share.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "marigoldyard/state/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigoldyard {
+
+/// @brief Cold servers of a pool.
+struct ColdLimit {
+  double RequestsPerSecond = 0; ///< that a cold server tolerates; 0: no limit
+  Duration Time{};              ///< for which a server is cold after its start
+};
+
+/// @brief Parameters of the requests to cold servers.
+struct ColdShareSettings {
+  double Overshoot = 1; ///< factor of ColdLimit::RequestsPerSecond
+  double Reserve = 0;   ///< requests a second besides
+  /// Part of the bound that the known gateways share. The rest is for a gateway
+  /// that is not known to all others yet.
+  double SharedFraction = 0.9;
+  /// Time over which the requests of a gateway are counted: the second of the
+  /// bound, and the longest time between the choice of a server and the moment
+  /// at which the request is on its way.
+  Duration Window = std::chrono::milliseconds(1500);
+  /// A gateway that was not heard of for this long is forgotten. Until then
+  /// both sides of a partition compute the same shares.
+  Duration GatewayLifetime = std::chrono::minutes(10);
+  /// After its start a process does not know what its predecessor sent, nor
+  /// which gateways there are.
+  Duration StartupTime = std::chrono::seconds(3);
+  std::size_t MaxGateways = 1024; ///< limits the memory of the table
+};
+
+/// @brief The gateways among which the bound of a cold server is divided.
+///
+/// No counter is shared, so each gateway computes its own part from the names
+/// of all known gateways, in which all parts add up to the bound.
+struct ColdShares {
+  /// A gateway that runs, or did until recently.
+  struct KnownGateway {
+    std::uint64_t NameHash = 0;
+    TimePoint LastHeardAt{};
+  };
+
+  ColdShareSettings Settings;
+  std::string Self;
+  TimePoint StartedAt{};
+  /// By name; without this process.
+  std::map<std::string, KnownGateway, std::less<>> Others;
+};
+
+/// @brief Requests of this process to one server.
+struct ColdServerState {
+  TimePoint ColdUntil{};       ///< as far as is known
+  std::deque<TimePoint> Sends; ///< within the window, oldest first
+};
+
+/// @brief Whether this process may send one more request to a server.
+enum class ColdStanding : std::uint8_t {
+  Open,      ///< the share is not used up, or there is none
+  Exhausted, ///< it is used up; the server is not known to be cold
+  Closed,    ///< it is used up, and the server is cold
+};
+
+/// @brief Records that a gateway runs, or that another one has heard of it.
+/// @param Name a new one is left out when the table is full
+/// @complexity logarithmic in the number of gateways
+void recordGateway(ColdShares &Shares, const std::string &Name, TimePoint Now);
+
+/// @brief Forgets the gateways that were not heard of for long.
+/// @complexity linear in the number of gateways
+void forgetGateways(ColdShares &Shares, TimePoint Now);
+
+/// @brief Returns the part of this process in the requests to a cold server.
+/// @param Limit of the pool
+/// @param Server id of the server
+/// @param Now no request is allowed during the startup time
+/// @return requests in each window
+/// @complexity linear in the number of gateways
+std::uint32_t coldShare(const ColdShares &Shares, const ColdLimit &Limit,
+                        std::string_view Server, TimePoint Now);
+
+/// @brief Records how long a server stays cold, as it says itself.
+/// @param Remaining zero when it is not cold
+void recordColdness(ColdServerState &State, Duration Remaining, TimePoint Now);
+
+/// @brief Records that a server has started or may have turned cold.
+/// @param Limit of the pool
+void recordColdStart(ColdServerState &State, const ColdLimit &Limit,
+                     TimePoint Now);
+
+/// @brief Records a request that is sent to a server.
+/// @complexity amortized constant
+void recordColdSend(const ColdShares &Shares, ColdServerState &State,
+                    TimePoint Now);
+
+/// @brief Returns whether one more request may be sent to a server now.
+///
+/// A server may turn cold at any moment, and this becomes known some seconds
+/// later, so that the share is counted for servers that are not cold too. After
+/// a server was cold, its limit is doubled for a time that differs between
+/// servers, so that not all servers of a domain are released at once.
+/// @param Limit of the pool
+/// @param Server id of the server
+/// @complexity linear in the number of gateways
+ColdStanding coldStanding(const ColdShares &Shares, const ColdLimit &Limit,
+                          const ColdServerState &State, std::string_view Server,
+                          TimePoint Now);
+
+} // namespace marigoldyard
--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "marigoldyard/coordination/cold_share.hpp"
+#include "marigoldyard/coordination/placement.hpp"
 #include "marigoldyard/coordination/server_notice.hpp"
 #include "marigoldyard/state/fleet.hpp"
 #include "marigoldyard/state/time.hpp"
@@ -92,6 +94,7 @@
   bool Replaced = false;
   ServerAvailability Availability;
   std::vector<LoadedWeights> Weights;
+  ColdServerState Cold;
 };
 
 /// @brief Notices of a server that has no record.
@@ -112,6 +115,10 @@
   /// to a model server.
   bool RequiredVersionsKnown = true;
   std::deque<AbsentServer> AbsentServers; ///< oldest first
+  EvacuatedDomains Evacuated;             ///< their servers get no requests
+  ColdShares Shares;                      ///< of requests to cold servers
+  /// By pool; pools without such a limit are left out.
+  std::map<std::string, ColdLimit, std::less<>> ColdLimits;
 };
 
 /// @brief Adds or replaces the record of a server. A restart resets its state.
@@ -149,6 +156,9 @@
   /// Whether the request may wait at a model server. The places for it are left
   /// to urgent requests, which overtake there.
   bool MayQueueAtServer = true;
+  RegionLimit AllowedRegions; ///< of the server
+  /// Regions whose servers are left to requests that wait longer.
+  std::set<std::string, std::less<>> ReservedRegions;
 };
 
 /// @brief Reason why no server was selected.
@@ -158,6 +168,9 @@
   Loading,  ///< no usable server has the weights, or they are about to load
   Refusing, ///< every server leaves, or refuses requests until too late
   Absent,   ///< the pool has no usable server
+  /// every server of the pool is in a region that the request may not use, or
+  /// in an evacuated domain
+  NotAllowed,
 };
 
 /// @brief Returns the name of a shortage for logs.
@@ -168,6 +181,9 @@
 struct ServerChoice {
   std::string Id; ///< empty when no server was selected
   ServerShortage Shortage = ServerShortage::Absent;
+  /// Whether a server had room, but this process has used up its share of the
+  /// requests that the server tolerates while it is cold.
+  bool HeldByShare = false;
 };
 
 /// @brief Selects the server with the lowest load score among those that have
@@ -190,16 +206,47 @@
                           TimePoint Now);
 
 /// @brief Whether a server that was chosen may still get the request: it has a
-/// record, does not leave and does not refuse requests.
+/// record, is not evacuated, does not leave and does not refuse requests.
 bool mayReceive(const ServerTable &Table, const std::string &Id, TimePoint Now);
 
+/// @brief Whether a pool has a server to which a request may go at all: in an
+/// allowed region, and not in an evacuated domain.
+/// @param Requirements pool and allowed regions
+/// @return true for a pool without servers, which may get some
+/// @complexity linear in the number of servers of the pool
+bool hasAllowedServer(const ServerTable &Table,
+                      const ServerRequirements &Requirements);
+
+/// @brief Begins or ends the evacuation of a failure domain. Its servers may be
+/// cold before and after it.
+/// @return whether the domain was not evacuated before, or was
+/// @complexity linear in the number of servers
+bool setEvacuated(ServerTable &Table, const std::string &Domain,
+                  bool IsEvacuated, TimePoint Now);
+
+/// @brief Applies what the record of a server says about being cold. It has no
+/// effect when the server started later.
+/// @param Record after putServer()
+void recordServerColdness(ServerTable &Table, const ServerRecord &Record,
+                          TimePoint Now);
+
+/// @brief Whether a server is cold, as far as is known.
+/// @param Id server id; an unknown one is not
+bool isCold(const ServerTable &Table, const std::string &Id, TimePoint Now);
+
+/// @brief Records a request that is sent to a server of a pool with a limit for
+/// cold servers.
+/// @param Id server id; an unknown one has no effect
+void recordSend(ServerTable &Table, const std::string &Id, TimePoint Now);
+
 /// @brief Whether a server leaves, by its record or by its own responses.
 /// @param Id server id; an unknown one does not leave
 bool isLeaving(const ServerTable &Table, const std::string &Id);
 
-/// @brief Returns when a pool, in which every server leaves or refuses requests
-/// for a time, takes a request.
-/// @param Requirements pool, and servers that cannot be used for the request
+/// @brief Returns when a pool, in which every server leaves, is not allowed or
+/// refuses requests for a time, takes a request.
+/// @param Requirements pool, allowed regions, and servers that cannot be used
+/// for the request
 /// @return the earliest end of a refusal; TimePoint::max() when there is none;
 /// nothing when a server neither leaves nor refuses, or the pool is empty
 /// @complexity linear in the number of servers of the pool
--- a/include/marigoldyard/protocol/fleet_settings.hpp
+++ b/include/marigoldyard/protocol/fleet_settings.hpp
@@ -41,6 +41,10 @@
   std::chrono::seconds DirectoryTime{}; ///< callers may keep an answer
   double RetryShare = 0;   ///< repeats as a share of requests, of all gateways
   double RetryReserve = 0; ///< repeats besides, of all gateways
+  /// Requests that a cold server may get in a second from all gateways, as a
+  /// multiple of what its pool's configuration tolerates, and besides.
+  double ColdOvershoot = 1;
+  double ColdReserve = 0;
 };
 
 /// @brief Settings of a stager.
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -4,8 +4,10 @@
 #include "marigoldyard/state/types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,10 @@
   std::uint32_t Weight = 1;
 };
 
+/// @brief Regions in which requests may be served, by name; empty when there is
+/// no limit. A limit without regions allows none.
+using RegionLimit = std::optional<std::set<std::string, std::less<>>>;
+
 /// @brief A rule that maps requests to pools.
 struct Route {
   std::string Name;
@@ -40,6 +46,7 @@
   std::uint32_t MaxAttemptsPerRequest =
       1; ///< attempts of one request, at least 1
   std::vector<PoolShare> Pools;
+  RegionLimit AllowedRegions; ///< of servers
 };
 
 /// @brief A customer of the shared fleet, identified by any of its API keys.
@@ -47,7 +54,8 @@
   std::string Name;
   std::vector<std::string> Keys;
   std::optional<std::uint32_t>
-      Priority; ///< overrides the priority of the route
+      Priority;               ///< overrides the priority of the route
+  RegionLimit AllowedRegions; ///< of servers
 };
 
 /// @brief Servers that are interchangeable for a route.
@@ -59,6 +67,9 @@
   double PromptTokensPerSecond = 0; ///< prefill rate of one model server
   std::uint64_t PromptTokensPerPass = 0; ///< in one prefill pass
   std::vector<std::string> Models;       ///< models that its servers load
+  /// Requests a second that a cold server tolerates; 0: any number.
+  double ColdRequestsPerSecond = 0;
+  Duration ColdTime{}; ///< for which a server is cold after its start
 };
 
 /// @brief Server from which weights are downloaded.
@@ -130,6 +141,7 @@
   std::int64_t StartedAtMs = 0; ///< Unix time of its start; compared only with
                                 ///< other records of the same server
   std::optional<std::vector<LoadedWeights>> Weights; ///< set for a model server
+  Duration ColdFor{}; ///< how long it stayed cold when it wrote the record
 
   // clang-tidy 14 reports names in the code that the compiler generates here.
   // NOLINTNEXTLINE(readability-identifier-naming)
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "programs/gateway/request_run.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -60,6 +61,9 @@
            {"", "", MinWatchPause, MaxFirstReadPause, WatchTimeout}) {
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
+  Servers.Shares.Self = Settings.Process.Address;
+  Servers.Shares.StartedAt = now();
+  setColdSettings();
   SharedRetries.Limit = {Settings.RetryShare, Settings.RetryReserve};
   SharedRetries.StartedAt = now();
   DrainProgress.Process = Settings.Process.Name;
@@ -194,7 +198,8 @@
   if (platform::isReadinessCheck(Target)) {
     Status = ready() ? 200 : 503;
   } else if (const auto Query = platform::parseDirectoryQuery(Target)) {
-    ResponseBody = directoryBody(Query->Region);
+    ResponseBody = directoryBody(boost::algorithm::to_lower_copy(Query->Name),
+                                 Query->Region);
     Status = ResponseBody.empty() ? 503 : 200;
   }
   const std::string ResponseText =
@@ -204,20 +209,24 @@
   co_return co_await Session.write(ResponseText);
 }
 
-std::string Gateway::directoryBody(const std::string &Region) const {
-  std::vector<std::string> SameRegion;
-  std::vector<std::string> OtherRegions;
-  auto Add = [&](const std::string &Address, const std::string &At) {
-    (At == Region ? SameRegion : OtherRegions).push_back(Address);
-  };
+std::string Gateway::directoryBody(const std::string &Host,
+                                   const std::string &Region) const {
+  std::vector<GatewayOffer> Offers;
   if (ready())
-    Add(addressText(Settings.Callers), Settings.Process.Region);
+    Offers.push_back({addressText(Settings.Callers), Settings.Process.Region});
   for (const auto &[Address, Other] : Node.liveGateways())
     if (Other.Ready && !Other.Draining)
-      Add(Other.CallerAddress,
-          Node.Gateways.Records.at(Address).Description.Region);
-  const std::vector<std::string> &Chosen =
-      SameRegion.empty() ? OtherRegions : SameRegion;
+      Offers.push_back({Other.CallerAddress,
+                        Node.Gateways.Records.at(Address).Description.Region});
+  const bool HasOwnRegion =
+      std::any_of(Offers.begin(), Offers.end(), [&](const GatewayOffer &Each) {
+        return Each.Region == Region;
+      });
+  const RegionLimit Preferred = HasOwnRegion || !Routes
+                                    ? RegionLimit()
+                                    : regionsOfHost(Routes->Content, Host);
+  const std::vector<std::string> Chosen =
+      selectGateways(Offers, Region, Preferred);
   return Chosen.empty()
              ? std::string()
              : platform::makeDirectoryResponse(Chosen, Settings.DirectoryTime);
@@ -241,6 +250,9 @@
       if (Found != Items.end())
         recordDeclaredVersion(Found->second);
       break;
+    case platform::ItemKind::Evacuation:
+      updateEvacuation(Key);
+      break;
     case platform::ItemKind::Server:
       updateServer(Key);
       break;
@@ -292,9 +304,46 @@
                   {"customers", std::to_string(Parsed->Customers.size())},
                   {"store_era", std::to_string(Item.Era)},
                   {"store_revision", std::to_string(Item.ChangedRevision)}}});
+  std::set<std::string, std::less<>> Regions;
+  for (const auto &[Domain, Region] : Settings.Process.RegionOf)
+    Regions.insert(Region);
+  for (const std::string &Region : unknownRegions(*Parsed, Regions))
+    Node.Log.write({.Level = LogLevel::Warning,
+                    .Event = "region_limit_invalid",
+                    .At = Step::ConfigurationAccept,
+                    .Number = Parsed->ConfigRevision,
+                    .Fields = {{"region", Region}}});
+  Servers.ColdLimits.clear();
+  for (const auto &[Name, Pool] : Parsed->Pools)
+    if (Pool.ColdRequestsPerSecond > 0)
+      Servers.ColdLimits[Name] = {Pool.ColdRequestsPerSecond, Pool.ColdTime};
   Routes = makeRouteTable(std::move(*Parsed));
 }
 
+void Gateway::updateEvacuation(const std::string &Key) {
+  const std::string Domain(platform::evacuatedDomain(Key));
+  const auto &Items = Node.Store.mirror().Items;
+  const auto Found = Items.find(Key);
+  const bool IsEvacuated = Found != Items.end();
+  if (!setEvacuated(Servers, Domain, IsEvacuated, now()))
+    return;
+  const auto Region = Settings.Process.RegionOf.find(Domain);
+  const bool IsKnown = Region != Settings.Process.RegionOf.end();
+  Node.Log.write(
+      {.Level = IsKnown ? LogLevel::Info : LogLevel::Warning,
+       .Event = IsEvacuated ? "evacuation_started" : "evacuation_ended",
+       .At = Step::MemberList,
+       .Number = IsEvacuated ? std::optional(Found->second.ChangedRevision)
+                             : std::nullopt,
+       .Fields = {{"failure_domain", Domain},
+                  {"region", IsKnown ? Region->second : "unknown"}}});
+  Node.ProcessMetrics
+      .gauge("marigoldyard_evacuated_domains",
+             "Failure domains whose servers get no requests")
+      .set(static_cast<double>(Servers.Evacuated.size()));
+  rejectUnservable();
+}
+
 void Gateway::updateServer(const std::string &Key) {
   const auto &Items = Node.Store.mirror().Items;
   const auto Found = Items.find(Key);
@@ -325,7 +374,17 @@
          .At = Step::MemberList,
          .Peer = Record->Address,
          .Fields = {{"server", Id}, {"pool", Record->Pool}}});
+  const bool WasCold = isCold(Servers, Id, now());
   putServer(Servers, *Record);
+  recordServerColdness(Servers, *Record, now());
+  const bool IsCold = isCold(Servers, Id, now());
+  if (WasCold != IsCold && Servers.ColdLimits.contains(Record->Pool))
+    Node.Log.write(
+        {.Event = IsCold ? "server_cold" : "server_warm",
+         .At = Step::MemberList,
+         .Peer = Record->Address,
+         .Fields = {{"server", Id},
+                    {"remaining_s", formatSeconds(Record->ColdFor)}}});
   recordRestart(Record->Address, Record->StartedAtMs);
 }
 
@@ -351,6 +410,9 @@
 bool Gateway::handleStatus(const GatewayStatus &Status) {
   for (const LoadedWeights &Each : Status.Required)
     requireReported({Each.Model, Each.Version});
+  recordGateway(Servers.Shares, Status.Sender.Name, now());
+  for (const std::string &Each : Status.Gateways)
+    recordGateway(Servers.Shares, Each, now());
   const Revision InForce = Routes ? Routes->Content.ConfigRevision : 0;
   return isLeftBehind(ConfigurationCatchUp, InForce, Status.ConfigRevision,
                       now());
@@ -462,15 +524,38 @@
   Query.Late = now() > Request.TargetDeadline;
   if (mustWait(Queue, Query.Pool, Request.Priority))
     return {{}, ServerShortage::Full};
+  Query.ReservedRegions = reservedRegions(Queue, Query.Pool, Request.Priority);
   return acquireForMove(Query, Request);
 }
 
+void Gateway::countSend(const ServerChoice &Choice,
+                        std::uint64_t PromptTokens) {
+  recordRequestStart(Servers, Choice.Id, PromptTokens);
+  recordSend(Servers, Choice.Id, now());
+  if (isCold(Servers, Choice.Id, now()))
+    Node.ProcessMetrics
+        .counter("marigoldyard_cold_requests_total",
+                 "Requests that were sent to cold servers")
+        .add();
+}
+
+void Gateway::countHeld(const ServerChoice &Choice) {
+  if (Choice.HeldByShare)
+    Node.ProcessMetrics
+        .counter("marigoldyard_cold_waits_total",
+                 "Times that a request got no server because this gateway had "
+                 "used up its share of the requests to cold servers")
+        .add();
+}
+
 ServerChoice Gateway::acquireForMove(const ServerRequirements &Query,
                                      const WaitingRequest &Request) {
   ServerChoice Choice = chooseServer(Servers, Query, now(), Node.Generator);
   if (Choice.Shortage == ServerShortage::None) {
-    recordRequestStart(Servers, Choice.Id, Query.PromptTokens);
+    countSend(Choice, Query.PromptTokens);
     recordUsage(Queue, Request.Customer, Request.Cost, now());
+  } else {
+    countHeld(Choice);
   }
   return Choice;
 }
@@ -484,7 +569,7 @@
   if (Choice.Shortage == ServerShortage::None)
     co_return Choice;
   if (cannotBeServed(Query, Request.ExpiresAt))
-    co_return ServerChoice{{}, ServerShortage::Refusing};
+    co_return ServerChoice{{}, unservableReason(Query)};
   const auto Ticket = enqueue(Queue, std::move(Request));
   if (!Ticket)
     co_return Choice;
@@ -560,6 +645,12 @@
   return Until && *Until >= ExpiresAt;
 }
 
+ServerShortage
+Gateway::unservableReason(const ServerRequirements &Query) const {
+  return hasAllowedServer(Servers, Query) ? ServerShortage::Refusing
+                                          : ServerShortage::NotAllowed;
+}
+
 void Gateway::rejectUnservable() {
   std::vector<std::uint64_t> Tickets;
   for (const auto &[Ticket, Request] : Queue.Waiting)
@@ -567,7 +658,7 @@
       Tickets.push_back(Ticket);
   for (const std::uint64_t Ticket : Tickets) {
     dequeue(Queue, Ticket);
-    completeWait(Ticket, {{}, ServerShortage::Refusing});
+    completeWait(Ticket, {{}, unservableReason(Waiters.at(Ticket).Query)});
   }
 }
 
@@ -584,15 +675,23 @@
 void Gateway::dispatchQueued(const std::string &Pool) {
   moveStreams(Pool);
   const TimePoint Now = now();
-  while (const WaitingRequest *Next = nextRequest(Queue, Pool, Now)) {
+  ReservedRegions Reserved;
+  while (const WaitingRequest *Next = nextRequest(Queue, Pool, Now, Reserved)) {
     const std::uint64_t Ticket = Next->Ticket;
     ServerRequirements &Query = Waiters.at(Ticket).Query;
     Query.Late = Now > Next->TargetDeadline;
+    Query.ReservedRegions = Reserved;
     ServerChoice Choice = chooseServer(Servers, Query, Now, Node.Generator);
-    if (Choice.Shortage != ServerShortage::None)
-      return;
+    if (Choice.Shortage != ServerShortage::None) {
+      if (!Next->AllowedRegions)
+        return;
+      // Requests that may use other regions do not wait for this one.
+      Reserved.insert(Next->AllowedRegions->begin(),
+                      Next->AllowedRegions->end());
+      continue;
+    }
     dequeue(Queue, Ticket);
-    recordRequestStart(Servers, Choice.Id, Query.PromptTokens);
+    countSend(Choice, Query.PromptTokens);
     completeWait(Ticket, std::move(Choice));
   }
 }
@@ -613,6 +712,7 @@
     LastMaintenanceAt = Now;
     Connections.closeExpired(Now);
     forgetCompletedRequests(Crashing, Now);
+    forgetGateways(Servers.Shares, Now);
     reloadSettings();
   }
   if (Now >= lastResponseAt())
@@ -705,10 +805,18 @@
     Run->expire();
 }
 
+void Gateway::setColdSettings() {
+  Servers.Shares.Settings.Overshoot = Settings.ColdOvershoot;
+  Servers.Shares.Settings.Reserve = Settings.ColdReserve;
+}
+
 void Gateway::reloadSettings() {
   if (auto Reloaded = File.readIfChanged()) {
     Settings.Process.Seeds = Reloaded->Process.Seeds;
     SharedRetries.Limit = {Reloaded->RetryShare, Reloaded->RetryReserve};
+    Settings.ColdOvershoot = Reloaded->ColdOvershoot;
+    Settings.ColdReserve = Reloaded->ColdReserve;
+    setColdSettings();
     Settings.DirectoryTime = Reloaded->DirectoryTime;
     Node.applySettings(Reloaded->Process);
     Node.Log.write({.Event = "settings_reloaded", .At = Step::Settings});
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -232,11 +232,18 @@
   boost::asio::awaitable<bool>
   serveLocalRequest(CallerSession &Session,
                     const platform::RequestMessage &Request);
-  std::string directoryBody(const std::string &Region) const;
+  std::string directoryBody(const std::string &Host,
+                            const std::string &Region) const;
 
   void handleStoreChange(const ChangedKeys &Keys);
   void applyConfiguration(const StoreItem &Item);
   void updateServer(const std::string &Key);
+  void updateEvacuation(const std::string &Key);
+  /// Counts a request that is about to be sent to a server.
+  void countSend(const ServerChoice &Choice, std::uint64_t PromptTokens);
+  /// Counts a request that gets no server because a share is used up.
+  void countHeld(const ServerChoice &Choice);
+  void setColdSettings();
   void recordDeclaredVersion(const StoreItem &Item);
   void logReadinessChange();
   void handleMessage(const Message &Incoming);
@@ -309,6 +316,8 @@
   VersionBoundSettings versionBound() const;
   bool cannotBeServed(const ServerRequirements &Query,
                       TimePoint ExpiresAt) const;
+  /// Why no server takes a request that cannot be served.
+  ServerShortage unservableReason(const ServerRequirements &Query) const;
   void rejectUnservable();
   void dispatchQueued();
   void dispatchQueued(const std::string &Pool);
--- a/programs/gateway/request_run.cpp
+++ b/programs/gateway/request_run.cpp
@@ -137,6 +137,7 @@
                          "",  "leaving", milliseconds(0)};
   Admitted = true;
   Owner.addRun(*this);
+  AllowedRegions = allowedRegions(*MatchedRoute, RequestCustomer);
   Pool = choosePool(*Table, *MatchedRoute, Owner.node().Generator);
   if (Pool == nullptr)
     return LocalResponse{
@@ -293,6 +294,7 @@
   Result.Cost =
       1 + RequestInfo.PromptTokens + OutputTokenCost * RequestInfo.OutputTokens;
   Result.ArrivalTime = ArrivalTime;
+  Result.AllowedRegions = AllowedRegions;
   // A retry of the caller has less time left than the route's timeout.
   const Duration TimeAlreadySpent =
       std::max(Duration::zero(),
@@ -341,6 +343,7 @@
   Query.PromptTokens = RequestInfo.PromptTokens;
   Query.TokensPerPass = Pool->PromptTokensPerPass;
   Query.Excluded = TriedServers;
+  Query.AllowedRegions = AllowedRegions;
   Query.MayQueueAtServer =
       requestPriority(*MatchedRoute, RequestCustomer) == MostUrgentPriority;
   if (HeadForwarded)
@@ -457,7 +460,8 @@
           Pool->Name,
           std::string(serverShortageName(Shortage)),
           retryAfter(Shortage == ServerShortage::Loading ||
-                             Shortage == ServerShortage::Absent
+                             Shortage == ServerShortage::Absent ||
+                             Shortage == ServerShortage::NotAllowed
                          ? RefusalCause::NotReady
                          : RefusalCause::Overload)};
 }
@@ -465,7 +469,10 @@
 Duration RequestRun::retryAfter(RefusalCause Cause) const {
   const TimePoint Now = now();
   const Duration Default = returnDelay(Cause, timeLeft());
-  const auto Until = refusedUntil(Owner.servers(), {.Pool = Pool->Name}, Now);
+  ServerRequirements Query;
+  Query.Pool = Pool->Name;
+  Query.AllowedRegions = AllowedRegions;
+  const auto Until = refusedUntil(Owner.servers(), Query, Now);
   if (!Until || *Until == TimePoint::max())
     return Default;
   // A server takes one request at first, so callers come back spread over the
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -205,6 +205,7 @@
   const Route *MatchedRoute = nullptr;
   const Customer *RequestCustomer = nullptr;
   const ServerPool *Pool = nullptr;
+  RegionLimit AllowedRegions; ///< of servers
   TimePoint Deadline{};
   bool IsTrial = false;               ///< of a blocked request
   std::optional<Digest> KnownDigest;  ///< set by contentDigest()
--- a/src/coordination/dispatch_queue.cpp
+++ b/src/coordination/dispatch_queue.cpp
@@ -34,6 +34,15 @@
     Queue.Usages.erase(Least);
 }
 
+/// Whether a request may use no region beside the reserved ones.
+bool isConfinedTo(const WaitingRequest &Request,
+                  const ReservedRegions &Reserved) {
+  return Request.AllowedRegions &&
+         std::includes(Reserved.begin(), Reserved.end(),
+                       Request.AllowedRegions->begin(),
+                       Request.AllowedRegions->end());
+}
+
 } // namespace
 
 std::optional<std::uint64_t> enqueue(DispatchQueue &Queue,
@@ -47,7 +56,8 @@
 }
 
 const WaitingRequest *nextRequest(const DispatchQueue &Queue,
-                                  std::string_view Pool, TimePoint Now) {
+                                  std::string_view Pool, TimePoint Now,
+                                  const ReservedRegions &Reserved) {
   const WaitingRequest *Best = nullptr;
   auto SortKey = [&](const WaitingRequest &Each) {
     return std::make_tuple(Now > Each.TargetDeadline, Each.Priority,
@@ -55,7 +65,7 @@
                            Each.Ticket);
   };
   for (const auto &[Ticket, Request] : Queue.Waiting)
-    if (Request.Pool == Pool &&
+    if (Request.Pool == Pool && !isConfinedTo(Request, Reserved) &&
         (Best == nullptr || SortKey(Request) < SortKey(*Best)))
       Best = &Request;
   return Best;
@@ -89,8 +99,18 @@
               std::uint32_t Priority) {
   return std::any_of(
       Queue.Waiting.begin(), Queue.Waiting.end(), [&](const auto &Each) {
-        return Each.second.Pool == Pool && Each.second.Priority <= Priority;
+        return Each.second.Pool == Pool && Each.second.Priority <= Priority &&
+               !Each.second.AllowedRegions;
       });
 }
 
+ReservedRegions reservedRegions(const DispatchQueue &Queue,
+                                std::string_view Pool, std::uint32_t Priority) {
+  ReservedRegions Result;
+  for (const auto &[Ticket, Each] : Queue.Waiting)
+    if (Each.Pool == Pool && Each.Priority <= Priority && Each.AllowedRegions)
+      Result.insert(Each.AllowedRegions->begin(), Each.AllowedRegions->end());
+  return Result;
+}
+
 } // namespace marigoldyard
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -15,6 +15,9 @@
 /// in another region: its requests use the link between regions, which has
 /// little bandwidth.
 constexpr double OtherRegionPenalty = 0.25;
+/// Added to the load of a server, as a share of its limit, that would crash by
+/// one more request if it turned cold now. It is used when no other has room.
+constexpr double ExhaustedSharePenalty = 2.0;
 
 ServerState *findServer(ServerTable &Table, const std::string &Id) {
   const auto Found = Table.Servers.find(Id);
@@ -172,6 +175,38 @@
   Server.DoubtedUntil = {};
 }
 
+bool isEvacuated(const ServerTable &Table, const ServerState &Server) {
+  return Table.Evacuated.contains(Server.Record.FailureDomain);
+}
+
+/// Whether a request may go to a server at all, at any time.
+bool isAllowed(const ServerTable &Table, const ServerState &Server,
+               const ServerRequirements &Requirements) {
+  return !isEvacuated(Table, Server) &&
+         isRegionAllowed(Requirements.AllowedRegions, Server.Region);
+}
+
+/// Limit for cold servers of the server's pool; null when there is none.
+const ColdLimit *coldLimit(const ServerTable &Table,
+                           const ServerState &Server) {
+  const auto Found = Table.ColdLimits.find(Server.Record.Pool);
+  return Found == Table.ColdLimits.end() ? nullptr : &Found->second;
+}
+
+ColdStanding standingOf(const ServerTable &Table, const ServerState &Server,
+                        TimePoint Now) {
+  const ColdLimit *Limit = coldLimit(Table, Server);
+  return Limit == nullptr ? ColdStanding::Open
+                          : coldStanding(Table.Shares, *Limit, Server.Cold,
+                                         Server.Record.Id, Now);
+}
+
+/// Records that a server has started or may have turned cold.
+void assumeCold(const ServerTable &Table, ServerState &Server, TimePoint Now) {
+  if (const ColdLimit *Limit = coldLimit(Table, Server))
+    recordColdStart(Server.Cold, *Limit, Now);
+}
+
 } // namespace
 
 void putServer(ServerTable &Table, const ServerRecord &Record) {
@@ -240,6 +275,7 @@
     resetHealth(*Server);
     endDoubts(*Server);
     Server->Record.StartedAtMs = EngineStatus.StartedAtMs;
+    assumeCold(Table, *Server, Now);
   }
   if (Now - Server->ContradictedAt >= Table.Settings.StatusDelay)
     endDoubts(*Server);
@@ -270,6 +306,8 @@
     return "refusing";
   case ServerShortage::Absent:
     return "absent";
+  case ServerShortage::NotAllowed:
+    return "not_allowed";
   }
   return "";
 }
@@ -292,7 +330,8 @@
     const ServerState &Server = Table.Servers.at(Id);
     if (Server.Record.Draining || Server.Replaced ||
         Requirements.Excluded.contains(Id) || Now < Server.BackoffUntil ||
-        !mayReceive(Server.Availability, Now))
+        !mayReceive(Server.Availability, Now) ||
+        !isAllowed(Table, Server, Requirements))
       continue;
     if (Now < Server.DoubtedUntil ||
         !hasWeights(Table, Server, Requirements, Now)) {
@@ -308,17 +347,25 @@
         Probing ? Server.InFlight : estimatedLoad(Table, Server);
     const bool Probed =
         Server.Availability.ProbeDue && Server.Availability.ProbeRunning;
-    if (Load >= Limit || Probed || prefillIsFull(Table, Server, Requirements)) {
+    const ColdStanding Standing = standingOf(Table, Server, Now);
+    const bool Reserved = Requirements.ReservedRegions.contains(Server.Region);
+    if (Load >= Limit || Probed || Reserved ||
+        Standing == ColdStanding::Closed ||
+        prefillIsFull(Table, Server, Requirements)) {
+      Choice.HeldByShare |= Load < Limit && Standing == ColdStanding::Closed;
       Report(ServerShortage::Full);
       continue;
     }
-    const double Score = loadScore(Table, Server, MeanFailureRate);
+    const double Score =
+        loadScore(Table, Server, MeanFailureRate) +
+        (Standing == ColdStanding::Exhausted ? ExhaustedSharePenalty : 0);
     Ties = Score == Best ? Ties + 1 : (Score < Best ? 1 : 0);
     if (Score < Best ||
         (Score == Best && std::uniform_int_distribution<std::uint32_t>(1, Ties)(
                               Generator) == 1)) {
       Best = Score;
-      Choice = {Id, ServerShortage::None};
+      Choice.Id = Id;
+      Choice.Shortage = ServerShortage::None;
     }
   }
   return Choice;
@@ -348,7 +395,48 @@
                 TimePoint Now) {
   const auto Found = Table.Servers.find(Id);
   return Found != Table.Servers.end() && !Found->second.Record.Draining &&
-         !Found->second.Replaced && mayReceive(Found->second.Availability, Now);
+         !Found->second.Replaced && !isEvacuated(Table, Found->second) &&
+         mayReceive(Found->second.Availability, Now);
+}
+
+bool hasAllowedServer(const ServerTable &Table,
+                      const ServerRequirements &Requirements) {
+  const auto Pool = Table.ByPool.find(Requirements.Pool);
+  if (Pool == Table.ByPool.end() || Pool->second.empty())
+    return true;
+  return std::any_of(
+      Pool->second.begin(), Pool->second.end(), [&](const std::string &Id) {
+        return isAllowed(Table, Table.Servers.at(Id), Requirements);
+      });
+}
+
+bool setEvacuated(ServerTable &Table, const std::string &Domain,
+                  bool IsEvacuated, TimePoint Now) {
+  const bool Changed = IsEvacuated ? Table.Evacuated.insert(Domain).second
+                                   : Table.Evacuated.erase(Domain) > 0;
+  if (Changed)
+    for (auto &[Id, Server] : Table.Servers)
+      if (Server.Record.FailureDomain == Domain)
+        assumeCold(Table, Server, Now);
+  return Changed;
+}
+
+void recordServerColdness(ServerTable &Table, const ServerRecord &Record,
+                          TimePoint Now) {
+  ServerState *Server = findServer(Table, Record.Id);
+  if (Server != nullptr && Record.StartedAtMs >= Server->Record.StartedAtMs)
+    recordColdness(Server->Cold, Record.ColdFor, Now);
+}
+
+bool isCold(const ServerTable &Table, const std::string &Id, TimePoint Now) {
+  const auto Found = Table.Servers.find(Id);
+  return Found != Table.Servers.end() && Now < Found->second.Cold.ColdUntil;
+}
+
+void recordSend(ServerTable &Table, const std::string &Id, TimePoint Now) {
+  ServerState *Server = findServer(Table, Id);
+  if (Server != nullptr && coldLimit(Table, *Server) != nullptr)
+    recordColdSend(Table.Shares, Server->Cold, Now);
 }
 
 bool isLeaving(const ServerTable &Table, const std::string &Id) {
@@ -369,7 +457,9 @@
     if (Server.Replaced)
       continue;
     const bool Excluded = Requirements.Excluded.contains(Id);
-    const bool Leaving = Server.Record.Draining || Server.Availability.Leaving;
+    const bool Leaving = Server.Record.Draining ||
+                         Server.Availability.Leaving ||
+                         !isAllowed(Table, Server, Requirements);
     if (Leaving || Now < Server.Availability.RefusesUntil) {
       const TimePoint End = Leaving || Excluded
                                 ? TimePoint::max()
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -16,6 +16,7 @@
 constexpr double MaxTimeMs = 3'600'000;
 constexpr double MaxDrainSeconds = 3600;
 constexpr double MaxRepeats = 1e6;
+constexpr double MaxColdFactor = 1e3;
 constexpr double MaxLinkMbps = 1e6;
 constexpr double BitsPerMegabit = 1e6;
 
@@ -139,6 +140,22 @@
      .Maximum = MaxRepeats,
      .Default = "10",
      .Help = "repeats that all gateways may send besides"},
+    {.Key = "cold_overshoot",
+     .Kind = ValueKind::Number,
+     .Unit = "requests a request",
+     .Minimum = 0,
+     .Maximum = MaxColdFactor,
+     .Default = "1",
+     .Help = "requests a second that all gateways may send to a cold server, "
+             "as a multiple of the rate in the pool's configuration"},
+    {.Key = "cold_reserve",
+     .Kind = ValueKind::Number,
+     .Unit = "requests/s",
+     .Minimum = 0,
+     .Maximum = MaxRepeats,
+     .Default = "0",
+     .Help = "requests a second that all gateways may send to a cold server "
+             "besides"},
 };
 
 constexpr KeyDescription StagerMembers[] = {
@@ -208,6 +225,8 @@
       std::chrono::seconds(Value.at("directory_time_s").get<std::int64_t>());
   Settings.RetryShare = Value.at("retry_share").get<double>();
   Settings.RetryReserve = Value.at("retry_reserve").get<double>();
+  Settings.ColdOvershoot = Value.at("cold_overshoot").get<double>();
+  Settings.ColdReserve = Value.at("cold_reserve").get<double>();
   Result.Value = std::move(Settings);
   return Result;
 }
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -216,9 +216,9 @@
         super().__init__(host, SERVER_PORT)
         self.register()
 
-    def register(self, state="ready"):
+    def register(self, state="ready", cold_ms=0):
         record = {"service": self.pool, "address": self.address, "zone": self.zone, "version": "v1", "slots": 4,
-                  "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": self.born}
+                  "state": state, "cold_remaining_ms": cold_ms, "sequence": 1, "born": self.born}
         if self.models is not None:
             record["models"] = [{"name": name, "version": version, "adapters": []}
                                 for name, version in self.models.items()]
--- a/tests/src/unit-coordination-dispatch_queue.cpp
+++ b/tests/src/unit-coordination-dispatch_queue.cpp
@@ -87,3 +87,44 @@
   // An active customer cannot clear its record by flooding with others.
   CHECK(Queue.Usages.contains("active"));
 }
+
+TEST_CASE("a full home region holds up no request that may go elsewhere") {
+  DispatchQueue Queue;
+  WaitingRequest AtHome = request(0);
+  AtHome.AllowedRegions.emplace().insert("home");
+  const auto Urgent = enqueue(Queue, AtHome);
+  const auto Second = enqueue(Queue, AtHome);
+  const auto Anywhere = enqueue(Queue, request(2));
+  CHECK(nextRequest(Queue, "engines", StartCommand)->Ticket == Urgent);
+  // The home region is full: its requests keep their places there.
+  const ReservedRegions Full{"home"};
+  CHECK(nextRequest(Queue, "engines", StartCommand, Full)->Ticket == Anywhere);
+  dequeue(Queue, *Anywhere);
+  CHECK(nextRequest(Queue, "engines", StartCommand, Full) == nullptr);
+  CHECK(nextRequest(Queue, "engines", StartCommand)->Ticket == Urgent);
+  dequeue(Queue, *Urgent);
+  CHECK(nextRequest(Queue, "engines", StartCommand)->Ticket == Second);
+}
+
+TEST_CASE("a new request leaves the regions of more urgent ones to them") {
+  DispatchQueue Queue;
+  WaitingRequest AtHome = request(1);
+  AtHome.AllowedRegions.emplace().insert({"home", "near"});
+  enqueue(Queue, AtHome);
+  CHECK_FALSE(mustWait(Queue, "engines", 1));
+  CHECK(reservedRegions(Queue, "engines", 1) ==
+        ReservedRegions{"home", "near"});
+  CHECK(reservedRegions(Queue, "engines", 0).empty());
+  CHECK(reservedRegions(Queue, "other", 1).empty());
+  enqueue(Queue, request(1));
+  CHECK(mustWait(Queue, "engines", 1));
+}
+
+TEST_CASE("a request that no region may serve is passed over") {
+  DispatchQueue Queue;
+  WaitingRequest Nowhere = request(0);
+  Nowhere.AllowedRegions.emplace();
+  enqueue(Queue, Nowhere);
+  const auto Anywhere = enqueue(Queue, request(2));
+  CHECK(nextRequest(Queue, "engines", StartCommand)->Ticket == Anywhere);
+}
--- a/tests/src/unit-platform-store_format.cpp
+++ b/tests/src/unit-platform-store_format.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_format.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace marigoldyard;
@@ -253,3 +254,67 @@
   CHECK_FALSE(platform::parseDeclaredVersion(R"({"model":"m"})"));
   CHECK_FALSE(platform::parseDeclaredVersion("2"));
 }
+
+TEST_CASE("regions and cold servers are translated") {
+  const auto Parsed = platform::parseFleetConfiguration(
+      R"({"version":7,"routes":[
+ {"host":"a","path_prefix":"/x/","kind":"idempotent","service":"s",
+  "allowed_regions":["north","south"]},
+ {"host":"a","path_prefix":"/y/","kind":"idempotent","service":"s",
+  "allowed_regions":[]},
+ {"host":"a","path_prefix":"/z/","kind":"idempotent","service":"s"}],
+ "services":[{"name":"s","cold_start_s":3.0,"cold_per_s":17.0},
+             {"name":"odd","cold_start_s":-1e300,"cold_per_s":"many"}],
+ "tenants":[{"name":"t","api_keys":[],"allowed_regions":["south"]}]})");
+  REQUIRE(Parsed);
+  const auto Regions = [](std::set<std::string, std::less<>> Names) {
+    return RegionLimit(std::move(Names));
+  };
+  CHECK(Parsed->Routes[0].AllowedRegions == Regions({"north", "south"}));
+  CHECK_FALSE(Parsed->Routes[1].AllowedRegions);
+  CHECK_FALSE(Parsed->Routes[2].AllowedRegions);
+  CHECK(Parsed->Customers[0].AllowedRegions == Regions({"south"}));
+  CHECK(Parsed->Pools.at("s").ColdTime == 3s);
+  CHECK(Parsed->Pools.at("s").ColdRequestsPerSecond == 17);
+  CHECK(Parsed->Pools.at("odd").ColdTime == 0s);
+  CHECK(Parsed->Pools.at("odd").ColdRequestsPerSecond == 0);
+}
+
+TEST_CASE("what is no list of regions allows none") {
+  for (const std::string_view Text :
+       {R"("north")", "7", "null", "{}", R"([7,null])", R"([""])", "[[]]"}) {
+    CAPTURE(Text);
+    const auto Parsed = platform::parseFleetConfiguration(
+        R"({"version":7,"services":[],"routes":[{"host":"a",
+"path_prefix":"/x/","kind":"idempotent","service":"s","allowed_regions":)" +
+        std::string(Text) + "}]}");
+    REQUIRE(Parsed);
+    REQUIRE(Parsed->Routes[0].AllowedRegions);
+    CHECK(std::none_of(Parsed->Routes[0].AllowedRegions->begin(),
+                       Parsed->Routes[0].AllowedRegions->end(),
+                       [](const std::string &Region) {
+                         return Region.empty() || Region == "7";
+                       }));
+  }
+  // Valid elements still count beside invalid ones.
+  const auto Mixed = platform::parseFleetConfiguration(
+      R"({"version":7,"services":[],"routes":[{"host":"a","path_prefix":"/x/",
+"kind":"idempotent","service":"s","allowed_regions":["north",7]}]})");
+  REQUIRE(Mixed);
+  CHECK(Mixed->Routes[0].AllowedRegions->contains("north"));
+}
+
+TEST_CASE("an evacuation names its domain") {
+  CHECK(platform::itemKind("op/evacuate/d1") == platform::ItemKind::Evacuation);
+  CHECK(platform::evacuatedDomain("op/evacuate/d1") == "d1");
+  CHECK_FALSE(platform::mayExpire("op/evacuate/d1"));
+}
+
+TEST_CASE("a record tells for how long its server stays cold") {
+  std::string Text(Server);
+  Text.replace(Text.find("\"cold_remaining_ms\":0"), 21,
+               "\"cold_remaining_ms\":2500");
+  const auto Record = platform::parseServerRecord("servers/i-1", Text);
+  REQUIRE(Record);
+  CHECK(Record->ColdFor == 2500ms);
+}
