Let few gateways of a region read the store when a whole fleet starts

Cause: with a large configuration each gateway read the whole store over the shared link of its region. A call was ended after 2 s as a whole and started again from nothing, and relays of the whole content were requested again every 300 ms while earlier ones were on their way. One relay is on its way at a time; only readers ask other regions; a gateway sends few large relays at once and none twice.

--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -85,7 +85,7 @@
             Context, Client, Log,
             [this](const ChangedKeys &Keys) { Handlers.StoreChanged(Keys); }),
       Self(describeSelf(Settings, Kind)),
-      RelayPrefix(std::move(Use.RelayPrefix)) {
+      RelayPrefix(std::move(Use.RelayPrefix)), StartedAt(now()) {
   Gateways.Settings = gatewayMembershipSettings();
   Gateways.Settings.Region = Settings.Region;
 }
@@ -132,6 +132,7 @@
   };
   Callbacks.ConnectionLost = [this](const std::string &Peer) {
     boost::asio::post(Context, [this, Host = hostPart(Peer)] {
+      recordRelayLost(Relays, Host, now());
       if (Handlers.PeerLost)
         Handlers.PeerLost(Host);
     });
@@ -266,6 +267,7 @@
                  std::get_if<StoreRelayRequest>(&Incoming.Content)) {
     handleRelayRequest(Peer, *RelayRequest);
   } else if (const auto *Relay = std::get_if<StoreRelay>(&Incoming.Content)) {
+    recordRelayArrived(Relays, Peer);
     Store.applyRelay(*Relay);
   } else {
     Handlers.Received(Incoming);
@@ -299,7 +301,8 @@
                              Status.KnownUpto};
   UncontactedGateways.erase(Peer);
   if (Handlers.StatusReceived && Handlers.StatusReceived(Status))
-    AheadGateway = Peer;
+    if (AheadGateway.empty() || isInOtherRegion(AheadGateway))
+      AheadGateway = Peer;
   // The sender may know more gateways than this process does yet.
   Gateways.Settings.RemoteSuspicionTimeout =
       MissedReports *
@@ -332,6 +335,11 @@
   for (StoreItem &Item : itemsAfter(Store.mirror(), Request.After))
     if (Item.Key.starts_with(Request.Prefix))
       Relay.Items.push_back(std::move(Item));
+  std::size_t Bytes = 0;
+  for (const StoreItem &Item : Relay.Items)
+    Bytes += Item.Key.size() + Item.Value.size();
+  if (!maySendRelay(RelaysToOthers, Peer, Bytes, now()))
+    return;
   Log.write({.Event = "store_relayed",
              .At = Step::ConfigurationRelay,
              .Peer = Peer,
@@ -343,35 +351,57 @@
   send(Peer, std::move(Relay));
 }
 
+bool FleetNode::mayUseLink(Duration SinceNeeded) const {
+  // What a stager reads is small.
+  if (Self.Kind != MemberKind::Entry)
+    return true;
+  std::vector<StartupNeighbour> Neighbours;
+  for (const auto &[Address, Gateway] : liveGateways())
+    if (!isInOtherRegion(Address))
+      Neighbours.push_back(
+          {Address, Gateway.LatestPosition > Store.mirror().Position});
+  return mayReadAll({}, Settings.Region, Settings.Address, Neighbours,
+                    SinceNeeded);
+}
+
 void FleetNode::requestRelay() {
   const TimePoint Now = now();
   // A process that has just started does not wait for the store's timeout.
   const bool Needed = !Store.isInitialized() || Store.isUnreachable(Now);
   const bool IsBehind = Store.isInitialized() && !AheadGateway.empty();
-  if ((!Needed && !IsBehind) || Now - RelayRequestedAt < RelayInterval)
-    return;
-  RelayRequestedAt = Now;
-  if (IsBehind) {
-    // What it lacks may be older than its position: a store that was restored
-    // no longer has it.
-    const std::string Gateway = std::exchange(AheadGateway, {});
-    send(Gateway, StoreRelayRequest{{}, RelayPrefix});
+  if (!Needed && !IsBehind) {
+    LacksContentSince.reset();
     return;
   }
-  std::string NewestGateway;
-  StorePosition Newest = Store.mirror().Position;
+  if (!LacksContentSince)
+    LacksContentSince = Now;
+  std::vector<RelaySource> Sources;
   for (const auto &[Address, Gateway] : liveGateways())
-    if (Gateway.LatestPosition > Newest) {
-      Newest = Gateway.LatestPosition;
-      NewestGateway = Address;
-    }
-  if (!NewestGateway.empty())
-    send(NewestGateway,
-         StoreRelayRequest{Store.mirror().Position, RelayPrefix});
+    if (!IsBehind || Address == AheadGateway)
+      Sources.push_back(
+          {Address, Gateway.LatestPosition, !isInOtherRegion(Address)});
+  if (IsBehind && Sources.empty()) {
+    AheadGateway.clear(); // it has ended
+    return;
+  }
+  // What it lacks may be older than its position: a store that was restored
+  // no longer has it.
+  const StorePosition Known =
+      IsBehind ? StorePosition{} : Store.mirror().Position;
+  const auto Source = requestRelayFrom(Relays, Sources, Known,
+                                       mayUseLink(Now - *LacksContentSince),
+                                       Settings.Address, Now);
+  if (!Source)
+    return;
+  if (IsBehind)
+    AheadGateway.clear();
+  send(*Source, StoreRelayRequest{Known, RelayPrefix});
 }
 
 void FleetNode::tick() {
   Store.expireItems();
+  if (!Store.isInitialized())
+    Store.setReading(mayUseLink(now() - StartedAt));
   requestRelay();
   for (const std::string &RemovedGateway : removeDeadMembers(Gateways, now())) {
     ContactedGateways.erase(RemovedGateway);
--- a/programs/fleet/fleet_node.hpp
+++ b/programs/fleet/fleet_node.hpp
@@ -2,6 +2,7 @@
 
 #include "marigoldyard/coordination/membership.hpp"
 #include "marigoldyard/coordination/peer_contact.hpp"
+#include "marigoldyard/coordination/startup_reader.hpp"
 #include "marigoldyard/protocol/fleet_settings.hpp"
 #include "marigoldyard/protocol/message.hpp"
 #include "marigoldyard/transport/http_client.hpp"
@@ -81,9 +82,6 @@
   /// messages are detected well within the time for which callers keep an
   /// address.
   static constexpr std::chrono::milliseconds StatusInterval{400};
-  /// @brief Interval between relay requests while the store is unreachable.
-  static constexpr std::chrono::milliseconds RelayInterval{300};
-
   /// @param Settings validated settings
   /// @param Kind Entry for gateways, Endpoint for stagers
   /// @param Use which keys are read from the store
@@ -171,6 +169,9 @@
   /// Requests what a gateway knows while the store is unreachable, or once
   /// when a gateway knows what this process lacks.
   void requestRelay();
+  /// Whether this process uses the link between regions for content that a
+  /// neighbour could read.
+  bool mayUseLink(Duration SinceNeeded) const;
 
   const Member Self;
   const std::string RelayPrefix;
@@ -183,7 +184,10 @@
   std::unique_ptr<Mailbox> PeerMailbox;
   std::unique_ptr<Mailbox> BulkMailbox;
   std::unique_ptr<HttpServer> OperatorServer;
-  TimePoint RelayRequestedAt{};
+  const TimePoint StartedAt;
+  RelayRequests Relays;
+  SentRelays RelaysToOthers;
+  std::optional<TimePoint> LacksContentSince; ///< content that others know
   std::string AheadGateway; ///< that knows more of the store; empty if none
 };
 
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -5,6 +5,7 @@
 #include "platform/store_format.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldyard {
 
@@ -49,6 +50,23 @@
                                                    UnreachableTimeout;
 }
 
+void StoreReader::setReading(bool MayRead) {
+  if (Initialized || Deferred != MayRead)
+    return;
+  Deferred = !MayRead;
+  Log.write({.Event = Deferred ? "store_read_deferred" : "store_read_resumed",
+             .At = Step::ConfigurationRead,
+             .Peer = "store"});
+  if (!Deferred) {
+    LastResponseAt = now();
+    return requestListing();
+  }
+  ++ListingNumber;
+  Listing.cancel();
+  Timer.cancel();
+  ListedItems.clear();
+}
+
 void StoreReader::applyRelay(const StoreRelay &Relay) {
   if (Relay.Upto > Mirror.Position)
     ++RelaysSinceResponse;
@@ -61,6 +79,13 @@
                .Fields = {{"era", std::to_string(Relay.Upto.Era)}}});
   }
   Initialized = true;
+  if (std::exchange(Deferred, false)) {
+    // The relay is complete, so that only what follows it is read.
+    ListingDue = false;
+    LastResponseAt = now();
+    scheduleCall(std::chrono::milliseconds::zero(),
+                 &StoreReader::requestChanges);
+  }
   notifyChanges(Keys);
 }
 
@@ -86,11 +111,14 @@
 void StoreReader::requestListing() {
   if (ListedItems.empty())
     CallSentAt = now();
-  Client.call(platform::makeListCall(
-                  Options.Address, Options.Prefix,
-                  ListedItems.empty() ? std::string() : ListedItems.back().Key,
-                  false),
-              [this](const HttpResult &Result) { handleListing(Result); });
+  Listing = Client.call(
+      platform::makeListCall(
+          Options.Address, Options.Prefix,
+          ListedItems.empty() ? std::string() : ListedItems.back().Key, false),
+      [this, Number = ++ListingNumber](const HttpResult &Result) {
+        if (Number == ListingNumber)
+          handleListing(Result);
+      });
 }
 
 void StoreReader::handleListing(const HttpResult &Result) {
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -54,6 +55,11 @@
   /// @brief Applies items that another process relayed.
   void applyRelay(const StoreRelay &Relay);
 
+  /// @brief Lets another process read the store first, or reads it after all.
+  /// It has an effect until complete content is known.
+  /// @param MayRead whether this process reads the store itself
+  void setReading(bool MayRead);
+
   /// @brief Removes items that expired while the store was unreachable. Must be
   /// called regularly.
   void expireItems();
@@ -105,7 +111,10 @@
   ChangeHandler OnChange;
   StoreMirror Mirror;
   bool Initialized = false;
-  bool ListingDue = true; ///< the next call is a listing
+  bool Deferred = false; ///< waits for the content that others read
+  HttpCallHandle Listing;
+  std::uint64_t ListingNumber = 0; ///< results of earlier ones are dropped
+  bool ListingDue = true;          ///< the next call is a listing
   std::vector<StoreItem> ListedItems;
   StorePosition ListedAt;  ///< position of the first page
   StoreEra WatchedEra = 0; ///< of the position after which is watched
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -238,6 +238,9 @@
 }
 
 void Gateway::handleStoreChange(const ChangedKeys &Keys) {
+  // Neighbours that wait for the content ask as soon as they know of it.
+  if (!std::exchange(KnowsContent, true))
+    LastStatusAt = {};
   const auto &Items = Node.Store.mirror().Items;
   for (const std::string &Key : Keys) {
     const auto Found = Items.find(Key);
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -345,7 +345,8 @@
   std::set<RequestRun *> Runs; ///< in progress
   /// Streams at servers that are about to load, oldest first.
   std::vector<RequestRun *> LeavingStreams;
-  bool LoggedReady = false; ///< readiness as last logged
+  bool LoggedReady = false;  ///< readiness as last logged
+  bool KnowsContent = false; ///< of the store
   /// A stager from which a message arrived recently.
   struct KnownStager {
     TimePoint LastMessageAt{};
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -51,6 +51,22 @@
         self.end_headers()
         self.wfile.write(data)
 
+    def answer_in_parts(self, body, seconds, parts=20):
+        """A sound answer over a link that takes so long for it."""
+        data = json.dumps(body).encode()
+        self.send_response(200)
+        for name, value in self.more_headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        size = len(data) // parts + 1
+        try:
+            for start in range(0, len(data), size):
+                time.sleep(seconds / parts)
+                self.wfile.write(data[start:start + size])
+        except OSError:
+            self.close_connection = True  # the reader has left
+
     def write_without_end(self):
         """A head, and a body until the peer closes."""
         self.close_connection = True
@@ -106,6 +122,7 @@
         self.delays = {}  # seconds by which answers to a client are late
         self.forgotten = 0  # revision up to which the history is lost
         self.era, self.away = 1, False
+        self.listing_s = 0  # time in which a listing is sent, a part after the other
         super().__init__(host, STORE_PORT)
 
     def address_for(self, client):
@@ -170,10 +187,12 @@
         path, _, query = request.path.partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&"))
         prefix = fields.get("path_prefix", "")
-        with self.lock:
-            if path.endswith("kv-range"):
+        if path.endswith("kv-range"):
+            with self.lock:
                 found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
-                return request.answer(200, {"items": found, "truncated": False, "store_revision": self.revision})
+                listing = {"items": found, "truncated": False, "store_revision": self.revision}
+            return request.answer_in_parts(listing, self.listing_s)
+        with self.lock:
             after = int(fields["after"])
             if after < self.forgotten or after > self.revision:
                 return request.answer(410, {})
