Take a response whose status is none for a broken one

Cause: the parser of responses accepts any three digits as a status. A server that answered 000, 001, 099, 600, 700 or 999 with a valid signature reached the caller as it was, and "Not-Executed" beside such a status was believed. In calls to the store, the origin and model servers it was a response like others: an order that may have been accepted counted as refused. A load header with a negative or huge number made its server look idle. Change: a status outside 100 to 599 ends the exchange as an invalid response: nothing is known about the request, the server is suspected, and the caller gets 502 unless the request may be repeated. The HTTP client fails such calls.

--- a/include/marigoldyard/transport/http_message.hpp
+++ b/include/marigoldyard/transport/http_message.hpp
@@ -30,6 +30,15 @@
   }
 };
 
+/// @brief Whether a number is the status of a response. Parsers take any three
+/// digits; with others a server in trouble has sent no response.
+/// @param Status number of the status line
+inline constexpr bool isValidStatus(unsigned Status) {
+  constexpr unsigned Lowest = 100;
+  constexpr unsigned Highest = 599;
+  return Status >= Lowest && Status <= Highest;
+}
+
 /// @brief A whole response.
 struct HttpResponse {
   unsigned Status = 200;
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/coordination/response_match.hpp"
 #include "marigoldyard/transport/clock.hpp"
 #include "marigoldyard/transport/endpoint.hpp"
+#include "marigoldyard/transport/http_message.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -368,6 +369,9 @@
     if (SkippedBytes > MaxSkippedBytes)
       co_return endlessResult();
     const unsigned Status = ResponseParser.get().result_int();
+    // Nothing in such a head is believed, not even that it was not run.
+    if (!isValidStatus(Status))
+      co_return corruptResult("invalid status " + std::to_string(Status));
     if (Status / 100 == 1)
       continue;
     const platform::ServerResponse Head =
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -204,7 +204,10 @@
     return fail(ErrorCode::InvalidMessage, "too many interim responses");
   const auto &Head = Incoming->get();
   Response.Status = Head.result_int();
-  if (Response.Status >= 100 && Response.Status < 200)
+  if (!isValidStatus(Response.Status))
+    return fail(ErrorCode::InvalidMessage,
+                "invalid status " + std::to_string(Response.Status));
+  if (Response.Status < 200)
     return readHeader();
   for (const auto &Field : Head)
     Response.Headers.emplace(lowerCase(Field.name_string()), Field.value());
--- a/tests/src/unit-platform-request_format.cpp
+++ b/tests/src/unit-platform-request_format.cpp
@@ -186,3 +186,42 @@
   CHECK(platform::isReadinessCheck("/marigoldyard/ready"));
   CHECK_FALSE(platform::isReadinessCheck("/marigoldyard/resolve"));
 }
+
+// Guards against a server whose odd numbers make it look idle, so that it draws
+// one request after the other.
+TEST_CASE("a load with a number that cannot be is no report") {
+  for (const std::string_view Text :
+       {"-1,0,4", "4294967296,0,4", "4294967295,4294967295,4", "1,0", "a,b,c",
+        "1,,4", "18446744073709551616,0,4", "1 2,0,4", ","}) {
+    CAPTURE(Text);
+    platform::Fields Headers;
+    Headers.set("Server-Load", {Text.data(), Text.size()});
+    CHECK_FALSE(platform::decodeServerResponse(200, Headers).Load);
+  }
+}
+
+TEST_CASE("the fourth figure of a load tells how slow the server is") {
+  const auto SlownessOf = [](std::string_view Text) {
+    platform::Fields Headers;
+    Headers.set("Server-Load", {Text.data(), Text.size()});
+    const auto Load = platform::decodeServerResponse(200, Headers).Load;
+    REQUIRE(Load);
+    CHECK(Load->Running == 3);
+    return Load->Slowness;
+  };
+  CHECK(SlownessOf("3,1,8,250") == 2.5);
+  CHECK(SlownessOf("3, 1, 8, 100") == 1.0);
+  CHECK_FALSE(SlownessOf("3,1,8"));
+  for (const std::string_view Odd : {"3,1,8,0", "3,1,8,-5", "3,1,8,1e9",
+                                     "3,1,8,99999999", "3,1,8,", "3,1,8,x"})
+    CHECK_FALSE(SlownessOf(Odd));
+}
+
+// Guards against sums of token counts that overflow.
+TEST_CASE("huge token counts of a caller are limited") {
+  platform::Fields Headers;
+  Headers.set("Token-Counts", "18446744073709551615,-1");
+  const auto Request = platform::decodeCallerRequest(Headers);
+  CHECK(Request.PromptTokens == 1UL << 30);
+  CHECK(Request.OutputTokens == 0);
+}
