Close the gaps that a review of regions, cold servers and fleet start found

A gateway that knows few others took too large a share of a cold server; one that stood still believed old records; the doubled share after a cold phase went before servers with room. A relayed start kept items that its sender only held, accepted relays of an earlier process, and let a listing go on beside it; in the first 0.3 s every process asked other regions. A limited stream held up the moves of others. Change: shares are divided by the gateways that all regions may have, and by 32 where nobody was heard of; a pause makes every server possibly cold for 2 s. A relay of the whole content leaves out held items, counts only if it was asked for, and ends the own listing. Only readers ask other regions. Moves pass over a limited stream that waits. A request without any allowed region is rejected. Not changed: a silent store is noticed up to 2 s later while a connection to it opens, and readiness does not wait for the shares.

--- a/include/marigoldyard/coordination/cold_share.hpp
+++ b/include/marigoldyard/coordination/cold_share.hpp
@@ -36,6 +36,13 @@
   /// which gateways there are.
   Duration StartupTime = std::chrono::seconds(3);
   std::size_t MaxGateways = 1024; ///< limits the memory of the table
+  /// Number of gateways that a process assumes which has not heard of any.
+  std::size_t UnknownGateways = 32;
+  /// Regions of the deployment. Each is taken to have as many gateways as the
+  /// largest that is known, since a process may start without contact to them.
+  std::size_t Regions = 1;
+  /// Time after a pause of this process in which every server may be cold.
+  Duration PauseUncertainty = std::chrono::seconds(2);
 };
 
 /// @brief The gateways among which the bound of a cold server is divided.
@@ -47,13 +54,17 @@
   struct KnownGateway {
     std::uint64_t NameHash = 0;
     TimePoint LastHeardAt{};
+    std::string Region; ///< empty until it has sent a message
   };
 
   ColdShareSettings Settings;
   std::string Self;
   TimePoint StartedAt{};
+  std::string Region; ///< of this process
   /// By name; without this process.
   std::map<std::string, KnownGateway, std::less<>> Others;
+  TimePoint LastMessageAt{};  ///< of any gateway
+  TimePoint UncertainUntil{}; ///< every server may be cold until then
 };
 
 /// @brief Requests of this process to one server.
@@ -65,18 +76,31 @@
 /// @brief Whether this process may send one more request to a server.
 enum class ColdStanding : std::uint8_t {
   Open,      ///< the share is not used up, or there is none
-  Exhausted, ///< it is used up; the server is not known to be cold
+  Exhausted, ///< it is used up, and the server may turn cold at any moment
   Closed,    ///< it is used up, and the server is cold
 };
 
 /// @brief Records that a gateway runs, or that another one has heard of it.
 /// @param Name a new one is left out when the table is full
+/// @param Region of a gateway that has sent a message; empty when another one
+/// has told of it
 /// @complexity logarithmic in the number of gateways
-void recordGateway(ColdShares &Shares, const std::string &Name, TimePoint Now);
+void recordGateway(ColdShares &Shares, const std::string &Name,
+                   std::string_view Region, TimePoint Now);
 
-/// @brief Forgets the gateways that were not heard of for long.
+/// @brief Records that this process stood still. What it knows of the servers
+/// is older than it seems.
+void recordPause(ColdShares &Shares, TimePoint Now);
+
+/// @brief Returns the number of gateways among which a bound is divided: those
+/// that are known, or more if regions may be missing.
+/// @complexity linear in the number of gateways
+std::size_t sharingGateways(const ColdShares &Shares);
+
+/// @brief Forgets the gateways that were not heard of for long while others
+/// were. A process that hears of nobody keeps its list.
 /// @complexity linear in the number of gateways
-void forgetGateways(ColdShares &Shares, TimePoint Now);
+void forgetGateways(ColdShares &Shares);
 
 /// @brief Returns the part of this process in the requests to a cold server.
 /// @param Limit of the pool
@@ -105,8 +129,8 @@
 ///
 /// A server may turn cold at any moment, and this becomes known some seconds
 /// later, so that the share is counted for servers that are not cold too. After
-/// a server was cold, its limit is doubled for a time that differs between
-/// servers, so that not all servers of a domain are released at once.
+/// a server was cold, at most twice its share is sent for a time that differs
+/// between servers, so that not all of a domain are released at once.
 /// @param Limit of the pool
 /// @param Server id of the server
 /// @complexity linear in the number of gateways
--- a/include/marigoldyard/coordination/placement.hpp
+++ b/include/marigoldyard/coordination/placement.hpp
@@ -47,7 +47,7 @@
 unknownRegions(const FleetConfiguration &Configuration,
                const std::set<std::string, std::less<>> &Known);
 
-/// @brief Orders the gateways that the directory names to callers.
+/// @brief A gateway that the directory may name to callers.
 struct GatewayOffer {
   std::string Address; ///< for callers
   std::string Region;
--- a/include/marigoldyard/coordination/startup_reader.hpp
+++ b/include/marigoldyard/coordination/startup_reader.hpp
@@ -100,11 +100,6 @@
 /// @param Source gateway that sent it
 void recordRelayArrived(RelayRequests &Requests, std::string_view Source);
 
-/// @brief Records that the connection to a gateway was lost, with what was on
-/// its way.
-void recordRelayLost(RelayRequests &Requests, std::string_view Source,
-                     TimePoint Now);
-
 /// @brief Relays that this process sent, so that a process that asks again does
 /// not get a second copy of a large one.
 struct SentRelays {
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -132,7 +132,6 @@
   };
   Callbacks.ConnectionLost = [this](const std::string &Peer) {
     boost::asio::post(Context, [this, Host = hostPart(Peer)] {
-      recordRelayLost(Relays, Host, now());
       if (Handlers.PeerLost)
         Handlers.PeerLost(Host);
     });
@@ -267,6 +266,10 @@
                  std::get_if<StoreRelayRequest>(&Incoming.Content)) {
     handleRelayRequest(Peer, *RelayRequest);
   } else if (const auto *Relay = std::get_if<StoreRelay>(&Incoming.Content)) {
+    // One that was asked for before a restart is not the whole content.
+    if (!Store.isInitialized() && Relays.Pending != Peer &&
+        Relays.Failed != Peer)
+      return;
     recordRelayArrived(Relays, Peer);
     Store.applyRelay(*Relay);
   } else {
@@ -300,9 +303,12 @@
   ContactedGateways[Peer] = {Status.CallerAddress, Status.Ready, Status.Leaving,
                              Status.KnownUpto};
   UncontactedGateways.erase(Peer);
-  if (Handlers.StatusReceived && Handlers.StatusReceived(Status))
+  if (Handlers.StatusReceived && Handlers.StatusReceived(Status)) {
     if (AheadGateway.empty() || isInOtherRegion(AheadGateway))
       AheadGateway = Peer;
+  } else if (AheadGateway == Peer) {
+    AheadGateway.clear(); // this process has caught up
+  }
   // The sender may know more gateways than this process does yet.
   Gateways.Settings.RemoteSuspicionTimeout =
       MissedReports *
@@ -377,23 +383,25 @@
     LacksContentSince = Now;
   std::vector<RelaySource> Sources;
   for (const auto &[Address, Gateway] : liveGateways())
-    if (!IsBehind || Address == AheadGateway)
+    if (Needed || Address == AheadGateway)
       Sources.push_back(
           {Address, Gateway.LatestPosition, !isInOtherRegion(Address)});
-  if (IsBehind && Sources.empty()) {
+  if (!Needed && Sources.empty()) {
     AheadGateway.clear(); // it has ended
     return;
   }
   // What it lacks may be older than its position: a store that was restored
   // no longer has it.
   const StorePosition Known =
-      IsBehind ? StorePosition{} : Store.mirror().Position;
-  const auto Source = requestRelayFrom(Relays, Sources, Known,
-                                       mayUseLink(Now - *LacksContentSince),
-                                       Settings.Address, Now);
+      Needed ? Store.mirror().Position : StorePosition{};
+  const auto Source = requestRelayFrom(
+      Relays, Sources, Known,
+      mayUseLink(std::max<Duration>(Now - *LacksContentSince,
+                                    StartupReaderSettings().Patience)),
+      Settings.Address, Now);
   if (!Source)
     return;
-  if (IsBehind)
+  if (!Needed)
     AheadGateway.clear();
   send(*Source, StoreRelayRequest{Known, RelayPrefix});
 }
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -61,6 +61,10 @@
     LastResponseAt = now();
     return requestListing();
   }
+  endListing();
+}
+
+void StoreReader::endListing() {
   ++ListingNumber;
   Listing.cancel();
   Timer.cancel();
@@ -78,10 +82,10 @@
                .Number = Relay.Upto.Revision,
                .Fields = {{"era", std::to_string(Relay.Upto.Era)}}});
   }
-  Initialized = true;
-  if (std::exchange(Deferred, false)) {
+  if (!std::exchange(Initialized, true)) {
     // The relay is complete, so that only what follows it is read.
-    ListingDue = false;
+    Deferred = false;
+    endListing();
     LastResponseAt = now();
     scheduleCall(std::chrono::milliseconds::zero(),
                  &StoreReader::requestChanges);
@@ -103,7 +107,8 @@
                                void (StoreReader::*Next)()) {
   Timer.expires_after(Delay);
   Timer.async_wait([this, Next](const boost::system::error_code &Failure) {
-    if (!Failure)
+    // A timer that has expired already is not cancelled any more.
+    if (!Failure && !Deferred)
       (this->*Next)();
   });
 }
--- a/programs/fleet/store_reader.hpp
+++ b/programs/fleet/store_reader.hpp
@@ -90,6 +90,8 @@
 
 private:
   void requestListing();
+  /// Ends a listing in progress without a result.
+  void endListing();
   void handleListing(const HttpResult &Result);
   void requestChanges();
   void handleChanges(const HttpResult &Result);
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -40,6 +40,9 @@
 constexpr std::chrono::seconds StagerStatusInterval{2};
 /// A stager that sent nothing for this long gets no more status messages.
 constexpr std::chrono::seconds StagerTimeout{15};
+/// A longer time between two ticks is a pause of the process, in which servers
+/// may have changed.
+constexpr std::chrono::seconds MaxTickInterval{1};
 /// Interval of checks that tolerate delay: idle connections and settings.
 constexpr std::chrono::seconds MaintenanceInterval{2};
 /// Fraction of the drain limit in which new requests are still accepted after
@@ -62,7 +65,17 @@
   Servers.Settings.Region = Settings.Process.Region;
   Servers.Settings.RegionOf = Settings.Process.RegionOf;
   Servers.Shares.Self = Settings.Process.Address;
+  Servers.Shares.Region = Settings.Process.Region;
   Servers.Shares.StartedAt = now();
+  std::set<std::string> Regions;
+  for (const auto &[Domain, Region] : Settings.Process.RegionOf)
+    Regions.insert(Region);
+  Servers.Shares.Settings.Regions = Regions.size();
+  const auto &Seeds = Settings.Process.Seeds;
+  if (std::all_of(Seeds.begin(), Seeds.end(), [this](const std::string &Each) {
+        return Each == Settings.Process.Address;
+      }))
+    Servers.Shares.Settings.UnknownGateways = 1;
   setColdSettings();
   SharedRetries.Limit = {Settings.RetryShare, Settings.RetryReserve};
   SharedRetries.StartedAt = now();
@@ -222,9 +235,10 @@
       std::any_of(Offers.begin(), Offers.end(), [&](const GatewayOffer &Each) {
         return Each.Region == Region;
       });
-  const RegionLimit Preferred = HasOwnRegion || !Routes
-                                    ? RegionLimit()
-                                    : regionsOfHost(Routes->Content, Host);
+  const RegionLimit Preferred =
+      HasOwnRegion || !Routes
+          ? RegionLimit()
+          : regionsOfHost(Routes->Content, Host.substr(0, Host.find(':')));
   const std::vector<std::string> Chosen =
       selectGateways(Offers, Region, Preferred);
   return Chosen.empty()
@@ -413,9 +427,10 @@
 bool Gateway::handleStatus(const GatewayStatus &Status) {
   for (const LoadedWeights &Each : Status.Required)
     requireReported({Each.Model, Each.Version});
-  recordGateway(Servers.Shares, Status.Sender.Name, now());
+  recordGateway(Servers.Shares, Status.Sender.Name, Status.Sender.Region,
+                now());
   for (const std::string &Each : Status.Gateways)
-    recordGateway(Servers.Shares, Each, now());
+    recordGateway(Servers.Shares, Each, "", now());
   const Revision InForce = Routes ? Routes->Content.ConfigRevision : 0;
   return isLeftBehind(ConfigurationCatchUp, InForce, Status.ConfigRevision,
                       now());
@@ -463,19 +478,29 @@
 }
 
 void Gateway::moveStreams(const std::string &Pool) {
+  std::set<const RequestRun *> Waiting;
   const auto Next = [&] {
-    return std::find_if(
-        LeavingStreams.begin(), LeavingStreams.end(),
-        [&](const RequestRun *Run) { return Run->poolName() == Pool; });
+    return std::find_if(LeavingStreams.begin(), LeavingStreams.end(),
+                        [&](const RequestRun *Run) {
+                          return Run->poolName() == Pool &&
+                                 !Waiting.contains(Run);
+                        });
   };
   for (auto First = Next(); First != LeavingStreams.end(); First = Next()) {
     // A move that fails at once releases its slot, which calls this function.
     RequestRun *Run = *First;
+    const auto Place = First - LeavingStreams.begin();
     LeavingStreams.erase(First);
-    if (Run->moveStream() == MoveStatus::Waiting) {
-      LeavingStreams.insert(LeavingStreams.begin(), Run);
+    if (Run->moveStream() != MoveStatus::Waiting)
+      continue;
+    LeavingStreams.insert(
+        LeavingStreams.begin() +
+            std::min<std::ptrdiff_t>(Place, std::ssize(LeavingStreams)),
+        Run);
+    // Streams that may go to other regions do not wait for this one.
+    if (!Run->isLimitedToRegions())
       return;
-    }
+    Waiting.insert(Run);
   }
 }
 
@@ -644,6 +669,8 @@
 
 bool Gateway::cannotBeServed(const ServerRequirements &Query,
                              TimePoint ExpiresAt) const {
+  if (Query.AllowedRegions && Query.AllowedRegions->empty())
+    return true;
   const auto Until = refusedUntil(Servers, Query, now());
   return Until && *Until >= ExpiresAt;
 }
@@ -701,6 +728,9 @@
 
 void Gateway::tick() {
   const TimePoint Now = now();
+  if (LastTickAt != TimePoint{} && Now - LastTickAt > MaxTickInterval)
+    recordPause(Servers.Shares, Now);
+  LastTickAt = Now;
   runSurvey();
   enforceVersions();
   blockSuspectParts();
@@ -715,7 +745,7 @@
     LastMaintenanceAt = Now;
     Connections.closeExpired(Now);
     forgetCompletedRequests(Crashing, Now);
-    forgetGateways(Servers.Shares, Now);
+    forgetGateways(Servers.Shares);
     reloadSettings();
   }
   if (Now >= lastResponseAt())
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -388,6 +388,7 @@
     TimePoint At{};
   };
   std::deque<UnexplainedLoss> UnexplainedLosses; ///< oldest first
+  TimePoint LastTickAt{};
   TimePoint LastStatusAt{};
   TimePoint LastRemoteStatusAt{};
   TimePoint LastStagerStatusAt{};
--- a/programs/gateway/request_run.hpp
+++ b/programs/gateway/request_run.hpp
@@ -53,6 +53,8 @@
 
   /// @return name of the pool that serves the request
   const std::string &poolName() const { return Pool->Name; }
+  /// @return whether only servers of some regions may serve the request
+  bool isLimitedToRegions() const { return AllowedRegions.has_value(); }
   /// @return time at which the request was read
   TimePoint arrivalTime() const { return ArrivalTime; }
   /// @brief Whether this is a stream in progress at a server that another one
--- a/src/coordination/cold_share.cpp
+++ b/src/coordination/cold_share.cpp
@@ -50,19 +50,45 @@
 
 } // namespace
 
-void recordGateway(ColdShares &Shares, const std::string &Name, TimePoint Now) {
+void recordGateway(ColdShares &Shares, const std::string &Name,
+                   std::string_view Region, TimePoint Now) {
   if (Name == Shares.Self)
     return;
-  const auto Known = Shares.Others.find(Name);
-  if (Known != Shares.Others.end())
-    Known->second.LastHeardAt = std::max(Known->second.LastHeardAt, Now);
-  else if (Shares.Others.size() < Shares.Settings.MaxGateways)
-    Shares.Others[Name] = {detail::nameHash(Name), Now};
+  if (!Region.empty())
+    Shares.LastMessageAt = std::max(Shares.LastMessageAt, Now);
+  auto Known = Shares.Others.find(Name);
+  if (Known == Shares.Others.end()) {
+    if (Shares.Others.size() >= Shares.Settings.MaxGateways)
+      return;
+    Known = Shares.Others.emplace(Name, ColdShares::KnownGateway{}).first;
+    Known->second.NameHash = detail::nameHash(Name);
+  }
+  Known->second.LastHeardAt = std::max(Known->second.LastHeardAt, Now);
+  if (!Region.empty())
+    Known->second.Region = Region;
 }
 
-void forgetGateways(ColdShares &Shares, TimePoint Now) {
+void recordPause(ColdShares &Shares, TimePoint Now) {
+  Shares.UncertainUntil = Now + Shares.Settings.PauseUncertainty;
+}
+
+std::size_t sharingGateways(const ColdShares &Shares) {
+  std::map<std::string_view, std::size_t> ByRegion{{Shares.Region, 1}};
+  for (const auto &[Name, Each] : Shares.Others)
+    if (!Each.Region.empty())
+      ++ByRegion[Each.Region];
+  std::size_t Largest = 0;
+  for (const auto &[Region, Count] : ByRegion)
+    Largest = std::max(Largest, Count);
+  const bool HasHeard = Shares.LastMessageAt != TimePoint{};
+  return std::max({Shares.Others.size() + 1, Largest * Shares.Settings.Regions,
+                   HasHeard ? 0 : Shares.Settings.UnknownGateways});
+}
+
+void forgetGateways(ColdShares &Shares) {
   std::erase_if(Shares.Others, [&](const auto &Each) {
-    return Now - Each.second.LastHeardAt > Shares.Settings.GatewayLifetime;
+    return Shares.LastMessageAt - Each.second.LastHeardAt >
+           Shares.Settings.GatewayLifetime;
   });
 }
 
@@ -71,7 +97,7 @@
   if (Now - Shares.StartedAt < Shares.Settings.StartupTime)
     return 0;
   const std::uint32_t Bound = sharedBound(Shares.Settings, Limit);
-  const auto Gateways = static_cast<std::uint32_t>(Shares.Others.size()) + 1;
+  const auto Gateways = static_cast<std::uint32_t>(sharingGateways(Shares));
   const bool GetsRemainder =
       ownRank(Shares, detail::nameHash(Server)) < Bound % Gateways;
   return Bound / Gateways + (GetsRemainder ? 1 : 0);
@@ -103,15 +129,16 @@
     return ColdStanding::Open;
   const std::size_t Sends = sendsInWindow(Shares, State, Now);
   const std::uint32_t Share = coldShare(Shares, Limit, Server, Now);
+  if (Sends < Share)
+    return ColdStanding::Open;
   const bool IsStarting = Now - Shares.StartedAt < Shares.Settings.StartupTime;
-  if (Now < State.ColdUntil || IsStarting)
-    return Sends < Share ? ColdStanding::Open : ColdStanding::Closed;
+  if (Now < State.ColdUntil || Now < Shares.UncertainUntil || IsStarting)
+    return ColdStanding::Closed;
   const TimePoint ReleasedAt =
       State.ColdUntil + releaseTime(Limit, detail::nameHash(Server));
-  if (Now < ReleasedAt)
-    return Sends < 2 * std::size_t{Share} + 1 ? ColdStanding::Open
-                                              : ColdStanding::Closed;
-  return Sends < Share ? ColdStanding::Open : ColdStanding::Exhausted;
+  const std::size_t ReleaseShare = 2 * std::size_t{Share} + 1;
+  return Now < ReleasedAt && Sends >= ReleaseShare ? ColdStanding::Closed
+                                                   : ColdStanding::Exhausted;
 }
 
 } // namespace marigoldyard
--- a/src/coordination/startup_reader.cpp
+++ b/src/coordination/startup_reader.cpp
@@ -79,12 +79,6 @@
     Requests.Pending.clear();
 }
 
-void recordRelayLost(RelayRequests &Requests, std::string_view Source,
-                     TimePoint Now) {
-  if (Requests.Pending == Source)
-    Requests.RequestedAt = Now - Requests.Wait;
-}
-
 bool maySendRelay(SentRelays &Sent, const std::string &Receiver,
                   std::size_t Bytes, TimePoint Now) {
   if (Bytes < Sent.Settings.LargeBytes)
--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -194,8 +194,10 @@
       ++Item;
       continue;
     }
-    if (AfterOutage || Restored ||
-        Mirror.PendingRemovals.contains(Item->first)) {
+    const bool IsHeld =
+        (AfterOutage || Restored) &&
+        (Mirror.Rules.MayExpire == nullptr || mayExpire(Mirror, Item->first));
+    if (IsHeld || Mirror.PendingRemovals.contains(Item->first)) {
       Mirror.PendingRemovals.try_emplace(Item->first,
                                          Now + Mirror.ExpiryGracePeriod);
       ++Item;
@@ -231,8 +233,12 @@
                                   StorePosition After) {
   std::vector<StoreItem> Result;
   const bool RemovalsIncomplete = After < Mirror.RemovalsCompleteAfter;
+  // A process without content would not learn of the end of an item that is
+  // only held here, since the store has no event for it any more.
+  const bool IsWholeContent = After == StorePosition{};
   for (const auto &[Key, Item] : Mirror.Items)
-    if (RemovalsIncomplete || positionOf(Item) > After)
+    if ((RemovalsIncomplete || positionOf(Item) > After) &&
+        !(IsWholeContent && Mirror.PendingRemovals.contains(Key)))
       Result.push_back(Item);
   for (const StoreItem &Removal : Mirror.Removals)
     if (positionOf(Removal) > After && !Mirror.Items.contains(Removal.Key))
