Draw few candidates for a request where many gateways share the servers

Cause: the gateways of a region know loads as they were some hundred milliseconds ago, and each chose the least loaded server, so that all chose the same one. Change: a gateway compares max(2, M / g) of the M servers of its region, drawn at random, where g gateways share them; others are used when these have no room. A single gateway compares all, as before. The penalty of other regions, whose loads are known late, grows from 0.25 to 0.5 with the number of gateways.

--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -1,5 +1,7 @@
 #include "marigoldyard/coordination/server_table.hpp"
 
+#include "marigoldyard/coordination/candidate_draw.hpp"
+
 #include <algorithm>
 #include <limits>
 
@@ -11,10 +13,9 @@
 constexpr std::uint32_t DefaultSlots = 8;
 /// Largest exponent of the backoff, whose result MaxBackoff limits anyway.
 constexpr std::uint32_t MaxDoublings = 8;
-/// Difference in load, as a share of a server's limit, that justifies a server
-/// in another region: its requests use the link between regions, which has
-/// little bandwidth.
-constexpr double OtherRegionPenalty = 0.25;
+/// Added to the load of a server that was not drawn as a candidate, as a share
+/// of its limit. It is used when no drawn one has room.
+constexpr double NotDrawnPenalty = 1.0;
 /// Added to the load of a server, as a share of its limit, that would crash by
 /// one more request if it turned cold now. It is used when no other has room.
 constexpr double ExhaustedSharePenalty = 2.0;
@@ -71,6 +72,14 @@
   return Ids.empty() ? 0 : Sum / static_cast<double>(Ids.size());
 }
 
+std::size_t serversInOwnRegion(const ServerTable &Table,
+                               const std::set<std::string> &Ids) {
+  return static_cast<std::size_t>(
+      std::count_if(Ids.begin(), Ids.end(), [&](const std::string &Id) {
+        return Table.Servers.at(Id).Region == Table.Settings.Region;
+      }));
+}
+
 /// Returns whether the prompts at a server fill its next prefill passes.
 bool prefillIsFull(const ServerTable &Table, const ServerState &Server,
                    const ServerRequirements &Requirements) {
@@ -103,7 +112,7 @@
   const std::uint32_t Limit = std::max(1U, loadLimit(Table, Server));
   double Score = static_cast<double>(estimatedLoad(Table, Server)) / Limit;
   if (Server.Region != Table.Settings.Region)
-    Score += OtherRegionPenalty;
+    Score += otherRegionPenalty(Table.Settings.SharingGateways);
   // A failing server answers fast, and its low load would attract more
   // requests.
   Score += std::max(0.0, Server.FailureRate - MeanFailureRate);
@@ -326,6 +335,8 @@
     if (Choice.Shortage != ServerShortage::None)
       Choice.Shortage = std::min(Choice.Shortage, Shortage);
   };
+  std::bernoulli_distribution Draw(drawProbability(
+      serversInOwnRegion(Table, Pool->second), Table.Settings.SharingGateways));
   for (const std::string &Id : Pool->second) {
     const ServerState &Server = Table.Servers.at(Id);
     if (Server.Record.Draining || Server.Replaced ||
@@ -358,6 +369,7 @@
     }
     const double Score =
         loadScore(Table, Server, MeanFailureRate) +
+        (Draw(Generator) ? 0 : NotDrawnPenalty) +
         (Standing == ColdStanding::Exhausted ? ExhaustedSharePenalty : 0);
     Ties = Score == Best ? Ties + 1 : (Score < Best ? 1 : 0);
     if (Score < Best ||
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -509,3 +509,43 @@
   CHECK_FALSE(isBusy(Table, "1", StartCommand)); // it has a free slot
   CHECK_FALSE(isBusy(Table, "unknown", StartCommand));
 }
+
+// Guards against gateways that all send to the server that was the least loaded
+// in the last report.
+TEST_CASE("thirty gateways with the same picture do not all choose the least "
+          "loaded server") {
+  constexpr int Servers = 13;
+  constexpr int Gateways = 30;
+  std::vector<ServerRecord> Records;
+  Records.reserve(Servers);
+  for (int I = 0; I < Servers; ++I)
+    Records.push_back(record(std::to_string(I)));
+  ServerTable Table = tableWith(Records);
+  for (const ServerRecord &Each : Records)
+    recordReportedLoad(Table, Each.Id, Each.Id == "7" ? 0 : 2);
+  const auto SendsToLeastLoaded = [&] {
+    ServerRequirements Wanted;
+    Wanted.Pool = "engines";
+    Wanted.Model = "m";
+    Random Source(1);
+    int Sends = 0;
+    for (int I = 0; I < Gateways; ++I)
+      Sends +=
+          chooseServer(Table, Wanted, StartCommand, Source).Id == "7" ? 1 : 0;
+    return Sends;
+  };
+  CHECK(SendsToLeastLoaded() == Gateways); // a single gateway knows its sends
+  Table.Settings.SharingGateways = Gateways;
+  CHECK(SendsToLeastLoaded() < Gateways / 3);
+  CHECK(SendsToLeastLoaded() > 0);
+}
+
+TEST_CASE("a server that was not drawn is used when no drawn one has room") {
+  ServerTable Table = tableWith({record("1"), record("2"), record("3"),
+                                 record("4"), record("5"), record("6")});
+  Table.Settings.SharingGateways = 30;
+  for (const char *Id : {"1", "2", "3", "4", "5"})
+    fill(Table, Id, 5);
+  for (int I = 0; I < 20; ++I)
+    CHECK(choose(Table).Id == "6");
+}
