Bound what a gateway holds for callers, and their connections

Cause: a gateway read each body into a string without a common bound, accepted connections until descriptors ran out, and kept the last request of an idle connection.

Change: sessions report what they hold to RequestMemory and give up what it chooses: 503 with Retry-After, or a closed connection. The memory for servers' responses is limited to a fifth of memory_mb (machines of 160 MB and more keep 32 MiB), and operators get 64 connections with bodies of 4 KiB. The process test has two more cases: unread responses, and the other ports.

--- a/include/marigoldyard/protocol/fleet_settings.hpp
+++ b/include/marigoldyard/protocol/fleet_settings.hpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/protocol/settings.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -45,6 +46,9 @@
   /// multiple of what its pool's configuration tolerates, and besides.
   double ColdOvershoot = 1;
   double ColdReserve = 0;
+  /// Of the machine; sizes what is held for callers.
+  double MemoryMegabytes = 512;
+  std::size_t MaxDescriptors = 4096; ///< that the process may have open
 };
 
 /// @brief Settings of a stager.
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -31,6 +31,11 @@
 /// Time for a connection to open before it is opened anew because its peer
 /// sends.
 constexpr std::chrono::milliseconds ConnectPause{200};
+/// Operators read metrics over few connections. More would take descriptors
+/// from callers.
+constexpr std::size_t MaxOperatorConnections = 64;
+/// A request for metrics has no body.
+constexpr std::size_t MaxOperatorBody = 4UL << 10;
 
 Member describeSelf(const FleetProcessSettings &Settings, MemberKind Kind) {
   Member Self;
@@ -152,6 +157,8 @@
   HttpServerOptions Options;
   Options.Address = Settings.Address;
   Options.Port = Settings.OperatorPort;
+  Options.MaxConnections = MaxOperatorConnections;
+  Options.MaxBodyBytes = MaxOperatorBody;
   auto Server = HttpServer::open(
       Options, [this](const HttpRequest &Request, const Responder &Response) {
         if (Request.Path == "/metrics")
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 #include <sys/socket.h>
 
@@ -35,10 +34,21 @@
 /// Maximum size of a chunk extension or of a trailer.
 constexpr std::size_t MaxLineBytes = 16UL << 10;
 
+/// Size of one read of a body.
+constexpr std::size_t BodyReadBytes = 16UL << 10;
+/// Largest read buffer that an idle connection keeps.
+constexpr std::size_t MaxIdleBuffer = ReadBufferBytes;
+/// A body is held as received and in the request to a server.
+constexpr std::size_t BodyCopies = 2;
+/// The fields of a head are held with their names and values, and as sent to a
+/// server.
+constexpr std::size_t HeadCopies = 2;
+
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooLarge = 413;
 constexpr unsigned HeaderTooLarge = 431;
+constexpr unsigned Unavailable = 503;
 
 unsigned rejectionStatus(const error_code &Failure) {
   if (Failure == http::error::header_limit ||
@@ -49,20 +59,85 @@
   return BadRequest;
 }
 
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Parses what a buffer holds, as far as it is complete.
+/// @return number of bytes that were parsed and may be followed by more that
+/// can be
+std::size_t parseBuffered(RequestParser &Parser,
+                          boost::beast::flat_buffer &Buffer,
+                          error_code &Failure) {
+  if (Buffer.size() == 0)
+    return 0;
+  const std::size_t Count = Parser.put(Buffer.data(), Failure);
+  Buffer.consume(Count);
+  if (Failure != http::error::need_more)
+    return Count;
+  Failure = {};
+  return 0;
+}
+
 } // namespace
 
+bool closeForNewConnection(CallerSessions &Sessions) {
+  const auto Ticket = connectionToClose(Sessions.Memory);
+  if (!Ticket)
+    return false;
+  Sessions.Open.at(*Ticket)->closeAtOnce();
+  return true;
+}
+
 CallerSession::CallerSession(net::ip::tcp::socket Connection,
-                             TimeoutList &Timeouts, SessionHandlers Callbacks)
+                             TimeoutList &Timeouts, CallerSessions &AllSessions,
+                             SessionHandlers Callbacks)
     : Socket(std::move(Connection)), Timer(Timeouts,
                                            [this] {
                                              error_code Ignored;
                                              Socket.cancel(Ignored);
                                            }),
+      Sessions(AllSessions), Ticket(addConnection(AllSessions.Memory)),
       Handlers(std::move(Callbacks)) {
+  Sessions.Open.emplace(Ticket, this);
   error_code Ignored; // the connection works without the option too
   Socket.set_option(net::ip::tcp::no_delay(true), Ignored);
 }
 
+CallerSession::~CallerSession() {
+  removeConnection(Sessions.Memory, Ticket);
+  Sessions.Open.erase(Ticket);
+}
+
+void CallerSession::shed() {
+  IsShed = true;
+  Sessions.OnShed(Serving ? CallerState::Writing : CallerState::Reading);
+  error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
+void CallerSession::closeAtOnce() {
+  Disconnected = true;
+  closeSocket();
+}
+
+void CallerSession::closeSocket() {
+  error_code Ignored; // the socket is closed either way
+  Socket.close(Ignored);
+  removeConnection(Sessions.Memory, Ticket);
+}
+
+void CallerSession::setHeldBytes(std::size_t Bytes) {
+  for (const std::uint64_t Each :
+       resizeConnection(Sessions.Memory, Ticket, Bytes))
+    Sessions.Open.at(Each)->shed();
+}
+
+void CallerSession::releaseRequest() {
+  Request.reset();
+  RequestBytes = 0;
+  if (Buffer.capacity() > std::max(MaxIdleBuffer, Buffer.size()))
+    Buffer.shrink_to_fit();
+}
+
 net::awaitable<void> CallerSession::run() {
   const auto Self = shared_from_this();
   for (bool KeepAlive = true; KeepAlive && !Disconnected;) {
@@ -74,10 +149,12 @@
     if (Result != ReadResult::Request)
       break;
     Serving = true;
+    setState(Sessions.Memory, Ticket, CallerState::Serving);
     watchForClose();
     KeepAlive = co_await Handlers.HandleRequest(*this, *Request) &&
                 Request->keep_alive();
     Serving = false;
+    releaseRequest();
     DisconnectHandler = nullptr;
     error_code Ignored;
     Socket.cancel(Ignored);
@@ -88,6 +165,8 @@
 net::awaitable<CallerSession::ReadResult> CallerSession::waitForRequest() {
   if (Buffer.size() > 0)
     co_return ReadResult::Request;
+  setState(Sessions.Memory, Ticket, CallerState::Idle);
+  setHeldBytes(0);
   const TimePoint IdleSince = now();
   const auto IdleUntil = [this, IdleSince] {
     return IdleSince + Handlers.Limits().IdleTimeout + IdleMargin;
@@ -101,9 +180,9 @@
     const bool Expired = Timer.expired();
     Timer.clear();
     Buffer.commit(Count);
-    if (!Failure)
+    if (!Failure && !Disconnected)
       co_return ReadResult::Request;
-    if (!Expired)
+    if (!Expired || Disconnected)
       co_return ReadResult::Closed;
     error_code Ignored; // the next read reports what is wrong
     const bool HasBytes = Socket.available(Ignored) > 0;
@@ -114,61 +193,109 @@
 
 net::awaitable<CallerSession::ReadResult>
 CallerSession::readRequest(const ClientLimits &Limits) {
-  http::request_parser<http::string_body> Parser;
-  Parser.header_limit(Limits.MaxHeaderBytes);
-  Parser.body_limit(Limits.MaxBodyBytes);
+  auto Parser = std::make_optional<RequestParser>();
+  Parser->header_limit(Limits.MaxHeaderBytes);
+  Parser->body_limit(Limits.MaxBodyBytes);
   Buffer.max_size(std::max<std::size_t>(
                       {Limits.MaxHeaderBytes, MaxLineBytes, Buffer.size()}) +
-                  ReadBufferBytes);
+                  BodyReadBytes);
+  setState(Sessions.Memory, Ticket, CallerState::Reading);
   error_code Failure;
+  std::size_t HeadBytes = 0;
+  bool InBody = false;
   Timer.expiresAt(now() + Limits.HeaderTimeout);
-  co_await http::async_read_header(
-      Socket, Buffer, Parser, net::redirect_error(net::use_awaitable, Failure));
-  if (!Failure) {
-    Timer.expiresAt(now() + BodyTimeout);
-    if (Parser.get()[http::field::expect] == "100-continue")
-      co_await write("HTTP/1.1 100 Continue\r\n\r\n");
-    co_await http::async_read(Socket, Buffer, Parser,
-                              net::redirect_error(net::use_awaitable, Failure));
+  while (!Failure && !IsShed && !Disconnected) {
+    const std::size_t Count = parseBuffered(*Parser, Buffer, Failure);
+    if (!InBody)
+      HeadBytes += Count;
+    if (!Failure && !InBody && Parser->is_header_done()) {
+      InBody = true;
+      Parser->eager(true);
+      Timer.expiresAt(now() + BodyTimeout);
+      if (Parser->get()[http::field::expect] == "100-continue")
+        co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    RequestBytes = Buffer.capacity() + HeadCopies * HeadBytes +
+                   BodyCopies * Parser->get().body().size();
+    setHeldBytes(RequestBytes);
+    if (Failure || IsShed || Parser->is_done())
+      break;
+    if (Count == 0 || Buffer.size() == 0)
+      Failure = co_await receive(InBody ? BodyReadBytes : ReadBufferBytes);
   }
   const bool TimedOut = Timer.expired();
   Timer.clear();
-  if (!Failure) {
-    Request = Parser.release();
-    co_return ReadResult::Request;
+  if (Failure || IsShed || Disconnected) {
+    Parser.reset(); // releases the body before the response is written
+    co_await rejectUnfinished(Failure, TimedOut);
+    co_return ReadResult::Rejected;
   }
-  if (TimedOut)
+  Request = Parser->release();
+  co_return ReadResult::Request;
+}
+
+net::awaitable<error_code> CallerSession::receive(std::size_t MaxBytes) {
+  const std::size_t Space = Buffer.max_size() - Buffer.size();
+  if (Space == 0)
+    co_return http::error::buffer_overflow;
+  error_code Failure;
+  const std::size_t Count = co_await Socket.async_read_some(
+      Buffer.prepare(std::min(Space, MaxBytes)),
+      net::redirect_error(net::use_awaitable, Failure));
+  Buffer.commit(Count);
+  co_return Failure;
+}
+
+net::awaitable<void> CallerSession::rejectUnfinished(error_code Failure,
+                                                     bool TimedOut) {
+  Buffer.clear();
+  releaseRequest();
+  setState(Sessions.Memory, Ticket, CallerState::Closing);
+  if (Disconnected)
+    co_return;
+  if (IsShed)
+    co_await reject(Unavailable, "no memory for the request");
+  else if (TimedOut)
     co_await reject(RequestTimeout, "timed out while reading the request");
   else if (Failure.category() ==
-               http::make_error_code(http::error::bad_method).category() &&
-           Failure != http::error::end_of_stream &&
-           Failure != http::error::partial_message)
+           http::make_error_code(http::error::bad_method).category())
     co_await reject(rejectionStatus(Failure), Failure.message());
-  co_return ReadResult::Rejected;
 }
 
 net::awaitable<void> CallerSession::reject(unsigned Status,
                                            std::string_view Reason) {
   Handlers.OnRejected(Reason);
   const std::string Text =
-      fmt::format("HTTP/1.1 {} Rejected\r\nConnection: close\r\n"
+      fmt::format("HTTP/1.1 {} Rejected\r\nConnection: close\r\n{}"
                   "Content-Length: 0\r\n\r\n",
-                  Status);
+                  Status, Status == Unavailable ? "Retry-After: 1\r\n" : "");
   co_await write(Text);
 }
 
 net::awaitable<bool> CallerSession::write(std::string_view Bytes) {
   error_code Failure;
   const TimePoint Limit = now() + MaxWriteTime;
-  while (!Bytes.empty() && !Failure) {
+  const std::size_t Size = Bytes.size();
+  bool Waits = false;
+  while (!Bytes.empty() && !Failure && !(Serving && IsShed)) {
     Timer.expiresAt(std::min<TimePoint>(now() + WriteTimeout, Limit));
     const std::size_t Count = co_await Socket.async_write_some(
         net::buffer(Bytes.data(), Bytes.size()),
         net::redirect_error(net::use_awaitable, Failure));
     Bytes.remove_prefix(Count);
+    // A response that the socket takes at once is not held for the caller.
+    if (Failure || Bytes.empty() || !Serving)
+      continue;
+    if (!std::exchange(Waits, true))
+      setState(Sessions.Memory, Ticket, CallerState::Writing);
+    setHeldBytes(RequestBytes + Size);
   }
   Timer.clear();
-  if (!Failure)
+  if (Waits) {
+    setState(Sessions.Memory, Ticket, CallerState::Serving);
+    setHeldBytes(RequestBytes);
+  }
+  if (!Failure && !(Serving && IsShed))
     co_return true;
   Disconnected = true;
   co_return false;
@@ -204,6 +331,7 @@
 // Closing a socket with unread bytes resets the connection, and the caller
 // would lose the last response, so input is read until the caller closes.
 net::awaitable<void> CallerSession::closeGracefully() {
+  setState(Sessions.Memory, Ticket, CallerState::Closing);
   error_code Ignored;
   Socket.shutdown(net::ip::tcp::socket::shutdown_send, Ignored);
   if (!Disconnected && !Ignored) {
@@ -217,12 +345,9 @@
           net::redirect_error(net::use_awaitable, Failure));
     Timer.clear();
   }
-  Socket.close(Ignored);
+  closeSocket();
 }
 
-void CallerSession::closeUnread() {
-  error_code Ignored; // the socket is closed either way
-  Socket.close(Ignored);
-}
+void CallerSession::closeUnread() { closeSocket(); }
 
 } // namespace marigoldyard
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
+#include <sys/resource.h>
 #include <utility>
 
 namespace marigoldyard {
@@ -51,6 +52,10 @@
 /// Time before the end of the process at which requests without a response get
 /// a final one; it is for writing the responses.
 constexpr std::chrono::milliseconds LastResponseMargin{300};
+constexpr double BytesPerMegabyte = 1UL << 20;
+/// Part of the machine's memory for incomplete responses of servers. Machines
+/// of 160 MB and more get the whole default.
+constexpr std::size_t ResponseMemoryParts = 5;
 
 } // namespace
 
@@ -64,6 +69,11 @@
   Servers.Shares.Self = Settings.Process.Address;
   Servers.Shares.StartedAt = now();
   setColdSettings();
+  setCallerLimits();
+  Callers.OnShed = [this](CallerState State) {
+    recordRefusal("request_shed",
+                  State == CallerState::Writing ? "response" : "request");
+  };
   SharedRetries.Limit = {Settings.RetryShare, Settings.RetryReserve};
   SharedRetries.StartedAt = now();
   DrainProgress.Process = Settings.Process.Name;
@@ -143,8 +153,14 @@
           net::redirect_error(net::use_awaitable, Failure));
       continue;
     }
-    auto Session = std::make_shared<CallerSession>(std::move(Socket),
-                                                   Node.Timeouts, Handlers);
+    if (isFull(Callers.Memory)) {
+      const bool HasRoom = closeForNewConnection(Callers);
+      recordRefusal("connection_refused", HasRoom ? "closed" : "full");
+      if (!HasRoom)
+        continue; // the socket closes here
+    }
+    auto Session = std::make_shared<CallerSession>(
+        std::move(Socket), Node.Timeouts, Callers, Handlers);
     net::co_spawn(
         Node.Context, [Session] { return Session->run(); },
         [this](const std::exception_ptr &Thrown) {
@@ -714,6 +730,7 @@
   if (Now - LastMaintenanceAt >= MaintenanceInterval) {
     LastMaintenanceAt = Now;
     Connections.closeExpired(Now);
+    reportCallers();
     forgetCompletedRequests(Crashing, Now);
     forgetGateways(Servers.Shares, Now);
     reloadSettings();
@@ -813,6 +830,43 @@
   Servers.Shares.Settings.Reserve = Settings.ColdReserve;
 }
 
+void Gateway::setCallerLimits() {
+  std::size_t Descriptors = Settings.MaxDescriptors;
+  rlimit OfProcess{};
+  if (::getrlimit(RLIMIT_NOFILE, &OfProcess) == 0)
+    Descriptors = std::min<std::size_t>(Descriptors, OfProcess.rlim_cur);
+  const auto MemoryBytes =
+      static_cast<std::size_t>(Settings.MemoryMegabytes * BytesPerMegabyte);
+  Callers.Memory.Limits = callerLimits(MemoryBytes, Descriptors);
+  Responses.Limit =
+      std::min(ResponseMemory{}.Limit, MemoryBytes / ResponseMemoryParts);
+}
+
+void Gateway::recordRefusal(std::string_view Event, std::string_view Cause) {
+  ++Refusals[{std::string(Event), std::string(Cause)}];
+  Node.ProcessMetrics
+      .counter("marigoldyard_caller_refusals_total",
+               "Requests, responses and connections given up for memory or "
+               "descriptors",
+               {{"event", std::string(Event)}, {"cause", std::string(Cause)}})
+      .add();
+}
+
+void Gateway::reportCallers() {
+  for (const auto &[Refused, Count] : std::exchange(Refusals, {}))
+    Node.Log.write({.Level = LogLevel::Warning,
+                    .Event = Refused.first,
+                    .At = Step::Admission,
+                    .Fields = {{"cause", Refused.second},
+                               {"count", std::to_string(Count)}}});
+  Node.ProcessMetrics
+      .gauge("marigoldyard_caller_bytes", "Bytes held for callers")
+      .set(static_cast<double>(Callers.Memory.Used));
+  Node.ProcessMetrics
+      .gauge("marigoldyard_caller_connections", "Connections of callers")
+      .set(static_cast<double>(Callers.Memory.Connections.size()));
+}
+
 void Gateway::reloadSettings() {
   if (auto Reloaded = File.readIfChanged()) {
     Settings.Process.Seeds = Reloaded->Process.Seeds;
@@ -820,6 +874,9 @@
     Settings.ColdOvershoot = Reloaded->ColdOvershoot;
     Settings.ColdReserve = Reloaded->ColdReserve;
     setColdSettings();
+    Settings.MemoryMegabytes = Reloaded->MemoryMegabytes;
+    Settings.MaxDescriptors = Reloaded->MaxDescriptors;
+    setCallerLimits();
     Settings.DirectoryTime = Reloaded->DirectoryTime;
     Node.applySettings(Reloaded->Process);
     Node.Log.write({.Event = "settings_reloaded", .At = Step::Settings});
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -328,8 +328,19 @@
   void expireRuns();
   void reloadSettings();
 
+  void setCallerLimits();
+  /// Counts what was refused to callers.
+  /// @param Event log event
+  /// @param Cause why
+  void recordRefusal(std::string_view Event, std::string_view Cause);
+  void reportCallers();
+
   GatewaySettings Settings;
   SettingsFile<GatewaySettings> File;
+  /// Declared before the node, whose context destroys the sessions.
+  CallerSessions Callers;
+  /// Refusals since the last log line, by event and cause.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> Refusals;
   FleetNode Node;
   std::shared_ptr<const RouteTable> Routes;
   CatchUp ConfigurationCatchUp;
--- a/src/protocol/fleet_settings.cpp
+++ b/src/protocol/fleet_settings.cpp
@@ -17,6 +17,8 @@
 constexpr double MaxDrainSeconds = 3600;
 constexpr double MaxRepeats = 1e6;
 constexpr double MaxColdFactor = 1e3;
+constexpr double MaxMemoryMb = 1 << 20;
+constexpr double MaxDescriptors = 1 << 20;
 constexpr double MaxLinkMbps = 1e6;
 constexpr double BitsPerMegabit = 1e6;
 
@@ -156,6 +158,22 @@
      .Default = "0",
      .Help = "requests a second that all gateways may send to a cold server "
              "besides"},
+    {.Key = "memory_mb",
+     .Kind = ValueKind::Number,
+     .Unit = "MB",
+     .Minimum = 1,
+     .Maximum = MaxMemoryMb,
+     .Default = "512",
+     .Help = "memory of the VM; a quarter, and at least 16 MB, may be used for "
+             "requests of callers and for responses that they read slowly"},
+    {.Key = "max_fds",
+     .Kind = ValueKind::Integer,
+     .Unit = "descriptors",
+     .Minimum = 1,
+     .Maximum = MaxDescriptors,
+     .Default = "4096",
+     .Help = "descriptors that the process may have open; half of them beyond "
+             "200, and at least 16, are for connections of callers"},
 };
 
 constexpr KeyDescription StagerMembers[] = {
@@ -227,6 +245,8 @@
   Settings.RetryReserve = Value.at("retry_reserve").get<double>();
   Settings.ColdOvershoot = Value.at("cold_overshoot").get<double>();
   Settings.ColdReserve = Value.at("cold_reserve").get<double>();
+  Settings.MemoryMegabytes = Value.at("memory_mb").get<double>();
+  Settings.MaxDescriptors = Value.at("max_fds").get<std::size_t>();
   Result.Value = std::move(Settings);
   return Result;
 }
--- a/tests/process/test_hostile_callers.py
+++ b/tests/process/test_hostile_callers.py
@@ -14,6 +14,7 @@
 from platform_fleet import call, check, wait_for  # noqa: E402
 
 MAX_BODY = 1 << 20
+RESPONSE = 4 << 20
 # Callers with bodies. Their bodies together are far over MOST_MEMORY_KB.
 BODIES = 80
 # Connections without a whole head, in all; far over MOST_DESCRIPTORS.
@@ -47,10 +48,10 @@
         except OSError:
             return False
 
-    def connect(self):
+    def connect(self, port=pf.CALLER_PORT):
         """A connection, which stays open until the end of the case; None if it is refused."""
         try:
-            connection = socket.create_connection((self.daemon.ip, pf.CALLER_PORT), timeout=5)
+            connection = socket.create_connection((self.daemon.ip, port), timeout=5)
         except OSError:
             return None
         self.connections.append(connection)
@@ -176,8 +177,38 @@
         target.check_bounds()
 
 
+# Guards against memory that grows with responses that nobody reads.
+def case_unread_responses(fleet):
+    """callers that do not read their large responses leave the gateway within the memory"""
+    for server in fleet.plain:
+        server.behaviours = [lambda request, s=server: request.answer(200, b"x" * RESPONSE, s.headers(request))
+                             ] * BODIES
+    with Target(fleet) as target:
+        for _ in range(BODIES // 2):
+            connection = target.connect()
+            if connection:
+                send(connection, [head("Content-Length: 0")])
+        time.sleep(2)  # until the servers have answered
+        for server in fleet.plain:
+            server.behaviours.clear()
+        target.check_bounds()
+
+
+# Guards against connections that other ports than that of the callers accept without a bound.
+def case_other_ports(fleet):
+    """idle connections to the ports for readiness, the directory and operators stay within the descriptors"""
+    ports = (pf.READY_PORT, pf.DIRECTORY_PORT, pf.OPERATOR_PORT)
+    with Target(fleet) as target:
+        for number in range(CONNECTIONS):
+            target.connect(ports[number % 3])
+            if number % 50 == 0:
+                target.note_descriptors()
+        check(target.ready(), "the readiness check is answered")
+        target.check_bounds()
+
+
 CASES = [case_large_chunks, case_small_chunks, case_announced, case_over_limit, case_reconnecting,
-         case_idle_and_half_open]
+         case_idle_and_half_open, case_unread_responses, case_other_ports]
 
 if __name__ == "__main__":
     pf.run_cases(CASES, prepare)
--- a/tests/src/unit-protocol-fleet_settings.cpp
+++ b/tests/src/unit-protocol-fleet_settings.cpp
@@ -36,6 +36,16 @@
   CHECK(addressText(Settings.Value->Callers) == "10.0.0.1:80");
   CHECK(Settings.Value->RetryReserve == doctest::Approx(106));
   CHECK(Settings.Value->DirectoryTime == 2s);
+  CHECK(Settings.Value->MemoryMegabytes == doctest::Approx(512));
+  CHECK(Settings.Value->MaxDescriptors == 4096);
+}
+
+TEST_CASE("settings of a gateway give the limits of its machine") {
+  const auto Settings =
+      parseGatewaySettings(gateway(R"(, "memory_mb": 160, "max_fds": 4100)"));
+  REQUIRE(Settings.Value);
+  CHECK(Settings.Value->MemoryMegabytes == doctest::Approx(160));
+  CHECK(Settings.Value->MaxDescriptors == 4100);
 }
 
 TEST_CASE("settings of a stager are read") {
