--- a/include/marigoldyard/coordination/cold_share.hpp
+++ b/include/marigoldyard/coordination/cold_share.hpp
@@ -32,8 +32,12 @@
   /// A gateway that was not heard of for this long is forgotten. Until then
   /// both sides of a partition compute the same shares.
   Duration GatewayLifetime = std::chrono::minutes(10);
-  /// After its start a process does not know what its predecessor sent, nor
-  /// which gateways there are.
+  /// After its start a process does not know what its predecessor sent in the
+  /// last second.
+  Duration ClosedTime = std::chrono::seconds(1);
+  /// Nor does it know which gateways there are, and which servers are cold. It
+  /// sends no server more than the share among UnknownGateways. Nothing at all
+  /// for so long would turn away the callers of a fleet that was restarted.
   Duration StartupTime = std::chrono::seconds(3);
   std::size_t MaxGateways = 1024; ///< limits the memory of the table
   /// Number of gateways that a process assumes which has not heard of any.
@@ -105,7 +109,7 @@
 /// @brief Returns the part of this process in the requests to a cold server.
 /// @param Limit of the pool
 /// @param Server id of the server
-/// @param Now no request is allowed during the startup time
+/// @param Now shortly after the start of this process the share is smaller
 /// @return requests in each window
 /// @complexity linear in the number of gateways
 std::uint32_t coldShare(const ColdShares &Shares, const ColdLimit &Limit,
--- a/src/coordination/cold_share.cpp
+++ b/src/coordination/cold_share.cpp
@@ -94,10 +94,14 @@
 
 std::uint32_t coldShare(const ColdShares &Shares, const ColdLimit &Limit,
                         std::string_view Server, TimePoint Now) {
-  if (Now - Shares.StartedAt < Shares.Settings.StartupTime)
+  const Duration Age = Now - Shares.StartedAt;
+  if (Age < Shares.Settings.ClosedTime)
     return 0;
   const std::uint32_t Bound = sharedBound(Shares.Settings, Limit);
-  const auto Gateways = static_cast<std::uint32_t>(sharingGateways(Shares));
+  std::size_t Sharing = sharingGateways(Shares);
+  if (Age < Shares.Settings.StartupTime)
+    Sharing = std::max(Sharing, Shares.Settings.UnknownGateways);
+  const auto Gateways = static_cast<std::uint32_t>(Sharing);
   const bool GetsRemainder =
       ownRank(Shares, detail::nameHash(Server)) < Bound % Gateways;
   return Bound / Gateways + (GetsRemainder ? 1 : 0);
