review: the scripts end their processes also when they take too long

Promise: a script of the review ends all processes that it started. Order of events: run.sh ends a case that takes over 115 s with SIGTERM, and its gateways went on. The signal now raises an error, after which the deployment is closed as at any other end.

--- a/review/common-2/casefleet.py
+++ b/review/common-2/casefleet.py
@@ -194,8 +194,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def end_in_time(*_):
+    raise TimeoutError("the case took too long")
+
+
 def run(case, **deployment):
     """Runs case(deployment, record), which returns a text for each breach of the rule; exits as the issue says."""
+    signal.signal(signal.SIGTERM, end_in_time)  # of run.sh
     record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
     record.write(f"disruption: {'on' if TROUBLE else 'off'}")
     status, fleet = NOT_RUN, None
