review: the scripts write the record that they are told of

Promise: record.txt says what was sent, answered and run, also why a case could not run. Order of events: the shared module chose the place of the record itself, and a case that failed before that left none. It takes the path now.

--- a/review/common-2/casefleet.py
+++ b/review/common-2/casefleet.py
@@ -47,11 +47,11 @@
 
 
 class Record:
-    """record.txt in the folder of the case: what was sent, answered and run."""
+    """record.txt of the case, which run.sh names: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.lock, self.start = threading.Lock(), time.monotonic()
-        self.target = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.target = open(path, "a", encoding="utf-8")
 
     def write(self, text):
         with self.lock:
@@ -201,7 +201,7 @@
 def run(case, **deployment):
     """Runs case(deployment, record), which returns a text for each breach of the rule; exits as the issue says."""
     signal.signal(signal.SIGTERM, end_in_time)  # of run.sh
-    record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
+    record = Record(sys.argv[1])
     record.write(f"disruption: {'on' if TROUBLE else 'off'}")
     status, fleet = NOT_RUN, None
     try:
