Review: cases 11 to 13 use the deployment of the earlier cases

common-3 had its own copy of what common-2/casefleet.py does: the templates of the deploy file, the start and end of processes, the record and the network. It keeps only servers that renew their entries, clients on kept connections, and the waits and loops that the three cases shared. The checks, bounds and doses are the same; what servers ran is recorded at the end of a run.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,14 +1,14 @@
 """A gateway is restarted while a server is taken away, and the link of the other gateway is narrow for a few seconds."""
 import os
+import signal
 import socket
 import sys
 import threading
 import time
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "common-3"))
-import small_fleet  # noqa: E402  the path is set above
-from small_fleet import DRAIN_S, STABLE_WINDOW_S, TROUBLE, Client, Gateway, Server, pf  # noqa: E402
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-3"))
+import small_fleet as sf  # noqa: E402  the path is set above
+from small_fleet import Client, cf, pf  # noqa: E402
 
 SERVERS = 8  # one of them is an eighth: under the share .13 of scale_in in the site file
 IDLE_ROUTES = 110 + 350  # idle routes of a small site, and those that big_config adds
@@ -76,74 +76,64 @@
     return sum(len(item["value"]) for item in store.items.values())
 
 
-def restart_beside_removal(record, store, gateway, leaver, link):
-    """Restarts a gateway. The entry of a server is removed as the gateway starts, right after a call of the other one."""
-    gateway.terminate()
-    record(f"front-{gateway.host} has ended after SIGTERM")
-    if TROUBLE:
+def restart_beside_removal(fleet, record, leaver, link):
+    """Restarts the second gateway. The entry of a server is removed as it starts, right after a watch of the first one."""
+    other, gateway = fleet.gateways
+    gateway.send(signal.SIGTERM)
+    gateway.process.wait(10)
+    record.write(f"front-{gateway.host} has ended after SIGTERM")
+    if cf.TROUBLE:
         link.squeeze()
-        record(f"the link of the other gateway has {SQUEEZE_MBPS} Mbit/s for {SQUEEZE_S} s")
-    calls = len(store.calls)
-    pf.wait_for(lambda: any(client != gateway.host and "kv-watch" in path for client, path in store.calls[calls:]),
-                "a watch of the other gateway", interval=0.002)
-    revision = store.revision
-    pf.wait_for(lambda: store.revision > revision, "the next entry of a server, which ends the watch", interval=0.002)
-    time.sleep(0.01)
+        record.write(f"the link of front-{other.host} has {SQUEEZE_MBPS} Mbit/s for {SQUEEZE_S} s")
+    sf.wait_for_pause(fleet.store, other)
     leaver.leave_list()
+    record.write(f"the entry of {leaver.id} is removed")
     removed_at = time.monotonic()
     gateway.start()
-    gateway.wait_ready()
-    record(f"front-{gateway.host} is ready {time.monotonic() - gateway.started_at:.3f} s after its start")
+    fleet.wait_ready(gateway)
     return removed_at
 
 
-def case(record, work, gateways, standins):
-    store = pf.Store(2)
-    standins.append(store)
-    store.put("op/config", large_configuration())
+def start_gateways(fleet):
+    """Starts two gateways that speak through proxies, so that each has a first port of its own; returns the proxy of what
+    the first one sends."""
+    links = [fleet.keep(Link((f"{pf.NET}.20.41", 7700), (f"{pf.NET}.20.41", 7701))),
+             fleet.keep(Link((f"{pf.NET}.20.40", 7701), (f"{pf.NET}.20.40", 7700)))]
+    fields, fleet.seeds = fleet.fields, [40, 41]
+    fleet.fields = lambda host, name, **more: fields(host, name, internal_ports=[7660 + host, 7715], **more)
+    fleet.gateways = [fleet.gateway(host) for host in fleet.seeds]
+    for gateway in fleet.gateways:
+        fleet.wait_ready(gateway)
+    return links[0]
+
+
+def case(fleet, record):
+    store = fleet.store
     store.listing_s = bytes_of(store) * 8 / (REGION_MBPS * 1e6)
-    record(f"the store sends {bytes_of(store)} bytes in {store.listing_s:.3f} s")
-    servers = [Server(record, store, f"i-{number}", 10 + number) for number in range(SERVERS)]
-    standins.extend(servers)
-    # The peers speak through proxies, so each of the two has a first port of its own.
-    links = [Link((f"{pf.NET}.20.41", 7700), (f"{pf.NET}.20.41", 7701)),
-             Link((f"{pf.NET}.20.40", 7701), (f"{pf.NET}.20.40", 7700))]
-    standins.extend(links)
-    gateways.append(Gateway(work, store, 40, [40, 41], 7700))
-    gateways.append(Gateway(work, store, 41, [40, 41], 7701))
-    for gateway in gateways:
-        gateway.wait_ready()
-    time.sleep(4)
-
-    restarted, late = gateways[1], 0
+    record.write(f"the store sends {bytes_of(store)} bytes in {store.listing_s:.3f} s")
+    link = start_gateways(fleet)
+    time.sleep(sf.STABLE_WINDOW_S + 1)
+
+    restarted, late = fleet.gateways[1], 0
     for number in range(ROUNDS):
-        leaver = servers[number]
-        removed_at = restart_beside_removal(record, store, restarted, leaver, links[0])
+        leaver = fleet.plain[number]
+        removed_at = restart_beside_removal(fleet, record, leaver, link)
         # After this time the bound of the server is over, and its machine and that of the other gateway have been
         # without disruption for the stable window.
-        time.sleep(max(SQUEEZE_S, DRAIN_S) + STABLE_WINDOW_S)
-        record(f"front-41 is in touch; the entry of {leaver.id} was removed "
-               f"{time.monotonic() - removed_at:.1f} s ago (bound {DRAIN_S} s)")
+        time.sleep(max(SQUEEZE_S, sf.DRAIN_S) + sf.STABLE_WINDOW_S)
+        record.write(f"front-{restarted.host} is in touch; the entry of {leaver.id} was removed "
+                     f"{time.monotonic() - removed_at:.1f} s ago (bound {sf.DRAIN_S} s)")
         begun = time.monotonic()
-        clients = [Client(record, restarted, f"r{number}-c{each}", "/once/") for each in range(CLIENTS)]
-        for client in clients:
-            client.start()
-        time.sleep(removed_at + STAYS_S - time.monotonic())
-        leaver.end()
-        time.sleep(1)
-        for client in clients:
-            client.ended.set()
-        for client in clients:
-            client.join(6)
+        results = sf.run_clients([Client(record, restarted, "/once/") for _ in range(CLIENTS)], removed_at + STAYS_S,
+                                 leaver.end)
         runs = [run for run in leaver.runs if run["at"] > begun]
-        cut = {run["id"] for run in runs if run["ended"] == "cut"}
-        answers = {result["id"]: result["status"] for client in clients for result in client.results}
-        record(f"round {number}: {len(runs)} requests reached {leaver.id} after the bound; {len(cut)} of them were cut "
-               f"when it ended, answered with {sorted(str(answers.get(each)) for each in cut)}")
+        cut = {run["id"] for run in runs if run["cut"]}
+        record.write(f"round {number}: {len(runs)} requests reached {leaver.id} after the bound; {len(cut)} of them were cut "
+                     f"when it ended, answered with {[each['status'] for each in results if each['id'] in cut]}")
         late += len(runs)
-        if late and TROUBLE:
+        if late and cf.TROUBLE:
             break
-    return late > 0
+    return [f"DRAIN: {late} requests reached a server that had left"] if late else []
 
 
-small_fleet.run_case(FOLDER, case)
+sf.run(case, plain=SERVERS, gateways=0, configuration=large_configuration())
