Store: a relay brings back no item that was removed before

Cause: the mirror of the store kept one position for items and removals. A relay moves the first but may not tell of every removal: its sender may be older than the listing of the receiver, or have started after the removal. An unknown key then passed for a new one, and the watch went on behind the removal.

Change: CompleteUpTo records up to where all changes are applied. Absent keys with older items were removed; the watch continues after this position.

--- a/include/marigoldyard/coordination/store_mirror.hpp
+++ b/include/marigoldyard/coordination/store_mirror.hpp
@@ -24,11 +24,12 @@
 /// @brief Local copy of a part of the platform's store.
 ///
 /// Within an era, an item is replaced only by one with a higher revision, so
-/// that stale reads and delayed relays revert nothing. After a restore, the
-/// store may hold older items than this copy, which are not taken over: what
-/// was known stays until it is written again. Between eras, an item of the
-/// later one counts if it was written after its era's first content. One of
-/// that content counts if its writer states that it is newer, or if it is no
+/// that stale reads and delayed relays revert nothing. An unknown key whose
+/// item is not newer than what was read of its era was removed. After a
+/// restore, the store may hold older items than this copy, which are not taken
+/// over: what was known stays until it is written again. Between eras, an item
+/// of the later one counts if it was written after its era's first content. One
+/// of that content counts if its writer states that it is newer, or if it is no
 /// change of an earlier era and the writer does not state that it is older.
 struct StoreMirror {
   RestoreRules Rules;
@@ -43,8 +44,12 @@
   std::size_t MaxSeenChanges = 8192;
 
   std::map<std::string, StoreItem, std::less<>> Items;
-  std::deque<StoreItem> Removals;    ///< oldest first
-  StorePosition Position;            ///< all changes up to it are applied
+  std::deque<StoreItem> Removals; ///< oldest first
+  /// All items up to it are known. A relay may not tell of every removal.
+  StorePosition Position;
+  /// Revision up to which all changes of an era are applied, removals included,
+  /// by era.
+  std::map<StoreEra, StoreRevision> CompleteUpTo;
   std::optional<StoreEra> FirstEra;  ///< of the first content
   std::optional<StoreEra> ListedEra; ///< of the last listing
   /// Lowest known revision of an era at which its content was received, by era.
@@ -69,9 +74,15 @@
                         const std::vector<StoreItem> &Events,
                         StorePosition CompleteUpTo);
 
+/// @brief Returns the position after which the store's changes are still to be
+/// read. Only own reads and the first content move it: the sender of a relay
+/// may have started after a removal, and then does not know of it.
+StorePosition watchPosition(const StoreMirror &Mirror);
+
 /// @brief Applies items that another process relayed.
-/// @param Items items and removals, in any sequence
-/// @param CompleteUpTo position up to which the items are complete
+/// @param Items items and removals, in any sequence; all items if the mirror is
+/// empty
+/// @param CompleteUpTo watchPosition() of the sender
 /// @param CopiedUpTo copiedUpTo() of the sender
 /// @param Now an item that may expire and that a listing of a later era lacked
 /// is kept for ExpiryGracePeriod from now on
--- a/include/marigoldyard/protocol/message.hpp
+++ b/include/marigoldyard/protocol/message.hpp
@@ -273,7 +273,9 @@
 /// @brief Items of the platform's store that the asking process lacks.
 struct StoreRelay {
   std::vector<StoreItem> Items;
-  StorePosition Upto; ///< the items are complete up to here
+  /// Everything up to here that the sender was asked for is contained, but not
+  /// removals from before the sender started.
+  StorePosition Upto;
   /// For each era, the position up to which its items may be from the copy from
   /// which the store was restored.
   std::vector<StorePosition> CopiedUpTo;
--- a/programs/fleet/fleet_node.cpp
+++ b/programs/fleet/fleet_node.cpp
@@ -343,7 +343,7 @@
   if (!Store.isInitialized() || Store.mirror().Position <= Request.After)
     return;
   StoreRelay Relay;
-  Relay.Upto = Store.mirror().Position;
+  Relay.Upto = watchPosition(Store.mirror());
   Relay.CopiedUpTo = copiedUpTo(Store.mirror());
   for (StoreItem &Item : itemsAfter(Store.mirror(), Request.After))
     if (Item.Key.starts_with(Request.Prefix))
--- a/programs/fleet/store_reader.cpp
+++ b/programs/fleet/store_reader.cpp
@@ -176,10 +176,10 @@
 
 void StoreReader::requestChanges() {
   CallSentAt = now();
-  WatchedEra = Mirror.Position.Era;
+  const StorePosition After = watchPosition(Mirror);
+  WatchedEra = After.Era;
   Client.call(platform::makeWatchCall(Options.Address, Options.Prefix,
-                                      Mirror.Position.Revision,
-                                      Options.WatchTimeout),
+                                      After.Revision, Options.WatchTimeout),
               [this](const HttpResult &Result) { handleChanges(Result); });
 }
 
@@ -207,16 +207,16 @@
 }
 
 void StoreReader::handleOtherEra(StorePosition Position) {
-  const bool IsNew = Position.Era > Mirror.Position.Era;
+  const StorePosition Known = watchPosition(Mirror);
+  const bool IsNew = Position.Era > Known.Era;
   Log.write({.Level = LogLevel::Warning,
              .Event = IsNew ? "store_restored" : "store_answer_outdated",
              .At = Step::ConfigurationRead,
              .Peer = "store",
              .Number = Position.Revision,
              .Fields = {{"era", std::to_string(Position.Era)},
-                        {"known_era", std::to_string(Mirror.Position.Era)},
-                        {"known_revision",
-                         std::to_string(Mirror.Position.Revision)}}});
+                        {"known_era", std::to_string(Known.Era)},
+                        {"known_revision", std::to_string(Known.Revision)}}});
   scheduleCall(IsNew ? std::chrono::milliseconds::zero() : MinBackoff,
                &StoreReader::requestListing);
 }
--- a/src/coordination/store_mirror.cpp
+++ b/src/coordination/store_mirror.cpp
@@ -93,13 +93,31 @@
   Mirror.Removals.pop_front();
 }
 
+/// Whether all changes of the era of an item are applied up to its revision.
+bool isCovered(const StoreMirror &Mirror, const StoreItem &Item) {
+  const auto Complete = Mirror.CompleteUpTo.find(Item.Era);
+  return Complete != Mirror.CompleteUpTo.end() &&
+         Item.ChangedRevision <= Complete->second;
+}
+
+void recordCompleteUpTo(StoreMirror &Mirror, StorePosition Position) {
+  StoreRevision &Complete = Mirror.CompleteUpTo[Position.Era];
+  Complete = std::max(Complete, Position.Revision);
+  Mirror.Position = std::max(Mirror.Position, Position);
+}
+
 bool applyItem(StoreMirror &Mirror, const StoreItem &Event) {
   const StoreItem *Known = findKnown(Mirror, Event.Key);
-  const bool IsNew = Known == nullptr || supersedes(Mirror, Event, *Known);
+  const bool WasRemoved = !Event.Deleted && isCovered(Mirror, Event) &&
+                          !Mirror.Items.contains(Event.Key);
+  const bool IsNew =
+      !WasRemoved && (Known == nullptr || supersedes(Mirror, Event, *Known));
   recordSeen(Mirror, Event);
   if (!IsNew)
     return false;
-  Mirror.PendingRemovals.erase(Event.Key);
+  // An older write does not end the removal of an item that a listing lacked.
+  if (Event.Deleted || !isCovered(Mirror, Event))
+    Mirror.PendingRemovals.erase(Event.Key);
   if (!Event.Deleted) {
     Mirror.Items[Event.Key] = Event;
     return true;
@@ -117,20 +135,33 @@
   Known->second = std::min(Known->second, At.Revision);
 }
 
+ChangedKeys applyItems(StoreMirror &Mirror,
+                       const std::vector<StoreItem> &Items) {
+  ChangedKeys Changed;
+  for (const StoreItem &Item : Items)
+    if (applyItem(Mirror, Item))
+      Changed.push_back(Item.Key);
+  return Changed;
+}
+
 } // namespace
 
 ChangedKeys applyEvents(StoreMirror &Mirror,
                         const std::vector<StoreItem> &Events,
                         StorePosition CompleteUpTo) {
   recordContentAt(Mirror, CompleteUpTo);
-  ChangedKeys Changed;
-  for (const StoreItem &Event : Events)
-    if (applyItem(Mirror, Event))
-      Changed.push_back(Event.Key);
-  Mirror.Position = std::max(Mirror.Position, CompleteUpTo);
+  ChangedKeys Changed = applyItems(Mirror, Events);
+  recordCompleteUpTo(Mirror, CompleteUpTo);
   return Changed;
 }
 
+StorePosition watchPosition(const StoreMirror &Mirror) {
+  if (Mirror.CompleteUpTo.empty())
+    return {};
+  const auto &[Era, Revision] = *Mirror.CompleteUpTo.rbegin();
+  return {Era, Revision};
+}
+
 ChangedKeys applyRelayedItems(StoreMirror &Mirror,
                               const std::vector<StoreItem> &Items,
                               StorePosition CompleteUpTo,
@@ -139,7 +170,10 @@
   recordContentAt(Mirror, CompleteUpTo);
   for (const StorePosition &Each : CopiedUpTo)
     recordContentAt(Mirror, Each);
-  ChangedKeys Changed = applyEvents(Mirror, Items, CompleteUpTo);
+  ChangedKeys Changed = applyItems(Mirror, Items);
+  if (Mirror.CompleteUpTo.empty())
+    recordCompleteUpTo(Mirror, CompleteUpTo);
+  Mirror.Position = std::max(Mirror.Position, CompleteUpTo);
   // The store sends no event for a key that its copy lacks.
   for (const std::string &Key : Changed) {
     const auto Item = Mirror.Items.find(Key);
@@ -176,6 +210,9 @@
   const bool Restored = Mirror.ListedEra && ListedAt.Era > *Mirror.ListedEra;
   recordContentAt(Mirror, ListedAt);
   Mirror.ListedEra = ListedAt.Era;
+  // A newer listing decides which items exist.
+  if (ListedAt >= watchPosition(Mirror))
+    Mirror.CompleteUpTo.erase(ListedAt.Era);
   ChangedKeys Changed;
   std::set<std::string_view> Present;
   for (const StoreItem &Item : Listed) {
@@ -209,7 +246,7 @@
     Mirror.PendingRemovals.erase(Item->first);
     Item = Mirror.Items.erase(Item);
   }
-  Mirror.Position = std::max(Mirror.Position, ListedAt);
+  recordCompleteUpTo(Mirror, ListedAt);
   return Changed;
 }
 
@@ -221,9 +258,9 @@
     Changed.push_back(Each.first);
     return true;
   });
+  const StorePosition At = watchPosition(Mirror);
   for (const std::string &Key : Changed) {
-    recordRemoval(
-        Mirror, {Key, {}, Mirror.Position.Revision, true, Mirror.Position.Era});
+    recordRemoval(Mirror, {Key, {}, At.Revision, true, At.Era});
     Mirror.Items.erase(Key);
   }
   return Changed;
--- a/tests/src/unit-coordination-store_mirror.cpp
+++ b/tests/src/unit-coordination-store_mirror.cpp
@@ -255,3 +255,91 @@
   CHECK(applyEvents(Mirror, {restored("s", 21, "1")}, {2, 21}) ==
         ChangedKeys{"s"});
 }
+
+// Guards against a server that left and gets requests again, because a process
+// that has just listed the store takes over an older relay.
+TEST_CASE("a relay older than the listing brings back no removed item") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("t", 4, "3")}, {1, 20}, false, StartCommand);
+  CHECK(applyRelayedItems(Mirror, {known("s", 5, "3"), known("t", 4, "3")},
+                          {1, 10}, {{1, 4}}, StartCommand)
+            .empty());
+  CHECK_FALSE(Mirror.Items.contains("s"));
+  // An item that was added later is not known from the listing.
+  CHECK(applyRelayedItems(Mirror, {known("s", 21, "3")}, {1, 21}, {{1, 4}},
+                          StartCommand) == ChangedKeys{"s"});
+}
+
+TEST_CASE("a relay older than the first one brings back no removed item") {
+  StoreMirror Mirror = makeMirror();
+  applyRelayedItems(Mirror, {known("t", 4, "3")}, {1, 20}, {{1, 4}},
+                    StartCommand);
+  CHECK(applyRelayedItems(Mirror, {known("s", 5, "3")}, {1, 10}, {{1, 4}},
+                          StartCommand)
+            .empty());
+}
+
+TEST_CASE("a removal that is no longer remembered is not undone by a relay") {
+  StoreMirror Mirror = makeMirror();
+  Mirror.MaxRemovals = 1;
+  applyListing(Mirror, {known("s", 5, "3"), known("t", 6, "3")}, {1, 10}, false,
+               StartCommand);
+  applyEvents(Mirror, {{"s", "", 11, true, 1}, {"t", "", 12, true, 1}},
+              {1, 12});
+  CHECK(applyRelayedItems(Mirror, {known("s", 5, "3")}, {1, 10}, {{1, 4}},
+                          StartCommand)
+            .empty());
+}
+
+// Guards against a removal that nobody tells of: the sender of the relay
+// started after it, and the own watch continues behind it.
+TEST_CASE("a relay does not move the position after which changes are read") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 5, "3")}, {1, 10}, false, StartCommand);
+  StoreMirror Sender = makeMirror();
+  applyListing(Sender, {known("t", 14, "3")}, {1, 20}, false, StartCommand);
+  applyRelayedItems(Mirror, itemsAfter(Sender, Mirror.Position),
+                    watchPosition(Sender), copiedUpTo(Sender), StartCommand);
+  CHECK(Mirror.Position == StorePosition{1, 20});
+  CHECK(watchPosition(Mirror) == StorePosition{1, 10});
+  CHECK(applyEvents(Mirror, {known("t", 14, "3"), {"s", "", 12, true, 1}},
+                    {1, 20}) == ChangedKeys{"s"});
+  CHECK(Mirror.Items == Sender.Items);
+}
+
+TEST_CASE("a newer listing corrects what was taken for removed") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {}, {1, 20}, false, StartCommand);
+  CHECK(applyListing(Mirror, {known("s", 5, "3")}, {1, 21}, false,
+                     StartCommand) == ChangedKeys{"s"});
+}
+
+TEST_CASE("a listing that is older than the mirror brings nothing back") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {}, {1, 20}, false, StartCommand);
+  CHECK(applyListing(Mirror, {known("s", 5, "3")}, {1, 10}, false, StartCommand)
+            .empty());
+  CHECK(watchPosition(Mirror) == StorePosition{1, 20});
+}
+
+// Guards against a server that expired in an outage and stays for good, because
+// an older relay holds a renewal that this process did not see.
+TEST_CASE(
+    "an older relay does not keep what a listing after an outage lacked") {
+  StoreMirror Mirror = makeMirror();
+  applyListing(Mirror, {known("s", 5, "3")}, {1, 10}, false, StartCommand);
+  CHECK(applyListing(Mirror, {}, {1, 20}, true, StartCommand).empty());
+  applyRelayedItems(Mirror, {known("s", 12, "3")}, {1, 12}, {{1, 4}},
+                    StartCommand);
+  CHECK(removeExpiredItems(Mirror, StartCommand + 2s) == ChangedKeys{"s"});
+}
+
+TEST_CASE("an older relay does not bring back an item that was added and "
+          "removed unseen") {
+  StoreMirror Mirror = makeMirror();
+  applyEvents(Mirror, {known("s", 5, "3"), {"s", "", 6, true, 1}}, {1, 6});
+  applyListing(Mirror, {}, {1, 20}, false, StartCommand);
+  CHECK(applyRelayedItems(Mirror, {known("s", 9, "3")}, {1, 12}, {{1, 4}},
+                          StartCommand)
+            .empty());
+}
