Servers: one that moved gives its first address back

Cause: the index by address kept the first address of a server whose record named another one. assignAddress() looked up the removed server with at(), and nothing catches the exception. While the server lived, the stale entry kept a sound server at its first address out.

Change: the table keeps all servers that name an address and selects the owner anew whenever a record changes or is removed. A move is logged and closes the idle connections to the address before.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -109,7 +109,11 @@
   ServerTableSettings Settings;
   std::unordered_map<std::string, ServerState> Servers; ///< by id
   std::map<std::string, std::set<std::string>, std::less<>> ByPool;
-  std::map<std::string, std::string, std::less<>> IdByAddress;
+  /// Servers whose records name an address. There are several while a server
+  /// has taken over the address of one whose record has not expired.
+  std::map<std::string, std::set<std::string>, std::less<>> IdsByAddress;
+  /// The server that has an address.
+  std::map<std::string, std::string, std::less<>> OwnerByAddress;
   std::map<std::string, std::uint64_t, std::less<>> RequiredVersions;
   /// Whether RequiredVersions can be relied on; until then no request is sent
   /// to a model server.
@@ -122,6 +126,7 @@
 };
 
 /// @brief Adds or replaces the record of a server. A restart resets its state.
+/// A server that moved gives its address back.
 /// @complexity logarithmic in the number of servers
 void putServer(ServerTable &Table, const ServerRecord &Record);
 
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -407,6 +407,15 @@
          .At = Step::MemberList,
          .Peer = Record->Address,
          .Fields = {{"server", Id}, {"pool", Record->Pool}}});
+  if (Known != Servers.Servers.end() &&
+      Known->second.Record.Address != Record->Address) {
+    Node.Log.write(
+        {.Event = "server_moved",
+         .At = Step::MemberList,
+         .Peer = Record->Address,
+         .Fields = {{"server", Id}, {"from", Known->second.Record.Address}}});
+    Connections.closeAll(Known->second.Record.Address);
+  }
   const bool WasCold = isCold(Servers, Id, now());
   putServer(Servers, *Record);
   recordServerColdness(Servers, *Record, now());
@@ -465,7 +474,7 @@
   if (!applyEngineStatus(Servers, News, now()))
     return;
   if (!Status.Accepting)
-    moveStreamsFrom(Servers.IdByAddress.at(Status.Server));
+    moveStreamsFrom(Servers.OwnerByAddress.at(Status.Server));
   dispatchQueued();
 }
 
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -121,22 +121,40 @@
   return Score;
 }
 
-/// Assigns an address to the server that started last and marks the other one
-/// as replaced. The record of a replaced server expires after some missed
+/// Selects the server of an address among the records that name it: the one
+/// that started last, and of several, the one that was put last. The others are
+/// marked as replaced; the record of such a server expires after some missed
 /// heartbeats.
-void assignAddress(ServerTable &Table, ServerState &Server) {
-  const auto [AddressOwner, New] =
-      Table.IdByAddress.emplace(Server.Record.Address, Server.Record.Id);
-  Server.Replaced = false;
-  if (New || AddressOwner->second == Server.Record.Id)
+void assignAddress(ServerTable &Table, const std::string &Address,
+                   std::string_view LastPut) {
+  const auto Ids = Table.IdsByAddress.find(Address);
+  if (Ids == Table.IdsByAddress.end())
     return;
-  ServerState &Other = Table.Servers.at(AddressOwner->second);
-  if (Other.Record.StartedAtMs > Server.Record.StartedAtMs) {
-    Server.Replaced = true;
+  const auto Rank = [&](const std::string &Id) {
+    return std::pair(Table.Servers.at(Id).Record.StartedAtMs, Id == LastPut);
+  };
+  const std::string &Owner =
+      *std::max_element(Ids->second.begin(), Ids->second.end(),
+                        [&](const std::string &Left, const std::string &Right) {
+                          return Rank(Left) < Rank(Right);
+                        });
+  for (const std::string &Id : Ids->second)
+    Table.Servers.at(Id).Replaced = Id != Owner;
+  Table.OwnerByAddress[Address] = Owner;
+}
+
+/// Removes a server from the indexes. Must be called before its record changes
+/// or is removed.
+void removeFromIndexes(ServerTable &Table, const ServerRecord &Record) {
+  Table.ByPool[Record.Pool].erase(Record.Id);
+  const auto Ids = Table.IdsByAddress.find(Record.Address);
+  if (Ids == Table.IdsByAddress.end())
     return;
+  Ids->second.erase(Record.Id);
+  if (Ids->second.empty()) {
+    Table.IdsByAddress.erase(Ids);
+    Table.OwnerByAddress.erase(Record.Address);
   }
-  Other.Replaced = true;
-  AddressOwner->second = Server.Record.Id;
 }
 
 auto findAbsentServer(ServerTable &Table, const std::string &Id) {
@@ -223,8 +241,9 @@
   ServerState &Server = Table.Servers[Record.Id];
   const bool Restarted = !New && Server.Record.StartedAtMs != 0 &&
                          Record.StartedAtMs > Server.Record.StartedAtMs;
-  if (!New && Server.Record.Pool != Record.Pool)
-    Table.ByPool[Server.Record.Pool].erase(Record.Id);
+  const std::string AddressBefore = Server.Record.Address;
+  if (!New)
+    removeFromIndexes(Table, Server.Record);
   if (New || Restarted) {
     Server.Weights.clear();
     Server.ReportedLoad.reset();
@@ -251,7 +270,10 @@
   const auto Region = Table.Settings.RegionOf.find(Record.FailureDomain);
   Server.Region = Region == Table.Settings.RegionOf.end() ? "" : Region->second;
   Table.ByPool[Record.Pool].insert(Record.Id);
-  assignAddress(Table, Server);
+  Table.IdsByAddress[Record.Address].insert(Record.Id);
+  assignAddress(Table, Record.Address, Record.Id);
+  if (AddressBefore != Record.Address)
+    assignAddress(Table, AddressBefore, {});
 }
 
 void removeServer(ServerTable &Table, const std::string &Id) {
@@ -262,18 +284,18 @@
   const ServerAvailability &Availability = Found->second.Availability;
   if (Availability.Leaving || Availability.RefusesUntil != TimePoint{})
     addAbsentServer(Table, {Id, Record.StartedAtMs, Availability});
-  Table.ByPool[Record.Pool].erase(Id);
-  const auto AddressOwner = Table.IdByAddress.find(Record.Address);
-  if (AddressOwner != Table.IdByAddress.end() && AddressOwner->second == Id)
-    Table.IdByAddress.erase(AddressOwner);
+  const std::string Address = Record.Address;
+  removeFromIndexes(Table, Record);
   Table.Servers.erase(Found);
+  assignAddress(Table, Address, {});
 }
 
 bool applyEngineStatus(ServerTable &Table,
                        const EngineStatusReport &EngineStatus, TimePoint Now) {
-  const auto Id = Table.IdByAddress.find(EngineStatus.Address);
-  ServerState *Server =
-      Id == Table.IdByAddress.end() ? nullptr : findServer(Table, Id->second);
+  const auto Id = Table.OwnerByAddress.find(EngineStatus.Address);
+  ServerState *Server = Id == Table.OwnerByAddress.end()
+                            ? nullptr
+                            : findServer(Table, Id->second);
   if (Server == nullptr ||
       EngineStatus.StartedAtMs < Server->Record.StartedAtMs)
     return false;
--- a/tests/process/test_odd_records.py
+++ b/tests/process/test_odd_records.py
@@ -102,6 +102,37 @@
     check_followed(fleet, "a replaced record")
 
 
+# Guards against gateways that end, or keep a sound server out, when the address that a server had is given to another.
+def case_moved_server(fleet):
+    """servers at the first address of one that moved are used, before and after it leaves"""
+    first = fleet.plain[0]
+    original, first.id = first.id, "i-successor"
+    moved = pf.Backend(fleet.store, original, 15, "plain")
+    time.sleep(0.7)
+    try:
+        first.register()
+        time.sleep(0.7)
+        first.seen.clear()
+        check_served(fleet, "beside the server that moved")
+        check(first.seen, "the server at the first address gets requests")
+        for leaving in (original, "i-successor"):
+            fleet.store.remove("servers/" + leaving)
+            time.sleep(0.7)
+        first.id = "i-second-successor"
+        first.register()
+        time.sleep(0.7)
+        check(all(gateway.process.poll() is None for gateway in fleet.gateways), "no gateway ended")
+        first.seen.clear()
+        check_served(fleet, "after the server that moved has left")
+        check(first.seen, "the next server at the first address gets requests")
+    finally:
+        moved.close()
+        fleet.store.remove("servers/" + first.id)
+        first.id = original
+        first.register()
+        time.sleep(0.7)
+
+
 def case_odd_configuration(fleet):
     """an odd configuration and an odd version leave what is in force, and later ones are followed"""
     for value in (b"[" * DEPTH, b"", b"\xff", {"version": -1}, {"version": 10 ** 400}, [1], "text"):
@@ -129,8 +160,8 @@
             del store.items[key]
 
 
-CASES = [case_odd_values, case_start_beside_odd_values, case_replaced_record, case_odd_configuration,
-         case_many_odd_entries]
+CASES = [case_odd_values, case_start_beside_odd_values, case_replaced_record, case_moved_server,
+         case_odd_configuration, case_many_odd_entries]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -200,6 +200,52 @@
   }
 }
 
+// Guards against gateways that end when the first address of a server that
+// moved is given to another one.
+TEST_CASE("a server that moves and leaves gives its first address back") {
+  ServerTable Table = tableWith({record("1"), record("2")});
+  ServerRecord Moved = record("1");
+  Moved.Address = "10.0.0.9:80";
+  Moved.StartedAtMs = 2000;
+  putServer(Table, Moved);
+  removeServer(Table, "1");
+  removeServer(Table, "2");
+  ServerRecord Next = record("3");
+  Next.Address = record("1").Address;
+  putServer(Table, Next);
+  CHECK(choose(Table).Id == "3");
+}
+
+// Guards against a sound server that gets nothing, since a server that moved is
+// still taken for the one at its address.
+TEST_CASE("a server at the first address of one that moved is used beside it") {
+  ServerRecord Stays = record("2");
+  Stays.Address = record("1").Address;
+  Stays.StartedAtMs = 500;
+  ServerRecord First = record("1");
+  First.StartedAtMs = 1000;
+  ServerRecord Moved = First;
+  Moved.Address = "10.0.0.9:80";
+  Moved.StartedAtMs = 2000;
+  for (const auto &Order :
+       {std::vector{First, Stays, Moved}, std::vector{First, Moved, Stays}}) {
+    ServerTable Table = tableWith(Order);
+    CHECK_FALSE(Table.Servers.at("1").Replaced);
+    CHECK_FALSE(Table.Servers.at("2").Replaced);
+  }
+}
+
+TEST_CASE("a server is used again when the one that had its address left") {
+  ServerRecord Old = record("1");
+  ServerRecord New = record("2");
+  New.Address = Old.Address;
+  New.StartedAtMs = 2000;
+  ServerTable Table = tableWith({Old, New});
+  CHECK(Table.Servers.at("1").Replaced);
+  removeServer(Table, "2");
+  CHECK_FALSE(Table.Servers.at("1").Replaced);
+}
+
 // Guards against a server that refuses without end and draws request after
 // request: its failure rate alone lets it be chosen while others have load.
 TEST_CASE("a server whose answer has no end gets no request at once") {
