Versions: send only what is expected to start before the bound

Cause: requests to servers behind links full of weights take seconds to arrive. Gateways sent to an older version until 0.5 s before the bound and counted on a withdrawal, which takes the same link. The handshake of a new connection does not show the delay (connect_s, new in send_failed).

Change: the time from sending a request to its start is measured for each server. A server whose version goes out of use gets a request only if the expected delay fits into half of the time that is left.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -55,6 +55,13 @@
   /// More prompts would wait there, where a more urgent request cannot overtake
   /// them.
   double PrefillPasses = 1.3;
+  /// Time after the last measurement for which StartDelay is relied on.
+  Duration StartDelayLifetime = std::chrono::seconds(2);
+  /// Assumed start delay without a recent measurement.
+  Duration UnknownStartDelay = std::chrono::milliseconds(700);
+  /// Part of the time until a request must start that its way to the server and
+  /// its wait there may take. The delay may still grow after it was measured.
+  double StartDelayShare = 0.5;
   /// Number of servers without a record whose notices are kept. The record of a
   /// live server may be missing for a time.
   std::size_t MaxAbsentServers = 1024;
@@ -89,6 +96,11 @@
   TimePoint ContradictedAt{};
   TimePoint DoubtedUntil{};
   TimePoint EngineReportedAt{}; ///< latest status of its stager
+  /// Send times of requests of this process that have not started there.
+  std::multiset<TimePoint> UnstartedSentAt;
+  /// Recent maximum of the time from sending a request to its start.
+  Duration StartDelay{};
+  TimePoint StartDelayAt{}; ///< of the last measurement
   /// A server that started later has the address, but the record of this one
   /// has not expired yet.
   bool Replaced = false;
@@ -118,6 +130,10 @@
   /// Whether RequiredVersions can be relied on; until then no request is sent
   /// to a model server.
   bool RequiredVersionsKnown = true;
+  /// By model and declared version: time until which a request may start on an
+  /// older version.
+  std::map<std::string, std::map<std::uint64_t, TimePoint>, std::less<>>
+      StartDeadlines;
   std::deque<AbsentServer> AbsentServers; ///< oldest first
   EvacuatedDomains Evacuated;             ///< their servers get no requests
   ColdShares Shares;                      ///< of requests to cold servers
@@ -314,6 +330,25 @@
 /// @param Id server id; an unknown one has no effect
 void recordServed(ServerTable &Table, const std::string &Id);
 
+/// @brief Records a request that is sent to a server and must start there
+/// before the version of the server goes out of use.
+/// @param Id server id; an unknown one has no effect
+void recordUnstarted(ServerTable &Table, const std::string &Id,
+                     TimePoint SentAt);
+
+/// @brief Records that a request has started, or that the wait for it ended.
+/// @param Id server id; an unknown one has no effect
+/// @param SentAt the value that was passed to recordUnstarted
+void recordStarted(ServerTable &Table, const std::string &Id, TimePoint SentAt,
+                   TimePoint Now);
+
+/// @brief Returns how long a request that is sent to a server now is expected
+/// to take until it starts: the time for which the oldest unstarted request has
+/// waited, or the recent maximum.
+/// @return the delay; zero without a recent measurement
+Duration expectedStartDelay(const ServerTable &Table, const ServerState &Server,
+                            TimePoint Now);
+
 /// @brief Whether a model server runs and all its slots are taken, so that a
 /// request which has not started there is waiting and not lost.
 /// @param Id server id; an unknown one is not busy
--- a/programs/gateway/gateway.hpp
+++ b/programs/gateway/gateway.hpp
@@ -139,6 +139,7 @@
     std::string Server;
     std::string Model;
     std::uint64_t Version = 0; ///< loaded there when the request was sent
+    TimePoint SentAt{};
     std::function<void()> Withdraw;
   };
   /// @brief Watches a request until endStartWatch() and withdraws it if it has
--- a/programs/gateway/gateway_versions.cpp
+++ b/programs/gateway/gateway_versions.cpp
@@ -276,6 +276,10 @@
     return Now >= Deadlines.StartBy && Each.Required;
   });
   Servers.RequiredVersionsKnown = Survey.Complete && !AwaitsAnswers;
+  Servers.StartDeadlines.clear();
+  for (const PendingVersion &Each : PendingVersions)
+    Servers.StartDeadlines[Each.Declared.Model][Each.Declared.Version] =
+        versionDeadlines(versionBound(), Each.Evidence).StartBy;
 }
 
 std::optional<TimePoint> Gateway::startDeadline(const std::string &Model,
@@ -296,12 +300,17 @@
 }
 
 std::uint64_t Gateway::watchStart(UnstartedRequest Watched) {
+  recordUnstarted(Servers, Watched.Server, Watched.SentAt);
   UnstartedRequests.emplace(++LastStartTicket, std::move(Watched));
   return LastStartTicket;
 }
 
 void Gateway::endStartWatch(std::uint64_t Ticket) {
-  UnstartedRequests.erase(Ticket);
+  const auto Found = UnstartedRequests.find(Ticket);
+  if (Found == UnstartedRequests.end())
+    return;
+  recordStarted(Servers, Found->second.Server, Found->second.SentAt, now());
+  UnstartedRequests.erase(Found);
 }
 
 void Gateway::withdrawUnstarted(TimePoint Now) {
--- a/programs/gateway/request_attempts.cpp
+++ b/programs/gateway/request_attempts.cpp
@@ -199,7 +199,7 @@
       MatchedRoute->AllowedRetries != RetryPolicy::AtMostOnce;
   if (Server.Weights && CanWithdraw)
     Attempt.StartTicket = Owner.watchStart(
-        {Server.Id, RequestInfo.Model, Attempt.LoadedVersion,
+        {Server.Id, RequestInfo.Model, Attempt.LoadedVersion, Attempt.SentAt,
          [&Attempt] { Attempt.Exchange.stop(StopCause::VersionOutOfUse); }});
   const ExchangeLimits Limits = exchangeLimits(Attempt);
   ExchangeResult Result = co_await Attempt.Exchange.run(
@@ -575,18 +575,20 @@
       {.Event = "send_failed",
        .At = Step::Send,
        .Request = RequestInfo.Id,
-       .Fields = {{"server", Id},
-                  {"fate", std::string(attemptStatusName(Result.Fate))},
-                  {"reason", make_error_code(Result.Reason).message()},
-                  {"detail", Result.Detail},
-                  {"ended_by", std::string(Result.EndedBy)},
-                  {"event_reads", std::to_string(Attempt.EventReads)},
-                  {"estimated_load",
-                   Found == Owner.servers().Servers.end()
-                       ? "gone"
-                       : std::to_string(
-                             estimatedLoad(Owner.servers(), Found->second))},
-                  {"waited_s", formatSeconds(now() - ArrivalTime)}}});
+       .Fields = {
+           {"server", Id},
+           {"fate", std::string(attemptStatusName(Result.Fate))},
+           {"reason", make_error_code(Result.Reason).message()},
+           {"connect_s", Result.ConnectTime ? formatSeconds(*Result.ConnectTime)
+                                            : std::string()},
+           {"detail", Result.Detail},
+           {"ended_by", std::string(Result.EndedBy)},
+           {"event_reads", std::to_string(Attempt.EventReads)},
+           {"estimated_load", Found == Owner.servers().Servers.end()
+                                  ? "gone"
+                                  : std::to_string(estimatedLoad(
+                                        Owner.servers(), Found->second))},
+           {"waited_s", formatSeconds(now() - ArrivalTime)}}});
 }
 
 } // namespace marigoldyard
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -216,6 +216,7 @@
   AwaitsFirstEvent = true;
   AwaitsResponse = true;
   Result = co_await receive(RequestId, Receiver);
+  Result.ConnectTime = ConnectTime;
   Timer.clear();
   if (Reusable && HasId && *RequestWritten && !wasStopped()) {
     Connections.putBack(Address, std::move(Connection), now());
@@ -231,7 +232,8 @@
   const auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     co_return false;
-  Timer.expiresAt(std::min(Limits.Deadline, now() + ConnectTimeout));
+  const TimePoint StartedAt = now();
+  Timer.expiresAt(std::min(Limits.Deadline, StartedAt + ConnectTimeout));
   error_code Failure;
   co_await Connection->Socket.async_connect(
       *Endpoint, net::redirect_error(net::use_awaitable, Failure));
@@ -239,6 +241,7 @@
   Timer.clear();
   if (Failure || TimedOut)
     co_return false;
+  ConnectTime = now() - StartedAt;
   error_code Ignored; // the connection works without the option too
   Connection->Socket.set_option(Tcp::no_delay(true), Ignored);
   co_return true;
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -41,6 +41,8 @@
   std::string Detail;
   /// What ended the wait for the server; empty unless it timed out.
   std::string_view EndedBy;
+  /// Time in which the connection opened; empty if it was reused.
+  std::optional<Duration> ConnectTime;
 };
 
 /// @brief What the receiver of a stream did with a part of it.
@@ -193,6 +195,7 @@
   /// The request was sent, and no refusal of it was read.
   bool AwaitsResponse = false;
   std::string_view EndedBy;
+  std::optional<Duration> ConnectTime;
   /// Whether the request was written in full; shared with the coroutine that
   /// writes a long body, which may outlive the exchange.
   std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -42,12 +42,34 @@
   }
 }
 
+/// Divisor of the recent maximum of the start delay at each new measurement.
+constexpr int StartDelayDecay = 2;
+
 std::uint64_t requiredVersion(const ServerTable &Table,
                               std::string_view Model) {
   const auto Found = Table.RequiredVersions.find(Model);
   return Found == Table.RequiredVersions.end() ? 1 : Found->second;
 }
 
+/// Whether a request is expected to start before the version of the server goes
+/// out of use. One that is withdrawn too late may still start, because the
+/// withdrawal takes the same way.
+bool startsInTime(const ServerTable &Table, const ServerState &Server,
+                  std::string_view Model, std::uint64_t Version,
+                  TimePoint Now) {
+  const auto Deadlines = Table.StartDeadlines.find(Model);
+  if (Deadlines == Table.StartDeadlines.end())
+    return true;
+  // Requests that have not started may wait behind each other.
+  const auto Delay = std::chrono::duration_cast<Duration>(
+      expectedStartDelay(Table, Server, Now) *
+      static_cast<double>(Server.UnstartedSentAt.size() + 1) /
+      Table.Settings.StartDelayShare);
+  return std::none_of(
+      Deadlines->second.upper_bound(Version), Deadlines->second.end(),
+      [&](const auto &Each) { return Now + Delay > Each.second; });
+}
+
 bool hasWeights(const ServerTable &Table, const ServerState &Server,
                 const ServerRequirements &Requirements, TimePoint Now) {
   if (!Server.Record.Weights || Requirements.Model.empty())
@@ -55,10 +77,10 @@
   if (Now < Server.LoadingUntil || !Table.RequiredVersionsKnown)
     return false;
   const std::uint64_t Version = loadedVersion(Server, Requirements.Model);
-  if (Requirements.ExactVersion)
-    return Version == *Requirements.ExactVersion &&
-           Version >= requiredVersion(Table, Requirements.Model);
-  return Version >= requiredVersion(Table, Requirements.Model);
+  if (Requirements.ExactVersion && Version != *Requirements.ExactVersion)
+    return false;
+  return Version >= requiredVersion(Table, Requirements.Model) &&
+         startsInTime(Table, Server, Requirements.Model, Version, Now);
 }
 
 /// Returns the mean failure rate of a pool. It is the reference for each
@@ -580,6 +602,37 @@
     endDoubts(*Server);
 }
 
+void recordUnstarted(ServerTable &Table, const std::string &Id,
+                     TimePoint SentAt) {
+  if (ServerState *Server = findServer(Table, Id))
+    Server->UnstartedSentAt.insert(SentAt);
+}
+
+void recordStarted(ServerTable &Table, const std::string &Id, TimePoint SentAt,
+                   TimePoint Now) {
+  ServerState *Server = findServer(Table, Id);
+  if (Server == nullptr)
+    return;
+  const auto Sent = Server->UnstartedSentAt.find(SentAt);
+  if (Sent == Server->UnstartedSentAt.end())
+    return; // the record was gone meanwhile
+  Server->UnstartedSentAt.erase(Sent);
+  Server->StartDelay =
+      std::max(Now - SentAt, Server->StartDelay / StartDelayDecay);
+  Server->StartDelayAt = Now;
+}
+
+Duration expectedStartDelay(const ServerTable &Table, const ServerState &Server,
+                            TimePoint Now) {
+  const bool IsRecent =
+      Now - Server.StartDelayAt < Table.Settings.StartDelayLifetime;
+  const Duration Measured =
+      IsRecent ? Server.StartDelay : Table.Settings.UnknownStartDelay;
+  return Server.UnstartedSentAt.empty()
+             ? Measured
+             : std::max(Measured, Now - *Server.UnstartedSentAt.begin());
+}
+
 bool isBusy(const ServerTable &Table, const std::string &Id, TimePoint Now) {
   const auto Found = Table.Servers.find(Id);
   if (Found == Table.Servers.end())
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -15,6 +15,7 @@
 # Gateways report to each other this often.
 STATUS_INTERVAL_S = 0.4
 VERSION_LIMIT_S = 8
+SLOW_WAY_S = 1.6
 
 
 def declare_next(fleet):
@@ -385,6 +386,35 @@
     check_withdrawn(fleet, acknowledged)
 
 
+# Guards against requests that arrive at a server after the bound, because a withdrawal takes the same slow way: the server
+# runs each one some time after it was sent, whether or not its connection was reset meanwhile.
+def case_slow_way_to_servers(fleet):
+    """no request starts on an older version after the bound where the way to the servers is slow"""
+    starts = []
+
+    def run_late(server):
+        usual = server.stream(3)
+
+        def run(request):
+            time.sleep(SLOW_WAY_S)
+            starts.append(time.monotonic())
+            usual(request)
+        return run
+    for server in fleet.engines:
+        server.behaviours = [run_late(server)] * 1000
+    requests = Requests(fleet, fleet.gateways[0])
+    time.sleep(2)
+    acknowledged = declare_next(fleet)
+    time.sleep(VERSION_LIMIT_S + 2)
+    requests.ended.set()
+    for server in fleet.engines:
+        server.behaviours = []
+    load_declared(fleet)
+    after = [at - acknowledged for at in starts if at > acknowledged]
+    check(after and max(after) > VERSION_LIMIT_S / 2, "requests are served on the older version meanwhile")
+    check(max(after) < VERSION_LIMIT_S, f"the last request started {max(after):.2f} s after the declaration")
+
+
 # Guards against a request that is given up and reaches its server all the same, after the bound, because a slow link still
 # holds its bytes: a graceful close delivers them.
 def case_given_up_request(fleet):
@@ -413,7 +443,7 @@
          case_store_turns_gateways_away, case_store_down_for_all, case_store_serves_stagers,
          case_message_waits_for_frozen_gateway, case_hidden_version, case_started_gateway, case_answers_after_start,
          case_late_answer_of_store, case_sent_before_declaration, case_head_before_start, case_given_up_request,
-         case_record_gone]
+         case_record_gone, case_slow_way_to_servers]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -595,3 +595,56 @@
   for (int I = 0; I < 20; ++I)
     CHECK(choose(Table).Id == "6");
 }
+
+// Guards against requests that start on an older version after its bound,
+// because they and their withdrawal take a slow way to the server.
+TEST_CASE("a version that goes out of use gets only requests that start in "
+          "time") {
+  ServerTable Table = tableWith({record("1")});
+  Table.StartDeadlines["m"][2] = StartCommand + 4s;
+  const TimePoint Sent = StartCommand;
+  recordUnstarted(Table, "1", Sent);
+  SUBCASE("a quick start") {
+    recordStarted(Table, "1", Sent, Sent + 100ms);
+    CHECK(choose(Table, {}, StartCommand + 1s).Id == "1");
+    CHECK(choose(Table, {}, StartCommand + 4s).Id.empty());
+  }
+  SUBCASE("a slow start") {
+    recordStarted(Table, "1", Sent, Sent + 1500ms);
+    CHECK(choose(Table, {}, StartCommand + 1500ms).Id.empty());
+    CHECK(choose(Table, {}, StartCommand + 1500ms).Shortage ==
+          ServerShortage::Loading);
+  }
+  SUBCASE("a request that has not started") {
+    CHECK(choose(Table, {}, StartCommand + 900ms).Id.empty());
+    // It started at once on the version that was declared.
+    Table.Servers.at("1").Weights = {{"m", 2}};
+    CHECK(choose(Table, {}, StartCommand + 900ms).Id == "1");
+  }
+  SUBCASE("many requests that wait behind each other") {
+    recordStarted(Table, "1", Sent, Sent + 200ms);
+    for (int I = 0; I < 4; ++I)
+      recordUnstarted(Table, "1", StartCommand + 1800ms);
+    CHECK(choose(Table, {}, StartCommand + 1900ms).Id == "1");
+    recordUnstarted(Table, "1", StartCommand + 1800ms);
+    CHECK(choose(Table, {}, StartCommand + 1900ms).Id.empty());
+  }
+  SUBCASE("a measurement that is too old") {
+    recordStarted(Table, "1", Sent, Sent + 10ms);
+    CHECK(choose(Table, {}, StartCommand + 1900ms).Id == "1");
+    CHECK(choose(Table, {}, StartCommand + 3s).Id.empty());
+  }
+}
+
+TEST_CASE("a slow start is forgotten gradually") {
+  ServerTable Table = tableWith({record("1")});
+  const auto Measure = [&](Duration Delay) {
+    recordUnstarted(Table, "1", StartCommand);
+    recordStarted(Table, "1", StartCommand, StartCommand + Delay);
+    return expectedStartDelay(Table, Table.Servers.at("1"), StartCommand + 1s);
+  };
+  CHECK(Measure(800ms) == 800ms);
+  CHECK(Measure(100ms) == 400ms);
+  CHECK(Measure(100ms) == 200ms);
+  CHECK(Measure(300ms) == 300ms);
+}
