Responses: a reset during the upload does not end a body without length

Cause: a long body is written by a coroutine of its own while the response is read. A socket reports a pending error once, and a pending write is completed before a pending read: the write got the reset, and the read saw the end of the connection, which ends a body without length.

Change: the exchange keeps the error of the write. If a body without length ends while the request is not written in full and the write failed with a reset, the response is lost. After an orderly end the write fails with EPIPE instead, so that whole early answers stay whole.

--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -82,6 +83,12 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Whether a write failed because the server reset the connection. After the
+/// server's orderly end, a reset fails a write with broken_pipe.
+bool isReset(const error_code &Failure) {
+  return Failure == net::error::connection_reset;
+}
+
 /// Result of a stream that was read to its end.
 ExchangeResult completedResult() {
   ExchangeResult Result;
@@ -114,7 +121,7 @@
 void ServerExchange::handleTimeout() {
   if (Holding && !wasStopped() && now() < Limits.Deadline) {
     // Cancelling the read would also cancel the rest of a long request body.
-    if (!*RequestWritten)
+    if (!Written->Complete)
       return Timer.expiresAt(now() + WaitCheckInterval);
     Holding = false;
     ReleaseDue = true;
@@ -204,8 +211,7 @@
     co_return Result;
   }
   Timer.expiresAt(firstByteTimeout());
-  const bool Written = co_await send(Request);
-  if (!Written) {
+  if (!co_await send(Request)) {
     Result = failureResult({});
     if (!wasStopped())
       Result.Reason = ErrorCode::PeerUnreachable;
@@ -218,7 +224,7 @@
   Result = co_await receive(RequestId, Receiver);
   Result.ConnectTime = ConnectTime;
   Timer.clear();
-  if (Reusable && HasId && *RequestWritten && !wasStopped()) {
+  if (Reusable && HasId && Written->Complete && !wasStopped()) {
     Connections.putBack(Address, std::move(Connection), now());
   } else {
     error_code Ignored;
@@ -252,22 +258,21 @@
   if (Request.body().size() > ParallelBodyBytes) {
     net::co_spawn(
         Context,
-        [Link = Connection, Done = RequestWritten,
+        [Link = Connection, Write = Written,
          Copy = Request]() -> net::awaitable<void> {
-          error_code Failure;
           co_await http::async_write(
               Link->Socket, Copy,
-              net::redirect_error(net::use_awaitable, Failure));
-          *Done = !Failure;
+              net::redirect_error(net::use_awaitable, Write->Failure));
+          Write->Complete = !Write->Failure;
         },
         net::detached);
     co_return true;
   }
-  error_code Failure;
-  co_await http::async_write(Connection->Socket, Request,
-                             net::redirect_error(net::use_awaitable, Failure));
-  *RequestWritten = !Failure;
-  co_return !Failure;
+  co_await http::async_write(
+      Connection->Socket, Request,
+      net::redirect_error(net::use_awaitable, Written->Failure));
+  Written->Complete = !Written->Failure;
+  co_return Written->Complete;
 }
 
 net::awaitable<error_code> ServerExchange::readHead(Parser &ResponseParser,
@@ -293,6 +298,13 @@
   if (Failure == http::error::need_buffer)
     Failure = {};
   Chunk.resize(Chunk.size() - Body.size);
+  if (!Failure && ResponseParser.need_eof() && ResponseParser.is_done() &&
+      !Written->Complete) {
+    // The write that may have failed before the read completes first.
+    co_await net::post(Context, net::use_awaitable);
+    if (isReset(Written->Failure))
+      Failure = Written->Failure;
+  }
   co_return Failure;
 }
 
--- a/programs/gateway/server_exchange.hpp
+++ b/programs/gateway/server_exchange.hpp
@@ -100,6 +100,14 @@
   std::function<TimePoint()> SilentUntil;
 };
 
+/// @brief Progress of writing a request.
+struct RequestWrite {
+  bool Complete = false;
+  /// A pending error of a socket is reported once. If the write gets the reset
+  /// of the connection, a read that follows sees an orderly end.
+  boost::system::error_code Failure;
+};
+
 /// @brief Sends one request to one server and reads the response.
 class ServerExchange {
 public:
@@ -159,6 +167,8 @@
                                                  StreamReceiver *Receiver);
   boost::asio::awaitable<boost::system::error_code>
   readHead(Parser &ResponseParser, std::size_t &BytesRead);
+  /// Reads a part of a body. The end of a connection ends a body without length
+  /// only if it was orderly.
   boost::asio::awaitable<boost::system::error_code>
   readChunk(Parser &ResponseParser, std::string &Chunk);
   boost::asio::awaitable<boost::system::error_code>
@@ -196,9 +206,9 @@
   bool AwaitsResponse = false;
   std::string_view EndedBy;
   std::optional<Duration> ConnectTime;
-  /// Whether the request was written in full; shared with the coroutine that
-  /// writes a long body, which may outlive the exchange.
-  std::shared_ptr<bool> RequestWritten = std::make_shared<bool>(false);
+  /// Shared with the coroutine that writes a long body, which may outlive the
+  /// exchange.
+  std::shared_ptr<RequestWrite> Written = std::make_shared<RequestWrite>();
   bool Reusable = false;
 };
 
