--- a/tests/src/fault-gateway-server_exchange.cpp
+++ b/tests/src/fault-gateway-server_exchange.cpp
@@ -47,6 +47,33 @@
       net::buffer(&Byte, 1), net::redirect_error(net::use_awaitable, Ignored));
 }
 
+/// Takes all parts of a stream and counts its events.
+StreamReceiver countingReceiver(std::size_t &Events) {
+  StreamReceiver Receiver;
+  Receiver.TakeInOrder = [](std::vector<StreamEvent> &) {
+    return std::string();
+  };
+  Receiver.OnHead = [](const platform::Fields &, unsigned,
+                       const platform::ServerResponse &) {
+    return PartStatus::Forwarded;
+  };
+  Receiver.OnEvents = [&Events](const std::vector<StreamEvent> &Received)
+      -> net::awaitable<PartStatus> {
+    Events += Received.size();
+    co_return PartStatus::Forwarded;
+  };
+  return Receiver;
+}
+
+ExchangeLimits generousLimits() {
+  ExchangeLimits Limits;
+  Limits.Deadline = now() + 5s;
+  Limits.FirstByteTimeout = 5s;
+  Limits.GapTimeout = 5s;
+  Limits.MaxIdleAge = Duration::max();
+  return Limits;
+}
+
 /// How a server ends a response without length.
 enum class EndKind : std::uint8_t {
   Reset,         ///< with a reset
@@ -122,24 +149,8 @@
   ServerExchange Exchange(Context, Timeouts, Connections, Memory,
                           [](const platform::ServerResponse &) {});
   UploadResult Result;
-  StreamReceiver Receiver;
-  Receiver.TakeInOrder = [](std::vector<StreamEvent> &) {
-    return std::string();
-  };
-  Receiver.OnHead = [](const platform::Fields &, unsigned,
-                       const platform::ServerResponse &) {
-    return PartStatus::Forwarded;
-  };
-  Receiver.OnEvents = [&](const std::vector<StreamEvent> &Events)
-      -> net::awaitable<PartStatus> {
-    Result.Events += Events.size();
-    co_return PartStatus::Forwarded;
-  };
-  ExchangeLimits Limits;
-  Limits.Deadline = now() + 5s;
-  Limits.FirstByteTimeout = 5s;
-  Limits.GapTimeout = 5s;
-  Limits.MaxIdleAge = Duration::max();
+  StreamReceiver Receiver = countingReceiver(Result.Events);
+  const ExchangeLimits Limits = generousLimits();
   platform::RequestMessage Request;
   Request.method(boost::beast::http::verb::post);
   Request.target("/once/1");
@@ -215,24 +226,8 @@
       });
   Running = &Exchange;
   std::size_t Forwarded = 0;
-  StreamReceiver Receiver;
-  Receiver.TakeInOrder = [](std::vector<StreamEvent> &) {
-    return std::string();
-  };
-  Receiver.OnHead = [&](const platform::Fields &, unsigned,
-                        const platform::ServerResponse &) {
-    return PartStatus::Forwarded;
-  };
-  Receiver.OnEvents = [&](const std::vector<StreamEvent> &Events)
-      -> net::awaitable<PartStatus> {
-    Forwarded += Events.size();
-    co_return PartStatus::Forwarded;
-  };
-  ExchangeLimits Limits;
-  Limits.Deadline = now() + 5s;
-  Limits.FirstByteTimeout = 5s;
-  Limits.GapTimeout = 5s;
-  Limits.MaxIdleAge = Duration::max();
+  StreamReceiver Receiver = countingReceiver(Forwarded);
+  const ExchangeLimits Limits = generousLimits();
   platform::RequestMessage Request;
   Request.method(boost::beast::http::verb::post);
   Request.target("/stream/1");
--- a/tests/src/random-coordination-server_table.cpp
+++ b/tests/src/random-coordination-server_table.cpp
@@ -20,13 +20,17 @@
   return "10.0.0." + std::to_string(*rc::gen::inRange(0, Addresses)) + ":80";
 }
 
+std::int64_t anyStart() {
+  return *rc::gen::inRange<std::int64_t>(0, 20) * 1000;
+}
+
 ServerRecord anyRecord() {
   ServerRecord Record;
   Record.Id = "i-" + std::to_string(*rc::gen::inRange(0, Ids));
   Record.Address = anyAddress();
   Record.Pool = "pool-" + std::to_string(*rc::gen::inRange(0, Pools));
   Record.FailureDomain = "d";
-  Record.StartedAtMs = *rc::gen::inRange(0, 20) * 1000;
+  Record.StartedAtMs = anyStart();
   return Record;
 }
 
@@ -90,9 +94,7 @@
       removeServer(Table, anyRecord().Id);
       break;
     default:
-      applyEngineStatus(
-          Table, {anyAddress(), *rc::gen::inRange(0, 20) * 1000, true, 0, {}},
-          Now);
+      applyEngineStatus(Table, {anyAddress(), anyStart(), true, 0, {}}, Now);
     }
     checkPools(Table);
     checkAddresses(Table, Now);
