--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -345,7 +345,7 @@
 /// @brief Returns how long a request that is sent to a server now is expected
 /// to take until it starts: the time for which the oldest unstarted request has
 /// waited, or the recent maximum.
-/// @return the delay; zero without a recent measurement
+/// @return the delay; at least UnknownStartDelay without a recent measurement
 Duration expectedStartDelay(const ServerTable &Table, const ServerState &Server,
                             TimePoint Now);
 
--- a/programs/gateway/server_exchange.cpp
+++ b/programs/gateway/server_exchange.cpp
@@ -300,7 +300,7 @@
   Chunk.resize(Chunk.size() - Body.size);
   if (!Failure && ResponseParser.need_eof() && ResponseParser.is_done() &&
       !Written->Complete) {
-    // The write that may have failed before the read completes first.
+    // The result of a write that failed before this read is already queued.
     co_await net::post(Context, net::use_awaitable);
     if (isReset(Written->Failure))
       Failure = Written->Failure;
