Close servers at the bound of a version by a load of some layers

Requests that were sent seconds before the bound took 3 s over links full of weights and started after it; the reset that withdraws them took the same way.

Cause: only gateways kept the bound, over the links that delay the requests. Their margin follows a measured delay, which a gateway that sends to a server every 4 s seldom has.

Change: the stager, on the machine of its server, orders the layers of a newer version whose chunks are all held, half a second before the bound, when no newer version is whole. From the acceptance on the server accepts nothing new. The rest is loaded when it is there. Reports and records are read with their layers; a server with some of them counts as one without weights. Stagers ask gateways for the age of a declaration. Layers from chunks that may have been corrupt keep the server out of use until the next version. Versions that could only be loaded out of use are not fetched any more.

On case_arrives_after_bound fails: the server answers the late request with 200. With the change it passes; case_late_partial_load fails without the doubt (7 requests on corrupt weights) and passes with it.

--- a/include/marigoldyard/coordination/server_table.hpp
+++ b/include/marigoldyard/coordination/server_table.hpp
@@ -139,6 +139,8 @@
   ColdShares Shares;                      ///< of requests to cold servers
   /// By pool; pools without such a limit are left out.
   std::map<std::string, ColdLimit, std::less<>> ColdLimits;
+  /// Layers of the models of a pool; pools that load whole models are left out.
+  std::map<std::string, std::uint32_t, std::less<>> LayersByPool;
 };
 
 /// @brief Adds or replaces the record of a server. A restart resets its state.
--- a/include/marigoldyard/coordination/staged_chunks.hpp
+++ b/include/marigoldyard/coordination/staged_chunks.hpp
@@ -11,6 +11,17 @@
 
 namespace marigoldyard {
 
+/// @brief Consecutive chunks of a version, from First up to but not including
+/// End.
+struct ChunkRange {
+  std::size_t First = 0;
+  std::size_t End = 0;
+
+  // clang-tidy 14 reports names in the code that the compiler generates here.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  friend bool operator==(const ChunkRange &, const ChunkRange &) = default;
+};
+
 /// @brief Limits of reads of staged chunks.
 struct StagedChunksSettings {
   /// Longest time from a read of a chunk until the load order is sent. A server
@@ -67,6 +78,11 @@
 StagedChunks makeStagedChunks(std::size_t Count,
                               StagedChunksSettings Settings = {});
 
+/// @brief Starts to stage some chunks of a version.
+/// @param Range chunks to write
+StagedChunks makeStagedRange(const ChunkRange &Range,
+                             StagedChunksSettings Settings = {});
+
 /// @brief Chooses the next call: writes first, then first reads, then the
 /// oldest read to repeat. The chunk is pending until the result is recorded.
 /// @param RereadBefore reads that were sent before this are repeated;
--- a/include/marigoldyard/protocol/detail/message_fields.hpp
+++ b/include/marigoldyard/protocol/detail/message_fields.hpp
@@ -69,7 +69,7 @@
 MARIGOLDYARD_FIELDS(PoolMember, M.Address, M.Region)
 MARIGOLDYARD_FIELDS(PoolConfiguration, M.Pool, M.ConfigRevision,
                     M.OriginAddress, M.OriginFailureDomain, M.Models,
-                    M.StreamsResumable, M.Members, M.Declared)
+                    M.StreamsResumable, M.Members, M.Declared, M.Layers)
 MARIGOLDYARD_FIELDS(PoolQuestion, M.Sender, M.Pool)
 MARIGOLDYARD_FIELDS(PoolAnswer, M.Facts)
 MARIGOLDYARD_FIELDS(DeclarationAge, M.Model, M.Version, M.Age)
--- a/include/marigoldyard/state/fleet.hpp
+++ b/include/marigoldyard/state/fleet.hpp
@@ -58,6 +58,16 @@
   RegionLimit AllowedRegions; ///< of servers
 };
 
+/// @brief Consecutive layers of a model, from From up to but not including End.
+struct LayerRange {
+  std::uint32_t From = 0;
+  std::uint32_t End = 0;
+
+  // clang-tidy 14 reports names in the code that the compiler generates here.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  friend bool operator==(const LayerRange &, const LayerRange &) = default;
+};
+
 /// @brief Servers that are interchangeable for a route.
 struct ServerPool {
   std::string Name;
@@ -67,6 +77,7 @@
   double PromptTokensPerSecond = 0; ///< prefill rate of one model server
   std::uint64_t PromptTokensPerPass = 0; ///< in one prefill pass
   std::vector<std::string> Models;       ///< models that its servers load
+  std::uint32_t Layers = 0; ///< of a model; 0: servers load whole models only
   /// Requests a second that a cold server tolerates; 0: any number.
   double ColdRequestsPerSecond = 0;
   Duration ColdTime{}; ///< for which a server is cold after its start
@@ -127,7 +138,8 @@
   bool StreamsResumable = false;   ///< on every route to the pool
   std::vector<PoolMember> Members; ///< empty: unknown
   std::vector<LoadedWeights>
-      Declared; ///< newest declared version of each model
+      Declared;             ///< newest declared version of each model
+  std::uint32_t Layers = 0; ///< of a model; 0: servers load whole models only
 };
 
 /// @brief Record with which a server registers itself in the store.
@@ -141,6 +153,8 @@
   std::int64_t StartedAtMs = 0; ///< Unix time of its start; compared only with
                                 ///< other records of the same server
   std::optional<std::vector<LoadedWeights>> Weights; ///< set for a model server
+  /// Layers of Weights that are loaded; empty if the record does not tell.
+  std::optional<LayerRange> Layers;
   Duration ColdFor{}; ///< how long it stayed cold when it wrote the record
 
   // clang-tidy 14 reports names in the code that the compiler generates here.
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -347,9 +347,13 @@
                     .Number = Parsed->ConfigRevision,
                     .Fields = {{"region", Region}}});
   Servers.ColdLimits.clear();
-  for (const auto &[Name, Pool] : Parsed->Pools)
+  Servers.LayersByPool.clear();
+  for (const auto &[Name, Pool] : Parsed->Pools) {
     if (Pool.ColdRequestsPerSecond > 0)
       Servers.ColdLimits[Name] = {Pool.ColdRequestsPerSecond, Pool.ColdTime};
+    if (Pool.Layers > 0)
+      Servers.LayersByPool[Name] = Pool.Layers;
+  }
   Routes = makeRouteTable(std::move(*Parsed));
 }
 
--- a/programs/stager/stager.cpp
+++ b/programs/stager/stager.cpp
@@ -44,6 +44,9 @@
 /// A member whose turn takes longer than this is skipped: the time of a drain
 /// and a load.
 constexpr std::chrono::milliseconds TurnTimeout{2500};
+/// Questions to gateways about the age of a declaration. A gateway may learn of
+/// it, or of its age, after the first one.
+constexpr std::size_t MaxAgeQuestions = 3;
 /// Declarations for which the contact before them is kept.
 constexpr std::size_t MaxKnownContacts = 64;
 
@@ -113,6 +116,9 @@
                   .At = Step::ConfigurationAccept,
                   .Fields = {{"model", Version.Model},
                              {"version", std::to_string(Version.Version)}}});
+  recordDeclaration(Declarations, Version, now());
+  AgeQuestionsLeft = MaxAgeQuestions;
+  NextAgeQuestionAt = {};
   ContactBefore[Version] = {Node.Store.confirmedAt(),
                             Node.Store.unavailableAt()};
   if (ContactBefore.size() > MaxKnownContacts)
@@ -191,6 +197,8 @@
     return handleDescriptorMessage(Peer, Content);
   if (const auto *Question = std::get_if<OutageQuestion>(&Content))
     return handleOutageQuestion(Peer, *Question);
+  if (const auto *Answer = std::get_if<VersionAnswer>(&Content))
+    return handleVersionAnswer(*Answer);
   if (const auto *Response = std::get_if<PoolAnswer>(&Content))
     return applyPoolFacts(Response->Facts);
   if (const auto *HelloMessage = std::get_if<Hello>(&Content))
@@ -319,13 +327,16 @@
   if (Now >= NextStatusAt)
     announceStatus(Now >= NextRemoteStatusAt);
   removeSupersededVersions();
+  removeVersionsOutOfUse();
   for (auto &[Version, State] : Versions)
     if (!OriginAddress.empty() && !State.Descriptor)
       requestManifest(State);
     else
       compareManifest(State);
+  askDeclarationAges();
   runTransferPlan();
   advanceVersions();
+  closeOutdatedServer();
   if (Now >= NextMaintenanceAt) {
     NextMaintenanceAt = Now + MaintenanceInterval;
     reloadSettings();
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -3,6 +3,7 @@
 #include "marigoldyard/coordination/load_plan.hpp"
 #include "marigoldyard/coordination/manifest_check.hpp"
 #include "marigoldyard/coordination/manifest_search.hpp"
+#include "marigoldyard/coordination/partial_load.hpp"
 #include "marigoldyard/coordination/rollout.hpp"
 #include "marigoldyard/coordination/staged_chunks.hpp"
 #include "marigoldyard/coordination/transfer.hpp"
@@ -39,6 +40,14 @@
 private:
   using ChunkBytes = std::shared_ptr<const std::string>;
 
+  /// Load of some layers of a version. It takes the older version out of use at
+  /// its bound.
+  struct PartialLoad {
+    LayerRange Layers;
+    std::vector<Digest> Chunks; ///< that the layers consist of
+    bool Ordered = false;
+  };
+
   /// Transfer and load progress of a declared version. An older version is
   /// still loaded while a newer one is incomplete, since it can serve until
   /// then.
@@ -61,6 +70,9 @@
     /// after AcceptedBy decide.
     bool AcceptedLate = false;
     bool CorruptSinceOrder = false; ///< a read since the order was corrupt
+    std::optional<PartialLoad> Part;
+    /// Layers may have been loaded from chunks that were corrupt by then.
+    bool PartDoubtful = false;
     RolloutState Rollout;
   };
 
@@ -142,7 +154,7 @@
 
   // Model server on the local machine.
   void fetchReport();
-  void handleReport(const platform::EngineReport &Report);
+  void handleReport(platform::EngineReport NewReport);
   void readStagedChunks(VersionState &State);
   void readNextStagedChunk(const DeclaredVersion &Target);
   /// Whether the weights of a late order are not yet known to be sound.
@@ -173,6 +185,33 @@
                          bool EarlierUnresolved, const HttpResult &Result);
   /// Records that the server has accepted the order by now.
   void recordAcceptance(VersionState &State);
+
+  // Closing of a server whose version goes out of use.
+  /// Asks gateways for the ages of recent declarations.
+  void askDeclarationAges();
+  void handleVersionAnswer(const VersionAnswer &Answer);
+  /// @return time from which the server may start nothing on a version; empty
+  /// if there is no newer one
+  std::optional<TimePoint> closesAt(const DeclaredVersion &Version) const;
+  /// Whether a version may serve nothing any more.
+  bool isOutOfUse(const DeclaredVersion &Version) const;
+  /// Ends the transfer of versions that would only be loaded out of use.
+  void removeVersionsOutOfUse();
+  /// Orders some layers of a newer version when the loaded version goes out of
+  /// use before a newer one is whole. The server accepts no requests from then
+  /// on, also none that are still on their way.
+  void closeOutdatedServer();
+  /// @return version to load layers of; null while a load is in progress or no
+  /// layer can be loaded
+  VersionState *versionForPartialLoad(const LoadedWeights &Loaded);
+  bool beginPartialLoad(VersionState &State);
+  void sendPartialLoadOrder(VersionState &State);
+  /// @param OldestRead oldestRead() when the order was sent
+  void handlePartialLoadResult(const DeclaredVersion &Target,
+                               TimePoint OldestRead, const HttpResult &Result);
+  /// Whether the layers that closed the server are not known to be sound.
+  bool isPartDoubtful(const VersionState &State) const;
+
   EngineStatus localStatus() const;
   /// Sends a changed load to gateways of the local region, to some of them at a
   /// time and in turn.
@@ -196,15 +235,21 @@
   std::map<DeclaredVersion, VersionState> Versions; ///< oldest first
   /// Contact with the store before each version was learned.
   std::map<DeclaredVersion, StoreContact> ContactBefore;
-  std::map<std::string, PeerState> Peers; ///< by IP address
+  DeclarationHistory Declarations;
+  AgeQuestions Questions;
+  TimePoint NextAgeQuestionAt{};
+  std::size_t AgeQuestionsLeft = 0;
+  std::optional<std::uint32_t> LayerCount; ///< of a model, once known
+  std::map<std::string, PeerState> Peers;  ///< by IP address
   std::optional<TransferState> Transfer;
   std::unordered_map<Digest, ChunkBytes> Chunks;
   /// Version and index under which the origin serves a chunk.
   std::unordered_map<Digest, std::pair<DeclaredVersion, std::size_t>>
       ChunkLocations;
   std::optional<platform::EngineReport> Report;
-  /// Writes and reads in progress, of all versions.
+  /// Writes, reads and partial loads in progress, of all versions.
   std::size_t StagingCallsPending = 0;
+  TimePoint PartialOrderEndedAt{};
   bool Accepting = true;
   std::map<std::string, std::uint32_t> ReportedLoads; ///< by gateway
   std::string LastLoadReceiver;
@@ -214,6 +259,7 @@
   bool ReportPending = false;
   TimePoint StartedAt{};
   TimePoint ReportRequestedAt{};
+  TimePoint ReportSentAt{}; ///< request time of Report
   TimePoint ReportReceivedAt{};
   TimePoint NextStatusAt{};
   TimePoint NextRemoteStatusAt{};
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -58,16 +58,21 @@
                       auto Parsed = platform::parseEngineReport(Response->Body);
                       if (!Parsed)
                         return Node.Log.write("report_invalid", Parsed.error());
-                      handleReport(*Parsed);
+                      handleReport(std::move(*Parsed));
                     });
 }
 
-void Stager::handleReport(const platform::EngineReport &NewReport) {
+void Stager::handleReport(platform::EngineReport NewReport) {
+  // A server that has some layers of a version serves none.
+  if (LayerCount ? !isWholeModel(NewReport.Layers, *LayerCount)
+                 : NewReport.Layers.has_value())
+    NewReport.Weights.clear();
   const bool Restarted = Report && NewReport.StartedAtMs > Report->StartedAtMs;
   const bool Changed =
       !Report || Restarted || Report->Weights != NewReport.Weights;
-  Report = NewReport;
+  Report = std::move(NewReport);
   ReportReceivedAt = now();
+  ReportSentAt = ReportRequestedAt;
   if (Restarted)
     for (auto &[Version, State] : Versions) {
       // A server that lost power has lost the staged chunks too, and any
@@ -75,10 +80,12 @@
       restartStaging(State.Load, now());
       State.OrderUnresolved = State.AcceptedLate = false;
       State.StagingAreaRead = true;
+      State.Part.reset();
+      State.PartDoubtful = false;
     }
   if (Changed) {
     std::string Held;
-    for (const LoadedWeights &Each : NewReport.Weights)
+    for (const LoadedWeights &Each : Report->Weights)
       Held += Each.Model + ":" + std::to_string(Each.Version) + " ";
     Node.Log.write({.Event = "server_state",
                     .At = Step::ReadBack,
@@ -168,9 +175,12 @@
     if (servesNoVersion(State.Load.Target))
       return now() - State.Staged.Settings.RefreshAge;
     return std::nullopt;
+  case LoadStage::Fetching:
+    if (State.Part && !State.Part->Ordered)
+      return now() - State.Staged.Settings.RefreshAge;
+    return std::nullopt;
   case LoadStage::Loading:
   case LoadStage::Serving:
-  case LoadStage::Fetching:
     return std::nullopt;
   }
   return std::nullopt;
@@ -266,7 +276,8 @@
                         versionComplete(*Transfer, State.Descriptor->Id);
   Conditions.Complete =
       Conditions.Complete &&
-      (State.Load.Stage != LoadStage::Fetching || canStage(Target));
+      (State.Load.Stage != LoadStage::Fetching || canStage(Target)) &&
+      !isOutOfUse(Target);
   Conditions.Staged = isStaged(State.Staged) &&
                       (!State.OrderUnresolved ||
                        oldestRead(State.Staged) >= State.Load.StageEnteredAt);
@@ -385,6 +396,8 @@
                                         .count())}}});
     switch (State.Load.Stage) {
     case LoadStage::Staging:
+      if (State.Part && !State.Part->Ordered)
+        State.Part.reset();
       // An order without an answer may still be accepted. What it would load
       // is read, not overwritten.
       if (!State.OrderUnresolved)
@@ -404,7 +417,8 @@
     case LoadStage::Serving:
       // A server takes a version only once, so only the next one replaces
       // corrupt weights.
-      Accepting = !(State.AcceptedLate && State.CorruptSinceOrder);
+      Accepting = !(State.AcceptedLate && State.CorruptSinceOrder) &&
+                  !isPartDoubtful(State);
       State.OrderUnresolved = State.AcceptedLate = false;
       announceStatus(true);
       break;
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -83,6 +83,8 @@
       recordPeer(hostPart(Member.Address), Member.Region);
     updateTransferMembers();
   }
+  if (Facts.ConfigRevision >= FactsRevision)
+    LayerCount = Facts.Layers;
   // A gateway whose requests the store rejects may have an older configuration.
   if (Facts.ConfigRevision >= FactsRevision && !Facts.OriginAddress.empty()) {
     if (Facts.ConfigRevision > FactsRevision)
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -266,6 +266,8 @@
                              {"version", Descriptor.Version},
                              {"digest", Descriptor.Id},
                              {"replaced", Replaced}}});
+  if (State.Part && !State.Part->Ordered)
+    State.Part.reset(); // staged by the replaced manifest
   startTransfer(State);
 }
 
--- a/src/coordination/pool_facts.cpp
+++ b/src/coordination/pool_facts.cpp
@@ -23,8 +23,10 @@
     Result.OriginFailureDomain = Configuration.Origin->FailureDomain;
   }
   if (const auto Found = Configuration.Pools.find(Pool);
-      Found != Configuration.Pools.end())
+      Found != Configuration.Pools.end()) {
     Result.Models = Found->second.Models;
+    Result.Layers = Found->second.Layers;
+  }
   Result.StreamsResumable =
       std::all_of(Configuration.Routes.begin(), Configuration.Routes.end(),
                   [Pool](const Route &Each) {
--- a/src/coordination/server_table.cpp
+++ b/src/coordination/server_table.cpp
@@ -1,6 +1,7 @@
 #include "marigoldyard/coordination/server_table.hpp"
 
 #include "marigoldyard/coordination/candidate_draw.hpp"
+#include "marigoldyard/coordination/partial_load.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -250,6 +251,14 @@
                                          Server.Record.Id, Now);
 }
 
+/// Whether the weights of a record are whole. A server that has some layers of
+/// a version refuses requests.
+bool hasWholeModel(const ServerTable &Table, const ServerRecord &Record) {
+  const auto Layers = Table.LayersByPool.find(Record.Pool);
+  return Layers == Table.LayersByPool.end() ||
+         isWholeModel(Record.Layers, Layers->second);
+}
+
 /// Records that a server has started or may have turned cold.
 void assumeCold(const ServerTable &Table, ServerState &Server, TimePoint Now) {
   if (const ColdLimit *Limit = coldLimit(Table, Server))
@@ -287,7 +296,7 @@
   // every version.
   if (IsEngine && !Record.Weights)
     Server.Record.Weights.emplace();
-  if (Record.Weights && !Outdated)
+  if (Record.Weights && !Outdated && hasWholeModel(Table, Record))
     mergeWeights(Server.Weights, *Record.Weights);
   const auto Region = Table.Settings.RegionOf.find(Record.FailureDomain);
   Server.Region = Region == Table.Settings.RegionOf.end() ? "" : Region->second;
--- a/src/coordination/staged_chunks.cpp
+++ b/src/coordination/staged_chunks.cpp
@@ -38,10 +38,15 @@
 
 StagedChunks makeStagedChunks(std::size_t Count,
                               StagedChunksSettings Settings) {
+  return makeStagedRange({0, Count}, Settings);
+}
+
+StagedChunks makeStagedRange(const ChunkRange &Range,
+                             StagedChunksSettings Settings) {
   StagedChunks State;
   State.Settings = Settings;
-  State.Count = Count;
-  for (std::size_t Index = 0; Index < Count; ++Index)
+  State.Count = Range.End - Range.First;
+  for (std::size_t Index = Range.First; Index < Range.End; ++Index)
     State.ToWrite.insert(State.ToWrite.end(), Index);
   return State;
 }
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -20,6 +20,7 @@
 PEER_PORT, BULK_PORT, OPERATOR_PORT, CALLER_PORT, READY_PORT, DIRECTORY_PORT = 7700, 7715, 9464, 8005, 8002, 8009
 SERVER_PORT, STORE_PORT, ORIGIN_PORT = 8001, 8007, 8006
 PIECES, PIECE_BYTES = 16, 4096
+LAYERS = 4  # of a model, PIECES / LAYERS pieces each
 SECRET = "0123456789abcdef"
 
 
@@ -232,6 +233,7 @@
         self.spoilt_in_order = []  # for each order: pieces that were spoilt, with the seconds since then
         self.spoilt_runs = 0  # requests on weights with a piece that had been spoilt for over SPOILT_LIMIT_S
         self.spoilt_weights = False  # whether the weights are such
+        self.layers = (0, LAYERS)  # that are loaded; requests run with all of them only
         super().__init__(host, SERVER_PORT)
         self.register()
 
@@ -241,8 +243,19 @@
         if self.models is not None:
             record["models"] = [{"name": name, "version": version, "adapters": []}
                                 for name, version in self.models.items()]
+            record["layers"] = self.loaded_layers()
         self.store.put("servers/" + self.id, record)
 
+    def loaded_layers(self):
+        """What it reports of its layers: nothing before it has loaded some."""
+        if not self.models or self.pending:
+            return None
+        return {"from": self.layers[0], "target": self.layers[1], "version": next(iter(self.models.values()))}
+
+    def pieces_of(self, order):
+        """The pieces that an order loads."""
+        return range(order.get("from", 0) * PIECES // LAYERS, order.get("target", LAYERS) * PIECES // LAYERS)
+
     def spoil(self, index):
         """Corrupts a staged piece."""
         self.staged[index] = b"spoilt"
@@ -250,11 +263,14 @@
 
     def accept_order(self, order):
         now = time.monotonic()
-        ages = {index: now - at for index, at in self.spoilt_at.items()}
+        ages = {index: now - at for index, at in self.spoilt_at.items() if index in self.pieces_of(order)}
         self.orders.append((now, order, dict(self.staged)))
         self.spoilt_in_order.append(ages)
         late = any(age > SPOILT_LIMIT_S for age in ages.values())
-        self.pending, self.loading_until = (order["model"], order["version"], late), now + self.load_s
+        layers = (order.get("from", 0), order.get("target", LAYERS))
+        # Layers of the same version that are there already are kept.
+        late |= self.spoilt_weights and self.models == {order["model"]: order["version"]}
+        self.pending, self.loading_until = (order["model"], order["version"], late, layers), now + self.load_s
         if order["start_mode"] == "truncate":
             for request in list(self.active):
                 request.connection.shutdown(socket.SHUT_RDWR)
@@ -263,7 +279,7 @@
         if self.pending and self.active:
             self.loading_until = time.monotonic() + self.load_s
         if self.pending and time.monotonic() > self.loading_until:
-            (name, version, self.spoilt_weights), self.pending = self.pending, None
+            (name, version, self.spoilt_weights, self.layers), self.pending = self.pending, None
             self.models = {name: version}
             self.register()
 
@@ -273,7 +289,7 @@
             return self.handle_engine(request, path)
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return request.answer(421, b"", {"Instance-Id": self.id})
-        if self.has_other_version(request):
+        if self.has_other_version(request) or (self.models and self.layers != (0, LAYERS)):
             return self.refuse_version(request)
         self.seen.append((request.command, request.path, dict(request.headers), request.body))
         self.seen_at.append(time.monotonic())
@@ -382,7 +398,8 @@
             return request.answer(200, {
                 "stage": "mixed", "busy": self.pending is not None, "sequence": len(self.orders), "waiting": 0,
                 "running": self.running + len(self.active), "kv_used": 0, "kv_total": 9, "handles": 0, "born": self.born,
-                "models": [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()]})
+                "models": [{"name": n, "version": v, "adapters": []} for n, v in self.models.items()],
+                "layers": self.loaded_layers()})
         if path.endswith("/order"):
             time.sleep(self.order_delay_s)
             self.accept_order(json.loads(request.body))
@@ -442,6 +459,7 @@
     def __init__(self, host):
         self.sent, self.down, self.corrupt = 0, False, 0
         self.limit = None  # pieces that it sends before it goes down
+        self.missing = set()  # indices of pieces that it does not send
         self.asked = []  # time and path of each call
         self.endless = None  # part of the paths whose answers never end
         self.wrong_manifests = 0  # manifests to come that are wrong
@@ -467,6 +485,8 @@
         if self.limit == 0:
             self.down = True
             return request.cut()
+        if int(fields["item_count"]) in self.missing:
+            return request.cut()
         if self.limit is not None:
             self.limit -= 1
         self.sent += 1
@@ -486,7 +506,8 @@
     """`tenants` names further customers with their keys."""
     services = [{"name": "plain", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False},
                 {"name": "engines", "health_path": "/health", "max_connections": 50, "protocol": "h1", "tls": False,
-                 "engine": {"slots": 4, "chunk": 2048, "read_per_s": 31900.0, "models": [{"name": "m"}]}}]
+                 "engine": {"slots": 4, "chunk": 2048, "read_per_s": 31900.0, "models": [{"name": "m"}],
+                            "layers": LAYERS}}]
     if origin is not None:
         services.append({"name": "weights", "origin": origin.address, "zone": "z1", "link_mbps": 9.9,
                          "max_connections": 48})
--- a/tests/process/test_staged_pieces.py
+++ b/tests/process/test_staged_pieces.py
@@ -176,8 +176,44 @@
         engine.running = 0
 
 
+# Guards against layers that closed a server for an older version and were corrupt: the rest of their version joins them.
+def case_late_partial_load(fleet):
+    """a version whose first layers were loaded late from corrupt pieces serves nothing"""
+    start_stagers(fleet)
+    wait_loaded(fleet, getattr(fleet, "weights", 1))
+    engine = fleet.engines[0]
+    fleet.origin.missing = {pf.PIECES - 1}
+    try:
+        version = declare(fleet)
+        declared = time.monotonic()
+        text = lambda: fleet.stagers[engine].log_text()
+        staged = lambda: "partial_load_staged" in text()
+        wait_for(staged, "layers are staged before the bound", VERSION_S)
+        engine.order_delay_s = pf.SPOILT_LIMIT_S + 1
+        # The order is under way. A stager that runs would stage the layers again when it gets no answer.
+        time.sleep(max(0, declared + VERSION_S - 0.4 - time.monotonic()))
+        engine.spoil(0)
+        fleet.stagers[engine].process.send_signal(signal.SIGSTOP)
+        wait_for(lambda: engine.orders, "layers are ordered", VERSION_S)
+        fleet.stagers[engine].process.send_signal(signal.SIGCONT)
+        check(engine.spoilt_in_order[-1].get(0, 0) > pf.SPOILT_LIMIT_S, "the order is accepted late")
+        engine.order_delay_s = 0
+    finally:
+        fleet.origin.missing = set()
+    whole = lambda: engine.models == {"m": version} and engine.layers == (0, pf.LAYERS)
+    wait_for(whole, "the whole version is loaded", 20)
+    time.sleep(1.5)
+    for _ in range(20):
+        call(fleet.gateways[0], "/stream/1", "POST", b"p")
+    check(not engine.spoilt_runs, f"{engine.spoilt_runs} requests on corrupt weights")
+    version = declare(fleet)
+    wait_loaded(fleet, version, timeout=VERSION_S + 5)
+    engine.seen.clear()
+    wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p") and engine.seen, "the next version serves again")
+
+
 CASES = [case_corrupted_while_waiting, case_corrupted_while_frozen, case_slow_reads, case_late_acceptance,
-         case_running_streams]
+         case_running_streams, case_late_partial_load]
 
 if __name__ == "__main__":
     pf.run_cases(CASES)
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -439,11 +439,62 @@
     check(ends == ["reset"], f"the connection ends with {ends}")
 
 
+# Guards against a request that starts on an older version after its bound, because it was still on its way there when the
+# version went out of use. Only the server can refuse it: what withdraws it takes the same way.
+def case_arrives_after_bound(fleet):
+    """a server that lacks a piece of the newer version at its bound runs nothing that arrives later"""
+    fleet.origin.missing = {pf.PIECES - 1}
+    stagers = [fleet.stager(engine) for engine in fleet.engines]
+    try:
+        wait_for(lambda: all("pool_facts" in stager.log_text() for stager in stagers), "the stagers know the pool")
+        time.sleep(1)
+        acknowledged = declare_next(fleet)
+        version = newest(fleet) + 1
+        time.sleep(acknowledged + VERSION_LIMIT_S - time.monotonic())
+        for server in fleet.engines:
+            server.seen.clear()
+            server.behaviours = []
+        started = []
+        for server in fleet.engines:
+            server.behaviours = [lambda request, s=server: (started.append(s.id), s.plain(request))] * 100
+        while time.monotonic() - acknowledged < VERSION_LIMIT_S + 2:
+            statuses = {late_request(server) for server in fleet.engines}
+            check(statuses <= {421, 503}, f"a server answers a request that is late with {statuses}")
+            time.sleep(0.1)
+        check(call(fleet.gateways[0], "/stream/1", "POST", b"p").status == 503, "some layers are taken for a version")
+        check(not started, f"{len(started)} requests started on the older version")
+        for server in fleet.engines:
+            server.behaviours = []
+        fleet.origin.missing = set()
+        wait_for(lambda: all(server.models == {"m": version} and server.layers == (0, pf.LAYERS)
+                             for server in fleet.engines), "the whole version is loaded", timeout=15)
+        wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p").status == 200, "it serves")
+        for server in fleet.engines:
+            for _, order, staged in server.orders:
+                check(all(staged.get(i) == pf.piece("m", order["version"], i) for i in server.pieces_of(order)),
+                      f"{order} found wrong pieces")
+    finally:
+        fleet.origin.missing = set()
+        for stager in stagers:
+            stager.stop()
+
+
+def late_request(server):
+    """The status of a request that was sent on the belief that the server has an older version."""
+    connection = http.client.HTTPConnection(*server.address.split(":"), timeout=5)
+    try:
+        connection.request("POST", "/stream/1", b"p", {"Attempt-Id": "late", "Deadline-Ms": "3000",
+                                                       "Expect-Instance": server.id})
+        return connection.getresponse().status
+    finally:
+        connection.close()
+
+
 CASES = [case_idle_store, case_calls_over_rate_limit, case_wrong_belief, case_wrong_belief_is_refused,
          case_store_turns_gateways_away, case_store_down_for_all, case_store_serves_stagers,
          case_message_waits_for_frozen_gateway, case_hidden_version, case_started_gateway, case_answers_after_start,
          case_late_answer_of_store, case_sent_before_declaration, case_head_before_start, case_given_up_request,
-         case_record_gone, case_slow_way_to_servers]
+         case_record_gone, case_slow_way_to_servers, case_arrives_after_bound]
 
 
 if __name__ == "__main__":
--- a/tests/src/unit-coordination-server_table.cpp
+++ b/tests/src/unit-coordination-server_table.cpp
@@ -648,3 +648,18 @@
   CHECK(Measure(100ms) == 200ms);
   CHECK(Measure(300ms) == 300ms);
 }
+
+// Guards against requests to a server that has some layers of a version only.
+TEST_CASE("a record with some layers of a version does not make it loaded") {
+  ServerTable Table;
+  Table.LayersByPool["engines"] = 4;
+  putServer(Table, record("1"));
+  ServerRecord Partial = record("1");
+  Partial.Weights = {{"m", 2}};
+  Partial.Layers = LayerRange{1, 3};
+  putServer(Table, Partial);
+  CHECK(loadedVersion(Table.Servers.at("1"), "m") == 1);
+  Partial.Layers = LayerRange{0, 4};
+  putServer(Table, Partial);
+  CHECK(loadedVersion(Table.Servers.at("1"), "m") == 2);
+}
--- a/tests/src/unit-platform-engine_format.cpp
+++ b/tests/src/unit-platform-engine_format.cpp
@@ -34,6 +34,16 @@
   CHECK(Report->Running == 12);
   CHECK(Report->Waiting == 1);
   CHECK(Report->StartedAtMs == 1'790'000'000'000);
+  CHECK_FALSE(Report->Layers);
+  const auto Partial = platform::parseEngineReport(
+      R"({"models":[{"name":"m","version":2}],
+          "layers":{"from":3,"target":5,"version":2}})");
+  REQUIRE(Partial);
+  CHECK(Partial->Layers == LayerRange{3, 5});
+  const auto Invalid = platform::parseEngineReport(
+      R"({"models":[],"layers":{"from":5,"target":3}})");
+  REQUIRE(Invalid);
+  CHECK_FALSE(Invalid->Layers);
   CHECK_FALSE(platform::parseEngineReport(R"({"busy":false})"));
   CHECK_FALSE(platform::parseEngineReport("<html>"));
 }
