Account heads of callers by what their fields cost in memory

What callers saw: clients that do not behave end a process, which runs out of memory. 300 connections with heads of 3,000 small fields, within max_header_bytes, and an unfinished chunked body took 84 MB of a machine's 64; 900 unfinished heads 85 MB.

Cause: a head was accounted by its bytes on the wire, while each parsed field is an allocation of some 80 bytes more. What a parser took of an unfinished head was not accounted at all: the step returned zero bytes when it needed more.

Change: each line of a head counts 96 bytes besides its text, from when it is parsed.

Evidence: test_hostile_heads.py, crowd and bound (64 MB) fixed before the change. A single request with 1,200 small fields is served, and test_hostile_callers.py passes with its bounds as they were.

--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -43,6 +43,9 @@
 /// The fields of a head are held with their names and values, and as sent to a
 /// server.
 constexpr std::size_t HeadCopies = 2;
+/// Size of a parsed field besides its text: the links of the list and of the
+/// index that contain it, and what the allocator adds.
+constexpr std::size_t FieldBytes = 96;
 
 constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
@@ -61,20 +64,28 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
+/// What one step of a parser has taken from a buffer.
+struct Parsed {
+  std::size_t Bytes = 0;
+  std::size_t Lines = 0;
+  bool NeedsMore = true; ///< the rest of the buffer is incomplete
+};
+
 /// Parses what a buffer holds, as far as it is complete.
-/// @return number of bytes that were parsed and may be followed by more that
-/// can be
-std::size_t parseBuffered(RequestParser &Parser,
-                          boost::beast::flat_buffer &Buffer,
-                          error_code &Failure) {
+Parsed parseBuffered(RequestParser &Parser, boost::beast::flat_buffer &Buffer,
+                     error_code &Failure) {
+  Parsed Result;
   if (Buffer.size() == 0)
-    return 0;
-  const std::size_t Count = Parser.put(Buffer.data(), Failure);
-  Buffer.consume(Count);
-  if (Failure != http::error::need_more)
-    return Count;
-  Failure = {};
-  return 0;
+    return Result;
+  Result.Bytes = Parser.put(Buffer.data(), Failure);
+  const auto *const Text = static_cast<const char *>(Buffer.data().data());
+  Result.Lines =
+      static_cast<std::size_t>(std::count(Text, Text + Result.Bytes, '\n'));
+  Buffer.consume(Result.Bytes);
+  Result.NeedsMore = Result.Bytes == 0 || Failure == http::error::need_more;
+  if (Failure == http::error::need_more)
+    Failure = {};
+  return Result;
 }
 
 } // namespace
@@ -205,9 +216,9 @@
   bool InBody = false;
   Timer.expiresAt(now() + Limits.HeaderTimeout);
   while (!Failure && !IsShed && !Disconnected) {
-    const std::size_t Count = parseBuffered(*Parser, Buffer, Failure);
+    const Parsed Taken = parseBuffered(*Parser, Buffer, Failure);
     if (!InBody)
-      HeadBytes += Count;
+      HeadBytes += HeadCopies * Taken.Bytes + FieldBytes * Taken.Lines;
     if (!Failure && !InBody && Parser->is_header_done()) {
       InBody = true;
       Parser->eager(true);
@@ -215,12 +226,12 @@
       if (Parser->get()[http::field::expect] == "100-continue")
         co_await write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    RequestBytes = Buffer.capacity() + HeadCopies * HeadBytes +
+    RequestBytes = Buffer.capacity() + HeadBytes +
                    BodyCopies * Parser->get().body().size();
     setHeldBytes(RequestBytes);
     if (Failure || IsShed || Parser->is_done())
       break;
-    if (Count == 0 || Buffer.size() == 0)
+    if (Taken.NeedsMore || Buffer.size() == 0)
       Failure = co_await receive(InBody ? BodyReadBytes : ReadBufferBytes);
   }
   const bool TimedOut = Timer.expired();
--- a/tests/process/test_hostile_callers.py
+++ b/tests/process/test_hostile_callers.py
@@ -36,8 +36,9 @@
 class Target:
     """A gateway that was started with lowered limits."""
 
-    def __init__(self, fleet):
-        self.daemon = fleet.gateway(next(HOSTS), **LIMITS)
+    def __init__(self, fleet, limits=None, most_memory_kb=MOST_MEMORY_KB, most_descriptors=MOST_DESCRIPTORS):
+        self.most_memory_kb, self.most_descriptors = most_memory_kb, most_descriptors
+        self.daemon = fleet.gateway(next(HOSTS), **(LIMITS if limits is None else limits))
         wait_for(lambda: self.ready() or self.daemon.process.poll() is not None, "the gateway is ready or has ended")
         check(self.daemon.process.poll() is None, "the gateway has started")
         self.connections, self.descriptors = [], 0
@@ -68,8 +69,9 @@
         print(f"  peak memory {memory} kB, most descriptors {self.descriptors}", flush=True)
         answer = call(self.daemon, "/read/1", method="POST", body=b"x" * 100)
         check(answer.status == 200, f"an ordinary request is answered with {answer.status}")
-        check(memory <= MOST_MEMORY_KB, f"peak memory is {memory} kB of {MOST_MEMORY_KB}")
-        check(self.descriptors <= MOST_DESCRIPTORS, f"{self.descriptors} descriptors of {MOST_DESCRIPTORS} were open")
+        check(memory <= self.most_memory_kb, f"peak memory is {memory} kB of {self.most_memory_kb}")
+        check(self.descriptors <= self.most_descriptors,
+              f"{self.descriptors} descriptors of {self.most_descriptors} were open")
 
     def __enter__(self):
         return self
--- /dev/null
+++ b/tests/process/test_hostile_heads.py
@@ -0,0 +1,106 @@
+"""Callers whose heads and unread bytes cost a process more memory than their bytes on the wire tell. Each case has a
+gateway of its own.
+"""
+import concurrent.futures
+import http.client
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_fleet as pf  # noqa: E402  the path is set above
+from platform_fleet import call, check  # noqa: E402
+from test_hostile_callers import Target, head, send  # noqa: E402
+
+MAX_HEADER = 16384
+MAX_BODY = 1 << 20
+# The memory of the machine that the gateway is told of.
+MEMORY_MB = 64
+MAX_DESCRIPTORS = 2048
+LIMITS = {"memory_mb": MEMORY_MB, "max_fds": MAX_DESCRIPTORS}
+FIELDS = 3000  # of five bytes each in a head, which is within MAX_HEADER
+CROWD = 300
+LARGE_CROWD = 900
+SENDERS = 16
+http.client._MAXHEADERS = 2 * FIELDS  # pylint: disable=protected-access  the servers here accept as many
+
+
+def prepare(fleet):
+    """Sets the limits of the configuration that the users' sites have."""
+    fleet.version += 1
+    changed = pf.configuration(fleet.version, fleet.origin)
+    changed["limits"].update(max_header_bytes=MAX_HEADER, max_body_bytes=MAX_BODY, header_timeout_ms=3000,
+                             idle_timeout_ms=15000)
+    fleet.store.put("op/config", changed)
+
+
+def run_crowd(fleet, count, make_parts, port=pf.CALLER_PORT):
+    """`count` callers send at once and stay open; checks memory, descriptors and an ordinary request."""
+    with Target(fleet, LIMITS, MEMORY_MB << 10, MAX_DESCRIPTORS) as target:
+        def run(_):
+            connection = target.connect(port)
+            if connection:
+                connection.settimeout(10)
+                send(connection, make_parts())
+        with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
+            list(pool.map(run, range(count)))
+        time.sleep(0.3)  # until the gateway has read what was sent
+        target.check_bounds()
+
+
+def head_of_small_fields():
+    """A head of many small fields, within the limit."""
+    return head("Transfer-Encoding: chunked\r\n" + "a:b\r\n" * (FIELDS - 1) + "a:b")
+
+
+def whole_head():
+    """The head, and a body without its end."""
+    yield head_of_small_fields() + b"10\r\n" + b"x" * 16 + b"\r\n"
+
+
+def unfinished_head():
+    yield head_of_small_fields()[:-4]
+
+
+# Guards against fields of a head that are counted by their bytes on the wire, while each costs an allocation.
+def case_small_fields(fleet):
+    """heads of many small fields with unfinished bodies stay within the memory"""
+    run_crowd(fleet, CROWD, whole_head)
+
+
+# Guards against the same heads at ports that share the account of the callers' port, or have none.
+def case_small_fields_ready(fleet):
+    """heads of many small fields at the port for readiness stay within the memory"""
+    run_crowd(fleet, CROWD, whole_head, pf.READY_PORT)
+
+
+def case_small_fields_directory(fleet):
+    """heads of many small fields at the port of the directory stay within the memory"""
+    run_crowd(fleet, CROWD, whole_head, pf.DIRECTORY_PORT)
+
+
+def case_small_fields_operator(fleet):
+    """heads of many small fields at the operators' port stay within the memory"""
+    run_crowd(fleet, CROWD, whole_head, pf.OPERATOR_PORT)
+
+
+# Guards against heads that cost nothing before their end.
+def case_unfinished_heads(fleet):
+    """unfinished heads of many small fields stay within the memory"""
+    run_crowd(fleet, LARGE_CROWD, unfinished_head)
+
+
+# Guards against a limit that a caller inside the configured limits meets alone.
+def case_small_fields_alone(fleet):
+    """a single request with a head of many small fields is served"""
+    with Target(fleet, LIMITS, MEMORY_MB << 10, MAX_DESCRIPTORS) as target:
+        fields = {f"x-{number}": "v" for number in range(1200)}
+        answer = call(target.daemon, "/read/1", method="POST", body=b"x" * 1000, headers=fields)
+        check(answer.status == 200, f"it is answered with {answer.status}")
+
+
+CASES = [case_small_fields_alone, case_small_fields, case_small_fields_ready, case_small_fields_directory, case_small_fields_operator,
+         case_unfinished_heads]
+
+if __name__ == "__main__":
+    pf.run_cases(CASES, prepare)
