--- a/tests/process/test_hostile_heads.py
+++ b/tests/process/test_hostile_heads.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import http.client
 import os
+import signal
 import sys
 import time
 
@@ -14,7 +15,7 @@
 
 MAX_HEADER = 16384
 MAX_BODY = 1 << 20
-# The memory of the machine that the gateway is told of.
+# The memory of the machine that the gateway is told of; bytes that it has received and not read count too.
 MEMORY_MB = 64
 MAX_DESCRIPTORS = 2048
 LIMITS = {"memory_mb": MEMORY_MB, "max_fds": MAX_DESCRIPTORS}
@@ -34,6 +35,22 @@
     fleet.store.put("op/config", changed)
 
 
+def unread_bytes(daemon):
+    """Bytes that the sockets of a process have received and that it has not read."""
+    inodes = set()
+    folder = f"/proc/{daemon.process.pid}/fd"
+    for name in os.listdir(folder):
+        try:
+            link = os.readlink(f"{folder}/{name}")
+        except OSError:
+            continue  # closed meanwhile
+        if link.startswith("socket:["):
+            inodes.add(link[len("socket:["):-1])
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        rows = [line.split() for line in list(table)[1:]]
+    return sum(int(row[4].partition(":")[2], 16) for row in rows if row[9] in inodes)
+
+
 def run_crowd(fleet, count, make_parts, port=pf.CALLER_PORT):
     """`count` callers send at once and stay open; checks memory, descriptors and an ordinary request."""
     with Target(fleet, LIMITS, MEMORY_MB << 10, MAX_DESCRIPTORS) as target:
@@ -62,6 +79,17 @@
     yield head_of_small_fields()[:-4]
 
 
+def send_what_fits(connection, data):
+    """Sends until the connection takes no more."""
+    connection.setblocking(False)
+    sent = 0
+    while sent < len(data):
+        try:
+            sent += connection.send(data[sent:sent + (64 << 10)])
+        except OSError:
+            return  # full, or closed by the gateway
+
+
 # Guards against fields of a head that are counted by their bytes on the wire, while each costs an allocation.
 def case_small_fields(fleet):
     """heads of many small fields with unfinished bodies stay within the memory"""
@@ -90,6 +118,37 @@
     run_crowd(fleet, LARGE_CROWD, unfinished_head)
 
 
+# Guards against received bytes that wait in sockets without a bound: the kernel lets the buffer of a connection grow while
+# its bytes are read quickly.
+def case_unread_bodies(fleet):
+    """what waits unread in the sockets of a gateway that stands still stays within the memory"""
+    request = head(f"Content-Length: {MAX_BODY}") + b"x" * MAX_BODY
+    with Target(fleet, LIMITS, MEMORY_MB << 10, MAX_DESCRIPTORS) as target:
+        def serve_once(_):
+            connection = target.connect()
+            if connection:
+                connection.settimeout(10)
+                send(connection, [request])
+                try:
+                    connection.recv(4096)
+                except OSError:
+                    pass  # refused
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            list(pool.map(serve_once, range(CROWD)))
+        target.daemon.process.send_signal(signal.SIGSTOP)
+        try:
+            for connection in target.connections:
+                send_what_fits(connection, request)
+            unread = unread_bytes(target.daemon)
+        finally:
+            target.daemon.process.send_signal(signal.SIGCONT)
+        time.sleep(0.3)  # until the gateway has read what was sent
+        memory = pf.peak_memory_kb(target.daemon.process)
+        print(f"  unread bytes {unread}", flush=True)
+        target.check_bounds()
+        check(memory + (unread >> 10) <= MEMORY_MB << 10, f"{memory} kB and {unread} unread bytes, of {MEMORY_MB} MB")
+
+
 # Guards against a limit that a caller inside the configured limits meets alone.
 def case_small_fields_alone(fleet):
     """a single request with a head of many small fields is served"""
@@ -100,7 +159,7 @@
 
 
 CASES = [case_small_fields_alone, case_small_fields, case_small_fields_ready, case_small_fields_directory, case_small_fields_operator,
-         case_unfinished_heads]
+         case_unfinished_heads, case_unread_bodies]
 
 if __name__ == "__main__":
     pf.run_cases(CASES, prepare)
