Set aside no more than a frame for a connection without a key

What callers saw: clients that do not behave end a process, which runs out of memory. 300 connections to a port between processes that announce a message of 4 MB and stop one byte short of its end made gateways and stagers take 1,243 MB; a stager's machine has 128.

Cause: a message was read whole before its key was looked at, up to 16 MB each on 2,048 connections; nng sets aside what a connection announces.

Change: messages travel in frames of at most 16 KB, the limit of the receiving socket. The first frame of a longer message is signed, so that only a process with a key makes the receiver keep the others, within the limit for a message. Of connections without a valid message so far 512 are kept; the oldest is closed for a new one, so that silent strangers keep no process out.

--- a/include/marigoldyard/transport/detail/mailbox_peer.hpp
+++ b/include/marigoldyard/transport/detail/mailbox_peer.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <thread>
 
 namespace marigoldyard::detail {
@@ -94,8 +95,19 @@
 
   std::shared_ptr<PushLink> makeLink();
   bool openLink();
+  struct FreeWireMessage {
+    void operator()(nng_msg *Wire) const { nng_msg_free(Wire); }
+  };
+  using WireMessage = std::unique_ptr<nng_msg, FreeWireMessage>;
+
   void pump();
-  nng_msg *encode(Message &Content, ReportLink &Reports);
+  /// @return whether nng has taken the frame over
+  static bool sendOn(PushLink &Target, WireMessage &Frame);
+  /// Drops the rest of a message of which a part was sent; under Mutex.
+  void discardFrames();
+  /// @return the frames of the message; empty if it is too large
+  std::deque<WireMessage> encode(Message &Content, ReportLink &Reports);
+  static WireMessage makeWireMessage(std::span<const std::uint8_t> Bytes);
 
   std::shared_ptr<MailboxShared> Shared;
   std::string Address;
@@ -104,6 +116,8 @@
   std::shared_ptr<PushLink> Link;
   std::deque<Waiting> Outbox;
   std::size_t OutboxBytes = 0;
+  /// Frames of the message that is being sent on Link.
+  std::deque<WireMessage> Frames;
   bool Closed = false;
   bool ReplaceLink = false;
 };
--- a/include/marigoldyard/transport/mailbox.hpp
+++ b/include/marigoldyard/transport/mailbox.hpp
@@ -22,11 +22,14 @@
   std::string Channel;    ///< tells several mailboxes of one process apart, so
                           ///< that a message for one is refused by the other;
                           ///< equal on both sides
-  std::size_t MaxMessageBytes = 4UL << 20; ///< larger ones close the connection
+  std::size_t MaxMessageBytes = 4UL << 20; ///< larger ones are refused
   std::size_t MaxPeers = 2048;             ///< outgoing connections
   std::size_t MaxConnections = 2048;       ///< incoming connections
-  std::size_t OutboxMessages = 4096;       ///< waiting for one peer
-  std::size_t OutboxBytes = 16UL << 20;    ///< waiting for one peer
+  /// Incoming connections without a valid message so far. More processes than
+  /// that connect at once only when a fleet starts, and then connect again.
+  std::size_t MaxUnprovenConnections = 512;
+  std::size_t OutboxMessages = 4096;    ///< waiting for one peer
+  std::size_t OutboxBytes = 16UL << 20; ///< waiting for one peer
   Duration ReconnectLowest = std::chrono::milliseconds(50);
   Duration ReconnectHighest = std::chrono::seconds(2);
 };
--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -1,15 +1,21 @@
 #include "marigoldyard/transport/mailbox.hpp"
 
 #include "marigoldyard/protocol/link_report.hpp"
+#include "marigoldyard/protocol/message_frames.hpp"
 #include "marigoldyard/protocol/replay_filter.hpp"
 #include "marigoldyard/transport/detail/callback_registry.hpp"
 #include "marigoldyard/transport/detail/mailbox_peer.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <boost/asio/ip/address_v4.hpp>
 #include <map>
+#include <mutex>
 #include <nng/protocol/pipeline0/pull.h>
+#include <optional>
 #include <thread>
+#include <unordered_map>
+#include <vector>
 
 namespace marigoldyard {
 
@@ -33,24 +39,67 @@
   return boost::asio::ip::address_v4(ntohl(Number)).to_string();
 }
 
-/// Counts incoming connections and refuses those over the limit.
+/// Counts incoming connections and refuses those over the limit. Those on which
+/// no valid message has arrived have a limit of their own, at which the oldest
+/// of them is closed: a stranger that stays silent keeps no process out.
 struct ConnectionGate {
-  std::atomic<std::size_t> Open{0};
-  std::size_t Limit = 0;
+  std::mutex Mutex;
+  std::size_t Open = 0;
+  std::uint64_t Arrivals = 0;
+  /// Connections without a valid message so far, with their order of arrival.
+  std::unordered_map<std::uint32_t, std::uint64_t> Unproven;
+  FrameAssembly Frames;
   std::shared_ptr<detail::MailboxShared> Shared;
 
   static void changed(nng_pipe Pipe, nng_pipe_ev Event, void *Id) {
     auto Self = detail::CallbackRegistry<ConnectionGate>::instance().find(Id);
     if (!Self)
       return;
-    if (Event == NNG_PIPE_EV_REM_POST) {
-      --Self->Open;
-      return;
+    const auto Number = static_cast<std::uint32_t>(nng_pipe_id(Pipe));
+    if (Event == NNG_PIPE_EV_REM_POST)
+      return Self->removed(Number);
+    if (const auto Refused = Self->added(Number)) {
+      Self->Shared->count(&MailboxCounters::ConnectionsRefused);
+      nng_pipe_close(nng_pipe{*Refused});
     }
-    if (++Self->Open <= Self->Limit)
-      return;
-    Self->Shared->count(&MailboxCounters::ConnectionsRefused);
-    nng_pipe_close(Pipe);
+  }
+
+  void removed(std::uint32_t Number) {
+    std::lock_guard Lock(Mutex);
+    --Open;
+    Unproven.erase(Number);
+    dropFrames(Frames, Number);
+  }
+
+  /// @return the connection to close; empty if there is room
+  std::optional<std::uint32_t> added(std::uint32_t Number) {
+    std::lock_guard Lock(Mutex);
+    if (++Open > Shared->Options.MaxConnections)
+      return Number;
+    Unproven.emplace(Number, ++Arrivals);
+    if (Unproven.size() <= Shared->Options.MaxUnprovenConnections)
+      return std::nullopt;
+    const auto Oldest = std::min_element(
+        Unproven.begin(), Unproven.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; });
+    const std::uint32_t Refused = Oldest->first;
+    Unproven.erase(Oldest);
+    return Refused;
+  }
+
+  void recordProof(std::uint32_t Number) {
+    std::lock_guard Lock(Mutex);
+    Unproven.erase(Number);
+  }
+
+  Expected<std::optional<std::vector<std::uint8_t>>>
+  add(std::uint32_t Number, std::span<const std::uint8_t> Frame,
+      const KeyRing &Keys) {
+    std::lock_guard Lock(Mutex);
+    auto Result = addFrame(Frames, Number, Frame, Keys);
+    if (Result)
+      Unproven.erase(Number);
+    return Result;
   }
 };
 
@@ -75,8 +124,9 @@
       : Shared(std::move(Parts)), Gate(std::make_shared<ConnectionGate>()),
         Replays(Shared->Options.MaxConnections),
         Bases(Shared->Options.MaxConnections) {
-    Gate->Limit = Shared->Options.MaxConnections;
     Gate->Shared = Shared;
+    Gate->Frames.MaxMessageBytes = Shared->Options.MaxMessageBytes;
+    Gate->Frames.MaxBytes = 2 * Shared->Options.MaxMessageBytes;
     GateId = detail::CallbackRegistry<ConnectionGate>::instance().add(Gate);
   }
   ~Data() {
@@ -104,6 +154,7 @@
 
   int listen();
   void receive();
+  void acceptFrame(std::span<const std::uint8_t> Bytes, nng_pipe Origin);
   void accept(std::span<const std::uint8_t> Bytes, nng_pipe Origin);
   void drop(std::uint64_t MailboxCounters::*Which, const Error &Cause);
 };
@@ -112,7 +163,7 @@
   const MailboxOptions &Options = Shared->Options;
   if (int Status = nng_pull0_open(&Pull); Status != 0)
     return Status;
-  nng_socket_set_size(Pull, NNG_OPT_RECVMAXSZ, Options.MaxMessageBytes);
+  nng_socket_set_size(Pull, NNG_OPT_RECVMAXSZ, MaxFrameBytes);
   // A receive that starts while the socket closes may wait for ever.
   nng_socket_set_ms(Pull, NNG_OPT_RECVTIMEO, ReceiveCheckMilliseconds);
   nng_pipe_notify(Pull, NNG_PIPE_EV_ADD_PRE, &ConnectionGate::changed, GateId);
@@ -136,9 +187,12 @@
       return;
     if (Status != 0)
       continue;
-    accept({static_cast<const std::uint8_t *>(nng_msg_body(Wire)),
-            nng_msg_len(Wire)},
-           nng_msg_get_pipe(Wire));
+    const std::span Bytes(static_cast<const std::uint8_t *>(nng_msg_body(Wire)),
+                          nng_msg_len(Wire));
+    if (isFrame(Bytes))
+      acceptFrame(Bytes, nng_msg_get_pipe(Wire));
+    else
+      accept(Bytes, nng_msg_get_pipe(Wire));
     nng_msg_free(Wire);
   }
 }
@@ -150,6 +204,22 @@
     Shared->Handlers.Dropped(Cause);
 }
 
+void Mailbox::Data::acceptFrame(std::span<const std::uint8_t> Bytes,
+                                nng_pipe Origin) {
+  const auto Number = static_cast<std::uint32_t>(nng_pipe_id(Origin));
+  const auto Whole = Gate->add(Number, Bytes, *Shared->Keys.load());
+  if (!Whole) {
+    Error Cause = Whole.error();
+    Cause.Peer = remoteAddress(Origin);
+    return drop(Cause.Code == ErrorCode::Unauthenticated
+                    ? &MailboxCounters::Unauthenticated
+                    : &MailboxCounters::Malformed,
+                Cause);
+  }
+  if (*Whole)
+    accept(**Whole, Origin);
+}
+
 void Mailbox::Data::accept(std::span<const std::uint8_t> Bytes,
                            nng_pipe Origin) {
   const MailboxOptions &Options = Shared->Options;
@@ -167,6 +237,7 @@
                     : &MailboxCounters::Malformed,
                 Cause);
   }
+  Gate->recordProof(static_cast<std::uint32_t>(nng_pipe_id(Origin)));
   Header &Head = Decoded->Head;
   if (Head.Receiver != Shared->wireName(Options.Name))
     return drop(&MailboxCounters::WrongReceiver,
--- a/src/transport/mailbox_peer.cpp
+++ b/src/transport/mailbox_peer.cpp
@@ -1,5 +1,6 @@
 #include "marigoldyard/transport/detail/mailbox_peer.hpp"
 
+#include "marigoldyard/protocol/message_frames.hpp"
 #include "marigoldyard/transport/clock.hpp"
 #include "marigoldyard/transport/random_source.hpp"
 
@@ -160,8 +161,10 @@
       if (Closed)
         return;
       const bool Replace = std::exchange(ReplaceLink, false);
-      if (Link && (Replace || Link->lost()))
+      if (Link && (Replace || Link->lost())) {
         Old = std::exchange(Link, nullptr);
+        discardFrames();
+      }
       Missing = Link == nullptr;
     }
     if (Old)
@@ -184,6 +187,7 @@
       Shared->count(&MailboxCounters::Discarded, Outbox.size());
     Outbox.clear();
     OutboxBytes = 0;
+    discardFrames();
     Old = std::exchange(Link, nullptr);
   }
   if (Old)
@@ -235,32 +239,65 @@
   return Link && Link->open();
 }
 
+void MailboxPeer::discardFrames() {
+  if (!Frames.empty())
+    Shared->count(&MailboxCounters::Discarded);
+  Frames.clear();
+}
+
 // Without a connection nothing is handed to nng, so that all waiting messages
 // can still be withdrawn.
 void MailboxPeer::pump() {
   for (;;) {
     Waiting Next;
+    WireMessage Frame;
     std::shared_ptr<PushLink> Target;
     {
       std::lock_guard Lock(Mutex);
-      if (Closed || Outbox.empty() || !Link || !Link->claim())
+      if (Closed || (Frames.empty() && Outbox.empty()) || !Link ||
+          !Link->claim())
         return;
       Target = Link;
-      Next = std::move(Outbox.front());
-      Outbox.pop_front();
-      OutboxBytes -= Next.Bytes;
+      if (!Frames.empty()) {
+        Frame = std::move(Frames.front());
+        Frames.pop_front();
+      } else {
+        Next = std::move(Outbox.front());
+        Outbox.pop_front();
+        OutboxBytes -= Next.Bytes;
+      }
+    }
+    if (Frame) {
+      if (sendOn(*Target, Frame))
+        return;
+      // The connection closed; service() discards the other frames.
+      Target->release();
+      return;
     }
     std::string Receiver = Next.Content.Head.Receiver;
-    nng_msg *Wire = encode(Next.Content, Target->Reports);
-    if (Wire && Target->send(Wire))
+    std::deque<WireMessage> Encoded = encode(Next.Content, Target->Reports);
+    if (Encoded.empty()) {
+      Target->release();
+      continue;
+    }
+    Frame = std::move(Encoded.front());
+    Encoded.pop_front();
+    bool IsCurrent = false;
+    {
+      // Before the first one is sent, since its end starts the next send.
+      std::lock_guard Lock(Mutex);
+      IsCurrent = !Closed && Link == Target;
+      if (IsCurrent)
+        Frames = std::move(Encoded);
+    }
+    if (IsCurrent && sendOn(*Target, Frame))
       return;
     Target->release();
-    if (!Wire)
-      continue;
     // The connection closed before the message was handed over.
-    nng_msg_free(Wire);
     Next.Content.Head.Receiver = std::move(Receiver);
     std::lock_guard Lock(Mutex);
+    if (IsCurrent)
+      Frames.clear();
     if (Closed)
       return;
     OutboxBytes += Next.Bytes;
@@ -269,7 +306,16 @@
   }
 }
 
-nng_msg *MailboxPeer::encode(Message &Content, ReportLink &Reports) {
+bool MailboxPeer::sendOn(PushLink &Target, WireMessage &Frame) {
+  if (!Target.send(Frame.get()))
+    return false;
+  // nng owns it from now on.
+  static_cast<void>(Frame.release()); // NOLINT(bugprone-unused-return-value)
+  return true;
+}
+
+std::deque<MailboxPeer::WireMessage> MailboxPeer::encode(Message &Content,
+                                                         ReportLink &Reports) {
   Header &Head = Content.Head;
   std::string Receiver = Head.Receiver;
   Head.Sender = Shared->Options.Name;
@@ -278,22 +324,36 @@
   Head.Sequence = ++Shared->LastSequence;
   if (Shared->Handlers.Tick)
     Head.SentAt = Shared->Handlers.Tick();
-  auto Bytes = encodeOnLink(Reports, Content, *Shared->Keys.load());
-  nng_msg *Wire = nullptr;
-  if (Bytes.size() > Shared->Options.MaxMessageBytes ||
-      nng_msg_alloc(&Wire, 0) != 0 ||
-      nng_msg_append(Wire, Bytes.data(), Bytes.size()) != 0) {
-    nng_msg_free(Wire);
+  const auto Keys = Shared->Keys.load();
+  auto Bytes = encodeOnLink(Reports, Content, *Keys);
+  const std::size_t Size = Bytes.size();
+  std::deque<WireMessage> Wire;
+  if (Size <= Shared->Options.MaxMessageBytes)
+    for (const auto &Frame : splitMessage(std::move(Bytes), *Keys))
+      Wire.push_back(makeWireMessage(Frame));
+  if (Wire.empty() ||
+      std::find(Wire.begin(), Wire.end(), nullptr) != Wire.end()) {
     Shared->count(&MailboxCounters::Discarded);
     if (Shared->Handlers.Dropped)
-      Shared->Handlers.Dropped({ErrorCode::InvalidMessage, Step::Send, Receiver,
-                                "message of " + std::to_string(Bytes.size()) +
-                                    " bytes is too large"});
-    return nullptr;
+      Shared->Handlers.Dropped(
+          {ErrorCode::InvalidMessage, Step::Send, Receiver,
+           "message of " + std::to_string(Size) + " bytes is too large"});
+    return {};
   }
   Shared->count(&MailboxCounters::Sent);
-  Shared->count(&MailboxCounters::SentBytes, Bytes.size());
+  Shared->count(&MailboxCounters::SentBytes, Size);
   return Wire;
 }
 
+MailboxPeer::WireMessage
+MailboxPeer::makeWireMessage(std::span<const std::uint8_t> Bytes) {
+  nng_msg *Wire = nullptr;
+  if (nng_msg_alloc(&Wire, 0) != 0)
+    return nullptr;
+  WireMessage Result(Wire);
+  return nng_msg_append(Wire, Bytes.data(), Bytes.size()) == 0
+             ? std::move(Result)
+             : nullptr;
+}
+
 } // namespace marigoldyard::detail
--- a/tests/src/unit-transport-mailbox.cpp
+++ b/tests/src/unit-transport-mailbox.cpp
@@ -189,3 +189,46 @@
     CHECK(Replays.check(Got->Head) == Expected);
   }
 }
+
+// Guards against messages that exceed what a receiver sets aside for a
+// connection without a key.
+TEST_CASE("messages of several frames arrive whole and in their order") {
+  Endpoint From(optionsOf("a"));
+  Endpoint To(optionsOf("b"));
+  for (const std::size_t Size : {100'000UL, 10UL, 16'300UL, 1'000'000UL}) {
+    Message Large = cancelOf("x", "b");
+    Large.Content = ChunkData{{}, std::vector<std::uint8_t>(Size, 7)};
+    REQUIRE(From.Box->send(To.address(), Large));
+    REQUIRE(From.Box->send(To.address(), cancelOf(std::to_string(Size), "b")));
+  }
+  for (const std::size_t Size : {100'000UL, 10UL, 16'300UL, 1'000'000UL}) {
+    const auto Large = To.Messages.pop(Patience);
+    REQUIRE(Large);
+    CHECK(std::get<ChunkData>(Large->Content).Bytes ==
+          std::vector<std::uint8_t>(Size, 7));
+    CHECK(nextRequest(To) == std::to_string(Size));
+  }
+  CHECK(To.Box->counters().Malformed == 0);
+}
+
+// Guards against strangers that keep processes with a key out.
+TEST_CASE("connections without a message make room for new ones") {
+  auto Narrow = optionsOf("b");
+  Narrow.MaxUnprovenConnections = 2;
+  Endpoint To(Narrow);
+  Endpoint Known(optionsOf("a"));
+  REQUIRE(Known.Box->send(To.address(), cancelOf("first", "b")));
+  CHECK(nextRequest(To) == "first");
+  std::vector<std::unique_ptr<Endpoint>> Silent;
+  for (int Number = 0; Number < 6; ++Number) {
+    auto Options = optionsOf("s" + std::to_string(Number));
+    Options.ReconnectLowest = Options.ReconnectHighest = std::chrono::hours(1);
+    Silent.push_back(std::make_unique<Endpoint>(Options));
+    REQUIRE(Silent.back()->Box->addPeer(To.address()));
+    REQUIRE(Silent.back()->Opened.pop(Patience));
+  }
+  CHECK(eventually([&] { return To.Box->counters().ConnectionsRefused >= 4; }));
+  REQUIRE(Known.Box->send(To.address(), cancelOf("second", "b")));
+  CHECK(nextRequest(To) == "second");
+  CHECK(Known.Box->connected(To.address()));
+}
