Load without a turn when the served version is out of use

A version that is whole when the older one goes out of use still waited for its turn among the region's servers, for the announcement and for up to half a second in which streams move. The order then came up to 0.6 s after the gateways had stopped, beyond the bound, and a request that was under way could start meanwhile. From the closing time on the order is sent as soon as the chunks were read back. A refused partial load is tried again after 0.3 s instead of with each report.

Test: unit-coordination-load_plan.cpp, "a server whose version went out of use loads at once"; test_staged_pieces.py passes.

--- a/include/marigoldyard/coordination/load_plan.hpp
+++ b/include/marigoldyard/coordination/load_plan.hpp
@@ -63,6 +63,7 @@
   bool Loaded = false;          ///< the server reports the version as loaded
   bool Busy = false;            ///< the server is executing an order
   bool NoVersionServed = false; ///< the server serves no version of the model
+  bool ServedOutOfUse = false;  ///< what it serves may start nothing any more
   bool HasTurn = false;         ///< it is the server's turn
   bool Idle = false;            ///< the server runs no requests
   bool StreamsCanMove = false;  ///< running streams can continue elsewhere
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -195,6 +195,9 @@
   std::optional<TimePoint> closesAt(const DeclaredVersion &Version) const;
   /// Whether a version may serve nothing any more.
   bool isOutOfUse(const DeclaredVersion &Version) const;
+  /// Whether the server is about to be closed, or is closed, for a newer
+  /// version of the model.
+  bool closesSoon(const DeclaredVersion &Target) const;
   /// Ends the transfer of versions that would only be loaded out of use.
   void removeVersionsOutOfUse();
   /// Orders some layers of a newer version when the loaded version goes out of
@@ -250,6 +253,7 @@
   /// Writes, reads and partial loads in progress, of all versions.
   std::size_t StagingCallsPending = 0;
   TimePoint PartialOrderEndedAt{};
+  TimePoint NextPartialOrderAt{}; ///< after a refusal
   bool Accepting = true;
   std::map<std::string, std::uint32_t> ReportedLoads; ///< by gateway
   std::string LastLoadReceiver;
--- a/programs/stager/stager_closing.cpp
+++ b/programs/stager/stager_closing.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds StagingLeadTime{700};
 /// Interval of questions about the age of a declaration.
 constexpr std::chrono::milliseconds AgeQuestionInterval{700};
+/// Pause after an order that the server refused.
+constexpr std::chrono::milliseconds RefusalPause{300};
 /// Gateways that are asked at once.
 constexpr std::size_t AskedGateways = 3;
 
@@ -64,6 +66,16 @@
   return ClosesAt && now() >= *ClosesAt;
 }
 
+bool Stager::closesSoon(const DeclaredVersion &Target) const {
+  return Report &&
+         std::any_of(Report->Weights.begin(), Report->Weights.end(),
+                     [&](const LoadedWeights &Loaded) {
+                       const auto At = closesAt({Loaded.Model, Loaded.Version});
+                       return Loaded.Model == Target.Model && At &&
+                              now() >= *At - StagingLeadTime;
+                     });
+}
+
 void Stager::removeVersionsOutOfUse() {
   std::erase_if(Versions, [this](const auto &Each) {
     const auto &[Version, State] = Each;
@@ -81,7 +93,7 @@
 void Stager::closeOutdatedServer() {
   // A report from before the end of an order does not show its effect.
   if (!Report || Report->Loading || LayerCount.value_or(0) == 0 ||
-      ReportSentAt <= PartialOrderEndedAt)
+      ReportSentAt <= PartialOrderEndedAt || now() < NextPartialOrderAt)
     return;
   for (const LoadedWeights &Loaded : Report->Weights) {
     const auto ClosesAt = closesAt({Loaded.Model, Loaded.Version});
@@ -184,12 +196,14 @@
     return;
   const bool HadNoEffect =
       Failure != nullptr ? !Failure->RequestBytesSent : Refused;
-  if (HadNoEffect)
+  if (HadNoEffect) {
     State->Part.reset(); // tried again
-  else
+    NextPartialOrderAt = now() + RefusalPause;
+  } else {
     State->PartDoubtful |=
         Failure != nullptr ||
         now() - OldestRead >= State->Staged.Settings.MaxAgeWhenAccepted;
+  }
 }
 
 bool Stager::isPartDoubtful(const VersionState &State) const {
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -171,8 +171,8 @@
     return State.OrderUnresolved ? State.Load.StageEnteredAt : TimePoint::min();
   case LoadStage::Announced:
     return now() - State.Staged.Settings.RefreshAge;
-  case LoadStage::Waiting: // without a version it needs no turn
-    if (servesNoVersion(State.Load.Target))
+  case LoadStage::Waiting: // the order may come soon, without a turn
+    if (servesNoVersion(State.Load.Target) || closesSoon(State.Load.Target))
       return now() - State.Staged.Settings.RefreshAge;
     return std::nullopt;
   case LoadStage::Fetching:
@@ -290,6 +290,9 @@
     Conditions.Loaded =
         Held != Report->Weights.end() && Held->Version >= Target.Version;
     Conditions.NoVersionServed = servesNoVersion(Target);
+    Conditions.ServedOutOfUse = Held != Report->Weights.end() &&
+                                !Conditions.Loaded &&
+                                isOutOfUse({Held->Model, Held->Version});
     Conditions.Busy = Report->Loading;
     Conditions.Idle = Report->Running + Report->Waiting == 0;
   }
--- a/src/coordination/load_plan.cpp
+++ b/src/coordination/load_plan.cpp
@@ -20,15 +20,16 @@
   case LoadStage::Waiting:
     if (Conditions.Busy)
       return LoadStage::Waiting;
-    if (Conditions.NoVersionServed) // no gateway sends requests to the server
+    // No gateway sends requests to the server.
+    if (Conditions.NoVersionServed || Conditions.ServedOutOfUse)
       return Conditions.ReadsRecent ? LoadStage::Loading : LoadStage::Waiting;
     return Conditions.HasTurn ? LoadStage::Announced : LoadStage::Waiting;
   case LoadStage::Announced: {
     const Duration Elapsed = Now - State.StageEnteredAt;
     if (Elapsed < State.Settings.AnnounceLeadTime || !Conditions.ReadsRecent)
       return LoadStage::Announced;
-    const bool Drained =
-        Conditions.Idle || Elapsed >= State.Settings.DrainTimeout;
+    const bool Drained = Conditions.Idle || Conditions.ServedOutOfUse ||
+                         Elapsed >= State.Settings.DrainTimeout;
     return Drained || !Conditions.StreamsCanMove ? LoadStage::Loading
                                                  : LoadStage::Announced;
   }
--- a/tests/src/unit-coordination-load_plan.cpp
+++ b/tests/src/unit-coordination-load_plan.cpp
@@ -160,3 +160,25 @@
   CHECK_FALSE(shouldFinishLoad(Older, {0, 64, 0}, StartCommand + 500ms));
   CHECK(shouldFinishLoad(Older, {0, 64, 0}, StartCommand + 1s));
 }
+
+// Guards against a load that waits for a turn, or for streams to move, beyond
+// the bound of the version that the server has.
+TEST_CASE("a server whose version went out of use loads at once") {
+  LoadState State = waiting();
+  LoadConditions Facts;
+  Facts.ServedOutOfUse = true;
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand));
+  Facts.ReadsRecent = true;
+  CHECK(advanceLoad(State, Facts, StartCommand));
+  CHECK(State.Stage == LoadStage::Loading);
+
+  State = waiting();
+  Facts = {};
+  Facts.HasTurn = Facts.ReadsRecent = Facts.StreamsCanMove = true;
+  CHECK(advanceLoad(State, Facts, StartCommand));
+  CHECK(State.Stage == LoadStage::Announced);
+  CHECK_FALSE(advanceLoad(State, Facts, StartCommand + 100ms));
+  Facts.ServedOutOfUse = true;
+  CHECK(advanceLoad(State, Facts, StartCommand + 100ms));
+  CHECK(State.Stage == LoadStage::Loading);
+}
