--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -213,6 +213,11 @@
 SPOILT_LIMIT_S = 3
 
 
+def pieces_of(order):
+    """The pieces that an order loads."""
+    return range(order.get("from", 0) * PIECES // LAYERS, order.get("target", LAYERS) * PIECES // LAYERS)
+
+
 class Backend(Standin):
     """A server of a pool. `behave` maps a request number to a behaviour; requests are recorded."""
     zone = "z1"
@@ -252,10 +257,6 @@
             return None
         return {"from": self.layers[0], "target": self.layers[1], "version": next(iter(self.models.values()))}
 
-    def pieces_of(self, order):
-        """The pieces that an order loads."""
-        return range(order.get("from", 0) * PIECES // LAYERS, order.get("target", LAYERS) * PIECES // LAYERS)
-
     def spoil(self, index):
         """Corrupts a staged piece."""
         self.staged[index] = b"spoilt"
@@ -263,7 +264,7 @@
 
     def accept_order(self, order):
         now = time.monotonic()
-        ages = {index: now - at for index, at in self.spoilt_at.items() if index in self.pieces_of(order)}
+        ages = {index: now - at for index, at in self.spoilt_at.items() if index in pieces_of(order)}
         self.orders.append((now, order, dict(self.staged)))
         self.spoilt_in_order.append(ages)
         late = any(age > SPOILT_LIMIT_S for age in ages.values())
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -471,7 +471,7 @@
         wait_for(lambda: call(fleet.gateways[0], "/stream/1", "POST", b"p").status == 200, "it serves")
         for server in fleet.engines:
             for _, order, staged in server.orders:
-                check(all(staged.get(i) == pf.piece("m", order["version"], i) for i in server.pieces_of(order)),
+                check(all(staged.get(i) == pf.piece("m", order["version"], i) for i in pf.pieces_of(order)),
                       f"{order} found wrong pieces")
     finally:
         fleet.origin.missing = set()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -241,7 +241,7 @@
             self.check(not server.spoilt_runs, f"{server.id}: {server.spoilt_runs} requests on weights of which a piece was "
                                                f"corrupt for too long: {server.spoilt_in_order}")
             for (_, order, staged), spoilt in zip(server.orders, server.spoilt_in_order):
-                wrong = [i for i in server.pieces_of(order) if staged.get(i) != pf.piece(order["model"], order["version"], i)]
+                wrong = [i for i in pf.pieces_of(order) if staged.get(i) != pf.piece(order["model"], order["version"], i)]
                 self.check(set(wrong) <= set(spoilt),
                            f"{server.id}: version {order['version']} was ordered with wrong pieces")
 
