Mend what the review of the closed servers and of the frames found

Frames of connections that are not open are dropped. - A stager ended with SIGFPE when a configuration no longer stated the layers. A known number of layers is kept. A version with doubtful layers is not completed any more, and layers that a stager has not ordered itself are doubtful. Reports on hidden versions count. One layer is staged, reads are repeated only when all are there, and a complete version ends a partial load. They count as fields of a head.

512 connections without a message become 1,024, since links without a message are opened anew when a process restarts.

--- a/include/marigoldyard/coordination/partial_load.hpp
+++ b/include/marigoldyard/coordination/partial_load.hpp
@@ -28,12 +28,13 @@
 bool isWholeModel(const std::optional<LayerRange> &Reported,
                   std::uint32_t Layers);
 
-/// @brief Chooses the longest run of layers whose chunks are all held.
+/// @brief Chooses a layer whose chunks are all held. One is enough to close a
+/// server, and is staged and read back fastest.
 /// @param Held whether each chunk of the version is held
 /// @param Layers number of layers of the model; 0 if unknown
-/// @return the first of the longest runs; empty if no layer is whole
+/// @return the first such layer; empty if there is none
 /// @complexity linear in the number of chunks
-std::optional<LayerRange> longestHeldRun(const std::vector<bool> &Held,
+std::optional<LayerRange> firstHeldLayer(const std::vector<bool> &Held,
                                          std::uint32_t Layers);
 
 /// @brief Evidence on the declarations that a stager has seen, by version. It
@@ -46,9 +47,11 @@
 
 /// @brief Records a lower bound of the acknowledgement, which another process
 /// reported. Later bounds replace earlier ones.
-/// @param Version an unknown one has no effect
+/// @param Version an unknown one is recorded if a newer one hid it; otherwise
+/// it has no effect
 void recordAcknowledgedAfter(DeclarationHistory &History,
-                             const DeclaredVersion &Version, TimePoint Bound);
+                             const DeclaredVersion &Version, TimePoint Bound,
+                             TimePoint Now);
 
 /// @brief Time from which a server may start no requests on its version, and is
 /// closed by a load of any newer one.
--- a/include/marigoldyard/transport/mailbox.hpp
+++ b/include/marigoldyard/transport/mailbox.hpp
@@ -27,7 +27,7 @@
   std::size_t MaxConnections = 2048;       ///< incoming connections
   /// Incoming connections without a valid message so far. More processes than
   /// that connect at once only when a fleet starts, and then connect again.
-  std::size_t MaxUnprovenConnections = 512;
+  std::size_t MaxUnprovenConnections = 1024;
   std::size_t OutboxMessages = 4096;    ///< waiting for one peer
   std::size_t OutboxBytes = 16UL << 20; ///< waiting for one peer
   Duration ReconnectLowest = std::chrono::milliseconds(50);
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -64,6 +64,15 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
+/// Memory of the fields of a head or of trailers.
+std::size_t fieldsMemory(const http::fields &Fields) {
+  std::size_t Bytes = 0;
+  for (const auto &Each : Fields)
+    Bytes += FieldBytes +
+             HeadCopies * (Each.name_string().size() + Each.value().size());
+  return Bytes;
+}
+
 /// What one step of a parser has taken from a buffer.
 struct Parsed {
   std::size_t Bytes = 0;
@@ -226,6 +235,8 @@
       if (Parser->get()[http::field::expect] == "100-continue")
         co_await write("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    if (InBody && Parser->is_done()) // trailers are fields too
+      HeadBytes = std::max(HeadBytes, fieldsMemory(Parser->get().base()));
     RequestBytes = Buffer.capacity() + HeadBytes +
                    BodyCopies * Parser->get().body().size();
     setHeldBytes(RequestBytes);
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -44,7 +44,9 @@
   /// its bound.
   struct PartialLoad {
     LayerRange Layers;
-    std::vector<Digest> Chunks; ///< that the layers consist of
+    ChunkRange Needed;            ///< chunks of the layers
+    std::vector<Digest> Chunks;   ///< their digests
+    std::int64_t ServerStart = 0; ///< of the server to which it was ordered
     bool Ordered = false;
   };
 
@@ -71,8 +73,6 @@
     bool AcceptedLate = false;
     bool CorruptSinceOrder = false; ///< a read since the order was corrupt
     std::optional<PartialLoad> Part;
-    /// Layers may have been loaded from chunks that were corrupt by then.
-    bool PartDoubtful = false;
     RolloutState Rollout;
   };
 
@@ -175,6 +175,8 @@
   LoadConditions loadConditions(VersionState &State);
   bool hasRolloutTurn(VersionState &State);
   bool servesNoVersion(const DeclaredVersion &Target) const;
+  /// Whether all chunks of a version are held.
+  bool isComplete(const VersionState &State) const;
   bool canStage(const DeclaredVersion &Target) const;
   void removeSupersededVersions();
   bool canContinueStreams(const DeclaredVersion &Target) const;
@@ -210,10 +212,14 @@
   bool beginPartialLoad(VersionState &State);
   void sendPartialLoadOrder(VersionState &State);
   /// @param OldestRead oldestRead() when the order was sent
+  /// @param ServerStart start of the server to which the order was sent
   void handlePartialLoadResult(const DeclaredVersion &Target,
-                               TimePoint OldestRead, const HttpResult &Result);
+                               TimePoint OldestRead, std::int64_t ServerStart,
+                               const HttpResult &Result);
   /// Whether the layers that closed the server are not known to be sound.
   bool isPartDoubtful(const VersionState &State) const;
+  /// Records doubts about layers that this process has not ordered.
+  void checkReportedLayers(const platform::EngineReport &NewReport);
 
   EngineStatus localStatus() const;
   /// Sends a changed load to gateways of the local region, to some of them at a
@@ -238,6 +244,10 @@
   std::map<DeclaredVersion, VersionState> Versions; ///< oldest first
   /// Contact with the store before each version was learned.
   std::map<DeclaredVersion, StoreContact> ContactBefore;
+  /// Versions of which the server may have layers that were loaded from corrupt
+  /// chunks, since its start. They are not completed, since a server with some
+  /// layers serves nothing, whatever other processes know.
+  std::set<DeclaredVersion> DoubtfulParts;
   DeclarationHistory Declarations;
   AgeQuestions Questions;
   TimePoint NextAgeQuestionAt{};
--- a/programs/stager/stager_closing.cpp
+++ b/programs/stager/stager_closing.cpp
@@ -26,14 +26,16 @@
 void Stager::askDeclarationAges() {
   if (AgeQuestionsLeft == 0 || now() < NextAgeQuestionAt)
     return;
-  --AgeQuestionsLeft;
-  NextAgeQuestionAt = now() + AgeQuestionInterval;
   std::set<std::string> Known = localRegionGateways();
   if (Known.empty())
     Known = Node.gatewayAddresses();
   std::vector<std::string> Chosen(Known.begin(), Known.end());
   std::shuffle(Chosen.begin(), Chosen.end(), Node.Generator);
   Chosen.resize(std::min(Chosen.size(), AskedGateways));
+  if (Chosen.empty())
+    return;
+  --AgeQuestionsLeft;
+  NextAgeQuestionAt = now() + AgeQuestionInterval;
   const VersionQuestion Question{Node.Generator()};
   recordQuestion(Questions, Question.Number, now());
   for (const std::string &Gateway : Chosen)
@@ -43,7 +45,8 @@
 void Stager::handleVersionAnswer(const VersionAnswer &Answer) {
   for (const DeclarationAge &Each : Answer.Recent)
     if (const auto At = answeredBound(Questions, Answer.Number, Each.Age))
-      recordAcknowledgedAfter(Declarations, {Each.Model, Each.Version}, *At);
+      recordAcknowledgedAfter(Declarations, {Each.Model, Each.Version}, *At,
+                              now());
   // A required version is past its bound.
   const auto Past =
       answeredBound(Questions, Answer.Number,
@@ -51,7 +54,8 @@
                         Settings.Process.VersionLimit));
   for (const LoadedWeights &Each : Answer.Required)
     if (Past)
-      recordAcknowledgedAfter(Declarations, {Each.Model, Each.Version}, *Past);
+      recordAcknowledgedAfter(Declarations, {Each.Model, Each.Version}, *Past,
+                              now());
 }
 
 std::optional<TimePoint>
@@ -77,7 +81,7 @@
 }
 
 void Stager::removeVersionsOutOfUse() {
-  std::erase_if(Versions, [this](const auto &Each) {
+  const std::size_t Removed = std::erase_if(Versions, [this](const auto &Each) {
     const auto &[Version, State] = Each;
     // The newest version is never out of use.
     if (State.Load.Stage != LoadStage::Fetching || !isOutOfUse(Version))
@@ -88,6 +92,14 @@
                                {"version", std::to_string(Version.Version)}}});
     return true;
   });
+  if (Removed == 0 || !Transfer)
+    return;
+  std::vector<Digest> Wanted;
+  for (const auto &[Version, State] : Versions)
+    if (State.Descriptor)
+      Wanted.push_back(State.Descriptor->Id);
+  setWantedVersions(*Transfer, Wanted, now());
+  PlanDue = true;
 }
 
 void Stager::closeOutdatedServer() {
@@ -119,7 +131,10 @@
     // The staging area holds one version, which loads as a whole soon.
     if (State.Load.Stage != LoadStage::Fetching)
       return nullptr;
-    if (State.Descriptor)
+    // A complete version loads as a whole once no staging call is pending.
+    if (isComplete(State))
+      return nullptr;
+    if (State.Descriptor && !DoubtfulParts.contains(Version))
       Newer.push_back(&State);
   }
   for (VersionState *State : Newer)
@@ -134,20 +149,24 @@
 
 bool Stager::beginPartialLoad(VersionState &State) {
   const auto &All = State.Descriptor->Chunks;
-  const auto Run = longestHeldRun(heldChunks(*State.Descriptor), *LayerCount);
-  if (!Run || StagingCallsPending > 0)
+  const auto Layer = firstHeldLayer(heldChunks(*State.Descriptor), *LayerCount);
+  if (!Layer || StagingCallsPending > 0)
     return false;
-  const ChunkRange Needed = chunksOfLayers(*Run, *LayerCount, All.size());
-  State.Part = PartialLoad{*Run, {}, false};
-  for (std::size_t Index = Needed.First; Index < Needed.End; ++Index)
-    State.Part->Chunks.push_back(All[Index].Id);
-  State.Staged = makeStagedRange(Needed);
+  PartialLoad Part{*Layer,
+                   chunksOfLayers(*Layer, *LayerCount, All.size()),
+                   {},
+                   Report->StartedAtMs,
+                   false};
+  for (std::size_t Index = Part.Needed.First; Index < Part.Needed.End; ++Index)
+    Part.Chunks.push_back(All[Index].Id);
+  State.Staged = makeStagedRange(Part.Needed);
+  State.Part = std::move(Part);
   Node.Log.write(
       {.Event = "partial_load_staged",
        .At = Step::Order,
        .Peer = addressText(Settings.Engine),
        .Fields = {{"version", std::to_string(State.Load.Target.Version)},
-                  {"layers", fmt::format("{}-{}", Run->From, Run->End)}}});
+                  {"layers", fmt::format("{}-{}", Layer->From, Layer->End)}}});
   return true;
 }
 
@@ -163,17 +182,19 @@
   // The staging area must not change before the order is accepted.
   ++StagingCallsPending;
   PartialOrderEndedAt = TimePoint::max();
-  EngineClient.call(std::move(Order),
-                    [this, Target, OldestRead = oldestRead(State.Staged)](
-                        const HttpResult &Result) {
-                      --StagingCallsPending;
-                      PartialOrderEndedAt = now();
-                      handlePartialLoadResult(Target, OldestRead, Result);
-                    });
+  EngineClient.call(
+      std::move(Order),
+      [this, Target, OldestRead = oldestRead(State.Staged),
+       ServerStart = State.Part->ServerStart](const HttpResult &Result) {
+        --StagingCallsPending;
+        PartialOrderEndedAt = now();
+        handlePartialLoadResult(Target, OldestRead, ServerStart, Result);
+      });
 }
 
 void Stager::handlePartialLoadResult(const DeclaredVersion &Target,
                                      TimePoint OldestRead,
+                                     std::int64_t ServerStart,
                                      const HttpResult &Result) {
   const auto *Response = std::get_if<HttpResponse>(&Result);
   const auto *Failure = std::get_if<HttpFailure>(&Result);
@@ -191,29 +212,46 @@
                                  : "none"},
                   {"detail", Failure != nullptr ? Failure->Cause.Detail : ""},
                   {"oldest_read_s", formatSeconds(now() - OldestRead)}}});
-  VersionState *State = findVersion(Target);
-  if (State == nullptr || !State->Part)
-    return;
   const bool HadNoEffect =
       Failure != nullptr ? !Failure->RequestBytesSent : Refused;
+  VersionState *State = findVersion(Target);
   if (HadNoEffect) {
-    State->Part.reset(); // tried again
+    if (State != nullptr)
+      State->Part.reset(); // tried again
     NextPartialOrderAt = now() + RefusalPause;
-  } else {
-    State->PartDoubtful |=
-        Failure != nullptr ||
-        now() - OldestRead >= State->Staged.Settings.MaxAgeWhenAccepted;
+    return;
+  }
+  // A server that has started since has loaded what lay there then.
+  const bool SameServer = Report && Report->StartedAtMs == ServerStart;
+  if (Failure != nullptr || !SameServer ||
+      now() - OldestRead >= StagedChunksSettings().MaxAgeWhenAccepted)
+    DoubtfulParts.insert(Target);
+}
+
+void Stager::checkReportedLayers(const platform::EngineReport &NewReport) {
+  for (const LoadedWeights &Each : NewReport.Weights) {
+    const DeclaredVersion Version{Each.Model, Each.Version};
+    const VersionState *State = findVersion(Version);
+    if (State != nullptr && State->Part && State->Part->Ordered)
+      continue;
+    if (DoubtfulParts.insert(Version).second)
+      Node.Log.write({.Level = LogLevel::Warning,
+                      .Event = "partial_load_unknown",
+                      .At = Step::ReadBack,
+                      .Peer = addressText(Settings.Engine),
+                      .Fields = {{"version", std::to_string(Each.Version)}}});
   }
 }
 
 bool Stager::isPartDoubtful(const VersionState &State) const {
-  if (!State.Part || !State.Descriptor)
-    return State.PartDoubtful;
+  if (DoubtfulParts.contains(State.Load.Target))
+    return true;
+  if (!State.Part || !State.Part->Ordered || !State.Descriptor)
+    return false;
   // The manifest may have been corrected since.
   const auto &All = State.Descriptor->Chunks;
-  const ChunkRange Needed =
-      chunksOfLayers(State.Part->Layers, LayerCount.value_or(1), All.size());
-  return State.PartDoubtful ||
+  const ChunkRange &Needed = State.Part->Needed;
+  return Needed.End > All.size() ||
          !std::equal(State.Part->Chunks.begin(), State.Part->Chunks.end(),
                      All.begin() + static_cast<std::ptrdiff_t>(Needed.First),
                      All.begin() + static_cast<std::ptrdiff_t>(Needed.End),
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -65,14 +65,19 @@
 void Stager::handleReport(platform::EngineReport NewReport) {
   // A server that has some layers of a version serves none.
   if (LayerCount ? !isWholeModel(NewReport.Layers, *LayerCount)
-                 : NewReport.Layers.has_value())
+                 : NewReport.Layers.has_value()) {
+    if (LayerCount)
+      checkReportedLayers(NewReport);
     NewReport.Weights.clear();
+  }
   const bool Restarted = Report && NewReport.StartedAtMs > Report->StartedAtMs;
   const bool Changed =
       !Report || Restarted || Report->Weights != NewReport.Weights;
   Report = std::move(NewReport);
   ReportReceivedAt = now();
   ReportSentAt = ReportRequestedAt;
+  if (Restarted)
+    DoubtfulParts.clear();
   if (Restarted)
     for (auto &[Version, State] : Versions) {
       // A server that lost power has lost the staged chunks too, and any
@@ -81,7 +86,6 @@
       State.OrderUnresolved = State.AcceptedLate = false;
       State.StagingAreaRead = true;
       State.Part.reset();
-      State.PartDoubtful = false;
     }
   if (Changed) {
     std::string Held;
@@ -176,8 +180,10 @@
       return now() - State.Staged.Settings.RefreshAge;
     return std::nullopt;
   case LoadStage::Fetching:
-    if (State.Part && !State.Part->Ordered)
-      return now() - State.Staged.Settings.RefreshAge;
+    // Without a limit on repeated reads, slow ones would never end.
+    if (State.Part && !State.Part->Ordered && !isComplete(State))
+      return isStaged(State.Staged) ? now() - State.Staged.Settings.RefreshAge
+                                    : TimePoint::min();
     return std::nullopt;
   case LoadStage::Loading:
   case LoadStage::Serving:
@@ -242,7 +248,8 @@
     return;
   const auto *Response = std::get_if<HttpResponse>(&Result);
   ReadResult Read = ReadResult::None;
-  if (Response != nullptr) {
+  // A shorter manifest may have replaced the one of the call.
+  if (Response != nullptr && Index < State->Descriptor->Chunks.size()) {
     const bool Matches =
         Response->Status == StatusOk &&
         sha256Hex(Response->Body) == State->Descriptor->Chunks[Index].Id;
@@ -262,6 +269,11 @@
   advanceVersion(*State);
 }
 
+bool Stager::isComplete(const VersionState &State) const {
+  return State.Descriptor && Transfer &&
+         versionComplete(*Transfer, State.Descriptor->Id);
+}
+
 bool Stager::servesNoVersion(const DeclaredVersion &Target) const {
   return Report && std::none_of(Report->Weights.begin(), Report->Weights.end(),
                                 [&](const LoadedWeights &Each) {
@@ -272,12 +284,11 @@
 LoadConditions Stager::loadConditions(VersionState &State) {
   LoadConditions Conditions;
   const DeclaredVersion &Target = State.Load.Target;
-  Conditions.Complete = State.Descriptor && Transfer &&
-                        versionComplete(*Transfer, State.Descriptor->Id);
+  Conditions.Complete = isComplete(State);
   Conditions.Complete =
       Conditions.Complete &&
       (State.Load.Stage != LoadStage::Fetching || canStage(Target)) &&
-      !isOutOfUse(Target);
+      !isOutOfUse(Target) && !isPartDoubtful(State);
   Conditions.Staged = isStaged(State.Staged) &&
                       (!State.OrderUnresolved ||
                        oldestRead(State.Staged) >= State.Load.StageEnteredAt);
@@ -399,8 +410,9 @@
                                         .count())}}});
     switch (State.Load.Stage) {
     case LoadStage::Staging:
-      if (State.Part && !State.Part->Ordered)
-        State.Part.reset();
+      for (auto &[Other, Each] : Versions) // the staging area changes
+        if (Each.Part && !Each.Part->Ordered)
+          Each.Part.reset();
       // An order without an answer may still be accepted. What it would load
       // is read, not overwritten.
       if (!State.OrderUnresolved)
@@ -420,8 +432,7 @@
     case LoadStage::Serving:
       // A server takes a version only once, so only the next one replaces
       // corrupt weights.
-      Accepting = !(State.AcceptedLate && State.CorruptSinceOrder) &&
-                  !isPartDoubtful(State);
+      Accepting = !(State.AcceptedLate && State.CorruptSinceOrder);
       State.OrderUnresolved = State.AcceptedLate = false;
       announceStatus(true);
       break;
--- a/programs/stager/stager_facts.cpp
+++ b/programs/stager/stager_facts.cpp
@@ -83,7 +83,9 @@
       recordPeer(hostPart(Member.Address), Member.Region);
     updateTransferMembers();
   }
-  if (Facts.ConfigRevision >= FactsRevision)
+  // A configuration without the pool states no layers; a model keeps its own.
+  if (Facts.ConfigRevision >= FactsRevision &&
+      (Facts.Layers > 0 || !LayerCount))
     LayerCount = Facts.Layers;
   // A gateway whose requests the store rejects may have an older configuration.
   if (Facts.ConfigRevision >= FactsRevision && !Facts.OriginAddress.empty()) {
--- a/src/coordination/partial_load.cpp
+++ b/src/coordination/partial_load.cpp
@@ -23,22 +23,17 @@
          (Reported->From == 0 && Reported->End >= Layers);
 }
 
-std::optional<LayerRange> longestHeldRun(const std::vector<bool> &Held,
+std::optional<LayerRange> firstHeldLayer(const std::vector<bool> &Held,
                                          std::uint32_t Layers) {
-  LayerRange Longest;
-  LayerRange Run;
   for (std::uint32_t Layer = 0; Layer < Layers; ++Layer) {
     const ChunkRange Needed =
         chunksOfLayers({Layer, Layer + 1}, Layers, Held.size());
     const auto First = Held.begin() + static_cast<std::ptrdiff_t>(Needed.First);
     const auto End = Held.begin() + static_cast<std::ptrdiff_t>(Needed.End);
-    const bool IsWhole = First != End && std::find(First, End, false) == End;
-    Run = IsWhole ? LayerRange{Run.From, Layer + 1}
-                  : LayerRange{Layer + 1, Layer + 1};
-    if (Run.End - Run.From > Longest.End - Longest.From)
-      Longest = Run;
+    if (First != End && std::find(First, End, false) == End)
+      return LayerRange{Layer, Layer + 1};
   }
-  return Longest == LayerRange{} ? std::nullopt : std::optional(Longest);
+  return std::nullopt;
 }
 
 void recordDeclaration(DeclarationHistory &History,
@@ -52,7 +47,13 @@
 }
 
 void recordAcknowledgedAfter(DeclarationHistory &History,
-                             const DeclaredVersion &Version, TimePoint Bound) {
+                             const DeclaredVersion &Version, TimePoint Bound,
+                             TimePoint Now) {
+  // A newer declaration hides older ones from a process that has just started,
+  // or that had no contact.
+  const auto Newer = History.upper_bound(Version);
+  if (Newer != History.end() && Newer->first.Model == Version.Model)
+    recordDeclaration(History, Version, Now);
   const auto Known = History.find(Version);
   if (Known != History.end())
     Known->second.ReportedAt =
--- a/src/transport/mailbox.cpp
+++ b/src/transport/mailbox.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace marigoldyard {
@@ -44,7 +45,7 @@
 /// of them is closed: a stranger that stays silent keeps no process out.
 struct ConnectionGate {
   std::mutex Mutex;
-  std::size_t Open = 0;
+  std::unordered_set<std::uint32_t> Open;
   std::uint64_t Arrivals = 0;
   /// Connections without a valid message so far, with their order of arrival.
   std::unordered_map<std::uint32_t, std::uint64_t> Unproven;
@@ -66,7 +67,7 @@
 
   void removed(std::uint32_t Number) {
     std::lock_guard Lock(Mutex);
-    --Open;
+    Open.erase(Number);
     Unproven.erase(Number);
     dropFrames(Frames, Number);
   }
@@ -74,7 +75,8 @@
   /// @return the connection to close; empty if there is room
   std::optional<std::uint32_t> added(std::uint32_t Number) {
     std::lock_guard Lock(Mutex);
-    if (++Open > Shared->Options.MaxConnections)
+    Open.insert(Number);
+    if (Open.size() > Shared->Options.MaxConnections)
       return Number;
     Unproven.emplace(Number, ++Arrivals);
     if (Unproven.size() <= Shared->Options.MaxUnprovenConnections)
@@ -96,6 +98,10 @@
   add(std::uint32_t Number, std::span<const std::uint8_t> Frame,
       const KeyRing &Keys) {
     std::lock_guard Lock(Mutex);
+    // A frame may be received after its connection was removed; nothing would
+    // drop what it makes this process keep.
+    if (!Open.contains(Number))
+      return std::optional<std::vector<std::uint8_t>>();
     auto Result = addFrame(Frames, Number, Frame, Keys);
     if (Result)
       Unproven.erase(Number);
--- a/src/transport/mailbox_peer.cpp
+++ b/src/transport/mailbox_peer.cpp
@@ -296,7 +296,7 @@
     // The connection closed before the message was handed over.
     Next.Content.Head.Receiver = std::move(Receiver);
     std::lock_guard Lock(Mutex);
-    if (IsCurrent)
+    if (IsCurrent && Link == Target)
       Frames.clear();
     if (Closed)
       return;
