Hold requests across the bound of a version in the fault soak

Cause: the soak judged late starts, but its links delayed by at most 0.3 s, and any fault of a link excused a start. So it could not find requests that a link delivers after the bound, although their gateway had given them up. Its stagers did not reach their servers directly either: the address of a server is that of its proxy, so that faults of links hit the calls of the stager too.

Change: requests_held, drawn last, declares a version of which the origin lacks a piece, holds requests at the proxies of the model servers from 1.0 to 2.5 s before the bound until 0.1 to 1.0 s after it, and delivers them although the connection was reset. While it lasts, no mode of a proxy touches calls of stagers. The new check: a server whose stager was not killed or paused between the declaration and the bound, which did not crash, and whose stager must hold a whole layer of the newest version (the origin sent it 2.5 s before the bound, and nothing kept it from being passed on) starts nothing on an older version after the bound. Faults of links excuse nothing. Only versions whose time lies in the fault are judged; each run prints what was covered. The servers of the soak refuse requests while they have some layers only, as those of the process tests do.

case_pieces of test_soak.py ended with an AttributeError since, as its stand-in had no pieces_of; it has it now.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -460,6 +460,7 @@
         self.sent, self.down, self.corrupt = 0, False, 0
         self.limit = None  # pieces that it sends before it goes down
         self.missing = set()  # indices of pieces that it does not send
+        self.delivered = []  # time, version and index of each right piece that it has sent
         self.asked = []  # time and path of each call
         self.endless = None  # part of the paths whose answers never end
         self.wrong_manifests = 0  # manifests to come that are wrong
@@ -493,7 +494,8 @@
         if self.corrupt > 0:
             self.corrupt -= 1
             return request.answer(200, b"x" * PIECE_BYTES)
-        return request.answer(200, piece(model, version, int(fields["item_count"])))
+        request.answer(200, piece(model, version, int(fields["item_count"])))
+        return self.delivered.append((time.monotonic(), version, int(fields["item_count"])))
 
 
 def route(name, host, prefix, kind, pool, **changes):
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -12,7 +12,7 @@
 import late_starts  # noqa: E402
 import proxy  # noqa: E402
 import soak  # noqa: E402
-from world import EVENTS, World, body_of, pf  # noqa: E402
+from world import EVENTS, LAYER_PIECES, World, body_of, pf  # noqa: E402
 import crashing_request  # noqa: E402
 import configurations  # noqa: E402  world.py sets the path of this and the next one
 import kept_connections  # noqa: E402
@@ -32,6 +32,7 @@
     world.lock, world.broken, world.sent, world.runs = threading.RLock(), [], {"a": "once"}, {}
     world.answers, world.engines, world.record = [], [], early_ends.Record()
     world.late_starts = late_starts.LateStarts(world.record)
+    world.origin = type("Origin", (), {"delivered": []})
     world.limits = kept_connections.Limits(LIMITS)
     world.crashing = crashing_request.CrashingRequest(world.record, 1)
     world.kept = kept_connections.KeptRecord(world.record, world.limits)
@@ -90,6 +91,10 @@
     class Engine:
         id, spoilt_in_order, spoilt_runs = "e", [{}], 0
         orders = [(0, {"model": "m", "version": 2}, good | {0: b"wrong"})]
+
+        @staticmethod
+        def pieces_of(order):
+            return pf.Backend.pieces_of(None, order)
     world = blank_world()
     world.engines = [Engine]
     world.final_checks()
@@ -200,6 +205,94 @@
     assert is_late(8.1, spans=[("gateway_paused", 41, 4.0, 8.0)]), "a pause of another gateway excuses"
 
 
+# Guards against a soak that misses a server which starts on an older version what a link delivers late.
+def case_closed_servers():
+    """a start at a server that its stager had to close is noticed whatever the links do, and others are not"""
+    first_layer = [(BEGUN + 1, 2, index) for index in LAYER_PIECES[0]]
+
+    def is_late(at=8.1, version=1, spans=(), stager_spans=(), delivered=first_layer, declared=(), reached=True):
+        world = blank_world()
+        world.origin = type("Origin", (), {"delivered": delivered})
+        world.late_starts.declared = [(2, BEGUN), *declared]
+        world.late_starts.starts = [("a", "i-1", version, BEGUN + at)]
+        reaches = [("server_reached", "i-1", -0.1, 9.0)] if reached else []
+        # The held link excuses the start for the other check.
+        for record, entries in ((world.record, [("link_held", "i-1", 7.0, 9.0), *spans]),
+                                (world.late_starts.stagers, [*reaches, *stager_spans])):
+            record.spans = [early_ends.Span(kind, {touched}, BEGUN + begun, BEGUN + ended)
+                            for kind, touched, begun, ended in entries]
+        world.answers = [(BEGUN, BEGUN + at, "stream", "a", 40, answer(200))]
+        world.final_checks()
+        return bool(world.broken)
+    assert is_late() and not is_late(7.9) and not is_late(version=2)
+    for kind in ("link_silent", "link_refuse", "link_reset"):
+        assert is_late(spans=[(kind, "i-1", 5.0, 9.0)]), f"excuses: {kind}"
+    assert not is_late(reached=False), "a stager that a fault of the link may cut off"
+    for kind in ("stager_killed", "stager_paused"):
+        assert not is_late(stager_spans=[(kind, "i-1", 7.0, 7.5)]), f"does not excuse: {kind}"
+        assert is_late(stager_spans=[(kind, "i-1", -1.0, -0.1)]), f"excuses: {kind} before the declaration"
+        assert is_late(stager_spans=[(kind, "i-1", 8.05, 9.0)]), f"excuses: {kind} after the bound"
+        assert is_late(stager_spans=[(kind, "i-2", 7.0, 7.5)]), f"excuses: {kind} of another one, whose pieces are known"
+        assert not is_late(stager_spans=[(kind, "i-2", 1.5, 2.0)]), f"{kind} of another one, which may have the pieces alone"
+    assert not is_late(stager_spans=[("store_away", "i-1", 0.5, 4.0)]), "a stager that does not know the version"
+    assert is_late(stager_spans=[("store_away", "i-1", 4.0, 9.0)]), "excuses: a store that is away later"
+    assert not is_late(spans=[("server_crashed", "i-1", 7.0, 7.5)]), "a server that has started again"
+    assert not is_late(delivered=first_layer[1:]), "no layer is whole"
+    assert not is_late(delivered=[(BEGUN + 7, *piece[1:]) for piece in first_layer]), "a layer that came late"
+    assert not is_late(declared=[(3, BEGUN + 5)]), "pieces of a version that was skipped"
+    assert is_late(declared=[(3, BEGUN + 5)], delivered=[(BEGUN + 5.1, 3, i) for i in LAYER_PIECES[1]]), "of the newest version"
+
+
+# Guards against a fault that does not reach servers after the reset, or that cuts off the stager which must close them.
+def case_held_requests():
+    """a request is delivered after its sender has reset the connection, and no mode touches the calls of a stager"""
+    with socket.create_server((f"{pf.NET}.20.92", 0)) as listener:
+        held = proxy.Proxy(f"{pf.NET}.20.92", 9999, "%s:%d" % listener.getsockname())
+        host, port = held.address.split(":")
+        listener.settimeout(2)
+
+        def send(data):
+            sender = socket.create_connection((host, int(port)))
+            sender.sendall(data)
+            accepted, _ = listener.accept()
+            accepted.settimeout(0.5)
+            return sender, accepted
+
+        def arrives(accepted):
+            try:
+                return accepted.recv(100)
+            except TimeoutError:
+                return b""
+        held.holding, held.spares_local = True, True
+        sender, accepted = send(b"POST /stream/x")
+        assert not arrives(accepted), "it is not held"
+        proxy.Proxy.reset(sender)
+        assert not arrives(accepted), "it is not held until the end"
+        held.holding = False
+        assert arrives(accepted) == b"POST /stream/x", "it is not delivered"
+        accepted.close()
+        held.mode = "silent"
+        sender, accepted = send(b"POST /stream/x")
+        proxy.Proxy.reset(sender)
+        try:
+            assert accepted.recv(100) is None, "a silent link tells of a reset"
+        except TimeoutError:
+            pass
+        accepted.close()
+        held.holding = True
+        for mode in ("silent", "refuse"):
+            held.mode = mode
+            sender, accepted = send(b"POST /marigoldyard/order")
+            assert arrives(accepted) == b"POST /marigoldyard/order", f"the stager is not spared: {mode}"
+            held.reset_links()
+            accepted.sendall(b"HTTP/1.1 202")
+            sender.settimeout(2)
+            assert sender.recv(100) == b"HTTP/1.1 202", f"the answer to the stager is not spared: {mode}"
+            sender.close()
+            accepted.close()
+        held.close()
+
+
 def case_kept_requests():
     """a request that a gateway read on a kept connection and did not answer is noticed, and one that was not read is not"""
     def is_lost(how, prepare=lambda world: None, spans=()):
@@ -365,7 +458,7 @@
 def main():
     failed = 0
     for case in (case_checks, case_runs, case_pieces, case_early_ends, case_excuses, case_limits, case_servers_at_fault,
-                 case_late_starts, case_kept_requests, case_kept_closes, case_refusals,
+                 case_late_starts, case_closed_servers, case_held_requests, case_kept_requests, case_kept_closes, case_refusals,
                  case_configurations, case_crashes, case_crash_of_a_server, case_kept_ends, case_runs_are_recorded):
         try:
             case()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import world as w  # noqa: E402  the path is set above
 import configurations  # noqa: E402
 import kept_connections  # noqa: E402
+import late_starts  # noqa: E402
 from world import pf, wait_for  # noqa: E402
 
 FAULT_TIME_S, CALLERS, KEPT_CALLERS, FAULTS_PER_RUN = 7.0, 6, 6, 9
@@ -29,7 +30,9 @@
     """The store turns gateways or stagers away, or falls silent for them."""
     hosts = rng.sample(w.GATEWAYS + w.ENGINES, rng.randint(1, len(w.GATEWAYS + w.ENGINES)))
     marked = rng.choice((world.store.turned_away, world.store.silent))
-    with world.record.span("store_away", [host for host in hosts if host in w.GATEWAYS]):
+    cut_off = [server.id for host, server in zip(w.ENGINES, world.engines) if host in hosts]
+    with world.record.span("store_away", [host for host in hosts if host in w.GATEWAYS]), \
+            world.late_starts.stagers.span("store_away", cut_off):
         marked.update(hosts)
         wait()
         marked.difference_update(hosts)
@@ -55,16 +58,19 @@
 def stager_killed(world, rng, wait):
     """A stager is killed and started again."""
     server = rng.choice(world.engines)
-    world.stagers[server].stop()
-    time.sleep(rng.uniform(0.1, 0.8))
-    world.stagers[server] = world.fleet.stager(server)
+    with world.late_starts.stagers.span("stager_killed", [server.id]):
+        world.stagers[server].stop()
+        time.sleep(rng.uniform(0.1, 0.8))
+        world.stagers[server] = world.fleet.stager(server)
 
 
 def process_paused(world, rng, wait):
     """Gateways and stagers are paused."""
     daemons = [d for d in [*world.gateways.values(), *world.stagers.values()] if d.process.poll() is None]
     chosen = rng.sample(daemons, rng.randint(1, 3))
-    with world.record.span("gateway_paused", [d.host for d in chosen if d.host in w.GATEWAYS]):
+    unstaged = [server.id for server, stager in world.stagers.items() if stager in chosen]
+    with world.record.span("gateway_paused", [d.host for d in chosen if d.host in w.GATEWAYS]), \
+            world.late_starts.stagers.span("stager_paused", unstaged):
         for daemon in chosen:
             daemon.process.send_signal(signal.SIGSTOP)
         wait()
@@ -91,7 +97,7 @@
     servers = rng.sample(world.plain + world.engines, rng.randint(1, 4))
     with world.record.span("link_reset", [server.id for server in servers]):
         for server in servers:
-            server.proxy.reset_all()
+            server.proxy.reset_links()
 
 
 def servers_fail(world, rng, wait):
@@ -143,8 +149,31 @@
         server.pauses = server.refuses = False
 
 
+def requests_held(world, rng, wait):
+    """Requests to model servers are held across the bound of a version of which the origin lacks a piece, and delivered."""
+    for server in world.engines:
+        server.proxy.spares_local = True
+    world.origin.missing = {rng.randrange(pf.PIECES)}
+    touched = [server.id for server in world.engines]
+    with world.late_starts.stagers.span(late_starts.REACHED, touched):
+        bound = declare_version(world) + w.VERSION_S
+        time.sleep(bound - rng.uniform(1.0, 2.5) - time.monotonic())
+        with world.record.span("link_held", touched):
+            for server in world.engines:
+                server.proxy.holding = True
+            time.sleep(bound + rng.uniform(0.1, 1.0) - time.monotonic())
+            for server in world.engines:
+                server.proxy.holding = False
+        time.sleep(1.0)  # in which servers get to what was held
+    world.origin.missing = set()
+    for server in world.engines:
+        server.proxy.spares_local = False
+
+
 FAULTS = (store_away, store_forgets, process_killed, stager_killed, process_paused, link_fault, links_reset,
           servers_fail, origin_fails, configured)
+# In the order in which they were added.
+ADDED_FAULTS = (pieces_spoilt, servers_pause, requests_held)
 
 
 def configure(world, keys=None, extra=(), choose=None):
@@ -162,16 +191,18 @@
     with world.lock:
         world.weights += 1
         world.store.put("op/version/m", {"model": "m", "version": world.weights})
-        world.late_starts.declared.append((world.weights, time.monotonic()))
+        at = time.monotonic()
+        world.late_starts.declared.append((world.weights, at))
+        return at
 
 
 def inject(world, rng):
     """Faults that overlap; each is undone at its end."""
     plan = sorted((rng.uniform(0, FAULT_TIME_S - 1), rng.choice(FAULTS), rng.random()) for _ in range(FAULTS_PER_RUN))
-    # Drawn last, in the order in which they were added, so that known seeds keep the faults that they had.
-    for added in (pieces_spoilt, servers_pause):
+    # Drawn last, so that known seeds keep the faults that they had.
+    for added in ADDED_FAULTS:
         plan.append((rng.uniform(0, FAULT_TIME_S - 1), added, rng.random()))
-    guards = {fault: threading.Lock() for fault in (*FAULTS, pieces_spoilt, servers_pause)}  # one kind does not undo itself
+    guards = {fault: threading.Lock() for fault in (*FAULTS, *ADDED_FAULTS)}  # one kind does not undo itself
 
     def run(at, fault, seed):
         own = random.Random(seed)
@@ -296,7 +327,8 @@
     served = sum(1 for *_, a in world.answers if a is not None and a.status == 200 and a.whole)
     print(f"seed {seed}: {len(world.answers)} requests, {served} served, faults {' '.join(faults)}\n"
           f"  early ends by excuse: {dict(world.early_ends)}\n  kept connections: {dict(world.kept.counts)}\n"
-          f"  crashes: {len(world.crashing.crashes)} on {len(world.crashing.sent)} requests", flush=True)
+          f"  crashes: {len(world.crashing.crashes)} on {len(world.crashing.sent)} requests\n"
+          f"  closed servers: {world.closed_servers()}", flush=True)
     return world.broken
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,7 @@
 CONFIG_APPLY_S, DRAIN_S, STABLE_S, RECOVERY_S, VERSION_S = 2.0, 2.0, 3.0, 12.0, 8.0
 GATEWAYS, PLAIN, ENGINES = (40, 41, 42), (10, 11, 12), (20, 21, 22)
 EVENTS = 8
+LAYER_PIECES = [range(n * pf.PIECES // pf.LAYERS, (n + 1) * pf.PIECES // pf.LAYERS) for n in range(pf.LAYERS)]
 PATHS = {"read": "/read/", "once": "/once/", "stream": "/stream/"}
 # A pause of a sound server: about as long as a gateway waits before it asks another one, and longer.
 PAUSE_S = (0.9, 1.7)
@@ -91,7 +92,7 @@
             self.world.check(attempt in self.world.sent, f"{attempt}: no caller sent it")
         fault = self.rng.choice(self.faults) if self.faults and self.rng.random() < 0.2 else None
         refused = self.refuses and self.pause_rng.random() < REFUSED_SHARE
-        if self.has_other_version(request):
+        if self.has_other_version(request) or (self.models and self.layers != (0, pf.LAYERS)):
             request.run.refuse()
             return self.refuse_version(request)
         if fault == "shed" or refused or self.pending:
@@ -237,6 +238,8 @@
             self.check(False, promise)
         for promise in self.late_starts.judge({attempt: host for _, _, _, attempt, host, _ in self.answers}):
             self.check(False, promise)
+        for promise in self.late_starts.judge_closed(self.origin.delivered, LAYER_PIECES):
+            self.check(False, promise)
         for server in self.engines:
             self.check(not server.spoilt_runs, f"{server.id}: {server.spoilt_runs} requests on weights of which a piece was "
                                                f"corrupt for too long: {server.spoilt_in_order}")
@@ -245,6 +248,10 @@
                 self.check(set(wrong) <= set(spoilt),
                            f"{server.id}: version {order['version']} was ordered with wrong pieces")
 
+    def closed_servers(self):
+        """The servers that the check of closed servers covered, with the version at whose bound it did."""
+        return self.late_starts.closed([server.id for server in self.engines], self.origin.delivered, LAYER_PIECES)
+
     def close(self):
         self.stop_callers.set()
         for daemon in self.fleet.daemons:
