Reject requests without certain framing and close their connections

What callers saw: the body of a request with a transfer coding other than chunked, such as identity, ran as a request of its own. A client that puts foreign bytes into bodies, such as a proxy, so sent requests that nobody had asked it for, with any key.

Cause: the parser takes a Transfer-Encoding that does not end in chunked for no framing, and accepts "identity, chunked", several fields, a length beside another coding, and codings in HTTP/1.0. CallerSession and HttpSession never looked at the field.

Change: hasValidFraming() decides from the parsed head: one Transfer-Encoding field, chunked alone in any letter case, no length, not in HTTP/1.0. Both sessions ask it at the end of the head, before 100 Continue and before the body; other requests get 400 with Connection: close, and nothing that follows on the connection is read as a request. HttpSession reads head and body in two steps for it.

--- a/include/marigoldyard/transport/detail/http_session.hpp
+++ b/include/marigoldyard/transport/detail/http_session.hpp
@@ -106,6 +106,7 @@
   };
 
   void readRequest();
+  void readBody();
   void requestRead(boost::beast::error_code Failure);
   void handleRequest();
   void rejectRequest(boost::beast::error_code Failure);
--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/caller_session.hpp"
 
 #include "marigoldyard/transport/clock.hpp"
+#include "marigoldyard/transport/request_framing.hpp"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -223,7 +224,9 @@
       InBody = true;
       Parser->eager(true);
       Timer.expiresAt(now() + BodyTimeout);
-      if (Parser->get()[http::field::expect] == "100-continue")
+      if (!hasValidFraming(Parser->get()))
+        Failure = http::error::bad_transfer_encoding;
+      else if (Parser->get()[http::field::expect] == "100-continue")
         co_await write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     RequestBytes = Buffer.capacity() + HeadBytes +
--- a/src/transport/http_session.cpp
+++ b/src/transport/http_session.cpp
@@ -1,5 +1,7 @@
 #include "marigoldyard/transport/detail/http_session.hpp"
 
+#include "marigoldyard/transport/request_framing.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <sstream>
@@ -111,6 +113,21 @@
         beast::error_code Ignored;
         Self->Stream.socket().cancel(Ignored);
       });
+  http::async_read_header(
+      Stream, Buffer, *Incoming,
+      [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
+        if (!Failure && !hasValidFraming(Self->Incoming->get()))
+          Failure = http::error::bad_transfer_encoding;
+        if (Failure)
+          return Self->requestRead(Failure);
+        Self->readBody();
+      });
+}
+
+void HttpSession::readBody() {
+  // A cancellation between the two reads has no effect on the second one.
+  if (TooSlow)
+    return requestRead(beast::error::timeout);
   http::async_read(
       Stream, Buffer, *Incoming,
       [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
