Tell starts of a process apart by milliseconds

Cause: makeIncarnation() used whole seconds of the time of day and 32 random bits. Of two starts within one second the second had the lower number with an even chance, and ReplayFilter::check() at all peers then dropped its messages for as long as it ran.

Change: the 10 bits below the seconds hold the milliseconds, 22 bits stay random. The number keeps its type (64 bits, unsigned) and its seconds in the upper half, so it compares with numbers of older builds by the second. Microseconds would leave 12 random bits; compact reports name their sender by the lower 32 bits alone, and processes may start at the same moment.

Evidence: the new unit case compares starts that are a millisecond apart. Other cases cover the range, numbers of older builds and starts in one millisecond.

What remains: a process whose time of day goes back to before its previous start still gets a lower number (docs/incidents/inc-lower-incarnation.md).

--- a/src/protocol/link_report.cpp
+++ b/src/protocol/link_report.cpp
@@ -15,8 +15,8 @@
 /// First byte of a compact report; other messages begin with their own format
 /// version.
 constexpr std::uint8_t CompactVersion = 2;
-/// Version byte and the lower half of the sender's incarnation, which is
-/// random.
+/// Version byte and the lower half of the sender's incarnation, which differs
+/// between senders: milliseconds of the start and 22 random bits.
 constexpr std::size_t NumberBytes = 4;
 constexpr std::size_t HeadBytes = 1 + NumberBytes;
 /// Sequence, tokens by rank, running requests, rate.
--- a/src/transport/random_source.cpp
+++ b/src/transport/random_source.cpp
@@ -13,10 +13,25 @@
   return Random(Seed);
 }
 
+namespace {
+
+/// Bits below the second and below the millisecond. 10 bits hold the 1,000
+/// milliseconds of a second. Finer time would leave fewer random bits to tell
+/// processes apart that start at the same moment: compact reports name their
+/// sender by the lower 32 bits alone.
+constexpr unsigned SecondShift = 32;
+constexpr unsigned MillisecondShift = 22;
+constexpr Incarnation RandomMask = (Incarnation{1} << MillisecondShift) - 1;
+
+} // namespace
+
 Incarnation makeIncarnation(std::chrono::microseconds Start, Random &Source) {
-  auto Seconds = static_cast<Incarnation>(
-      std::chrono::duration_cast<std::chrono::seconds>(Start).count());
-  return Seconds << 32 | (Source() & 0xFFFFFFFFU);
+  const auto Second = std::chrono::floor<std::chrono::seconds>(Start);
+  const auto Fraction =
+      std::chrono::floor<std::chrono::milliseconds>(Start - Second);
+  return static_cast<Incarnation>(Second.count()) << SecondShift |
+         static_cast<Incarnation>(Fraction.count()) << MillisecondShift |
+         (Source() & RandomMask);
 }
 
 } // namespace marigoldyard
--- a/tests/src/unit-transport-process.cpp
+++ b/tests/src/unit-transport-process.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -94,6 +95,49 @@
   CHECK((First >> 32) == 1'790'000'000);
 }
 
+TEST_CASE("a start within the same second as the one before has a higher "
+          "incarnation, so that peers do not drop its messages as older ones") {
+  using std::chrono::milliseconds;
+  Random Source(1);
+  const std::chrono::seconds Second(1'790'000'000);
+  for (int I = 0; I < 999; ++I) {
+    const auto Start = Second + milliseconds(I);
+    const Incarnation First = makeIncarnation(Start, Source);
+    CHECK(makeIncarnation(Start + milliseconds(1), Source) > First);
+    CHECK((First >> 32) == 1'790'000'000);
+  }
+}
+
+TEST_CASE("the last microsecond of a second stays below the next second, and "
+          "numbers of builds with whole seconds compare by their second") {
+  using std::chrono::microseconds;
+  Random Source(1);
+  const std::chrono::seconds Second(1'790'000'000);
+  const Incarnation Seconds = 1'790'000'000;
+  // Builds with whole seconds filled the lower half with random bits.
+  const Incarnation HighestBefore = (Seconds << 32) - 1;
+  const Incarnation LowestAfter = (Seconds + 1) << 32;
+  for (int I = 0; I < 1000; ++I) {
+    CHECK(makeIncarnation(Second, Source) > HighestBefore);
+    CHECK(makeIncarnation(Second + microseconds(999'999), Source) <
+          LowestAfter);
+  }
+  // The seconds fill the upper half until the year 2106.
+  const std::chrono::seconds Last(0xFFFFFFFF);
+  CHECK((makeIncarnation(Last + microseconds(999'999), Source) >> 32) ==
+        0xFFFFFFFF);
+}
+
+TEST_CASE("processes that start in the same millisecond draw different lower "
+          "halves, which tell the senders of compact reports apart") {
+  Random Source(1);
+  std::set<std::uint32_t> Numbers;
+  for (int I = 0; I < 60; ++I)
+    Numbers.insert(static_cast<std::uint32_t>(
+        makeIncarnation(std::chrono::seconds(1'790'000'000), Source)));
+  CHECK(Numbers.size() == 60);
+}
+
 TEST_CASE("two generators of a process start do not repeat each other, so that "
           "two processes draw different incarnations") {
   Random One = makeRandom();
