Tests for trailers and for connections that end in mid-message

Besides: a doubt about layers whose order had no effect ends with a report of the whole older version, so that its server is closed after all, and layers of a version that is out of use are no reason for a warning.

--- a/programs/stager/stager_closing.cpp
+++ b/programs/stager/stager_closing.cpp
@@ -111,6 +111,10 @@
     const auto ClosesAt = closesAt({Loaded.Model, Loaded.Version});
     if (!ClosesAt || now() < *ClosesAt - StagingLeadTime)
       continue;
+    // Orders whose results were lost had no effect on this server.
+    std::erase_if(DoubtfulParts, [&](const DeclaredVersion &Each) {
+      return Each.Model == Loaded.Model && Each.Version > Loaded.Version;
+    });
     VersionState *Next = versionForPartialLoad(Loaded);
     if (Next == nullptr)
       continue;
@@ -232,7 +236,9 @@
   for (const LoadedWeights &Each : NewReport.Weights) {
     const DeclaredVersion Version{Each.Model, Each.Version};
     const VersionState *State = findVersion(Version);
-    if (State != nullptr && State->Part && State->Part->Ordered)
+    const bool OwnOrder =
+        State != nullptr && State->Part && State->Part->Ordered;
+    if (OwnOrder || isOutOfUse(Version))
       continue;
     if (DoubtfulParts.insert(Version).second)
       Node.Log.write({.Level = LogLevel::Warning,
--- a/tests/process/test_hostile_heads.py
+++ b/tests/process/test_hostile_heads.py
@@ -51,8 +51,8 @@
     return sum(int(row[4].partition(":")[2], 16) for row in rows if row[9] in inodes)
 
 
-def run_crowd(fleet, count, make_parts, port=pf.CALLER_PORT):
-    """`count` callers send at once and stay open; checks memory, descriptors and an ordinary request."""
+def run_crowd(fleet, count, make_parts, port=pf.CALLER_PORT, settle_s=0.3):
+    """`count` callers send at once and stay open; checks memory, descriptors and an ordinary request after settle_s."""
     with Target(fleet, LIMITS, MEMORY_MB << 10, MAX_DESCRIPTORS) as target:
         def run(_):
             connection = target.connect(port)
@@ -61,7 +61,7 @@
                 send(connection, make_parts())
         with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
             list(pool.map(run, range(count)))
-        time.sleep(0.3)  # until the gateway has read what was sent
+        time.sleep(settle_s)  # until the gateway has read what was sent
         target.check_bounds()
 
 
@@ -118,6 +118,23 @@
     run_crowd(fleet, LARGE_CROWD, unfinished_head)
 
 
+def whole_with_trailers():
+    """A whole request with as many trailers as a head of small fields has fields."""
+    yield (head("Transfer-Encoding: chunked") + b"1\r\nx\r\n0\r\n" + b"a:b\r\n" * FIELDS + b"\r\n")
+
+
+# Guards against trailers of chunked bodies that are held as fields and not accounted.
+def case_trailers(fleet):
+    """requests with many trailers that are being served stay within the memory"""
+    for server in fleet.plain:
+        server.behaviours = [lambda request, s=server: (time.sleep(2.5), s.plain(request))] * CROWD
+    try:
+        run_crowd(fleet, CROWD, whole_with_trailers, settle_s=6)  # until the servers have answered
+    finally:
+        for server in fleet.plain:
+            server.behaviours.clear()
+
+
 # Guards against received bytes that wait in sockets without a bound: the kernel lets the buffer of a connection grow while
 # its bytes are read quickly.
 def case_unread_bodies(fleet):
@@ -159,7 +176,7 @@
 
 
 CASES = [case_small_fields_alone, case_small_fields, case_small_fields_ready, case_small_fields_directory, case_small_fields_operator,
-         case_unfinished_heads, case_unread_bodies]
+         case_unfinished_heads, case_trailers, case_unread_bodies]
 
 if __name__ == "__main__":
     pf.run_cases(CASES, prepare)
--- a/tests/src/unit-transport-mailbox.cpp
+++ b/tests/src/unit-transport-mailbox.cpp
@@ -1,7 +1,13 @@
 #include "mailbox_fixture.hpp"
 #include "marigoldyard/protocol/link_report.hpp"
+#include "marigoldyard/protocol/message_frames.hpp"
 #include "marigoldyard/protocol/replay_filter.hpp"
 
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace marigoldyard;
 using namespace marigoldyard::test;
 
@@ -232,3 +238,36 @@
   CHECK(nextRequest(To) == "second");
   CHECK(Known.Box->connected(To.address()));
 }
+
+// Guards against frames that are received after the end of their connection
+// and stay accounted for ever, so that no long message is accepted any more.
+TEST_CASE("connections that end in mid-message leave room for long messages") {
+  namespace net = boost::asio;
+  Endpoint To(optionsOf("b"));
+  const auto First =
+      splitMessage(std::vector<std::uint8_t>(4'000'000, 1), Ring).front();
+  // Handshake of PUSH over TCP, and the length of the frame.
+  std::vector<std::uint8_t> Bytes{0, 'S', 'P', 0, 0, 0x50, 0, 0};
+  for (int Shift = 56; Shift >= 0; Shift -= 8)
+    Bytes.push_back(static_cast<std::uint8_t>(First.size() >> Shift));
+  Bytes.insert(Bytes.end(), First.begin(), First.end());
+  net::io_context Context;
+  for (int Number = 0; Number < 200; ++Number) {
+    net::ip::tcp::socket Socket(Context);
+    Socket.connect({net::ip::make_address("127.0.0.3"), To.Box->port()});
+    net::write(Socket, net::buffer(Bytes));
+  }
+  Endpoint Known(optionsOf("a"));
+  REQUIRE(eventually([&] {
+    Message Large = cancelOf("x", "b");
+    Large.Content = ChunkData{{}, std::vector<std::uint8_t>(100'000, 7)};
+    REQUIRE(Known.Box->send(To.address(), Large));
+    return To.Messages.pop(std::chrono::milliseconds(200)).has_value();
+  }));
+  for (int Number = 0; Number < 5; ++Number) {
+    Message Large = cancelOf("x", "b");
+    Large.Content = ChunkData{{}, std::vector<std::uint8_t>(3'000'000, 7)};
+    REQUIRE(Known.Box->send(To.address(), Large));
+    REQUIRE(To.Messages.pop(Patience));
+  }
+}
