--- a/programs/gateway/caller_session.cpp
+++ b/programs/gateway/caller_session.cpp
@@ -77,7 +77,7 @@
 /// What one step of a parser has taken from a buffer.
 struct Parsed {
   std::size_t Bytes = 0;
-  std::size_t Lines = 0;
+  std::size_t Lines = 0; ///< of a head
   bool NeedsMore = true; ///< the rest of the buffer is incomplete
 };
 
@@ -87,10 +87,12 @@
   Parsed Result;
   if (Buffer.size() == 0)
     return Result;
+  const bool InHead = !Parser.is_header_done();
   Result.Bytes = Parser.put(Buffer.data(), Failure);
   const auto *const Text = static_cast<const char *>(Buffer.data().data());
-  Result.Lines =
-      static_cast<std::size_t>(std::count(Text, Text + Result.Bytes, '\n'));
+  if (InHead)
+    Result.Lines =
+        static_cast<std::size_t>(std::count(Text, Text + Result.Bytes, '\n'));
   Buffer.consume(Result.Bytes);
   Result.NeedsMore = Result.Bytes == 0 || Failure == http::error::need_more;
   if (Failure == http::error::need_more)
@@ -238,7 +240,7 @@
       else if (Parser->get()[http::field::expect] == "100-continue")
         co_await write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    if (InBody && Parser->is_done()) // trailers are fields too
+    if (Parser->is_done() && Parser->chunked()) // trailers are fields too
       HeadBytes = std::max(HeadBytes, fieldsMemory(Parser->get().base()));
     RequestBytes = Buffer.capacity() + HeadBytes +
                    BodyCopies * Parser->get().body().size();
--- a/programs/gateway/gateway.cpp
+++ b/programs/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/gateway.hpp"
 
 #include "marigoldyard/transport/clock.hpp"
+#include "marigoldyard/transport/endpoint.hpp"
 #include "platform/store_format.hpp"
 #include "programs/gateway/request_run.hpp"
 
@@ -59,9 +60,6 @@
 /// Part of the machine's memory for incomplete responses of servers. Machines
 /// of 160 MB and more get the whole default.
 constexpr std::size_t ResponseMemoryParts = 5;
-/// Bytes of a caller that the kernel holds while the process does not read. It
-/// allows for 16 MB a second with a round trip of 2 ms.
-constexpr int ReceiveBufferBytes = 32 << 10;
 
 } // namespace
 
@@ -136,21 +134,7 @@
                                Address.Port);
   auto Acceptor = std::make_shared<Tcp::acceptor>(Node.Context);
   if (!Failure)
-    Acceptor->open(Endpoint.protocol(), Failure);
-  if (!Failure)
-    Acceptor->set_option(Tcp::acceptor::reuse_address(true), Failure);
-  if (!Failure)
-    Acceptor->bind(Endpoint, Failure);
-  // Connections inherit the limit, which the kernel would raise by itself.
-  if (!Failure)
-    Acceptor->set_option(
-        net::socket_base::receive_buffer_size(ReceiveBufferBytes), Failure);
-  // Connections that are not accepted yet hold memory too.
-  if (!Failure)
-    Acceptor->listen(static_cast<int>(std::min<std::size_t>(
-                         Callers.Memory.Limits.Connections,
-                         net::socket_base::max_listen_connections)),
-                     Failure);
+    Failure = listenOn(*Acceptor, Endpoint, Callers.Memory.Limits.Connections);
   if (Failure)
     return Error{ErrorCode::InvalidSettings, Step::Settings,
                  addressText(Address), Failure.message()};
--- a/programs/stager/stager.hpp
+++ b/programs/stager/stager.hpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -140,6 +141,8 @@
   void recordChunkLocations(const DeclaredVersion &Target,
                             const VersionDescriptor &Descriptor);
   void startTransfer(VersionState &State);
+  /// @return descriptors of all versions whose manifest is known
+  std::vector<Digest> wantedVersions() const;
   void handleManifestFailure(const DeclaredVersion &Target,
                              const std::string &Cause);
   void handleDescriptorMessage(const std::string &Peer, const Body &Content);
@@ -181,6 +184,20 @@
   void removeSupersededVersions();
   bool canContinueStreams(const DeclaredVersion &Target) const;
   void sendLoadOrder(VersionState &State);
+  /// Result of a load order.
+  struct OrderResult {
+    bool Answered = false;
+    bool Refused = false; ///< or not answered
+    /// Without an answer the order may still have been accepted, which the next
+    /// reports show.
+    bool HadNoEffect = false;
+  };
+  /// Reads and logs the result of a load order.
+  /// @param OldestRead oldestRead() when the order was sent
+  OrderResult readOrderResult(std::string_view RefusedEvent,
+                              std::string_view AcceptedEvent,
+                              const DeclaredVersion &Target,
+                              TimePoint OldestRead, const HttpResult &Result);
   /// @param OldestRead oldestRead() when the order was sent
   /// @param EarlierUnresolved whether an earlier order was unresolved then
   void handleOrderResult(const DeclaredVersion &Target, TimePoint OldestRead,
--- a/programs/stager/stager_closing.cpp
+++ b/programs/stager/stager_closing.cpp
@@ -94,11 +94,7 @@
   });
   if (Removed == 0 || !Transfer)
     return;
-  std::vector<Digest> Wanted;
-  for (const auto &[Version, State] : Versions)
-    if (State.Descriptor)
-      Wanted.push_back(State.Descriptor->Id);
-  setWantedVersions(*Transfer, Wanted, now());
+  setWantedVersions(*Transfer, wantedVersions(), now());
   PlanDue = true;
 }
 
@@ -138,7 +134,7 @@
     // A complete version loads as a whole once no staging call is pending.
     if (isComplete(State))
       return nullptr;
-    if (State.Descriptor && !DoubtfulParts.contains(Version))
+    if (State.Descriptor)
       Newer.push_back(&State);
   }
   for (VersionState *State : Newer)
@@ -200,26 +196,11 @@
                                      TimePoint OldestRead,
                                      std::int64_t ServerStart,
                                      const HttpResult &Result) {
-  const auto *Response = std::get_if<HttpResponse>(&Result);
-  const auto *Failure = std::get_if<HttpFailure>(&Result);
-  const bool Refused =
-      Response == nullptr || platform::parseOrderStatus(Response->Status) ==
-                                 platform::OrderStatus::Refused;
-  Node.Log.write(
-      {.Level = Refused ? LogLevel::Warning : LogLevel::Info,
-       .Event = Refused ? "partial_load_refused" : "partial_load_ordered",
-       .At = Step::Order,
-       .Peer = addressText(Settings.Engine),
-       .Fields = {{"version", std::to_string(Target.Version)},
-                  {"status", Response != nullptr
-                                 ? std::to_string(Response->Status)
-                                 : "none"},
-                  {"detail", Failure != nullptr ? Failure->Cause.Detail : ""},
-                  {"oldest_read_s", formatSeconds(now() - OldestRead)}}});
-  const bool HadNoEffect =
-      Failure != nullptr ? !Failure->RequestBytesSent : Refused;
+  const OrderResult Outcome =
+      readOrderResult("partial_load_refused", "partial_load_ordered", Target,
+                      OldestRead, Result);
   VersionState *State = findVersion(Target);
-  if (HadNoEffect) {
+  if (Outcome.HadNoEffect) {
     if (State != nullptr)
       State->Part.reset(); // tried again
     NextPartialOrderAt = now() + RefusalPause;
@@ -227,7 +208,7 @@
   }
   // A server that has started since has loaded what lay there then.
   const bool SameServer = Report && Report->StartedAtMs == ServerStart;
-  if (Failure != nullptr || !SameServer ||
+  if (!Outcome.Answered || !SameServer ||
       now() - OldestRead >= StagedChunksSettings().MaxAgeWhenAccepted)
     DoubtfulParts.insert(Target);
 }
--- a/programs/stager/stager_engine.cpp
+++ b/programs/stager/stager_engine.cpp
@@ -465,12 +465,11 @@
       });
 }
 
-void Stager::handleOrderResult(const DeclaredVersion &Target,
-                               TimePoint OldestRead, bool EarlierUnresolved,
-                               const HttpResult &Result) {
-  VersionState *State = findVersion(Target);
-  if (State == nullptr)
-    return;
+Stager::OrderResult Stager::readOrderResult(std::string_view RefusedEvent,
+                                            std::string_view AcceptedEvent,
+                                            const DeclaredVersion &Target,
+                                            TimePoint OldestRead,
+                                            const HttpResult &Result) {
   const auto *Response = std::get_if<HttpResponse>(&Result);
   const auto *Failure = std::get_if<HttpFailure>(&Result);
   const bool Refused =
@@ -478,7 +477,7 @@
                                  platform::OrderStatus::Refused;
   Node.Log.write(
       {.Level = Refused ? LogLevel::Warning : LogLevel::Info,
-       .Event = Refused ? "order_refused" : "order_given",
+       .Event = std::string(Refused ? RefusedEvent : AcceptedEvent),
        .At = Step::Order,
        .Peer = addressText(Settings.Engine),
        .Fields = {{"version", std::to_string(Target.Version)},
@@ -487,11 +486,21 @@
                                  : "none"},
                   {"detail", Failure != nullptr ? Failure->Cause.Detail : ""},
                   {"oldest_read_s", formatSeconds(now() - OldestRead)}}});
-  // Without a response the order may still have been accepted, which the next
-  // reports show.
-  const bool HadNoEffect =
-      Failure != nullptr ? !Failure->RequestBytesSent : Refused;
-  if (HadNoEffect && State->OrderUnresolved)
+  return {Response != nullptr, Refused,
+          Failure != nullptr ? !Failure->RequestBytesSent : Refused};
+}
+
+void Stager::handleOrderResult(const DeclaredVersion &Target,
+                               TimePoint OldestRead, bool EarlierUnresolved,
+                               const HttpResult &Result) {
+  VersionState *State = findVersion(Target);
+  if (State == nullptr)
+    return;
+  const OrderResult Outcome = readOrderResult("order_refused", "order_given",
+                                              Target, OldestRead, Result);
+  const auto *Response = std::get_if<HttpResponse>(&Result);
+  const auto *Failure = std::get_if<HttpFailure>(&Result);
+  if (Outcome.HadNoEffect && State->OrderUnresolved)
     State->OrderUnresolved = EarlierUnresolved;
   if (State->Load.Stage != LoadStage::Loading)
     return; // the order timed out, or a report came first
@@ -499,7 +508,7 @@
     return returnToAnnounced(State->Load, now());
   if (Failure != nullptr)
     return;
-  if (Refused)
+  if (Outcome.Refused)
     return restartStaging(State->Load, now());
   // Any other status than Started may tell of an earlier order.
   if (platform::parseOrderStatus(Response->Status) ==
--- a/programs/stager/stager_transfer.cpp
+++ b/programs/stager/stager_transfer.cpp
@@ -271,18 +271,22 @@
   startTransfer(State);
 }
 
+std::vector<Digest> Stager::wantedVersions() const {
+  std::vector<Digest> Wanted;
+  for (const auto &[Version, State] : Versions)
+    if (State.Descriptor)
+      Wanted.push_back(State.Descriptor->Id);
+  return Wanted;
+}
+
 void Stager::startTransfer(VersionState &State) {
-  std::vector<Digest> DesiredIds;
-  for (const auto &[Other, Each] : Versions)
-    if (Each.Descriptor)
-      DesiredIds.push_back(Each.Descriptor->Id);
   const TimePoint Now = now();
   // After startup, connections to peers take some time to open. Without the
   // peers' chunk maps the stager would fetch from the origin what they hold.
   Transfer->Settings.MapWait = Now - StartedAt < StartupPeriod
                                    ? StartupMapWait
                                    : makeNarrowLinkSettings().MapWait;
-  setWantedVersions(*Transfer, DesiredIds, Now);
+  setWantedVersions(*Transfer, wantedVersions(), Now);
   chunkReceived(*Transfer, State.Descriptor->Id, {}, true, Now);
   if (auto Failure = descriptorReceived(*Transfer, *State.Descriptor, Now))
     Node.Log.write("descriptor_refused", *Failure);
--- a/src/transport/endpoint.cpp
+++ b/src/transport/endpoint.cpp
@@ -1,5 +1,6 @@
 #include "marigoldyard/transport/endpoint.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 
@@ -7,6 +8,14 @@
 
 namespace net = boost::asio;
 
+namespace {
+
+/// Bytes of a connection that the kernel holds while the process does not read.
+/// It allows for 16 MB a second with a round trip of 2 ms.
+constexpr int ReceiveBufferBytes = 32 << 10;
+
+} // namespace
+
 std::optional<net::ip::tcp::endpoint> parseEndpoint(std::string_view Address) {
   const std::size_t Colon = Address.rfind(':');
   if (Colon == std::string_view::npos)
@@ -28,4 +37,25 @@
   return net::ip::tcp::endpoint(Ip, Port);
 }
 
+boost::system::error_code listenOn(net::ip::tcp::acceptor &Acceptor,
+                                   const net::ip::tcp::endpoint &Endpoint,
+                                   std::size_t MaxConnections) {
+  boost::system::error_code Failure;
+  Acceptor.open(Endpoint.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(net::socket_base::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Endpoint, Failure);
+  // Connections inherit the limit, which the kernel would raise by itself.
+  if (!Failure)
+    Acceptor.set_option(
+        net::socket_base::receive_buffer_size(ReceiveBufferBytes), Failure);
+  if (!Failure)
+    Acceptor.listen(
+        static_cast<int>(std::min<std::size_t>(
+            MaxConnections, net::socket_base::max_listen_connections)),
+        Failure);
+  return Failure;
+}
+
 } // namespace marigoldyard
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,8 +1,8 @@
 #include "marigoldyard/transport/http_server.hpp"
 
 #include "marigoldyard/transport/detail/http_session.hpp"
+#include "marigoldyard/transport/endpoint.hpp"
 
-#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -15,13 +15,6 @@
 namespace net = boost::asio;
 using Tcp = net::ip::tcp;
 
-namespace {
-
-/// Bytes of a client that the kernel holds while the process does not read.
-constexpr int ReceiveBufferBytes = 32 << 10;
-
-} // namespace
-
 namespace detail {
 
 HttpExchange::HttpExchange(std::shared_ptr<HttpServerShared> Parts,
@@ -168,20 +161,7 @@
   if (Failure)
     return Failure;
   Tcp::endpoint Endpoint(Address, Options.Port);
-  Acceptor.open(Endpoint.protocol(), Failure);
-  if (!Failure)
-    Acceptor.set_option(net::socket_base::reuse_address(true), Failure);
-  if (!Failure)
-    Acceptor.bind(Endpoint, Failure);
-  // Connections inherit the limit, which the kernel would raise by itself.
-  if (!Failure)
-    Acceptor.set_option(
-        net::socket_base::receive_buffer_size(ReceiveBufferBytes), Failure);
-  if (!Failure)
-    Acceptor.listen(
-        static_cast<int>(std::min<std::size_t>(
-            Options.MaxConnections, net::socket_base::max_listen_connections)),
-        Failure);
+  Failure = listenOn(Acceptor, Endpoint, Options.MaxConnections);
   if (!Failure)
     Port = Acceptor.local_endpoint(Failure).port();
   return Failure;
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -292,7 +292,7 @@
             return self.handle_engine(request, path)
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return request.answer(421, b"", {"Instance-Id": self.id})
-        if self.has_other_version(request) or (self.models and self.layers != (0, LAYERS)):
+        if self.has_other_version(request):
             return self.refuse_version(request)
         self.seen.append((request.command, request.path, dict(request.headers), request.body))
         self.seen_at.append(time.monotonic())
@@ -313,6 +313,9 @@
             self.active.remove(request)
 
     def has_other_version(self, request):
+        """Whether it has another version than the request expects, or some layers of one only."""
+        if self.models and self.layers != (0, LAYERS):
+            return True
         expected = request.headers.get("Expect-Version")
         return bool(expected and self.models) and not self.ignores_version \
             and expected != str(next(iter(self.models.values())))
@@ -630,6 +633,14 @@
         connection.close()
 
 
+def is_ready(gateway, timeout=10):
+    """Whether the readiness check of a gateway, which may not run, is answered with 200."""
+    try:
+        return call(gateway, "/marigoldyard/ready", port=READY_PORT, timeout=timeout).status == 200
+    except OSError:
+        return False
+
+
 def peak_memory_kb(process):
     with open(f"/proc/{process.pid}/status", encoding="ascii") as source:
         return int(next(line for line in source if line.startswith("VmHWM")).split()[1])
--- a/tests/process/test_fleet_start.py
+++ b/tests/process/test_fleet_start.py
@@ -13,10 +13,7 @@
 
 
 def ready(gateway):
-    try:
-        return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT, timeout=1).status == 200
-    except OSError:
-        return False
+    return pf.is_ready(gateway, timeout=1)
 
 
 def stop_gateways(fleet):
--- a/tests/process/test_hostile_callers.py
+++ b/tests/process/test_hostile_callers.py
@@ -44,10 +44,7 @@
         self.connections, self.descriptors = [], 0
 
     def ready(self):
-        try:
-            return call(self.daemon, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
-        except OSError:
-            return False
+        return pf.is_ready(self.daemon)
 
     def connect(self, port=pf.CALLER_PORT):
         """A connection, which stays open until the end of the case; None if it is refused."""
--- a/tests/process/test_hostile_peers.py
+++ b/tests/process/test_hostile_peers.py
@@ -74,13 +74,7 @@
 
 def attack_gateway(fleet, port, make_parts):
     gateway = fleet.gateway(next(HOSTS), memory_mb=GATEWAY_MB, max_fds=MAX_DESCRIPTORS)
-
-    def ready():
-        try:
-            return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
-        except OSError:
-            return False
-    wait_for(ready, "the gateway is ready")
+    wait_for(lambda: pf.is_ready(gateway), "the gateway is ready")
     connections = open_connections(gateway.ip, port, make_parts)
     try:
         answer = call(gateway, "/read/1", method="POST", body=b"x" * 100)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -250,7 +250,7 @@
     fleet.store.silent.add(46)
     started = time.monotonic()
     gateway = fleet.gateway(46)
-    wait_for(lambda: ready(gateway), "ready", timeout=5)
+    wait_for(lambda: pf.is_ready(gateway), "ready", timeout=5)
     check(time.monotonic() - started < 1.5, f"ready after {time.monotonic() - started:.2f} s")
     check(call(gateway, "/read/1").status == 200, "served")
     gateway.stop()
@@ -260,7 +260,7 @@
 def case_terminate(fleet):
     """SIGTERM ends no request, and the gateway leaves the directory at once"""
     gateway = fleet.gateway(44)
-    wait_for(lambda: ready(gateway), "ready")
+    wait_for(lambda: pf.is_ready(gateway), "ready")
     for server in fleet.engines:
         server.behaviours = [server.stream(10, pause=0.15)]
     answers = []
@@ -279,17 +279,10 @@
           f"with what decided them, got {changes}")
 
 
-def ready(gateway):
-    try:
-        return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
-    except OSError:
-        return False
-
-
 def case_log_reader(fleet):
     """a reader of the log that does not read stops no request"""
     gateway = fleet.gateway(45, stdout=subprocess.PIPE)
-    wait_for(lambda: ready(gateway), "ready")
+    wait_for(lambda: pf.is_ready(gateway), "ready")
     for _ in range(600):
         check(call(gateway, "/open/1", key=None).status == 200, "served")
     gateway.process.stdout.close()
--- a/tests/process/test_restored_store.py
+++ b/tests/process/test_restored_store.py
@@ -128,13 +128,7 @@
         engine.born += 1000
         engine.register()
     gateway = fleet.gateway(48)
-
-    def ready():
-        try:
-            return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
-        except OSError:
-            return False
-    wait_for(ready, "ready")
+    wait_for(lambda: pf.is_ready(gateway), "ready")
     wait_for(lambda: call(gateway, "/late/1").status == 200, "the latest configuration is in force",
              timeout=CONFIG_APPLY_S)
     hold(2, lambda: call(gateway, "/late/1").status == 200, "it stays in force")
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -92,10 +92,6 @@
     class Engine:
         id, spoilt_in_order, spoilt_runs = "e", [{}], 0
         orders = [(0, {"model": "m", "version": 2}, good | {0: b"wrong"})]
-
-        @staticmethod
-        def pieces_of(order):
-            return pf.Backend.pieces_of(None, order)
     world = blank_world()
     world.engines = [Engine]
     world.final_checks()
--- a/tests/process/test_versions.py
+++ b/tests/process/test_versions.py
@@ -69,12 +69,7 @@
 
 
 def wait_ready(gateway):
-    def ready():
-        try:
-            return call(gateway, "/marigoldyard/ready", port=pf.READY_PORT).status == 200
-        except OSError:
-            return False
-    wait_for(ready, "the gateway is ready")
+    wait_for(lambda: pf.is_ready(gateway), "the gateway is ready")
 
 
 def newest(fleet):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,7 +22,7 @@
 CONFIG_APPLY_S, DRAIN_S, STABLE_S, RECOVERY_S, VERSION_S = 2.0, 2.0, 3.0, 12.0, 8.0
 GATEWAYS, PLAIN, ENGINES = (40, 41, 42), (10, 11, 12), (20, 21, 22)
 EVENTS = 8
-LAYER_PIECES = [range(n * pf.PIECES // pf.LAYERS, (n + 1) * pf.PIECES // pf.LAYERS) for n in range(pf.LAYERS)]
+LAYER_PIECES = [pf.pieces_of({"from": n, "target": n + 1}) for n in range(pf.LAYERS)]
 PATHS = {"read": "/read/", "once": "/once/", "stream": "/stream/"}
 # A pause of a sound server: about as long as a gateway waits before it asks another one, and longer.
 PAUSE_S = (0.9, 1.7)
@@ -92,7 +92,7 @@
             self.world.check(attempt in self.world.sent, f"{attempt}: no caller sent it")
         fault = self.rng.choice(self.faults) if self.faults and self.rng.random() < 0.2 else None
         refused = self.refuses and self.pause_rng.random() < REFUSED_SHARE
-        if self.has_other_version(request) or (self.models and self.layers != (0, pf.LAYERS)):
+        if self.has_other_version(request):
             request.run.refuse()
             return self.refuse_version(request)
         if fault == "shed" or refused or self.pending:
