--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -547,6 +547,8 @@
         with open(path, "w", encoding="utf-8") as target:
             json.dump(settings, target)
         self.log_path = os.path.join(folder, f"{program}-{host}.log")
+        if os.path.exists(self.log_path):  # of an earlier process on this host, kept for traces
+            os.replace(self.log_path, f"{self.log_path}.{time.monotonic_ns()}")
         self.log = open(self.log_path, "w", encoding="utf-8")
         self.process = subprocess.Popen([os.path.join(BUILD, program), "--settings", path],
                                         stdout=stdout or self.log, stderr=self.log)
